--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/config/Customer.java
@@ -0,0 +1,28 @@
+package org.redwinghook.core.config;
+
+import java.util.List;
+
+/**
+ * A customer of an owner.
+ *
+ * @param name name of the customer
+ * @param owner owner that the customer's use is billed to
+ * @param credentialHashes SHA-256 hashes of the customer's bearer credentials, in lower-case hexadecimal
+ * @param requestsPerSecond limit on requests
+ * @param tokensPerMinute limit on input and output tokens
+ * @param weight share of an endpoint relative to the owner's other customers
+ * @param priority lower numbers go first
+ */
+public record Customer(
+        String name,
+        String owner,
+        List<String> credentialHashes,
+        double requestsPerSecond,
+        long tokensPerMinute,
+        double weight,
+        int priority) {
+
+    public Customer {
+        credentialHashes = List.copyOf(credentialHashes);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/document/YamlMap.java
@@ -0,0 +1,403 @@
+package org.redwinghook.core.document;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.snakeyaml.engine.v2.api.LoadSettings;
+import org.snakeyaml.engine.v2.api.lowlevel.Compose;
+import org.snakeyaml.engine.v2.exceptions.Mark;
+import org.snakeyaml.engine.v2.exceptions.MarkedYamlEngineException;
+import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
+import org.snakeyaml.engine.v2.nodes.MappingNode;
+import org.snakeyaml.engine.v2.nodes.Node;
+import org.snakeyaml.engine.v2.nodes.NodeTuple;
+import org.snakeyaml.engine.v2.nodes.ScalarNode;
+import org.snakeyaml.engine.v2.nodes.SequenceNode;
+import org.snakeyaml.engine.v2.nodes.Tag;
+
+/**
+ * A YAML mapping whose values are read by key and type. Wrong, missing and unknown values become findings with their
+ * place, and reading goes on with a harmless value, so that one pass reports everything.
+ */
+public final class YamlMap {
+
+    private final String file;
+    private final String path;
+    private final @Nullable Mark start;
+    private final Map<String, NodeTuple> entries;
+    private final Set<String> keysRead = new LinkedHashSet<>();
+    private final Findings findings;
+
+    private YamlMap(String file, String path, @Nullable Node node, Findings findings) {
+        this.file = file;
+        this.path = path;
+        this.start = node == null ? null : node.getStartMark().orElse(null);
+        this.findings = findings;
+        this.entries = entriesOf(node);
+    }
+
+    /**
+     * Reads a document whose top is a mapping.
+     *
+     * @param file name for findings
+     * @param text the document
+     * @param findings receives what is wrong
+     * @return the top mapping, empty if the document cannot be parsed
+     */
+    public static YamlMap parse(String file, String text, Findings findings) {
+        LoadSettings settings = LoadSettings.builder()
+                .setLabel(file)
+                .setAllowDuplicateKeys(true)
+                .build();
+        try {
+            Optional<Node> root = new Compose(settings).composeString(text);
+            return new YamlMap(file, "", root.orElse(null), findings);
+        } catch (MarkedYamlEngineException exception) {
+            int line =
+                    exception.getProblemMark().map(mark -> mark.getLine() + 1).orElse(0);
+            int column =
+                    exception.getProblemMark().map(mark -> mark.getColumn() + 1).orElse(0);
+            findings.add(new Finding(file, line, column, "", "not valid YAML: " + exception.getProblem()));
+        } catch (YamlEngineException exception) {
+            findings.add(new Finding(file, 0, 0, "", "not valid YAML: " + exception.getMessage()));
+        }
+        return new YamlMap(file, "", null, findings);
+    }
+
+    /**
+     * The keys in order of the document.
+     *
+     * @return the keys
+     */
+    public Set<String> keys() {
+        return Collections.unmodifiableSet(entries.keySet());
+    }
+
+    /**
+     * Whether a key is present.
+     *
+     * @param key the key
+     * @return true if it is
+     */
+    public boolean has(String key) {
+        return entries.containsKey(key);
+    }
+
+    /**
+     * A text that must be present.
+     *
+     * @param key the key
+     * @return the text, empty after a finding
+     */
+    public String text(String key) {
+        String value = optionalText(key);
+        if (value == null && !entries.containsKey(key)) {
+            report(start, child(key), "is missing");
+        }
+        return value == null ? "" : value;
+    }
+
+    /**
+     * A text that may be absent.
+     *
+     * @param key the key
+     * @return the text or null
+     */
+    public @Nullable String optionalText(String key) {
+        Node node = take(key);
+        if (node == null) {
+            return null;
+        }
+        if (!(node instanceof ScalarNode scalar) || Tag.NULL.equals(scalar.getTag())) {
+            reportAt(key, "must be a text");
+            return null;
+        }
+        if (scalar.getValue().isBlank()) {
+            reportAt(key, "must not be empty");
+            return null;
+        }
+        return scalar.getValue();
+    }
+
+    /**
+     * A text that may be absent.
+     *
+     * @param key the key
+     * @param otherwise value if absent
+     * @return the text
+     */
+    public String text(String key, String otherwise) {
+        String value = optionalText(key);
+        return value == null ? otherwise : value;
+    }
+
+    /**
+     * A whole number that must be present.
+     *
+     * @param key the key
+     * @param least smallest value
+     * @param most largest value
+     * @return the number, the smallest after a finding
+     */
+    public long number(String key, long least, long most) {
+        if (!entries.containsKey(key)) {
+            report(start, child(key), "is missing");
+            return least;
+        }
+        return number(key, least, most, least);
+    }
+
+    /**
+     * A whole number that may be absent.
+     *
+     * @param key the key
+     * @param least smallest value
+     * @param most largest value
+     * @param otherwise value if absent
+     * @return the number
+     */
+    public long number(String key, long least, long most, long otherwise) {
+        Node node = take(key);
+        if (node == null) {
+            return otherwise;
+        }
+        if (!(node instanceof ScalarNode scalar)) {
+            reportAt(key, "must be a whole number");
+            return otherwise;
+        }
+        try {
+            long value = Long.parseLong(scalar.getValue().replace("_", ""));
+            if (value >= least && value <= most) {
+                return value;
+            }
+            reportAt(key, "must be from " + least + " to " + most + ", not " + value);
+        } catch (NumberFormatException exception) {
+            reportAt(key, "must be a whole number, not '" + scalar.getValue() + "'");
+        }
+        return otherwise;
+    }
+
+    /**
+     * A decimal number that may be absent.
+     *
+     * @param key the key
+     * @param least smallest value
+     * @param most largest value
+     * @param otherwise value if absent
+     * @return the number
+     */
+    public double decimal(String key, double least, double most, double otherwise) {
+        Node node = take(key);
+        if (node == null) {
+            return otherwise;
+        }
+        if (!(node instanceof ScalarNode scalar)) {
+            reportAt(key, "must be a number");
+            return otherwise;
+        }
+        try {
+            double value = Double.parseDouble(scalar.getValue());
+            if (value >= least && value <= most) {
+                return value;
+            }
+            reportAt(key, "must be from " + least + " to " + most + ", not " + scalar.getValue());
+        } catch (NumberFormatException exception) {
+            reportAt(key, "must be a number, not '" + scalar.getValue() + "'");
+        }
+        return otherwise;
+    }
+
+    /**
+     * True or false, may be absent.
+     *
+     * @param key the key
+     * @param otherwise value if absent
+     * @return the value
+     */
+    public boolean flag(String key, boolean otherwise) {
+        Node node = take(key);
+        if (node == null) {
+            return otherwise;
+        }
+        String value = node instanceof ScalarNode scalar ? scalar.getValue() : "";
+        if ("true".equals(value) || "false".equals(value)) {
+            return Boolean.parseBoolean(value);
+        }
+        reportAt(key, "must be true or false");
+        return otherwise;
+    }
+
+    /**
+     * One of an enum's constants, written in lower case with hyphens.
+     *
+     * @param key the key
+     * @param type the enum
+     * @param otherwise value if absent
+     * @param <E> the enum
+     * @return the constant
+     */
+    public <E extends Enum<E>> E choice(String key, Class<E> type, E otherwise) {
+        String value = optionalText(key);
+        if (value == null) {
+            return otherwise;
+        }
+        List<String> names = new ArrayList<>();
+        for (E constant : type.getEnumConstants()) {
+            String name = constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+            if (name.equals(value)) {
+                return constant;
+            }
+            names.add(name);
+        }
+        reportAt(key, "must be one of " + String.join(", ", names) + ", not '" + value + "'");
+        return otherwise;
+    }
+
+    /**
+     * A mapping that may be absent.
+     *
+     * @param key the key
+     * @return the mapping, empty if absent or after a finding
+     */
+    public YamlMap map(String key) {
+        Node node = take(key);
+        if (node != null && !(node instanceof MappingNode)) {
+            reportAt(key, "must be a mapping");
+            node = null;
+        }
+        return new YamlMap(file, child(key), node, findings);
+    }
+
+    /**
+     * A mapping that must be present.
+     *
+     * @param key the key
+     * @return the mapping, empty after a finding
+     */
+    public YamlMap requiredMap(String key) {
+        if (!entries.containsKey(key)) {
+            report(start, child(key), "is missing");
+        }
+        return map(key);
+    }
+
+    /**
+     * A list of texts that may be absent.
+     *
+     * @param key the key
+     * @return the texts, empty if absent
+     */
+    public List<String> texts(String key) {
+        List<String> values = new ArrayList<>();
+        for (Node item : items(key)) {
+            if (item instanceof ScalarNode scalar) {
+                values.add(scalar.getValue());
+                continue;
+            }
+            report(item.getStartMark().orElse(start), child(key), "must be a list of texts");
+        }
+        return List.copyOf(values);
+    }
+
+    /**
+     * A list of mappings that may be absent.
+     *
+     * @param key the key
+     * @return the mappings, empty if absent
+     */
+    public List<YamlMap> maps(String key) {
+        List<YamlMap> values = new ArrayList<>();
+        int index = 0;
+        for (Node item : items(key)) {
+            String itemPath = child(key) + "[" + index + "]";
+            index++;
+            if (item instanceof MappingNode) {
+                values.add(new YamlMap(file, itemPath, item, findings));
+                continue;
+            }
+            report(item.getStartMark().orElse(start), itemPath, "must be a mapping");
+        }
+        return List.copyOf(values);
+    }
+
+    /** Reports each key that was not asked for. To be called after all keys have been read. */
+    public void rejectUnknownKeys() {
+        for (Map.Entry<String, NodeTuple> entry : entries.entrySet()) {
+            if (!keysRead.contains(entry.getKey())) {
+                report(markOf(entry.getKey()), child(entry.getKey()), "is not a known key");
+            }
+        }
+    }
+
+    /**
+     * Reports a problem with the value of a key.
+     *
+     * @param key the key
+     * @param problem what is wrong
+     */
+    public void reportAt(String key, String problem) {
+        report(markOf(key), child(key), problem);
+    }
+
+    private List<Node> items(String key) {
+        Node node = take(key);
+        if (node == null) {
+            return List.of();
+        }
+        if (node instanceof SequenceNode sequence) {
+            return sequence.getValue();
+        }
+        reportAt(key, "must be a list");
+        return List.of();
+    }
+
+    private Map<String, NodeTuple> entriesOf(@Nullable Node node) {
+        Map<String, NodeTuple> result = new LinkedHashMap<>();
+        if (node == null) {
+            return result;
+        }
+        if (!(node instanceof MappingNode mapping)) {
+            report(start, path, "must be a mapping");
+            return result;
+        }
+        for (NodeTuple tuple : mapping.getValue()) {
+            String key = tuple.getKeyNode() instanceof ScalarNode scalar ? scalar.getValue() : "";
+            if (result.putIfAbsent(key, tuple) != null) {
+                report(tuple.getKeyNode().getStartMark().orElse(start), child(key), "appears twice");
+            }
+        }
+        return result;
+    }
+
+    private @Nullable Node take(String key) {
+        keysRead.add(key);
+        NodeTuple tuple = entries.get(key);
+        return tuple == null ? null : tuple.getValueNode();
+    }
+
+    private @Nullable Mark markOf(String key) {
+        NodeTuple tuple = entries.get(key);
+        if (tuple == null) {
+            return start;
+        }
+        return tuple.getKeyNode().getStartMark().orElse(start);
+    }
+
+    private String child(String key) {
+        return path.isEmpty() ? key : path + "." + key;
+    }
+
+    private void report(@Nullable Mark mark, String key, String problem) {
+        int line = mark == null ? 0 : mark.getLine() + 1;
+        int column = mark == null ? 0 : mark.getColumn() + 1;
+        findings.add(new Finding(file, line, column, key, problem));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/document/package-info.java
@@ -0,0 +1,5 @@
+/** YAML documents read with the place of each value, so that all findings can be reported together. */
+@NullMarked
+package org.redwinghook.core.document;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/redwinghook/core/kernel/ServiceRegistry.java
+++ b/core/src/main/java/org/redwinghook/core/kernel/ServiceRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.Collections;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -55,7 +56,7 @@
      */
     public Set<String> names() {
         synchronized (services) {
-            return Collections.unmodifiableSet(new java.util.LinkedHashSet<>(services.keySet()));
+            return Collections.unmodifiableSet(new LinkedHashSet<>(services.keySet()));
         }
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -0,0 +1,25 @@
+package org.redwinghook.core.message;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/** A message between two processes. The name in the type property is part of the protocol and never changes. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = Hello.class, name = "hello"),
+    @JsonSubTypes.Type(value = Heartbeat.class, name = "heartbeat"),
+    @JsonSubTypes.Type(value = Submit.class, name = "submit"),
+    @JsonSubTypes.Type(value = Resume.class, name = "resume"),
+    @JsonSubTypes.Type(value = Credit.class, name = "credit"),
+    @JsonSubTypes.Type(value = Cancel.class, name = "cancel"),
+    @JsonSubTypes.Type(value = Accepted.class, name = "accepted"),
+    @JsonSubTypes.Type(value = Refused.class, name = "refused"),
+    @JsonSubTypes.Type(value = Tokens.class, name = "tokens"),
+    @JsonSubTypes.Type(value = Finished.class, name = "finished"),
+    @JsonSubTypes.Type(value = Interrupted.class, name = "interrupted"),
+    @JsonSubTypes.Type(value = CallAnswer.class, name = "callAnswer"),
+    @JsonSubTypes.Type(value = OutcomeUnknown.class, name = "outcomeUnknown")
+})
+@JsonIgnoreProperties(ignoreUnknown = true)
+public interface Message {}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/message/RefusalReason.java
@@ -0,0 +1,47 @@
+package org.redwinghook.core.message;
+
+/** Why a request was not run. The HTTP status is the one that callers receive. */
+public enum RefusalReason {
+    /** The endpoint's queue is full or the wait would exceed the caller's timeout. */
+    OVERLOADED(503, true),
+    /** The endpoint, its VM or its data centre takes no new work. */
+    LEAVING(503, true),
+    /** The endpoint does not answer. */
+    ENDPOINT_DOWN(503, true),
+    /** The sidecar serves another service. */
+    WRONG_SERVICE(503, true),
+    /** The log service is needed for this request and cannot be reached. */
+    LOG_UNAVAILABLE(503, false),
+    /** No endpoint of the service takes work. */
+    NO_ENDPOINT(503, false),
+    /** The customer's limit is reached. */
+    RATE_LIMITED(429, false),
+    /** The generation to resume is not known here or belongs to another customer. */
+    UNKNOWN_GENERATION(404, false);
+
+    private final int status;
+    private final boolean retryElsewhere;
+
+    RefusalReason(int status, boolean retryElsewhere) {
+        this.status = status;
+        this.retryElsewhere = retryElsewhere;
+    }
+
+    /**
+     * HTTP status towards the caller.
+     *
+     * @return the status
+     */
+    public int status() {
+        return status;
+    }
+
+    /**
+     * Whether another endpoint of the service may take the request.
+     *
+     * @return true if a retry elsewhere makes sense
+     */
+    public boolean retryElsewhere() {
+        return retryElsewhere;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/message/Refused.java
@@ -0,0 +1,19 @@
+package org.redwinghook.core.message;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A sidecar did not run the request: nothing was sent to the endpoint on its behalf.
+ *
+ * @param exchange exchange of the request
+ * @param reason why
+ * @param detail explanation for the caller
+ * @param retryAfterMillis time after which another try makes sense
+ * @param load load of the endpoint at the refusal
+ */
+public record Refused(
+        long exchange,
+        RefusalReason reason,
+        String detail,
+        long retryAfterMillis,
+        @Nullable EndpointLoad load) implements Message {}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/message/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Messages between the system's processes. Each is an immutable record; the runtime module encodes them as MessagePack.
+ */
+@NullMarked
+package org.redwinghook.core.message;
+
+import org.jspecify.annotations.NullMarked;
