Run the thin path: router, sidecar, engine and plain service as processes

Configuration is still read from a file, admission is a fixed concurrency limit, and the stand-ins are minimal.

--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/admission/WorkItem.java
@@ -0,0 +1,23 @@
+package org.redwinghook.core.admission;
+
+/**
+ * A request that asks to run at an endpoint.
+ *
+ * @param identifier number of the request at this sidecar, never used twice
+ * @param owner owner of the customer
+ * @param customer customer that the request is for
+ * @param priority lower numbers go first
+ * @param promptTokens prompt length in tokens; 0 for calls
+ * @param maximumOutputTokens largest output in tokens; 0 for calls
+ * @param arrivalMillis time of arrival
+ * @param deadlineMillis time after which the caller no longer waits for a start
+ */
+public record WorkItem(
+        long identifier,
+        String owner,
+        String customer,
+        int priority,
+        int promptTokens,
+        int maximumOutputTokens,
+        long arrivalMillis,
+        long deadlineMillis) {}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/stream/TokenBuffer.java
@@ -0,0 +1,45 @@
+package org.redwinghook.core.stream;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Tokens of one generation in order. The first token has sequence number 1. */
+public final class TokenBuffer {
+
+    private final List<String> texts = new ArrayList<>();
+
+    /**
+     * Appends a token.
+     *
+     * @param text text of the token
+     * @return its sequence number
+     */
+    public long append(String text) {
+        texts.add(text);
+        return texts.size();
+    }
+
+    /**
+     * Sequence number of the last token.
+     *
+     * @return the number, 0 if there is none
+     */
+    public long lastSequence() {
+        return texts.size();
+    }
+
+    /**
+     * A run of tokens.
+     *
+     * @param first first sequence number wanted
+     * @param last last sequence number wanted; tokens after the newest one are left out
+     * @return texts from first to last
+     */
+    public List<String> slice(long first, long last) {
+        long end = Math.min(last, texts.size());
+        if (first > end) {
+            return List.of();
+        }
+        return List.copyOf(texts.subList((int) first - 1, (int) end));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/RouterSettings.java
@@ -0,0 +1,41 @@
+package org.redwinghook.router;
+
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.redwinghook.core.document.Finding;
+import org.redwinghook.core.document.Findings;
+import org.redwinghook.core.document.YamlMap;
+import org.redwinghook.runtime.settings.Address;
+import org.redwinghook.runtime.settings.ProcessSettings;
+
+/**
+ * Settings of a router.
+ *
+ * @param shared settings that all processes have
+ * @param caller where callers connect
+ * @param requestTimeoutMillis time after which a caller that got no token and no answer is refused
+ */
+public record RouterSettings(ProcessSettings shared, Address caller, long requestTimeoutMillis) {
+
+    private static final long LONGEST_TIMEOUT_MILLIS = 3_600_000;
+    private static final long USUAL_TIMEOUT_MILLIS = 30_000;
+
+    /**
+     * Reads the settings.
+     *
+     * @param file name for findings
+     * @param text the document
+     * @return the settings, or all findings
+     */
+    public static Either<List<Finding>, RouterSettings> read(String file, String text) {
+        Findings findings = new Findings();
+        YamlMap top = YamlMap.parse(file, text, findings);
+        RouterSettings settings = new RouterSettings(
+                ProcessSettings.read(top),
+                Address.read(top.requiredMap("caller")),
+                top.number("requestTimeoutMillis", 1, LONGEST_TIMEOUT_MILLIS, USUAL_TIMEOUT_MILLIS));
+        top.rejectUnknownKeys();
+        return findings.resultOf(settings);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/caller/Authenticator.java
@@ -0,0 +1,56 @@
+package org.redwinghook.router.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.common.hash.Hashing;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.config.Configuration;
+import org.redwinghook.core.config.Customer;
+import org.redwinghook.runtime.config.ConfigurationSource;
+
+/** Finds the customer of a bearer credential. */
+public final class Authenticator {
+
+    private static final String SCHEME = "Bearer ";
+
+    private Map<String, Customer> customersByHash = Map.of();
+
+    /**
+     * Creates an authenticator that follows the configuration.
+     *
+     * @param configuration the configuration in force
+     */
+    public Authenticator(ConfigurationSource configuration) {
+        index(configuration.current());
+        configuration.onChange(this::index);
+    }
+
+    /**
+     * Finds the customer.
+     *
+     * @param authorization value of the Authorization header, null if absent
+     * @return the customer, empty if the credential is not known
+     */
+    public Optional<Customer> customer(@Nullable String authorization) {
+        if (authorization == null || !authorization.startsWith(SCHEME)) {
+            return Optional.empty();
+        }
+        String credential = authorization.substring(SCHEME.length()).strip();
+        String hash =
+                Hashing.sha256().hashString(credential, StandardCharsets.UTF_8).toString();
+        return Optional.ofNullable(customersByHash.get(hash));
+    }
+
+    private void index(Configuration configuration) {
+        Map<String, Customer> index = new HashMap<>();
+        for (Customer customer : configuration.customers().values()) {
+            for (String hash : customer.credentialHashes()) {
+                index.put(hash, customer);
+            }
+        }
+        customersByHash = index;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/caller/CallerErrors.java
@@ -0,0 +1,73 @@
+package org.redwinghook.router.caller;
+
+import java.util.Locale;
+
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.core.message.RefusalReason;
+
+/** Error answers to callers, all of the same shape. */
+public final class CallerErrors {
+
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private CallerErrors() {}
+
+    /**
+     * Body of an error.
+     *
+     * @param type short name of the error
+     * @param message explanation
+     * @return the body
+     */
+    public static JsonObject body(String type, String message) {
+        return new JsonObject().put("error", new JsonObject().put("type", type).put("message", message));
+    }
+
+    /**
+     * Refuses a request that was not run.
+     *
+     * @param response the response
+     * @param reason why
+     * @param detail explanation
+     * @param retryAfterMillis time after which another try makes sense, 0 for none
+     */
+    public static void refuse(HttpServerResponse response, RefusalReason reason, String detail, long retryAfterMillis) {
+        if (retryAfterMillis > 0) {
+            long seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+            response.putHeader("Retry-After", Long.toString(seconds));
+        }
+        String type = reason.name().toLowerCase(Locale.ROOT);
+        end(response, reason.status(), Outcome.NOT_RUN, body(type, detail));
+    }
+
+    /**
+     * Refuses a request that is wrong in itself.
+     *
+     * @param response the response
+     * @param status HTTP status
+     * @param type short name of the error
+     * @param message explanation
+     */
+    public static void reject(HttpServerResponse response, int status, String type, String message) {
+        end(response, status, Outcome.NOT_RUN, body(type, message));
+    }
+
+    /**
+     * Ends a response with an error.
+     *
+     * @param response the response
+     * @param status HTTP status
+     * @param outcome what is known about the request
+     * @param body the error
+     */
+    public static void end(HttpServerResponse response, int status, Outcome outcome, JsonObject body) {
+        if (response.ended() || response.closed()) {
+            return;
+        }
+        response.setStatusCode(status)
+                .putHeader(Outcome.HEADER, outcome.headerValue())
+                .putHeader("content-type", "application/json")
+                .end(body.toBuffer());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/caller/ServiceCallHandler.java
@@ -0,0 +1,157 @@
+package org.redwinghook.router.caller;
+
+import java.util.Optional;
+import java.util.Set;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.ext.web.RoutingContext;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.config.Configuration;
+import org.redwinghook.core.config.Customer;
+import org.redwinghook.core.config.Service;
+import org.redwinghook.core.config.ServiceKind;
+import org.redwinghook.core.message.CallAnswer;
+import org.redwinghook.core.message.CallRequest;
+import org.redwinghook.core.message.RefusalReason;
+import org.redwinghook.core.message.Submit;
+import org.redwinghook.core.routing.EndpointSelector;
+import org.redwinghook.core.routing.RendezvousHash;
+import org.redwinghook.core.routing.RoutingQuery;
+import org.redwinghook.router.call.CallDelivery;
+import org.redwinghook.router.call.CallSink;
+import org.redwinghook.router.endpoint.EndpointDirectory;
+import org.redwinghook.runtime.config.ConfigurationSource;
+
+/** Handles calls to plain services under /services/NAME/. */
+public final class ServiceCallHandler {
+
+    private static final String PREFIX = "/services/";
+    private static final int HTTP_UNAUTHORIZED = 401;
+    private static final int HTTP_NOT_FOUND = 404;
+    private static final int HTTP_BAD_GATEWAY = 502;
+
+    private final ConfigurationSource configuration;
+    private final Authenticator authenticator;
+    private final EndpointDirectory directory;
+    private final EndpointSelector selector;
+    private final long timeoutMillis;
+
+    /**
+     * Creates the handler.
+     *
+     * @param configuration the configuration in force
+     * @param authenticator finds customers
+     * @param directory endpoints
+     * @param selector selects among them
+     * @param timeoutMillis time that a caller waits for the answer
+     */
+    public ServiceCallHandler(
+            ConfigurationSource configuration,
+            Authenticator authenticator,
+            EndpointDirectory directory,
+            EndpointSelector selector,
+            long timeoutMillis) {
+        this.configuration = configuration;
+        this.authenticator = authenticator;
+        this.directory = directory;
+        this.selector = selector;
+        this.timeoutMillis = timeoutMillis;
+    }
+
+    /**
+     * Handles a request.
+     *
+     * @param context the request with its body
+     */
+    public void handle(RoutingContext context) {
+        HttpServerRequest request = context.request();
+        HttpServerResponse response = context.response();
+        Optional<Customer> customer = authenticator.customer(request.getHeader("Authorization"));
+        if (customer.isEmpty()) {
+            CallerErrors.reject(response, HTTP_UNAUTHORIZED, "unauthorized", "the credential is not known");
+            return;
+        }
+        String rest = request.uri().substring(PREFIX.length());
+        int slash = rest.indexOf('/');
+        String name = slash < 0 ? rest : rest.substring(0, slash);
+        String path = slash < 0 ? "/" : rest.substring(slash);
+        Configuration current = configuration.current();
+        Optional<Service> service = current.service(name).filter(found -> found.kind() == ServiceKind.PLAIN);
+        if (service.isEmpty()) {
+            CallerErrors.reject(response, HTTP_NOT_FOUND, "unknown_service", "there is no service '" + name + "'");
+            return;
+        }
+        start(
+                response,
+                customer.get(),
+                service.get(),
+                call(request, path, service.get(), context.body().buffer()));
+    }
+
+    private void start(HttpServerResponse response, Customer customer, Service service, CallRequest call) {
+        Submit submit = new Submit(
+                0,
+                service.name(),
+                customer.owner(),
+                customer.name(),
+                customer.priority(),
+                timeoutMillis,
+                0,
+                null,
+                call);
+        int attempts = configuration.current().rules().attempts();
+        new CallDelivery(directory, selector, submit, call, query(customer, call), attempts, new Sink(response))
+                .start();
+    }
+
+    private static RoutingQuery query(Customer customer, CallRequest call) {
+        String key = call.idempotencyKey();
+        if (key == null || call.idempotent()) {
+            return new RoutingQuery(0, false, 0, Set.of());
+        }
+        return new RoutingQuery(RendezvousHash.hash(customer.name() + "\n" + key), true, 0, Set.of());
+    }
+
+    private static CallRequest call(HttpServerRequest request, String path, Service service, @Nullable Buffer body) {
+        int question = path.indexOf('?');
+        String bare = question < 0 ? path : path.substring(0, question);
+        return new CallRequest(
+                request.method().name(),
+                path,
+                request.getHeader("content-type"),
+                body == null ? new byte[0] : body.getBytes(),
+                request.getHeader("Idempotency-Key"),
+                service.isIdempotent(request.method().name(), bare));
+    }
+
+    private record Sink(HttpServerResponse response) implements CallSink {
+
+        @Override
+        public void answered(CallAnswer answer) {
+            if (response.closed()) {
+                return;
+            }
+            if (answer.contentType() != null) {
+                response.putHeader("content-type", answer.contentType());
+            }
+            if (answer.replayed()) {
+                response.putHeader("Redwinghook-Replayed", "true");
+            }
+            response.setStatusCode(answer.status())
+                    .putHeader(Outcome.HEADER, Outcome.DONE.headerValue())
+                    .end(Buffer.buffer(answer.body()));
+        }
+
+        @Override
+        public void unknown(String detail) {
+            CallerErrors.end(response, HTTP_BAD_GATEWAY, Outcome.UNKNOWN, CallerErrors.body("outcome_unknown", detail));
+        }
+
+        @Override
+        public void refused(RefusalReason reason, String detail, long retryAfterMillis) {
+            CallerErrors.refuse(response, reason, detail, retryAfterMillis);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/caller/WholeCompletion.java
@@ -0,0 +1,66 @@
+package org.redwinghook.router.caller;
+
+import java.util.List;
+import java.util.function.LongConsumer;
+
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.core.message.FinishReason;
+import org.redwinghook.core.message.RefusalReason;
+import org.redwinghook.core.message.TokenUsage;
+import org.redwinghook.router.generation.GenerationSink;
+
+/** Collects a generation and writes it to the caller when it is whole. */
+public final class WholeCompletion implements GenerationSink {
+
+    private static final int HTTP_OK = 200;
+    private static final int HTTP_BAD_GATEWAY = 502;
+
+    private final HttpServerResponse response;
+    private final String model;
+    private final StringBuilder text = new StringBuilder();
+    private LongConsumer collected = sequence -> {};
+
+    /**
+     * Creates a writer.
+     *
+     * @param response the caller's response
+     * @param model model that the caller named
+     */
+    public WholeCompletion(HttpServerResponse response, String model) {
+        this.response = response;
+        this.model = model;
+    }
+
+    /**
+     * Sets what is told when tokens were collected.
+     *
+     * @param listener receives the last sequence number
+     */
+    public void onCollected(LongConsumer listener) {
+        collected = listener;
+    }
+
+    @Override
+    public void tokens(String generation, long firstSequence, List<String> texts) {
+        texts.forEach(text::append);
+        collected.accept(firstSequence + texts.size() - 1);
+    }
+
+    @Override
+    public void finished(String generation, FinishReason reason, TokenUsage usage) {
+        JsonObject body = CompletionEvents.chunk(generation, model, text.toString(), reason)
+                .put("usage", CompletionEvents.usage(usage));
+        CallerErrors.end(response, HTTP_OK, Outcome.DONE, body);
+    }
+
+    @Override
+    public void interrupted(String detail, long delivered) {
+        CallerErrors.end(response, HTTP_BAD_GATEWAY, Outcome.UNKNOWN, CallerErrors.body("interrupted", detail));
+    }
+
+    @Override
+    public void refused(RefusalReason reason, String detail, long retryAfterMillis) {
+        CallerErrors.refuse(response, reason, detail, retryAfterMillis);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
@@ -0,0 +1,174 @@
+package org.redwinghook.router.endpoint;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import org.redwinghook.core.config.Configuration;
+import org.redwinghook.core.membership.Member;
+import org.redwinghook.core.message.Heartbeat;
+import org.redwinghook.core.message.Hello;
+import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.routing.EndpointView;
+import org.redwinghook.runtime.admin.StateSource;
+import org.redwinghook.runtime.config.ConfigurationSource;
+import org.redwinghook.runtime.platform.VmListClient;
+import org.redwinghook.runtime.wire.FrameCodec;
+import org.redwinghook.runtime.wire.WireMetrics;
+
+/** Keeps connections to the sidecars that the VM list names. */
+public final class EndpointDirectory implements StateSource {
+
+    private static final long VM_LIST_POLL_MILLIS = 1_000;
+    private static final long HEARTBEAT_MILLIS = 5_000;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    private final Vertx vertx;
+    private final VmListClient vmList;
+    private final ConfigurationSource configuration;
+    private final String ownDataCentre;
+    private final FrameCodec codec;
+    private final WireMetrics metrics;
+    private final Supplier<Hello> hello;
+    private final NetClient client;
+    private final Map<String, EndpointConnection> connections = new HashMap<>();
+
+    /**
+     * Creates a directory without endpoints.
+     *
+     * @param vertx runs timers
+     * @param vmList the platform's list
+     * @param configuration the configuration in force
+     * @param ownDataCentre data centre of this router
+     * @param codec encodes and decodes frames
+     * @param metrics counts bytes and messages
+     * @param hello gives this router's greeting
+     */
+    public EndpointDirectory(
+            Vertx vertx,
+            VmListClient vmList,
+            ConfigurationSource configuration,
+            String ownDataCentre,
+            FrameCodec codec,
+            WireMetrics metrics,
+            Supplier<Hello> hello) {
+        this.vertx = vertx;
+        this.vmList = vmList;
+        this.configuration = configuration;
+        this.ownDataCentre = ownDataCentre;
+        this.codec = codec;
+        this.metrics = metrics;
+        this.hello = hello;
+        this.client = vertx.createNetClient(
+                new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setTcpNoDelay(true));
+    }
+
+    /** Starts to follow the VM list. */
+    public void start() {
+        refresh();
+        vertx.setPeriodic(VM_LIST_POLL_MILLIS, ignored -> refresh());
+        vertx.setPeriodic(HEARTBEAT_MILLIS, ignored -> heartbeat());
+    }
+
+    /**
+     * Endpoints of a service that take new work.
+     *
+     * @param service name of the service
+     * @return views with the last reported load
+     */
+    public List<EndpointView> views(String service) {
+        Configuration current = configuration.current();
+        String ownRegion = current.regionOf(ownDataCentre);
+        List<EndpointView> views = new ArrayList<>();
+        for (EndpointConnection connection : connections.values()) {
+            Member member = connection.member();
+            if (!service.equals(member.service())
+                    || member.leaving()
+                    || !current.takesNewWork(member.dataCentre(), member.vm())) {
+                continue;
+            }
+            connection
+                    .load()
+                    .ifPresent(load -> views.add(new EndpointView(
+                            member.vm(),
+                            member.dataCentre(),
+                            ownRegion.equals(current.regionOf(member.dataCentre())),
+                            connection.outstanding(),
+                            load)));
+        }
+        return views;
+    }
+
+    /**
+     * Connection to an endpoint.
+     *
+     * @param vm name of the endpoint's VM
+     * @return the connection, empty if the VM is not known
+     */
+    public Optional<EndpointConnection> connection(String vm) {
+        return Optional.ofNullable(connections.get(vm));
+    }
+
+    /** Closes all connections. */
+    public void close() {
+        List.copyOf(connections.values()).forEach(EndpointConnection::close);
+    }
+
+    @Override
+    public Object state() {
+        return connections.values().stream()
+                .map(connection -> new EndpointState(
+                        connection.member().vm(),
+                        connection.outstanding(),
+                        connection.load().isPresent()))
+                .toList();
+    }
+
+    private void refresh() {
+        vmList.read().onSuccess(this::update);
+    }
+
+    private void update(List<Member> members) {
+        Set<String> present = new HashSet<>();
+        for (Member member : members) {
+            if (member.role() != ProcessRole.SIDECAR) {
+                continue;
+            }
+            present.add(member.vm());
+            keep(member);
+        }
+        for (String vm : Set.copyOf(connections.keySet())) {
+            if (!present.contains(vm) && connections.get(vm).outstanding() == 0) {
+                connections.remove(vm).close();
+            }
+        }
+    }
+
+    private void keep(Member member) {
+        EndpointConnection known = connections.get(member.vm());
+        if (known != null && known.member().equals(member)) {
+            return;
+        }
+        if (known != null) {
+            known.close();
+        }
+        EndpointConnection added = new EndpointConnection(vertx, client, codec, metrics, member, hello);
+        connections.put(member.vm(), added);
+        added.open();
+    }
+
+    private void heartbeat() {
+        Heartbeat heartbeat = new Heartbeat(configuration.current().offset(), null);
+        connections.values().forEach(connection -> connection.send(heartbeat));
+    }
+
+    private record EndpointState(String vm, int outstanding, boolean connected) {}
+}
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/generation/package-info.java
@@ -0,0 +1,5 @@
+/** Delivery of generations to callers. */
+@NullMarked
+package org.redwinghook.router.generation;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/package-info.java
@@ -0,0 +1,5 @@
+/** Helpers for HTTP clients and servers. */
+@NullMarked
+package org.redwinghook.runtime.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/LogClient.java
@@ -0,0 +1,107 @@
+package org.redwinghook.runtime.platform;
+
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.runtime.settings.Address;
+
+/**
+ * Client of the platform's log service. An append that fails may still have taken effect: only reading the stream
+ * tells.
+ */
+public final class LogClient {
+
+    /** Time after which the log service counts as not answering, in milliseconds. */
+    public static final long TIMEOUT_MILLIS = 2_000;
+
+    private static final int CONNECTIONS = 4;
+    private static final int HTTP_GONE = 410;
+    private static final int HTTP_OK = 200;
+
+    private final HttpClient client;
+    private final Address address;
+
+    /**
+     * Creates a client.
+     *
+     * @param vertx runs it
+     * @param address the log service
+     */
+    public LogClient(Vertx vertx, Address address) {
+        this.address = address;
+        this.client = vertx.createHttpClient(
+                new HttpClientOptions().setConnectTimeout((int) TIMEOUT_MILLIS),
+                new PoolOptions().setHttp1MaxSize(CONNECTIONS));
+    }
+
+    /**
+     * Appends a record.
+     *
+     * @param stream name of the stream
+     * @param data the record
+     * @return the record's offset; a failure does not tell whether the record was appended
+     */
+    public Future<Long> append(String stream, Buffer data) {
+        return client.request(HttpMethod.POST, address.port(), address.host(), "/streams/" + stream + "/records")
+                .compose(request -> {
+                    request.idleTimeout(TIMEOUT_MILLIS);
+                    return request.send(data);
+                })
+                .compose(LogClient::body)
+                .map(body -> new JsonObject(body).getLong("offset"))
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Reads records.
+     *
+     * @param stream name of the stream
+     * @param from first offset wanted; offsets start at 1
+     * @param limit most records wanted
+     * @return the records that the log still keeps
+     */
+    public Future<LogPage> read(String stream, long from, int limit) {
+        String path = "/streams/" + stream + "/records?from=" + from + "&limit=" + limit;
+        return client.request(HttpMethod.GET, address.port(), address.host(), path)
+                .compose(request -> {
+                    request.idleTimeout(TIMEOUT_MILLIS);
+                    return request.send();
+                })
+                .compose(LogClient::body)
+                .map(LogClient::page)
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static Future<Buffer> body(HttpClientResponse response) {
+        if (response.statusCode() != HTTP_OK && response.statusCode() != HTTP_GONE) {
+            return Future.failedFuture("log service answered with status " + response.statusCode());
+        }
+        return response.body();
+    }
+
+    private static LogPage page(Buffer body) {
+        JsonObject page = new JsonObject(body);
+        List<LogRecord> records = new ArrayList<>();
+        JsonArray items = page.getJsonArray("records", new JsonArray());
+        for (int index = 0; index < items.size(); index++) {
+            JsonObject item = items.getJsonObject(index);
+            records.add(new LogRecord(
+                    item.getLong("offset"),
+                    item.getLong("timestampMillis"),
+                    Base64.getDecoder().decode(item.getString("data"))));
+        }
+        return new LogPage(page.getLong("first"), page.getLong("next"), records);
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/LogPage.java
@@ -0,0 +1,17 @@
+package org.redwinghook.runtime.platform;
+
+import java.util.List;
+
+/**
+ * Records read from a stream.
+ *
+ * @param first first offset that the log still keeps
+ * @param next offset that the next append will get
+ * @param records records in order of their offsets
+ */
+public record LogPage(long first, long next, List<LogRecord> records) {
+
+    public LogPage {
+        records = List.copyOf(records);
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
@@ -0,0 +1,142 @@
+package org.redwinghook.runtime.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.BiFunction;
+
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import org.jspecify.annotations.Nullable;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.redwinghook.core.document.Finding;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs a process from its command line: reads the settings, starts it, and stops it gracefully on SIGTERM.
+ *
+ * @param <S> type of the settings
+ */
+public final class ProcessLauncher<S> {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(ProcessLauncher.class);
+
+    private final String binary;
+    private final BiFunction<String, String, Either<List<Finding>, S>> settingsReader;
+    private final BiFunction<Vertx, S, ManagedProcess> factory;
+
+    /**
+     * Creates a launcher.
+     *
+     * @param binary name of the binary for messages
+     * @param settingsReader reads the settings from a file's name and text
+     * @param factory makes the process from its settings; called on the event loop that the process keeps
+     */
+    public ProcessLauncher(
+            String binary,
+            BiFunction<String, String, Either<List<Finding>, S>> settingsReader,
+            BiFunction<Vertx, S, ManagedProcess> factory) {
+        this.binary = binary;
+        this.settingsReader = settingsReader;
+        this.factory = factory;
+    }
+
+    /**
+     * Runs the process. Returns only if it could not start or was only asked for help or a check.
+     *
+     * @param arguments the command line
+     * @return how the attempt ended
+     */
+    public ExitCode run(String... arguments) {
+        ProcessOptions options = new ProcessOptions();
+        CmdLineParser parser = new CmdLineParser(options);
+        try {
+            parser.parseArgument(arguments);
+        } catch (CmdLineException exception) {
+            System.err.println(binary + ": " + exception.getMessage());
+            parser.printUsage(System.err);
+            return ExitCode.USAGE;
+        }
+        if (options.help()) {
+            System.out.println("usage: " + binary + " --settings FILE [--check]");
+            parser.printUsage(System.out);
+            return ExitCode.DONE;
+        }
+        return runWith(options);
+    }
+
+    private ExitCode runWith(ProcessOptions options) {
+        Path file = options.settings();
+        if (file == null) {
+            return ExitCode.USAGE;
+        }
+        String text = read(file);
+        if (text == null) {
+            return ExitCode.FINDINGS;
+        }
+        Either<List<Finding>, S> settings = settingsReader.apply(file.toString(), text);
+        if (settings.isLeft()) {
+            settings.getLeft().forEach(finding -> System.err.println(finding));
+            return ExitCode.FINDINGS;
+        }
+        if (options.check()) {
+            System.out.println(file + ": no findings");
+            return ExitCode.DONE;
+        }
+        return launch(settings.get());
+    }
+
+    private @Nullable String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException exception) {
+            System.err.println(binary + ": cannot read " + file + ": " + exception.getMessage());
+            return null;
+        }
+    }
+
+    private ExitCode launch(S settings) {
+        // One event loop: the decision code of a process runs on a single thread and needs no locks.
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+        ProcessVerticle verticle = new ProcessVerticle(inner -> factory.apply(inner, settings));
+        try {
+            vertx.deployVerticle(verticle).await();
+        } catch (RuntimeException exception) {
+            LOGGER.error("{} could not start: {}", binary, exception.getMessage());
+            vertx.close().await();
+            return ExitCode.FAILED;
+        }
+        LOGGER.info("{} started", binary);
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(vertx, verticle, stopped), "graceful-stop"));
+        awaitUninterruptibly(stopped);
+        return ExitCode.DONE;
+    }
+
+    private void stop(Vertx vertx, ProcessVerticle verticle, CountDownLatch stopped) {
+        LOGGER.info("{} is draining", binary);
+        Future<Void> drained = verticle.stopGracefully();
+        try {
+            drained.await();
+        } catch (RuntimeException exception) {
+            LOGGER.error("{} did not drain: {}", binary, exception.getMessage());
+        }
+        LOGGER.info("{} stopped", binary);
+        vertx.close();
+        stopped.countDown();
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessVerticle.java
@@ -0,0 +1,50 @@
+package org.redwinghook.runtime.process;
+
+import java.util.function.Function;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.Vertx;
+import org.jspecify.annotations.Nullable;
+
+/** Runs a process on one event loop. Several may run in one JVM, which tests use. */
+public final class ProcessVerticle extends VerticleBase {
+
+    private final Function<Vertx, ManagedProcess> factory;
+    private @Nullable ManagedProcess process;
+
+    /**
+     * Creates the verticle.
+     *
+     * @param factory makes the process; called on the event loop
+     */
+    public ProcessVerticle(Function<Vertx, ManagedProcess> factory) {
+        this.factory = factory;
+    }
+
+    @Override
+    public Future<?> start() {
+        ManagedProcess made = factory.apply(vertx);
+        process = made;
+        return made.start();
+    }
+
+    /**
+     * Stops the process gracefully. May be called from any thread.
+     *
+     * @return completes when the process has stopped
+     */
+    public Future<Void> stopGracefully() {
+        Promise<Void> stopped = Promise.promise();
+        context.runOnContext(ignored -> {
+            ManagedProcess running = process;
+            if (running == null) {
+                stopped.complete();
+                return;
+            }
+            running.stopGracefully().onComplete(stopped);
+        });
+        return stopped.future();
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/PeerConnection.java
@@ -0,0 +1,132 @@
+package org.redwinghook.runtime.wire;
+
+import java.util.function.Consumer;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.parsetools.RecordParser;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.message.Message;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One framed connection. All methods and handlers run on the event loop of the socket. */
+public final class PeerConnection {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(PeerConnection.class);
+
+    private final NetSocket socket;
+    private final FrameCodec codec;
+    private final WireMetrics metrics;
+    private final RecordParser parser;
+    private int expectedBodyBytes;
+    private boolean open = true;
+    private Consumer<Message> messageHandler = message -> {};
+    private @Nullable Runnable closeHandler;
+
+    /**
+     * Takes over a connected socket.
+     *
+     * @param socket the socket
+     * @param codec encodes and decodes frames
+     * @param metrics counts bytes and messages
+     */
+    public PeerConnection(NetSocket socket, FrameCodec codec, WireMetrics metrics) {
+        this.socket = socket;
+        this.codec = codec;
+        this.metrics = metrics;
+        this.parser = RecordParser.newFixed(FrameCodec.LENGTH_BYTES, this::onRecord);
+        socket.handler(parser::handle);
+        socket.exceptionHandler(failure -> close());
+        socket.closeHandler(ignored -> onClosed());
+    }
+
+    /**
+     * Sets the receiver of messages.
+     *
+     * @param handler called for each message in order
+     */
+    public void onMessage(Consumer<Message> handler) {
+        this.messageHandler = handler;
+    }
+
+    /**
+     * Sets what runs once when the connection has ended, for whatever reason.
+     *
+     * @param handler called once
+     */
+    public void onClose(Runnable handler) {
+        this.closeHandler = handler;
+    }
+
+    /**
+     * Sends a message. Nothing happens on a closed connection; its close handler has told the user.
+     *
+     * @param message the message
+     */
+    public void send(Message message) {
+        if (!open) {
+            return;
+        }
+        Buffer frame = codec.encode(message);
+        metrics.sent(frame.length());
+        socket.write(frame);
+    }
+
+    /**
+     * Whether the connection is open.
+     *
+     * @return false after it ended
+     */
+    public boolean isOpen() {
+        return open;
+    }
+
+    /**
+     * Address of the other end.
+     *
+     * @return host and port
+     */
+    public String remoteAddress() {
+        return String.valueOf(socket.remoteAddress());
+    }
+
+    /** Closes the connection. */
+    public void close() {
+        socket.close();
+        onClosed();
+    }
+
+    private void onRecord(Buffer record) {
+        if (expectedBodyBytes == 0) {
+            startBody(record.getInt(0));
+            return;
+        }
+        expectedBodyBytes = 0;
+        parser.fixedSizeMode(FrameCodec.LENGTH_BYTES);
+        metrics.received(record.length() + FrameCodec.LENGTH_BYTES);
+        codec.decode(record)
+                .onFailure(failure -> metrics.undecodable())
+                .onSuccess(message -> messageHandler.accept(message));
+    }
+
+    private void startBody(int length) {
+        if (length <= 0 || length > FrameCodec.LARGEST_FRAME_BYTES) {
+            LOGGER.warn("closing connection to {}: frame length {} is not allowed", remoteAddress(), length);
+            close();
+            return;
+        }
+        expectedBodyBytes = length;
+        parser.fixedSizeMode(length);
+    }
+
+    private void onClosed() {
+        if (!open) {
+            return;
+        }
+        open = false;
+        if (closeHandler != null) {
+            closeHandler.run();
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/package-info.java
@@ -0,0 +1,5 @@
+/** Framed MessagePack connections between the system's processes. */
+@NullMarked
+package org.redwinghook.runtime.wire;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarSettings.java
@@ -0,0 +1,47 @@
+package org.redwinghook.sidecar;
+
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.redwinghook.core.config.ServiceKind;
+import org.redwinghook.core.document.Finding;
+import org.redwinghook.core.document.Findings;
+import org.redwinghook.core.document.YamlMap;
+import org.redwinghook.runtime.settings.Address;
+import org.redwinghook.runtime.settings.ProcessSettings;
+
+/**
+ * Settings of a sidecar.
+ *
+ * @param shared settings that all processes have
+ * @param service service of the endpoint
+ * @param kind what the endpoint is
+ * @param endpoint where the endpoint listens
+ * @param concurrency requests that the warm endpoint runs at once
+ */
+public record SidecarSettings(
+        ProcessSettings shared, String service, ServiceKind kind, Address endpoint, int concurrency) {
+
+    private static final int LARGEST_CONCURRENCY = 10_000;
+    private static final int USUAL_CONCURRENCY = 32;
+
+    /**
+     * Reads the settings.
+     *
+     * @param file name for findings
+     * @param text the document
+     * @return the settings, or all findings
+     */
+    public static Either<List<Finding>, SidecarSettings> read(String file, String text) {
+        Findings findings = new Findings();
+        YamlMap top = YamlMap.parse(file, text, findings);
+        SidecarSettings settings = new SidecarSettings(
+                ProcessSettings.read(top),
+                top.text("service"),
+                top.choice("kind", ServiceKind.class, ServiceKind.ENGINE),
+                Address.read(top.requiredMap("endpoint")),
+                (int) top.number("concurrency", 1, LARGEST_CONCURRENCY, USUAL_CONCURRENCY));
+        top.rejectUnknownKeys();
+        return findings.resultOf(settings);
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/generation/GenerationStore.java
@@ -0,0 +1,69 @@
+package org.redwinghook.sidecar.generation;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+/** Generations that can still be followed, by identifier. */
+public final class GenerationStore {
+
+    private final String prefix;
+    private final Map<String, Generation> generations = new HashMap<>();
+    private long lastNumber;
+
+    /**
+     * Creates an empty store.
+     *
+     * @param process name of the sidecar
+     * @param incarnation number of this start of the sidecar
+     */
+    public GenerationStore(String process, long incarnation) {
+        this.prefix = process + "." + Long.toHexString(incarnation) + ".";
+    }
+
+    /**
+     * Creates a generation under a new identifier.
+     *
+     * @param owner owner of the customer
+     * @param customer customer that starts it
+     * @param promptTokens prompt length in tokens
+     * @return the generation
+     */
+    public Generation create(String owner, String customer, int promptTokens) {
+        lastNumber++;
+        Generation generation = new Generation(prefix + lastNumber, owner, customer, promptTokens);
+        generations.put(generation.identifier(), generation);
+        return generation;
+    }
+
+    /**
+     * Finds a generation of a customer.
+     *
+     * @param identifier identifier of the generation
+     * @param customer customer that asks
+     * @return the generation, null if it is not known or belongs to another customer
+     */
+    public @Nullable Generation find(String identifier, String customer) {
+        Generation generation = generations.get(identifier);
+        return generation != null && generation.customer().equals(customer) ? generation : null;
+    }
+
+    /**
+     * Forgets a generation.
+     *
+     * @param generation the generation
+     */
+    public void remove(Generation generation) {
+        generations.remove(generation.identifier());
+    }
+
+    /**
+     * Number of generations kept.
+     *
+     * @return the number
+     */
+    public int size() {
+        return generations.size();
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/package-info.java
@@ -0,0 +1,5 @@
+/** The process beside one endpoint. */
+@NullMarked
+package org.redwinghook.sidecar;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/EndpointGate.java
@@ -0,0 +1,172 @@
+package org.redwinghook.sidecar.peer;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.vertx.core.Vertx;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.admission.AdmissionController;
+import org.redwinghook.core.admission.WorkItem;
+import org.redwinghook.core.message.EndpointLoad;
+import org.redwinghook.runtime.admin.StateSource;
+
+/** The only way to the endpoint: holds requests until the admission controller lets them run. */
+public final class EndpointGate implements StateSource {
+
+    private static final long EXPIRY_CHECK_MILLIS = 50;
+
+    private final AdmissionController admission;
+    private final Map<Long, PendingWork> pending = new HashMap<>();
+    private boolean accepting = true;
+    private @Nullable Runnable idleListener;
+    private int running;
+
+    /**
+     * Creates a gate.
+     *
+     * @param vertx runs the expiry timer
+     * @param admission decides
+     */
+    public EndpointGate(Vertx vertx, AdmissionController admission) {
+        this.admission = admission;
+        vertx.setPeriodic(EXPIRY_CHECK_MILLIS, ignored -> expire());
+    }
+
+    /**
+     * Offers a request.
+     *
+     * @param item the request
+     * @param start runs it; called at once or later
+     * @param refuse tells its router that it is not run; called at once or later, never after start
+     */
+    public void offer(WorkItem item, Consumer<WorkItem> start, Consumer<String> refuse) {
+        switch (admission.offer(item)) {
+            case ADMITTED -> run(item, start);
+            case QUEUED -> pending.put(item.identifier(), new PendingWork(start, refuse));
+            case REFUSED -> refuse.accept("the endpoint's queue is full");
+            default -> throw new IllegalStateException("unknown admission decision");
+        }
+    }
+
+    /**
+     * Forgets a waiting request whose caller went away.
+     *
+     * @param identifier number of the request
+     * @return whether it was still waiting
+     */
+    public boolean withdraw(long identifier) {
+        return admission.withdraw(identifier) && pending.remove(identifier) != null;
+    }
+
+    /**
+     * Notes a token of a running generation.
+     *
+     * @param identifier number of the request
+     */
+    public void tokenArrived(long identifier) {
+        admission.tokensArrived(identifier, 1, nowMillis());
+    }
+
+    /**
+     * Notes the end of a running request.
+     *
+     * @param identifier number of the request
+     * @param whole whether the endpoint answered in full
+     */
+    public void finished(long identifier, boolean whole) {
+        running--;
+        admission.finished(identifier, whole, nowMillis());
+        admitWaiting();
+        if (running == 0 && idleListener != null) {
+            idleListener.run();
+        }
+    }
+
+    /**
+     * Load of the endpoint.
+     *
+     * @return the load
+     */
+    public EndpointLoad load() {
+        return admission.load(accepting, nowMillis());
+    }
+
+    /**
+     * Whether new work is taken.
+     *
+     * @return false while leaving
+     */
+    public boolean accepting() {
+        return accepting;
+    }
+
+    /**
+     * Sets whether new work is taken. Waiting requests are refused when it no longer is.
+     *
+     * @param value whether new work is taken
+     */
+    public void setAccepting(boolean value) {
+        accepting = value;
+        if (accepting) {
+            return;
+        }
+        for (Map.Entry<Long, PendingWork> entry : Map.copyOf(pending).entrySet()) {
+            if (withdraw(entry.getKey())) {
+                entry.getValue().refuse().accept("the endpoint is leaving");
+            }
+        }
+    }
+
+    /**
+     * Calls a listener when nothing runs.
+     *
+     * @param listener called at once or when the last running request ends
+     */
+    public void whenIdle(Runnable listener) {
+        idleListener = listener;
+        if (running == 0) {
+            listener.run();
+        }
+    }
+
+    @Override
+    public Object state() {
+        return load();
+    }
+
+    /**
+     * Monotonic time for admission.
+     *
+     * @return milliseconds
+     */
+    public static long nowMillis() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private void run(WorkItem item, Consumer<WorkItem> start) {
+        running++;
+        start.accept(item);
+    }
+
+    private void admitWaiting() {
+        for (WorkItem item : admission.admitWaiting(nowMillis())) {
+            PendingWork work = pending.remove(item.identifier());
+            if (work != null) {
+                run(item, work.start());
+            }
+        }
+    }
+
+    private void expire() {
+        for (WorkItem item : admission.removeExpired(nowMillis())) {
+            PendingWork work = pending.remove(item.identifier());
+            if (work != null) {
+                work.refuse().accept("the wait at the endpoint exceeded the timeout");
+            }
+        }
+        admitWaiting();
+    }
+
+    private record PendingWork(Consumer<WorkItem> start, Consumer<String> refuse) {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/redwinghook/standins/package-info.java
@@ -0,0 +1,5 @@
+/** Small stand-ins for the platform and the back ends, for tests, measurements and the local deployment. */
+@NullMarked
+package org.redwinghook.standins;
+
+import org.jspecify.annotations.NullMarked;
