--- /dev/null
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/history/Guarantee.java
@@ -0,0 +1,261 @@
+package org.redwinghook.systemtests.history;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+/** The guarantees of the design page, each with its check. */
+public enum Guarantee {
+    /** Each token reaches the caller once, in order, and from a single generation. */
+    TOKENS_ONCE_IN_ORDER {
+        @Override
+        void check(History history, Bounds bounds, Reporter reporter) {
+            Map<String, Event.TokenReceived> previous = new HashMap<>();
+            for (Event.TokenReceived token : history.of(Event.TokenReceived.class)) {
+                Event.TokenReceived before = previous.put(token.request(), token);
+                long expected = before == null ? 1 : before.sequence() + 1;
+                if (before != null && !before.generation().equals(token.generation())) {
+                    reporter.report(token.request() + " received tokens of " + before.generation() + " and "
+                            + token.generation());
+                } else if (token.sequence() != expected) {
+                    reporter.report(
+                            token.request() + " received token " + token.sequence() + " in place of " + expected);
+                } else if (!token.text().endsWith("/" + token.sequence())) {
+                    reporter.report(
+                            token.request() + " received the text '" + token.text() + "' as token " + token.sequence());
+                }
+            }
+        }
+    },
+    /** An endpoint that has just started receives no more work than it can bear. */
+    NO_OVERLOAD {
+        @Override
+        void check(History history, Bounds bounds, Reporter reporter) {
+            for (Event.LoadObserved load : history.of(Event.LoadObserved.class)) {
+                if (load.running() > load.bearable()) {
+                    reporter.report(
+                            load.endpoint() + " ran " + load.running() + " requests and bears " + load.bearable());
+                }
+            }
+        }
+    },
+    /** A data centre or endpoint that is out or leaving receives no new work after a few seconds. */
+    NO_NEW_WORK_WHERE_OUT {
+        @Override
+        void check(History history, Bounds bounds, Reporter reporter) {
+            for (Event.WorkStarted work : history.of(Event.WorkStarted.class)) {
+                for (String place : List.of(work.endpoint(), work.dataCentre())) {
+                    Long outSince = outSince(history, place, work.atMillis());
+                    if (outSince != null && work.atMillis() > outSince + bounds.noNewWorkMillis()) {
+                        reporter.report(work.endpoint() + " started " + work.request() + " "
+                                + (work.atMillis() - outSince) + " ms after " + place + " was taken out");
+                    }
+                }
+            }
+        }
+
+        private @Nullable Long outSince(History history, String place, long atMillis) {
+            Long since = null;
+            for (Event.TakenOut out : history.of(Event.TakenOut.class)) {
+                if (out.place().equals(place) && out.atMillis() <= atMillis) {
+                    since = since == null ? out.atMillis() : since;
+                    since = broughtBackBetween(history, place, since, atMillis) ? out.atMillis() : since;
+                }
+            }
+            return since == null || broughtBackBetween(history, place, since, atMillis) ? null : since;
+        }
+
+        private boolean broughtBackBetween(History history, String place, long from, long to) {
+            for (Event.BroughtBack back : history.of(Event.BroughtBack.class)) {
+                if (back.place().equals(place) && back.atMillis() > from && back.atMillis() <= to) {
+                    return true;
+                }
+            }
+            return false;
+        }
+    },
+    /** A caller receives the whole answer to its own request. */
+    OWN_WHOLE_ANSWER {
+        @Override
+        void check(History history, Bounds bounds, Reporter reporter) {
+            for (Event.CallAnswered answer : history.of(Event.CallAnswered.class)) {
+                if (!answer.request().equals(answer.echo())) {
+                    reporter.report(answer.request() + " received the answer to " + answer.echo());
+                }
+            }
+            Map<String, Long> received = new HashMap<>();
+            Map<String, String> producers = new HashMap<>();
+            for (Event.TokenReceived token : history.of(Event.TokenReceived.class)) {
+                received.merge(token.request(), 1L, Long::sum);
+                String producer =
+                        token.text().substring(0, Math.max(0, token.text().lastIndexOf('/')));
+                String known = producers.putIfAbsent(token.request(), producer);
+                if (known != null && !known.equals(producer)) {
+                    reporter.report(token.request() + " received texts of " + known + " and " + producer);
+                }
+            }
+            Map<String, String> requestOfProducer = new HashMap<>();
+            producers.forEach((request, producer) -> {
+                String other = requestOfProducer.putIfAbsent(producer, request);
+                if (other != null) {
+                    reporter.report(request + " and " + other + " both received the tokens of " + producer);
+                }
+            });
+            for (Event.AnswerWhole whole : history.of(Event.AnswerWhole.class)) {
+                long tokens = received.getOrDefault(whole.request(), 0L);
+                if (tokens != whole.tokens()) {
+                    reporter.report(whole.request() + " was called whole with " + whole.tokens()
+                            + " tokens and received " + tokens);
+                }
+            }
+        }
+    },
+    /** A refusal that says "not run" is true. */
+    TRUE_REFUSALS {
+        @Override
+        void check(History history, Bounds bounds, Reporter reporter) {
+            Set<String> refused = new HashSet<>();
+            history.of(Event.RefusedNotRun.class).forEach(event -> refused.add(event.request()));
+            for (Event.EffectApplied effect : history.of(Event.EffectApplied.class)) {
+                if (refused.contains(effect.request())) {
+                    reporter.report(
+                            effect.request() + " was refused as not run and took effect at " + effect.endpoint());
+                }
+            }
+            for (Event.WorkStarted work : history.of(Event.WorkStarted.class)) {
+                if (refused.contains(work.request())) {
+                    reporter.report(work.request() + " was refused as not run and started at " + work.endpoint());
+                }
+            }
+        }
+    },
+    /** A non-idempotent request runs at most once. */
+    AT_MOST_ONCE {
+        @Override
+        void check(History history, Bounds bounds, Reporter reporter) {
+            Set<String> idempotent = new HashSet<>();
+            for (Event.RequestSent sent : history.of(Event.RequestSent.class)) {
+                if (sent.idempotent()) {
+                    idempotent.add(sent.request());
+                }
+            }
+            Map<String, String> first = new HashMap<>();
+            for (Event.EffectApplied effect : history.of(Event.EffectApplied.class)) {
+                if (idempotent.contains(effect.request())) {
+                    continue;
+                }
+                String identity = effect.key() == null ? "request " + effect.request() : "key " + effect.key();
+                String endpoint = first.putIfAbsent(identity, effect.endpoint());
+                if (endpoint != null) {
+                    reporter.report(identity + " ran at " + endpoint + " and again at " + effect.endpoint());
+                }
+            }
+        }
+    },
+    /** Every planned stop cuts no request. */
+    PLANNED_STOPS_CUT_NOTHING {
+        @Override
+        void check(History history, Bounds bounds, Reporter reporter) {
+            Map<String, String> stopped = new HashMap<>();
+            for (Event.PlannedStop stop : history.of(Event.PlannedStop.class)) {
+                stop.requests().forEach(request -> stopped.put(request, stop.process()));
+            }
+            for (Event.AnswerCut cut : history.of(Event.AnswerCut.class)) {
+                if (stopped.containsKey(cut.request())) {
+                    reporter.report(cut.request() + " was cut by the planned stop of " + stopped.get(cut.request()));
+                }
+            }
+            for (Event.OutcomeUnknown unknown : history.of(Event.OutcomeUnknown.class)) {
+                if (stopped.containsKey(unknown.request())) {
+                    reporter.report(unknown.request() + " lost its outcome by the planned stop of "
+                            + stopped.get(unknown.request()));
+                }
+            }
+        }
+    },
+    /** An accepted configuration is in force everywhere within seconds and never reverts. */
+    CONFIGURATION_IN_FORCE {
+        @Override
+        void check(History history, Bounds bounds, Reporter reporter) {
+            Map<String, Long> highest = new HashMap<>();
+            Set<String> processes = new HashSet<>();
+            for (Event.VersionInForce version : history.of(Event.VersionInForce.class)) {
+                processes.add(version.process() + "#" + version.incarnation());
+                String place = version.process() + "#" + version.incarnation() + " " + version.section();
+                Long before = highest.get(place);
+                if (before != null && version.version() < before) {
+                    reporter.report(place + " went back from " + before + " to " + version.version());
+                }
+                highest.merge(place, version.version(), Math::max);
+            }
+            for (Event.ChangeAccepted accepted : history.of(Event.ChangeAccepted.class)) {
+                for (String process : processes) {
+                    if (!inForceInTime(history, process, accepted, bounds)) {
+                        reporter.report("version " + accepted.version() + " of " + accepted.section()
+                                + " was not in force at " + process + " in time");
+                    }
+                }
+            }
+        }
+
+        private boolean inForceInTime(History history, String process, Event.ChangeAccepted accepted, Bounds bounds) {
+            for (Event.VersionInForce version : history.of(Event.VersionInForce.class)) {
+                boolean same = process.equals(version.process() + "#" + version.incarnation())
+                        && version.section().equals(accepted.section());
+                if (same
+                        && version.version() >= accepted.version()
+                        && version.atMillis() <= accepted.atMillis() + bounds.inForceMillis()) {
+                    return true;
+                }
+            }
+            return false;
+        }
+    };
+
+    abstract void check(History history, Bounds bounds, Reporter reporter);
+
+    /**
+     * Checks this guarantee on a history.
+     *
+     * @param history the history
+     * @param bounds time bounds
+     * @return what broke it, empty if it held
+     */
+    public List<Violation> violations(History history, Bounds bounds) {
+        List<Violation> violations = new ArrayList<>();
+        check(history, bounds, description -> violations.add(new Violation(this, description)));
+        return violations;
+    }
+
+    /**
+     * Checks all guarantees on a history.
+     *
+     * @param history the history
+     * @param bounds time bounds
+     * @return what broke them, empty if all held
+     */
+    public static List<Violation> allViolations(History history, Bounds bounds) {
+        List<Violation> violations = new ArrayList<>();
+        for (Guarantee guarantee : values()) {
+            violations.addAll(guarantee.violations(history, bounds));
+        }
+        return violations;
+    }
+
+    /** Receives descriptions of violations. */
+    @FunctionalInterface
+    interface Reporter {
+
+        /**
+         * Reports a violation.
+         *
+         * @param description what happened
+         */
+        void report(String description);
+    }
+}
