Give the stand-ins faults, limits and one command line

The engine batches continuously with finite memory, preemption, a prefix cache and resumable streams; the log keeps records for a limited time and can lose or delay effects; the VM list lags; the weight store is new.

--- a/standins/src/main/java/org/redwinghook/standins/StandInMain.java
+++ b/standins/src/main/java/org/redwinghook/standins/StandInMain.java
@@ -1,23 +1,16 @@
 package org.redwinghook.standins;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import java.io.PrintStream;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.json.JsonArray;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
-import org.redwinghook.standins.engine.EngineStandIn;
-import org.redwinghook.standins.log.LogStandIn;
-import org.redwinghook.standins.plain.PlainServiceStandIn;
-import org.redwinghook.standins.vmlist.VmListStandIn;
+import org.redwinghook.runtime.process.ExitCode;
 
 /** Entry point of the binary redwinghook-stand-in. */
 public final class StandInMain {
 
-    private static final int USAGE = 2;
+    private static final String BINARY = "redwinghook-stand-in";
 
     private StandInMain() {}
 
@@ -27,37 +20,54 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
+        ExitCode code = run(Vertx.vertx(), System.out, System.err, arguments);
+        if (code != ExitCode.DONE) {
+            System.exit(code.number());
+        }
+    }
+
+    /**
+     * Starts a stand-in or prints help.
+     *
+     * @param vertx runs it; closed if nothing was started
+     * @param out receives help
+     * @param errors receives what is wrong
+     * @param arguments the command line
+     * @return how the start ended
+     */
+    public static ExitCode run(Vertx vertx, PrintStream out, PrintStream errors, String... arguments) {
         StandInOptions options = new StandInOptions();
         CmdLineParser parser = new CmdLineParser(options);
         try {
             parser.parseArgument(arguments);
         } catch (CmdLineException exception) {
-            System.err.println("redwinghook-stand-in: " + exception.getMessage());
-            parser.printUsage(System.err);
-            System.exit(USAGE);
+            errors.println(BINARY + ": " + exception.getMessage());
+            exception.getParser().printUsage(errors);
+            vertx.close();
+            return ExitCode.USAGE;
         }
-        if (options.help()) {
-            parser.printUsage(System.out);
-            return;
+        KindOptions kind = options.kind();
+        if (options.help() || kind == null || kind.help()) {
+            out.println("usage: " + BINARY + " --kind KIND --port PORT [OPTION...]");
+            (kind == null ? parser : new CmdLineParser(kind)).printUsage(out);
+            vertx.close();
+            return ExitCode.DONE;
         }
-        make(Vertx.vertx(), options).start().await();
-    }
-
-    private static StandIn make(Vertx vertx, StandInOptions options) {
-        return switch (options.kind()) {
-            case "log" -> new LogStandIn(vertx, options.port());
-            case "vm-list" -> new VmListStandIn(vertx, options.port(), vms(options.file()));
-            case "engine" -> new EngineStandIn(vertx, options.port(), options.tokenMillis());
-            case "plain" -> new PlainServiceStandIn(vertx, options.port());
-            default -> throw new IllegalArgumentException("unknown kind '" + options.kind() + "'");
-        };
+        return start(vertx, errors, kind);
     }
 
-    private static JsonArray vms(String file) {
+    private static ExitCode start(Vertx vertx, PrintStream errors, KindOptions kind) {
         try {
-            return new JsonArray(Files.readString(Path.of(file)));
-        } catch (IOException exception) {
-            throw new UncheckedIOException(exception);
+            kind.create(vertx).start().await();
+            return ExitCode.DONE;
+        } catch (IllegalArgumentException exception) {
+            errors.println(BINARY + ": " + exception.getMessage());
+            vertx.close();
+            return ExitCode.USAGE;
+        } catch (RuntimeException exception) {
+            errors.println(BINARY + ": cannot listen on port " + kind.port() + ": " + exception.getMessage());
+            vertx.close();
+            return ExitCode.FAILED;
         }
     }
 }
--- a/standins/src/main/java/org/redwinghook/standins/StandInOptions.java
+++ b/standins/src/main/java/org/redwinghook/standins/StandInOptions.java
@@ -1,61 +1,46 @@
 package org.redwinghook.standins;
 
+import org.jspecify.annotations.Nullable;
 import org.kohsuke.args4j.Option;
-
-/** Command line of the stand-ins. */
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+import org.redwinghook.standins.engine.EngineOptions;
+import org.redwinghook.standins.log.LogOptions;
+import org.redwinghook.standins.plain.PlainServiceOptions;
+import org.redwinghook.standins.vmlist.VmListOptions;
+import org.redwinghook.standins.weights.WeightStoreOptions;
+
+/** Command line of the stand-ins; the options after the kind depend on it. */
 public final class StandInOptions {
 
-    @Option(name = "--kind", required = true, metaVar = "KIND", usage = "log, vm-list, engine or plain")
-    private String kind = "";
-
-    @Option(name = "--port", required = true, metaVar = "PORT", usage = "port on 127.0.0.1")
-    private int port;
-
-    @Option(name = "--file", metaVar = "FILE", usage = "JSON file with the VM list; vm-list only")
-    private String file = "";
-
-    @Option(name = "--token-millis", metaVar = "MILLIS", usage = "time for each token; engine only")
-    private int tokenMillis = 20;
+    @Option(
+            name = "--kind",
+            required = true,
+            metaVar = "KIND OPTION...",
+            usage = "log, vm-list, weight-store, engine or plain; --kind KIND --help lists the options of a kind",
+            handler = SubCommandHandler.class)
+    @SubCommands({
+        @SubCommand(name = "log", impl = LogOptions.class),
+        @SubCommand(name = "vm-list", impl = VmListOptions.class),
+        @SubCommand(name = "weight-store", impl = WeightStoreOptions.class),
+        @SubCommand(name = "engine", impl = EngineOptions.class),
+        @SubCommand(name = "plain", impl = PlainServiceOptions.class)
+    })
+    private @Nullable KindOptions kind;
 
     @Option(name = "--help", help = true, usage = "print this help and exit")
     private boolean help;
 
     /**
-     * Kind of stand-in.
+     * Options of the chosen kind.
      *
-     * @return the kind
+     * @return the options, null only with --help
      */
-    public String kind() {
+    public @Nullable KindOptions kind() {
         return kind;
     }
 
-    /**
-     * Port to listen on.
-     *
-     * @return the port
-     */
-    public int port() {
-        return port;
-    }
-
-    /**
-     * File with the VM list.
-     *
-     * @return the file's name
-     */
-    public String file() {
-        return file;
-    }
-
-    /**
-     * Time for each token.
-     *
-     * @return milliseconds
-     */
-    public int tokenMillis() {
-        return tokenMillis;
-    }
-
     /**
      * Whether to print help.
      *
--- /dev/null
+++ b/standins/src/main/java/org/redwinghook/standins/engine/EngineState.java
@@ -0,0 +1,43 @@
+package org.redwinghook.standins.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What commands have made of an engine.
+ *
+ * @param model loaded model, empty for none
+ * @param version loaded version, empty for none
+ * @param adapters loaded adapters in the order of their commands
+ * @param role role, empty for none
+ * @param fencing highest fencing number among the applied commands
+ */
+public record EngineState(String model, String version, List<String> adapters, String role, long fencing) {
+
+    /** State of a fresh engine. */
+    public static final EngineState FRESH = new EngineState("", "", List.of(), "", 0);
+
+    public EngineState {
+        adapters = List.copyOf(adapters);
+    }
+
+    EngineState apply(EngineCommand command) {
+        long highest = Math.max(fencing, command.fencing());
+        String name = command.name();
+        return switch (command.kind()) {
+            case LOAD_MODEL -> new EngineState(name, "", List.of(), role, highest);
+            case LOAD_ADAPTER -> new EngineState(model, version, with(name), role, highest);
+            case LOAD_VERSION -> new EngineState(model, name, adapters, role, highest);
+            case CHANGE_ROLE -> new EngineState(model, version, adapters, name, highest);
+        };
+    }
+
+    private List<String> with(String adapter) {
+        if (adapters.contains(adapter)) {
+            return adapters;
+        }
+        List<String> more = new ArrayList<>(adapters);
+        more.add(adapter);
+        return more;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/redwinghook/standins/engine/OutputPlan.java
@@ -0,0 +1,65 @@
+package org.redwinghook.standins.engine;
+
+import java.nio.charset.StandardCharsets;
+
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import org.apache.commons.math3.distribution.LogNormalDistribution;
+
+/** Length and words of an output; the same seed and prompt always give the same output. */
+final class OutputPlan {
+
+    /** Half of the outputs have at most 60 tokens, and one in a thousand has over 6,000. */
+    private static final LogNormalDistribution LENGTHS = new LogNormalDistribution(Math.log(60), 1.5);
+
+    private static final int LONGEST = 50_000;
+    private static final double HASH_VALUES = 0x1p53;
+    private static final int UNUSED_BITS = 11;
+    private static final String[] WORDS = {
+        "buckwheat",
+        "hull",
+        "cushion",
+        "cover",
+        "linen",
+        "seam",
+        "wash",
+        "dry",
+        "air",
+        "shade",
+        "fill",
+        "press",
+        "notice",
+        "errata",
+        "page",
+        "line",
+        "reads",
+        "should",
+        "read",
+        "printer"
+    };
+
+    private final HashFunction hash;
+    private final String prompt;
+
+    OutputPlan(long seed, String prompt) {
+        this.hash = Hashing.murmur3_128(Long.hashCode(seed));
+        this.prompt = prompt;
+    }
+
+    int naturalLength() {
+        double uniform = (hashAt(0) >>> UNUSED_BITS) / HASH_VALUES;
+        return (int) Math.min(LONGEST, 1 + LENGTHS.inverseCumulativeProbability(uniform));
+    }
+
+    String word(int index) {
+        return WORDS[Math.floorMod(hashAt(index), WORDS.length)];
+    }
+
+    private long hashAt(int index) {
+        return hash.newHasher()
+                .putInt(index)
+                .putString(prompt, StandardCharsets.UTF_8)
+                .hash()
+                .asLong();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/redwinghook/standins/engine/PrefixCache.java
@@ -0,0 +1,55 @@
+package org.redwinghook.standins.engine;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+import org.redwinghook.core.routing.RendezvousHash;
+
+/**
+ * Cache of prompt prefixes in blocks of 256 characters; the least recently used blocks go first. A block is known by
+ * the hash of the prompt up to its end, which for the first block is the hash that routers use for affinity.
+ */
+final class PrefixCache {
+
+    private static final int BLOCK_CHARACTERS = 256;
+    private static final int BLOCK_TOKENS = 64;
+
+    private final int mostBlocks;
+    private final BiConsumer<String, Long> listener;
+    private final Map<Long, Boolean> blocks = new LinkedHashMap<>(16, 0.75f, true);
+
+    /** Creates an empty cache; the listener receives "stored" or "evicted" and the block's hash. */
+    PrefixCache(int capacityTokens, BiConsumer<String, Long> listener) {
+        this.mostBlocks = capacityTokens / BLOCK_TOKENS;
+        this.listener = listener;
+    }
+
+    /** Stores the prompt's whole blocks and returns the tokens of its prefix that were there already. */
+    int use(String prompt) {
+        int hits = 0;
+        boolean hitting = true;
+        for (int end = BLOCK_CHARACTERS; end <= prompt.length(); end += BLOCK_CHARACTERS) {
+            long block = RendezvousHash.hash(prompt.substring(0, end));
+            boolean known = blocks.get(block) != null;
+            hitting = hitting && known;
+            hits += hitting ? BLOCK_TOKENS : 0;
+            if (!known) {
+                blocks.put(block, true);
+                listener.accept("stored", block);
+            }
+        }
+        evict();
+        return hits;
+    }
+
+    private void evict() {
+        Iterator<Long> oldest = blocks.keySet().iterator();
+        for (int excess = blocks.size() - mostBlocks; excess > 0; excess--) {
+            long block = oldest.next();
+            oldest.remove();
+            listener.accept("evicted", block);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/redwinghook/standins/http/package-info.java
@@ -0,0 +1,5 @@
+/** HTTP plumbing that the stand-ins share. */
+@NullMarked
+package org.redwinghook.standins.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standins/src/main/java/org/redwinghook/standins/log/LogOptions.java
@@ -0,0 +1,24 @@
+package org.redwinghook.standins.log;
+
+import io.vertx.core.Vertx;
+import org.kohsuke.args4j.Option;
+import org.redwinghook.standins.KindOptions;
+import org.redwinghook.standins.StandIn;
+
+/** Options of the log. */
+public final class LogOptions extends KindOptions {
+
+    @Option(name = "--appends-per-second", metaVar = "N", usage = "appends taken in a second")
+    private int appendsPerSecond = LogSettings.USUAL.appendsPerSecond();
+
+    @Option(name = "--kept-records", metaVar = "N", usage = "records kept in each stream")
+    private int keptRecords = LogSettings.USUAL.keptRecords();
+
+    @Option(name = "--kept-millis", metaVar = "MILLIS", usage = "time for which records are kept")
+    private long keptMillis = LogSettings.USUAL.keptMillis();
+
+    @Override
+    public StandIn create(Vertx vertx) {
+        return new LogStandIn(vertx, port(), new LogSettings(appendsPerSecond, keptRecords, keptMillis));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/redwinghook/standins/plain/Effect.java
@@ -0,0 +1,12 @@
+package org.redwinghook.standins.plain;
+
+/**
+ * A change that a call made.
+ *
+ * @param number number of the effect, from 1
+ * @param method HTTP method of the call
+ * @param path path of the call
+ * @param key value of Idempotency-Key, empty if the call had none
+ * @param request identity of the request, empty if the call had none
+ */
+public record Effect(int number, String method, String path, String key, String request) {}
