--- a/standins/src/main/java/org/redwinghook/standins/StandInMain.java
+++ b/standins/src/main/java/org/redwinghook/standins/StandInMain.java
@@ -64,7 +64,8 @@
             errors.println(BINARY + ": " + exception.getMessage());
             vertx.close();
             return ExitCode.USAGE;
-        } catch (RuntimeException exception) {
+        } catch (Exception exception) {
+            // Vert.x rethrows checked exceptions, such as a failure to bind, without declaring them.
             errors.println(BINARY + ": cannot listen on port " + kind.port() + ": " + exception.getMessage());
             vertx.close();
             return ExitCode.FAILED;
--- a/standins/src/main/java/org/redwinghook/standins/engine/Generation.java
+++ b/standins/src/main/java/org/redwinghook/standins/engine/Generation.java
@@ -96,7 +96,7 @@
     void attach(HttpServerResponse response, int after) {
         HttpServerResponse former = stream;
         stream = response;
-        sent = Math.min(after, texts.size());
+        sent = after;
         if (former != null) {
             former.reset();
         }
@@ -121,7 +121,7 @@
 
     /** Number of the next event to send, 0 if there is none or nobody to send it to. */
     int nextEvent() {
-        if (stream == null || sent == texts.size()) {
+        if (stream == null || sent >= texts.size()) {
             return 0;
         }
         return ++sent;
@@ -134,7 +134,7 @@
     }
 
     void endIfWhole() {
-        if (stream != null && finished() && sent == texts.size()) {
+        if (stream != null && finished() && sent >= texts.size()) {
             HttpServerResponse whole = stream;
             stream = null;
             whole.write(lastEvent());
--- /dev/null
+++ b/standins/src/test/java/org/redwinghook/standins/engine/BatchTest.java
@@ -0,0 +1,108 @@
+package org.redwinghook.standins.engine;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards against an engine whose memory never fills, or whose preempted generations lose or repeat tokens. */
+public class BatchTest {
+
+    private static final int MANY = 1_000;
+
+    private final List<String> cacheEvents = new ArrayList<>();
+    private final PrefixCache cache = new PrefixCache(128, (kind, prefix) -> cacheEvents.add(kind));
+
+    @Test
+    public void preemptsTheLeastImportantWhenMemoryIsFullAndFinishesIt() {
+        Batch batch = new Batch(8, 40, cache);
+        Generation urgent = generation("urgent", 0, 1);
+        Generation patient = generation("patient", 5, 2);
+        batch.add(patient);
+        batch.add(urgent);
+        int steps = 0;
+        while (batch.running() + batch.waiting() > 0) {
+            batch.admit();
+            int before = patient.outputTokens();
+            batch.decode();
+            Assert.assertTrue(batch.memoryUsed() <= 40);
+            Assert.assertTrue(patient.outputTokens() >= before);
+            Assert.assertTrue(++steps < MANY);
+        }
+        Assert.assertTrue(batch.preemptions() > 0);
+        Assert.assertEquals(urgent.outputTokens(), 25);
+        Assert.assertEquals(patient.outputTokens(), 25);
+        Assert.assertEquals(batch.memoryUsed(), 0);
+    }
+
+    @Test
+    public void endsAnOutputThatFillsTheWholeMemory() {
+        Batch batch = new Batch(8, 10, cache);
+        Generation only = generation("only", 0, 1);
+        batch.add(only);
+        for (int step = 0; step < 20; step++) {
+            batch.admit();
+            batch.decode();
+        }
+        Assert.assertTrue(only.finished());
+        Assert.assertEquals(only.outputTokens(), 9);
+        Assert.assertEquals(batch.running() + batch.waiting(), 0);
+    }
+
+    @Test
+    public void admitsByPriorityThenArrival() {
+        Batch batch = new Batch(1, MANY, cache);
+        Generation late = generation("late", 1, 2);
+        Generation early = generation("early", 1, 1);
+        Generation urgent = generation("urgent", 0, 3);
+        List.of(late, early, urgent).forEach(batch::add);
+        batch.admit();
+        Assert.assertEquals(batch.decode(), List.of(urgent));
+        batch.remove(urgent);
+        batch.admit();
+        Assert.assertEquals(batch.decode(), List.of(early));
+    }
+
+    @Test
+    public void cacheSavesPrefillUntilItsMemoryIsFull() {
+        PrefixCache small = new PrefixCache(128, (kind, prefix) -> cacheEvents.add(kind));
+        String first = "a".repeat(600);
+        Assert.assertEquals(small.use(first), 0);
+        Assert.assertEquals(small.use(first + "b".repeat(300)), 128);
+        Assert.assertTrue(cacheEvents.contains("evicted"));
+        Assert.assertEquals(small.use(first), 0, "the oldest block was evicted");
+    }
+
+    @Test
+    public void outputIsDeterministicAndLongTailed() {
+        OutputPlan plan = new OutputPlan(7, "a prompt");
+        Assert.assertEquals(new OutputPlan(7, "a prompt").naturalLength(), plan.naturalLength());
+        Assert.assertEquals(new OutputPlan(7, "a prompt").word(3), plan.word(3));
+        int[] lengths = new int[MANY];
+        for (int number = 0; number < MANY; number++) {
+            lengths[number] = new OutputPlan(7, "prompt " + number).naturalLength();
+        }
+        Arrays.sort(lengths);
+        Assert.assertTrue(lengths[0] >= 1);
+        Assert.assertTrue(lengths[MANY * 99 / 100] > 10 * lengths[MANY / 2]);
+    }
+
+    @Test
+    public void wordTellsIndexAndGeneration() {
+        GeneratedWord word = new GeneratedWord("hull", 12, "engine-1.2-3");
+        Assert.assertEquals(GeneratedWord.parse(word.text()).orElseThrow(), word);
+        Assert.assertTrue(GeneratedWord.parse("hull ").isEmpty());
+    }
+
+    /** A generation of at most 25 tokens whose natural length, with seed 1, is larger. */
+    private static Generation generation(String identifier, int priority, long arrival) {
+        String prompt = "long";
+        int tries = 0;
+        while (new OutputPlan(1, prompt).naturalLength() < 25) {
+            prompt = "lon" + (char) ('a' + tries++);
+        }
+        return new Generation(identifier, prompt, 25, priority, arrival, 1);
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/redwinghook/standins/engine/EngineStandInTest.java
@@ -0,0 +1,243 @@
+package org.redwinghook.standins.engine;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.standins.StandInClient;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against an engine that is kinder than the platform's: without cuts, deaths, cold starts and old commands. */
+public class EngineStandInTest {
+
+    private static final int TOKENS = 12;
+
+    private Vertx vertx;
+    private EngineStandIn engine;
+    private StandInClient client;
+
+    @BeforeMethod
+    public void open() {
+        vertx = Vertx.vertx();
+        use(new ColdStart(3, 2, 2, ColdOverload.SLOW), true);
+    }
+
+    @AfterMethod
+    public void close() {
+        vertx.close().await();
+    }
+
+    @Test
+    public void streamsAWholeGeneration() throws Exception {
+        List<String> data = StandInClient.data(complete("a").body());
+        Assert.assertEquals(data.get(data.size() - 1), "[DONE]");
+        Assert.assertEquals(words(data), expected("a", 1, TOKENS));
+        JsonObject end = new JsonObject(data.get(data.size() - 2));
+        Assert.assertEquals(end.getJsonArray("choices").getJsonObject(0).getString("finish_reason"), "length");
+    }
+
+    @Test
+    public void resumesACutStreamWithoutRepeatingTokens() throws Exception {
+        engine.faults().update(faults -> faults.withStalled(true));
+        CompletableFuture<HttpResponse<String>> cut = client.sendAsync("POST", "/v1/completions", body("a"));
+        StandInClient.await(() -> engine.presentLoad().running() == 1);
+        Assert.assertEquals(client.send("POST", "/faults/close-streams", "").statusCode(), 200);
+        Assert.assertThrows(Exception.class, cut::get);
+        engine.faults().update(faults -> faults.withStalled(false));
+        String rest = client.send("GET", "/v1/generations/a/stream?after=5", "").body();
+        Assert.assertEquals(words(StandInClient.data(rest)), expected("a", 6, TOKENS));
+        String end = client.send("GET", "/v1/generations/a/stream?after=12", "").body();
+        Assert.assertTrue(end.contains("\"finish_reason\":\"length\"") && end.contains("[DONE]"), end);
+    }
+
+    @Test
+    public void cancelsAndForgetsAbandonedGenerations() throws Exception {
+        engine.faults().update(faults -> faults.withStalled(true));
+        CompletableFuture<HttpResponse<String>> first = client.sendAsync("POST", "/v1/completions", body("a"));
+        StandInClient.await(() -> engine.presentLoad().running() == 1);
+        Assert.assertEquals(client.send("POST", "/v1/completions", body("a")).statusCode(), 409);
+        Assert.assertEquals(client.send("DELETE", "/v1/generations/a", "").statusCode(), 200);
+        Assert.assertThrows(Exception.class, first::get);
+        Assert.assertEquals(client.send("DELETE", "/v1/generations/a", "").statusCode(), 404);
+        client.sendAsync("POST", "/v1/completions", body("b"));
+        StandInClient.await(() -> requests() == 1);
+        engine.closeStreams();
+        StandInClient.await(() -> requests() == 0);
+        Assert.assertEquals(engine.presentLoad().memoryUsedTokens(), 0);
+        Assert.assertEquals(client.send("GET", "/v1/generations/b/stream", "").statusCode(), 404);
+    }
+
+    @Test
+    public void diesAfterTokensAndComesBackAsANewStart() throws Exception {
+        long started = client.json("/load").getLong("started_at");
+        engine.faults().update(faults -> faults.withDieAfterTokens(5));
+        Iterator<String> lines =
+                client.lines("POST", "/v1/completions", body("a")).iterator();
+        StringBuilder read = new StringBuilder();
+        Assert.assertThrows(Exception.class, () -> {
+            while (lines.hasNext()) {
+                read.append(lines.next()).append('\n');
+            }
+        });
+        Assert.assertTrue(words(StandInClient.data(read.toString())).size() <= 5);
+        StandInClient.await(this::accepts);
+        Assert.assertTrue(client.json("/load").getLong("started_at") > started);
+        Assert.assertEquals(client.send("GET", "/v1/generations/a/stream", "").statusCode(), 404);
+    }
+
+    @Test
+    public void malformedEventIsNotJson() throws Exception {
+        engine.faults().update(faults -> faults.withMalformedNext(1));
+        List<String> data = StandInClient.data(complete("a").body());
+        Assert.assertThrows(Exception.class, () -> new JsonObject(data.get(0)));
+        Assert.assertEquals(words(data), expected("a", 2, TOKENS));
+    }
+
+    @Test
+    public void coldEngineRefusesMoreThanItCanBearUntilItIsWarm() throws Exception {
+        use(new ColdStart(3, 2, 1, ColdOverload.REFUSE), true);
+        engine.faults().update(faults -> faults.withStalled(true));
+        CompletableFuture<HttpResponse<String>> first = client.sendAsync("POST", "/v1/completions", body("a"));
+        StandInClient.await(() -> engine.presentLoad().running() == 1);
+        Assert.assertEquals(complete("b").statusCode(), 503);
+        engine.faults().update(faults -> faults.withStalled(false));
+        Assert.assertEquals(first.get().statusCode(), 200);
+        engine.faults().update(faults -> faults.withStalled(true));
+        client.sendAsync("POST", "/v1/completions", body("c"));
+        client.sendAsync("POST", "/v1/completions", body("d"));
+        StandInClient.await(() -> requests() == 2);
+        client.send("POST", "/faults/turn-cold", "");
+        Assert.assertEquals(complete("e").statusCode(), 503);
+    }
+
+    @Test
+    public void coldEngineCrashesUnderLoad() throws Exception {
+        use(new ColdStart(3, 2, 1, ColdOverload.CRASH), true);
+        engine.faults().update(faults -> faults.withStalled(true));
+        CompletableFuture<HttpResponse<String>> first = client.sendAsync("POST", "/v1/completions", body("a"));
+        StandInClient.await(() -> engine.presentLoad().running() == 1);
+        Assert.assertThrows(IOException.class, () -> complete("b"));
+        Assert.assertThrows(Exception.class, first::get);
+        Assert.assertEquals(engine.presentLoad().running(), 0);
+    }
+
+    @Test
+    public void refusesConnectionsForATime() throws Exception {
+        engine.refuseConnections(50).await();
+        Assert.assertFalse(accepts());
+        StandInClient.await(this::accepts);
+    }
+
+    @Test
+    public void checksOrIgnoresFencingNumbers() throws Exception {
+        Assert.assertEquals(command("load-model", "base", 7), 200);
+        Assert.assertEquals(command("load-model", "old", 6), 409);
+        Assert.assertEquals(command("load-adapter", "errata", 7), 200);
+        Assert.assertEquals(command("paint", "red", 8), 400);
+        Assert.assertEquals(engine.state(), new EngineState("base", "", List.of("errata"), "", 7));
+        use(ColdStart.NONE, false);
+        Assert.assertEquals(command("change-role", "decode", 7), 200);
+        Assert.assertEquals(command("change-role", "prefill", 6), 200);
+        Assert.assertEquals(client.json("/state").getString("role"), "prefill");
+    }
+
+    @Test
+    public void reportsLoadAndCacheEventsLateAndWithGaps() throws Exception {
+        EngineReporting late = new EngineReporting(3_600_000, 0, 2);
+        use(new EngineSettings(1, EnginePace.FAST, EngineMemory.USUAL, ColdStart.NONE, late, 50, 50, 1, true));
+        engine.faults().update(faults -> faults.withStalled(true));
+        client.sendAsync(
+                "POST",
+                "/v1/completions",
+                new JsonObject(body("a")).put("prompt", "p".repeat(1_024)).encode());
+        StandInClient.await(() -> engine.presentLoad().running() == 1);
+        Assert.assertEquals(client.json("/load").getInteger("running"), 0);
+        JsonObject page = client.json("/cache-events?from=1");
+        List<Long> sequences = page.getJsonArray("events").stream()
+                .map(event -> ((JsonObject) event).getLong("sequence"))
+                .toList();
+        Assert.assertEquals(sequences, List.of(1L, 3L));
+        Assert.assertEquals(page.getLong("next"), 4);
+    }
+
+    private void use(ColdStart coldStart, boolean checksFencing) {
+        use(new EngineSettings(
+                1,
+                EnginePace.FAST,
+                EngineMemory.USUAL,
+                coldStart,
+                EngineReporting.IMMEDIATE,
+                50,
+                50,
+                1,
+                checksFencing));
+    }
+
+    private void use(EngineSettings settings) {
+        engine = new EngineStandIn(vertx, 0, settings);
+        client = new StandInClient(engine.start().await());
+    }
+
+    private int requests() {
+        EngineLoad load = engine.presentLoad();
+        return load.running() + load.waiting();
+    }
+
+    private boolean accepts() {
+        try {
+            return client.send("GET", "/load", "").statusCode() == 200;
+        } catch (IOException | InterruptedException exception) {
+            return false;
+        }
+    }
+
+    private HttpResponse<String> complete(String identifier) throws IOException, InterruptedException {
+        return client.send("POST", "/v1/completions", body(identifier));
+    }
+
+    private int command(String kind, String name, long fencing) throws IOException, InterruptedException {
+        JsonObject command =
+                new JsonObject().put("kind", kind).put("name", name).put("fencing", fencing);
+        return client.send("POST", "/commands", command.encode()).statusCode();
+    }
+
+    /** A request whose natural output, with seed 1, is longer than the tokens it asks for. */
+    private static String body(String identifier) {
+        String prompt = IntStream.range(0, 100)
+                .mapToObj(number -> "prompt " + number)
+                .filter(candidate -> new OutputPlan(1, candidate).naturalLength() > TOKENS)
+                .findFirst()
+                .orElseThrow();
+        return new JsonObject()
+                .put("request_id", identifier)
+                .put("prompt", prompt)
+                .put("max_tokens", TOKENS)
+                .encode();
+    }
+
+    private static List<String> words(List<String> data) {
+        return data.stream()
+                .filter(event -> event.contains("@"))
+                .map(event -> new JsonObject(event)
+                        .getJsonArray("choices")
+                        .getJsonObject(0)
+                        .getString("text"))
+                .map(text -> GeneratedWord.parse(text).orElseThrow())
+                .map(word -> word.generation() + ":" + word.index())
+                .toList();
+    }
+
+    private static List<String> expected(String generation, int first, int last) {
+        return IntStream.rangeClosed(first, last)
+                .mapToObj(index -> generation + ":" + index)
+                .toList();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/redwinghook/standins/log/LogStandInTest.java
@@ -0,0 +1,120 @@
+package org.redwinghook.standins.log;
+
+import java.io.IOException;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.standins.StandInClient;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against a log that is kinder than the platform's: always up, without limits, and never losing an answer. */
+public class LogStandInTest {
+
+    private static final String RECORDS = "/streams/s/records";
+
+    private Vertx vertx;
+    private LogStandIn log;
+    private StandInClient client;
+
+    @BeforeMethod
+    public void open() {
+        vertx = Vertx.vertx();
+        use(new LogSettings(1_000, 3, 3_600_000));
+    }
+
+    @AfterMethod
+    public void close() {
+        vertx.close().await();
+    }
+
+    @Test
+    public void countsOffsetsFromOneInEachStreamAndReadsFromAndLimit() throws Exception {
+        Assert.assertEquals(append(), 1);
+        Assert.assertEquals(append(), 2);
+        client.send("POST", "/streams/other/records", "x");
+        JsonObject page = client.json(RECORDS + "?from=2&limit=1");
+        Assert.assertEquals(page.getLong("first"), 1);
+        Assert.assertEquals(page.getLong("next"), 3);
+        Assert.assertEquals(page.getJsonArray("records").size(), 1);
+        Assert.assertEquals(page.getJsonArray("records").getJsonObject(0).getLong("offset"), 2);
+        Assert.assertEquals(client.send("GET", RECORDS + "?from=x", "").statusCode(), 400);
+    }
+
+    @Test
+    public void keepsTheNewestRecordsOnly() throws Exception {
+        for (int number = 0; number < 5; number++) {
+            append();
+        }
+        var gone = client.send("GET", RECORDS + "?from=2", "");
+        Assert.assertEquals(gone.statusCode(), 410);
+        Assert.assertEquals(new JsonObject(gone.body()).getLong("first"), 3);
+        Assert.assertEquals(
+                client.json(RECORDS + "?from=3").getJsonArray("records").size(), 3);
+        use(new LogSettings(1_000, 100, 20));
+        append();
+        Thread.sleep(40);
+        Assert.assertEquals(client.send("GET", RECORDS + "?from=1", "").statusCode(), 410);
+        Assert.assertEquals(append(), 2);
+    }
+
+    @Test
+    public void limitsTheRateOfAppends() throws Exception {
+        use(new LogSettings(2, 100, 3_600_000));
+        append();
+        append();
+        var refused = client.send("POST", RECORDS, "x");
+        Assert.assertEquals(refused.statusCode(), 429);
+        Assert.assertEquals(client.json(RECORDS).getLong("next"), 3);
+    }
+
+    @Test
+    public void losesAnswersAfterTheEffect() throws Exception {
+        log.faults().update(faults -> faults.withLoseNextAnswers(1));
+        Assert.assertThrows(IOException.class, this::append);
+        Assert.assertEquals(client.json(RECORDS).getLong("next"), 2);
+        log.faults().update(faults -> faults.withLoseAnswerEvery(2));
+        Assert.assertThrows(IOException.class, this::append);
+        Assert.assertEquals(append(), 3);
+    }
+
+    @Test
+    public void appliesAnAppendAfterItsAnswerSaidThatItFailed() throws Exception {
+        log.faults().update(faults -> faults.withApplyLate(1, 400));
+        Assert.assertEquals(client.send("POST", RECORDS, "x").statusCode(), 503);
+        Assert.assertEquals(client.json(RECORDS).getLong("next"), 1);
+        StandInClient.await(() -> next() == 2);
+        Assert.assertEquals(append(), 2);
+    }
+
+    @Test
+    public void switchesOutageAndDelayOverHttp() throws Exception {
+        client.send("PUT", "/faults", "{\"down\": true}");
+        Assert.assertThrows(IOException.class, this::append);
+        Assert.assertTrue(client.json("/faults").getBoolean("down"));
+        client.send("PUT", "/faults", "{\"down\": false, \"delayMillis\": 60}");
+        long start = System.nanoTime();
+        Assert.assertEquals(append(), 1);
+        Assert.assertTrue(System.nanoTime() - start >= 60_000_000);
+        Assert.assertEquals(client.send("PUT", "/faults", "{\"drown\": true}").statusCode(), 400);
+    }
+
+    private void use(LogSettings settings) {
+        log = new LogStandIn(vertx, 0, settings);
+        client = new StandInClient(log.start().await());
+    }
+
+    private long append() throws IOException, InterruptedException {
+        return new JsonObject(client.send("POST", RECORDS, "x").body()).getLong("offset");
+    }
+
+    private long next() {
+        try {
+            return client.json(RECORDS).getLong("next");
+        } catch (IOException | InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+}
