--- a/standins/src/main/java/org/redwinghook/standins/StandInMain.java
+++ b/standins/src/main/java/org/redwinghook/standins/StandInMain.java
@@ -1,6 +1,7 @@
 package org.redwinghook.standins;
 
 import java.io.PrintStream;
+import java.util.function.Supplier;
 
 import io.vertx.core.Vertx;
 import org.kohsuke.args4j.CmdLineException;
@@ -20,7 +21,7 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        ExitCode code = run(Vertx.vertx(), System.out, System.err, arguments);
+        ExitCode code = run(Vertx::vertx, System.out, System.err, arguments);
         if (code != ExitCode.DONE) {
             System.exit(code.number());
         }
@@ -29,13 +30,13 @@
     /**
      * Starts a stand-in or prints help.
      *
-     * @param vertx runs it; closed if nothing was started
+     * @param vertx makes what runs it; not called for help and wrong command lines
      * @param out receives help
      * @param errors receives what is wrong
      * @param arguments the command line
      * @return how the start ended
      */
-    public static ExitCode run(Vertx vertx, PrintStream out, PrintStream errors, String... arguments) {
+    public static ExitCode run(Supplier<Vertx> vertx, PrintStream out, PrintStream errors, String... arguments) {
         StandInOptions options = new StandInOptions();
         CmdLineParser parser = new CmdLineParser(options);
         try {
@@ -43,17 +44,15 @@
         } catch (CmdLineException exception) {
             errors.println(BINARY + ": " + exception.getMessage());
             exception.getParser().printUsage(errors);
-            vertx.close();
             return ExitCode.USAGE;
         }
         KindOptions kind = options.kind();
         if (options.help() || kind == null || kind.help()) {
             out.println("usage: " + BINARY + " --kind KIND --port PORT [OPTION...]");
             (kind == null ? parser : new CmdLineParser(kind)).printUsage(out);
-            vertx.close();
             return ExitCode.DONE;
         }
-        return start(vertx, errors, kind);
+        return start(vertx.get(), errors, kind);
     }
 
     private static ExitCode start(Vertx vertx, PrintStream errors, KindOptions kind) {
--- a/standins/src/main/java/org/redwinghook/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/redwinghook/standins/engine/EngineStandIn.java
@@ -406,6 +406,9 @@
     }
 
     private void recordLoad() {
-        load.change(presentLoad(), System.currentTimeMillis());
+        long now = System.currentTimeMillis();
+        load.change(presentLoad(), now);
+        // Drops the loads that are no longer needed; without this they would pile up while nobody reads them.
+        load.visible(now, settings.reporting().loadLagMillis());
     }
 }
--- a/standins/src/main/java/org/redwinghook/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/redwinghook/standins/http/StandInServer.java
@@ -9,10 +9,13 @@
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** HTTP port of a stand-in. It can refuse connections for a time, as a process does that has died. */
 public final class StandInServer {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(StandInServer.class);
     private static final String HOST = "127.0.0.1";
     private static final int HTTP_BAD_REQUEST = 400;
     private static final long LARGEST_BODY_BYTES = 8L * 1024 * 1024;
@@ -130,7 +133,8 @@
 
     private synchronized void startAgain(int startsBefore) {
         if (starts == startsBefore) {
-            start();
+            start().onFailure(
+                            failure -> LOGGER.error("port {} cannot be opened again: {}", port, failure.getMessage()));
         }
     }
 
--- a/standins/src/test/java/org/redwinghook/standins/StandInMainTest.java
+++ b/standins/src/test/java/org/redwinghook/standins/StandInMainTest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 
 import io.vertx.core.Vertx;
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.runtime.process.ExitCode;
 import org.redwinghook.standins.plain.PlainServiceStandIn;
 import org.testng.Assert;
@@ -59,13 +60,13 @@
     }
 
     private ExitCode run(String... arguments) {
-        return run(Vertx.vertx(), arguments);
+        return run(null, arguments);
     }
 
-    private ExitCode run(Vertx vertx, String... arguments) {
+    private ExitCode run(@Nullable Vertx vertx, String... arguments) {
         printed.reset();
         PrintStream stream = new PrintStream(printed, true, StandardCharsets.UTF_8);
-        return StandInMain.run(vertx, stream, stream, arguments);
+        return StandInMain.run(() -> vertx == null ? Vertx.vertx() : vertx, stream, stream, arguments);
     }
 
     private String printed() {
--- a/standins/src/test/java/org/redwinghook/standins/engine/EngineStandInTest.java
+++ b/standins/src/test/java/org/redwinghook/standins/engine/EngineStandInTest.java
@@ -1,7 +1,9 @@
 package org.redwinghook.standins.engine;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -58,6 +60,31 @@
         Assert.assertTrue(end.contains("\"finish_reason\":\"length\"") && end.contains("[DONE]"), end);
     }
 
+    @Test(timeOut = 20_000)
+    public void tokensStayWholeUnderPreemptionAndManyCuts() throws Exception {
+        use(new EngineSettings(
+                1,
+                EnginePace.FAST,
+                new EngineMemory(60, 0),
+                ColdStart.NONE,
+                EngineReporting.IMMEDIATE,
+                60_000,
+                50,
+                1,
+                true));
+        List<CompletableFuture<List<String>>> readers = IntStream.range(0, 20)
+                .mapToObj(number -> CompletableFuture.supplyAsync(() -> readThroughCuts("g" + number)))
+                .toList();
+        while (!readers.stream().allMatch(CompletableFuture::isDone)) {
+            engine.closeStreams();
+            Thread.sleep(3);
+        }
+        for (int number = 0; number < readers.size(); number++) {
+            Assert.assertEquals(readers.get(number).get(), expected("g" + number, 1, TOKENS));
+        }
+        Assert.assertTrue(engine.presentLoad().preemptions() > 0);
+    }
+
     @Test
     public void cancelsAndForgetsAbandonedGenerations() throws Exception {
         engine.faults().update(faults -> faults.withStalled(true));
@@ -186,6 +213,30 @@
         client = new StandInClient(engine.start().await());
     }
 
+    private List<String> readThroughCuts(String identifier) {
+        List<String> words = new ArrayList<>();
+        boolean whole = read(words, "POST", "/v1/completions", body(identifier));
+        while (!whole) {
+            whole = read(words, "GET", "/v1/generations/" + identifier + "/stream?after=" + words.size(), "");
+        }
+        return words;
+    }
+
+    /** Reads a stream up to its end or its cut; whether it was whole. */
+    private boolean read(List<String> words, String method, String path, String body) {
+        try {
+            for (String line : (Iterable<String>) client.lines(method, path, body)::iterator) {
+                if (line.equals("data: [DONE]")) {
+                    return true;
+                }
+                words.addAll(words(StandInClient.data(line)));
+            }
+        } catch (IOException | UncheckedIOException | InterruptedException exception) {
+            return false;
+        }
+        return false;
+    }
+
     private int requests() {
         EngineLoad load = engine.presentLoad();
         return load.running() + load.waiting();
