--- /dev/null
+++ b/standins/src/main/java/org/redwinghook/standins/engine/EngineCommands.java
@@ -0,0 +1,61 @@
+package org.redwinghook.standins.engine;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.RoutingContext;
+import org.redwinghook.standins.http.StandInServer;
+
+/** Takes commands, each of which takes some time, and keeps the state that they have made. */
+final class EngineCommands {
+
+    private static final int HTTP_OK = 200;
+    private static final int HTTP_CONFLICT = 409;
+
+    private final Vertx vertx;
+    private final long commandMillis;
+    private final boolean checksFencing;
+    private EngineState state = EngineState.FRESH;
+    private int resets;
+
+    EngineCommands(Vertx vertx, long commandMillis, boolean checksFencing) {
+        this.vertx = vertx;
+        this.commandMillis = commandMillis;
+        this.checksFencing = checksFencing;
+    }
+
+    synchronized EngineState state() {
+        return state;
+    }
+
+    /** Forgets the state and the commands under way, as a restart does. */
+    synchronized void reset() {
+        state = EngineState.FRESH;
+        resets++;
+    }
+
+    synchronized void handle(RoutingContext context) {
+        EngineCommand command = context.body().asJsonObject().mapTo(EngineCommand.class);
+        if (refuses(context, command)) {
+            return;
+        }
+        int current = resets;
+        vertx.setTimer(Math.max(1, commandMillis), timer -> apply(context, command, current));
+    }
+
+    private synchronized void apply(RoutingContext context, EngineCommand command, int resetsBefore) {
+        // A newer command may have come, or the engine may have died, while this one was loading.
+        if (resets != resetsBefore || refuses(context, command)) {
+            return;
+        }
+        state = state.apply(command);
+        StandInServer.answer(context, HTTP_OK, JsonObject.mapFrom(state));
+    }
+
+    private boolean refuses(RoutingContext context, EngineCommand command) {
+        if (!checksFencing || command.fencing() >= state.fencing()) {
+            return false;
+        }
+        StandInServer.refuse(context, HTTP_CONFLICT, "fencing number is older than " + state.fencing());
+        return true;
+    }
+}
--- a/standins/src/main/java/org/redwinghook/standins/engine/EngineOptions.java
+++ b/standins/src/main/java/org/redwinghook/standins/engine/EngineOptions.java
@@ -14,6 +14,9 @@
     @Option(name = "--seed", metaVar = "N", usage = "determines, with the prompt, length and words of outputs")
     private long seed = USUAL.seed();
 
+    @Option(name = "--median-tokens", metaVar = "N", usage = "median of the natural lengths of outputs")
+    private int medianTokens = USUAL.medianTokens();
+
     @Option(name = "--token-millis", metaVar = "MILLIS", usage = "time of a decoding step with an empty batch")
     private long tokenMillis = USUAL.pace().stepMicros() / MICROS_PER_MILLI;
 
@@ -69,6 +72,7 @@
     public StandIn create(Vertx vertx) {
         EngineSettings settings = new EngineSettings(
                 seed,
+                medianTokens,
                 new EnginePace(tokenMillis * MICROS_PER_MILLI, sequenceMicros, prefillMicros, maximumBatch),
                 new EngineMemory(memoryTokens, prefixCacheTokens),
                 new ColdStart(coldSteps, coldSlowdown, coldRequests, coldOverload),
--- a/standins/src/main/java/org/redwinghook/standins/engine/EngineSettings.java
+++ b/standins/src/main/java/org/redwinghook/standins/engine/EngineSettings.java
@@ -4,6 +4,7 @@
  * Settings of an engine.
  *
  * @param seed with the prompt determines length and words of an output
+ * @param medianTokens median of the natural lengths of outputs
  * @param pace time of decoding steps
  * @param memory memory
  * @param coldStart behaviour after the start
@@ -15,6 +16,7 @@
  */
 public record EngineSettings(
         long seed,
+        int medianTokens,
         EnginePace pace,
         EngineMemory memory,
         ColdStart coldStart,
@@ -26,7 +28,16 @@
 
     /** A warm engine with the usual pace that checks fencing numbers. */
     public static final EngineSettings USUAL = new EngineSettings(
-            1, EnginePace.USUAL, EngineMemory.USUAL, ColdStart.NONE, EngineReporting.USUAL, 10_000, 1_000, 100, true);
+            1,
+            60,
+            EnginePace.USUAL,
+            EngineMemory.USUAL,
+            ColdStart.NONE,
+            EngineReporting.USUAL,
+            10_000,
+            1_000,
+            100,
+            true);
 
     /**
      * Replaces the pace.
@@ -36,6 +47,15 @@
      */
     public EngineSettings withPace(EnginePace value) {
         return new EngineSettings(
-                seed, value, memory, coldStart, reporting, graceMillis, restartMillis, commandMillis, checksFencing);
+                seed,
+                medianTokens,
+                value,
+                memory,
+                coldStart,
+                reporting,
+                graceMillis,
+                restartMillis,
+                commandMillis,
+                checksFencing);
     }
 }
--- a/standins/src/main/java/org/redwinghook/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/redwinghook/standins/engine/EngineStandIn.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongConsumer;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -38,9 +39,9 @@
     private final FaultSwitches<EngineFaults> faults = new FaultSwitches<>(EngineFaults.class, EngineFaults.NONE);
     private final Map<String, Generation> generations = new HashMap<>();
     private final Lagged<EngineLoad> load;
+    private final EngineCommands commands;
     private CacheEvents cacheEvents;
     private Batch batch;
-    private EngineState state = EngineState.FRESH;
     private long startedAt = System.currentTimeMillis();
     private int coldSteps;
     private long arrivals;
@@ -74,6 +75,7 @@
         this.settings = settings;
         this.server = new StandInServer(vertx, port);
         this.cacheEvents = new CacheEvents(settings.reporting());
+        this.commands = new EngineCommands(vertx, settings.commandMillis(), settings.checksFencing());
         this.batch = freshBatch();
         this.coldSteps = settings.coldStart().steps();
         this.load = new Lagged<>(presentLoad());
@@ -120,8 +122,8 @@
      *
      * @return the state
      */
-    public synchronized EngineState state() {
-        return state;
+    public EngineState state() {
+        return commands.state();
     }
 
     /** Closes the connections of all streams; the generations go on for the grace time. */
@@ -149,55 +151,55 @@
         return server.refuseConnections(millis);
     }
 
+    /**
+     * Closes all connections and refuses new ones for a time; generations go on for the grace time.
+     *
+     * @param millis the time in milliseconds
+     * @return completes when connections are refused
+     */
+    public Future<Void> refuseConnections(long millis) {
+        return server.refuseConnections(millis);
+    }
+
     private void mountRoutes() {
         faults.mount(server.routes());
         server.routes().post("/faults/close-streams").handler(context -> act(context, this::closeStreams));
         server.routes().post("/faults/turn-cold").handler(context -> act(context, this::turnCold));
-        server.routes().post("/faults/crash").handler(context -> {
-            long millis = StandInServer.number(context, "millis", settings.restartMillis());
-            context.response().end().onComplete(ignored -> crash(millis));
-        });
-        server.routes().post("/faults/refuse-connections").handler(context -> {
-            long millis = StandInServer.number(context, "millis", settings.restartMillis());
-            context.response().end().onComplete(ignored -> refuseConnections(millis));
-        });
+        server.routes().post("/faults/crash").handler(context -> away(context, this::crash));
+        server.routes().post("/faults/refuse-connections").handler(context -> away(context, this::refuseConnections));
         server.routes().post("/v1/completions").handler(this::complete);
         server.routes().get("/v1/generations/:id/stream").handler(this::resume);
         server.routes().delete("/v1/generations/:id").handler(this::cancel);
         server.routes().get("/load").handler(this::readLoad);
         server.routes().get("/cache-events").handler(this::readCacheEvents);
-        server.routes().post("/commands").handler(this::command);
+        server.routes().post("/commands").handler(commands::handle);
         server.routes()
                 .get("/state")
                 .handler(context -> StandInServer.answer(context, HTTP_OK, JsonObject.mapFrom(state())));
     }
 
-    /**
-     * Closes all connections and refuses new ones for a time; generations go on for the grace time.
-     *
-     * @param millis the time in milliseconds
-     * @return completes when connections are refused
-     */
-    public Future<Void> refuseConnections(long millis) {
-        return server.refuseConnections(millis);
-    }
-
     private static void act(RoutingContext context, Runnable action) {
         action.run();
         context.response().end();
     }
 
+    private void away(RoutingContext context, LongConsumer action) {
+        long millis = StandInServer.number(context, "millis", settings.restartMillis());
+        context.response().end().onComplete(ignored -> action.accept(millis));
+    }
+
     private synchronized void complete(RoutingContext context) {
         JsonObject request = context.body().asJsonObject();
         arrivals++;
         String identifier = request.getString("request_id", "generation-" + arrivals);
+        String prompt = request.getString("prompt", "");
         Generation generation = new Generation(
                 identifier,
-                request.getString("prompt", ""),
+                prompt,
+                new OutputPlan(settings.seed(), settings.medianTokens(), prompt),
                 Math.max(1, request.getInteger("max_tokens", USUAL_TOKENS)),
                 request.getInteger("priority", 0),
-                arrivals,
-                settings.seed());
+                arrivals);
         if (generations.containsKey(identifier)) {
             StandInServer.refuse(context, HTTP_CONFLICT, "generation " + identifier + " exists");
             return;
@@ -361,39 +363,13 @@
         StandInServer.answer(context, HTTP_OK, cacheEvents.read(from, System.currentTimeMillis()));
     }
 
-    private synchronized void command(RoutingContext context) {
-        EngineCommand command = context.body().asJsonObject().mapTo(EngineCommand.class);
-        if (refusesFencing(context, command)) {
-            return;
-        }
-        int current = starts;
-        vertx.setTimer(Math.max(1, settings.commandMillis()), timer -> apply(context, command, current));
-    }
-
-    private synchronized void apply(RoutingContext context, EngineCommand command, int startsBefore) {
-        // A newer command may have come, or the engine may have died, while this one was loading.
-        if (starts != startsBefore || refusesFencing(context, command)) {
-            return;
-        }
-        state = state.apply(command);
-        StandInServer.answer(context, HTTP_OK, JsonObject.mapFrom(state));
-    }
-
-    private boolean refusesFencing(RoutingContext context, EngineCommand command) {
-        if (!settings.checksFencing() || command.fencing() >= state.fencing()) {
-            return false;
-        }
-        StandInServer.refuse(context, HTTP_CONFLICT, "fencing number is older than " + state.fencing());
-        return true;
-    }
-
     private void forgetEverything() {
         starts++;
         stepping = false;
         generations.clear();
         cacheEvents = new CacheEvents(settings.reporting());
         batch = freshBatch();
-        state = EngineState.FRESH;
+        commands.reset();
     }
 
     private Batch freshBatch() {
--- a/standins/src/main/java/org/redwinghook/standins/engine/Generation.java
+++ b/standins/src/main/java/org/redwinghook/standins/engine/Generation.java
@@ -31,12 +31,12 @@
     private int sent;
     private int detachments;
 
-    Generation(String identifier, String prompt, int maximumTokens, int priority, long arrival, long seed) {
+    Generation(String identifier, String prompt, OutputPlan plan, int maximumTokens, int priority, long arrival) {
         this.identifier = identifier;
         this.prompt = prompt;
         this.priority = priority;
         this.arrival = arrival;
-        this.plan = new OutputPlan(seed, prompt);
+        this.plan = plan;
         int natural = plan.naturalLength();
         this.target = Math.min(natural, maximumTokens);
         this.plannedReason = natural > maximumTokens ? "length" : "stop";
--- a/standins/src/main/java/org/redwinghook/standins/engine/OutputPlan.java
+++ b/standins/src/main/java/org/redwinghook/standins/engine/OutputPlan.java
@@ -9,8 +9,8 @@
 /** Length and words of an output; the same seed and prompt always give the same output. */
 final class OutputPlan {
 
-    /** Half of the outputs have at most 60 tokens, and one in a thousand has over 6,000. */
-    private static final LogNormalDistribution LENGTHS = new LogNormalDistribution(Math.log(60), 1.5);
+    /** Makes one output in a thousand about a hundred times as long as the median. */
+    private static final double SHAPE = 1.5;
 
     private static final int LONGEST = 50_000;
     private static final double HASH_VALUES = 0x1p53;
@@ -39,16 +39,19 @@
     };
 
     private final HashFunction hash;
+    private final int medianTokens;
     private final String prompt;
 
-    OutputPlan(long seed, String prompt) {
+    OutputPlan(long seed, int medianTokens, String prompt) {
+        this.medianTokens = medianTokens;
         this.hash = Hashing.murmur3_128(Long.hashCode(seed));
         this.prompt = prompt;
     }
 
     int naturalLength() {
         double uniform = (hashAt(0) >>> UNUSED_BITS) / HASH_VALUES;
-        return (int) Math.min(LONGEST, 1 + LENGTHS.inverseCumulativeProbability(uniform));
+        LogNormalDistribution lengths = new LogNormalDistribution(Math.log(medianTokens), SHAPE);
+        return (int) Math.min(LONGEST, 1 + lengths.inverseCumulativeProbability(uniform));
     }
 
     String word(int index) {
--- a/standins/src/test/java/org/redwinghook/standins/engine/BatchTest.java
+++ b/standins/src/test/java/org/redwinghook/standins/engine/BatchTest.java
@@ -77,18 +77,25 @@
 
     @Test
     public void outputIsDeterministicAndLongTailed() {
-        OutputPlan plan = new OutputPlan(7, "a prompt");
-        Assert.assertEquals(new OutputPlan(7, "a prompt").naturalLength(), plan.naturalLength());
-        Assert.assertEquals(new OutputPlan(7, "a prompt").word(3), plan.word(3));
+        OutputPlan plan = new OutputPlan(7, 60, "a prompt");
+        Assert.assertEquals(new OutputPlan(7, 60, "a prompt").naturalLength(), plan.naturalLength());
+        Assert.assertEquals(new OutputPlan(7, 60, "a prompt").word(3), plan.word(3));
         int[] lengths = new int[MANY];
         for (int number = 0; number < MANY; number++) {
-            lengths[number] = new OutputPlan(7, "prompt " + number).naturalLength();
+            lengths[number] = new OutputPlan(7, 60, "prompt " + number).naturalLength();
         }
         Arrays.sort(lengths);
         Assert.assertTrue(lengths[0] >= 1);
         Assert.assertTrue(lengths[MANY * 99 / 100] > 10 * lengths[MANY / 2]);
     }
 
+    @Test
+    public void stepTimeGrowsWithTheBatchAndThePrefill() {
+        EnginePace pace = new EnginePace(20_000, 200, 50, 64);
+        Assert.assertEquals(pace.stepTimeMicros(0, 0), 20_000);
+        Assert.assertEquals(pace.stepTimeMicros(10, 100), 27_000);
+    }
+
     @Test
     public void wordTellsIndexAndGeneration() {
         GeneratedWord word = new GeneratedWord("hull", 12, "engine-1.2-3");
@@ -96,13 +103,8 @@
         Assert.assertTrue(GeneratedWord.parse("hull ").isEmpty());
     }
 
-    /** A generation of at most 25 tokens whose natural length, with seed 1, is larger. */
+    /** A generation whose natural length is far above the 25 tokens that it may have. */
     private static Generation generation(String identifier, int priority, long arrival) {
-        String prompt = "long";
-        int tries = 0;
-        while (new OutputPlan(1, prompt).naturalLength() < 25) {
-            prompt = "lon" + (char) ('a' + tries++);
-        }
-        return new Generation(identifier, prompt, 25, priority, arrival, 1);
+        return new Generation(identifier, "long", new OutputPlan(1, 10_000, "long"), 25, priority, arrival);
     }
 }
--- a/standins/src/test/java/org/redwinghook/standins/engine/EngineStandInTest.java
+++ b/standins/src/test/java/org/redwinghook/standins/engine/EngineStandInTest.java
@@ -205,7 +205,16 @@
                     vertx,
                     0,
                     new EngineSettings(
-                            1, EnginePace.FAST, memory, coldStart, reporting, GRACE_MILLIS, 50, 1, checksFencing));
+                            1,
+                            10_000,
+                            EnginePace.FAST,
+                            memory,
+                            coldStart,
+                            reporting,
+                            GRACE_MILLIS,
+                            50,
+                            1,
+                            checksFencing));
             client = new StandInClient(engine.start().await());
         }
 
@@ -256,16 +265,10 @@
             return client.send("POST", "/commands", command.encode()).statusCode();
         }
 
-        /** A request whose natural output, with seed 1, is longer than the tokens it asks for. */
         static String body(String identifier) {
-            String prompt = IntStream.range(0, 100)
-                    .mapToObj(number -> "prompt " + number)
-                    .filter(candidate -> new OutputPlan(1, candidate).naturalLength() > TOKENS)
-                    .findFirst()
-                    .orElseThrow();
             return new JsonObject()
                     .put("request_id", identifier)
-                    .put("prompt", prompt)
+                    .put("prompt", "Draft a care guide.")
                     .put("max_tokens", TOKENS)
                     .encode();
         }
