--- a/core/src/main/java/org/redwinghook/core/config/Customer.java
+++ b/core/src/main/java/org/redwinghook/core/config/Customer.java
@@ -20,7 +20,8 @@
         double requestsPerSecond,
         long tokensPerMinute,
         double weight,
-        int priority) {
+        int priority)
+        implements SectionEntry {
 
     public Customer {
         credentialHashes = List.copyOf(credentialHashes);
--- a/core/src/main/java/org/redwinghook/core/config/DataCentre.java
+++ b/core/src/main/java/org/redwinghook/core/config/DataCentre.java
@@ -6,4 +6,4 @@
  * @param name name of the data centre
  * @param region region that it belongs to
  */
-public record DataCentre(String name, String region) {}
+public record DataCentre(String name, String region) implements SectionEntry {}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/config/Link.java
@@ -0,0 +1,17 @@
+package org.redwinghook.core.config;
+
+import java.util.List;
+
+/**
+ * A link between two regions.
+ *
+ * @param name name of the link
+ * @param between the two regions
+ * @param megabitsPerSecond capacity each way for all traffic, in megabits a second
+ */
+public record Link(String name, List<String> between, double megabitsPerSecond) implements SectionEntry {
+
+    public Link {
+        between = List.copyOf(between);
+    }
+}
--- a/core/src/main/java/org/redwinghook/core/config/Owner.java
+++ b/core/src/main/java/org/redwinghook/core/config/Owner.java
@@ -6,4 +6,4 @@
  * @param name name of the owner
  * @param weight share of contended endpoints relative to other owners
  */
-public record Owner(String name, double weight) {}
+public record Owner(String name, double weight) implements SectionEntry {}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/config/SectionCarry.java
@@ -0,0 +1,22 @@
+package org.redwinghook.core.config;
+
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * A full copy of a section, appended before retention removes the changes that made it.
+ *
+ * @param section name of the section
+ * @param team team that owns the section
+ * @param version version that is copied
+ * @param entries all entries by name, each as JSON on one line
+ */
+public record SectionCarry(String section, String team, long version, Map<String, String> entries)
+        implements ConfigurationRecord {
+
+    public SectionCarry {
+        Objects.requireNonNull(section, "section");
+        Objects.requireNonNull(team, "team");
+        entries = Map.copyOf(entries);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/config/SectionKind.java
@@ -0,0 +1,91 @@
+package org.redwinghook.core.config;
+
+import java.util.Optional;
+
+/** Kinds of sections. */
+public enum SectionKind {
+    /** Owners of the deployment. */
+    OWNERS(Naming.KIND_ONLY),
+    /** Customers, in as many sections as there are teams. */
+    CUSTOMERS(Naming.EITHER),
+    /** Services, in as many sections as there are teams. */
+    SERVICES(Naming.EITHER),
+    /** Data centres with their regions, and links between regions. */
+    PLACES(Naming.KIND_ONLY),
+    /** Availability of the data centre or VM in the section's name. */
+    AVAILABILITY(Naming.NAMED),
+    /** Rules of the whole deployment. */
+    RULES(Naming.KIND_ONLY);
+
+    private enum Naming {
+        KIND_ONLY,
+        NAMED,
+        EITHER
+    }
+
+    private static final char SEPARATOR = '.';
+    private static final int LONGEST_NAME = 200;
+
+    private final Naming naming;
+
+    SectionKind(Naming naming) {
+        this.naming = naming;
+    }
+
+    /**
+     * Kind of a section.
+     *
+     * @param section name of the section, {@code kind} or {@code kind.name}
+     * @return the kind, empty if the name is not allowed
+     */
+    public static Optional<SectionKind> of(String section) {
+        int end = section.indexOf(SEPARATOR);
+        String start = end < 0 ? section : section.substring(0, end);
+        for (SectionKind kind : values()) {
+            if (kind.key().equals(start) && kind.allows(section, end)) {
+                return Optional.of(kind);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * First part of the section's name.
+     *
+     * @return the kind in lower case
+     */
+    public String key() {
+        return name().toLowerCase(java.util.Locale.ROOT);
+    }
+
+    /**
+     * Name of a section of this kind.
+     *
+     * @param name second part of the name
+     * @return kind and name
+     */
+    public String section(String name) {
+        return key() + SEPARATOR + name;
+    }
+
+    /**
+     * Second part of a section's name.
+     *
+     * @param section name of the section
+     * @return the part after the kind, empty if there is none
+     */
+    public static String nameWithin(String section) {
+        int end = section.indexOf(SEPARATOR);
+        return end < 0 ? "" : section.substring(end + 1);
+    }
+
+    private boolean allows(String section, int end) {
+        boolean isNamed = end >= 0;
+        boolean isNamedWell = isNamed && !section.substring(end + 1).isBlank() && section.length() <= LONGEST_NAME;
+        return switch (naming) {
+            case KIND_ONLY -> !isNamed;
+            case NAMED -> isNamedWell;
+            case EITHER -> !isNamed || isNamedWell;
+        };
+    }
+}
--- a/core/src/main/java/org/redwinghook/core/config/Service.java
+++ b/core/src/main/java/org/redwinghook/core/config/Service.java
@@ -20,7 +20,8 @@
         int maximumOutputTokens,
         boolean checksFencing,
         int maximumConcurrency,
-        List<Operation> operations) {
+        List<Operation> operations)
+        implements SectionEntry {
 
     public Service {
         operations = List.copyOf(operations);
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/document/NodeText.java
@@ -0,0 +1,102 @@
+package org.redwinghook.core.document;
+
+import java.util.Optional;
+import java.util.Set;
+
+import org.snakeyaml.engine.v2.common.ScalarStyle;
+import org.snakeyaml.engine.v2.nodes.MappingNode;
+import org.snakeyaml.engine.v2.nodes.Node;
+import org.snakeyaml.engine.v2.nodes.NodeTuple;
+import org.snakeyaml.engine.v2.nodes.ScalarNode;
+import org.snakeyaml.engine.v2.nodes.SequenceNode;
+import org.snakeyaml.engine.v2.nodes.Tag;
+
+/** Writes YAML nodes as JSON on one line, so that equal values have one text whatever their layout was. */
+final class NodeText {
+
+    private static final Set<Tag> BARE_TAGS = Set.of(Tag.INT, Tag.FLOAT, Tag.BOOL, Tag.NULL);
+    private static final char FIRST_PRINTABLE = ' ';
+    private static final char LAST_PRINTABLE_ASCII = '~';
+
+    private final StringBuilder text = new StringBuilder();
+    private final int mostCharacters;
+
+    private NodeText(int mostCharacters) {
+        this.mostCharacters = mostCharacters;
+    }
+
+    /**
+     * Writes a node.
+     *
+     * @param node the node
+     * @param mostCharacters longest text; also ends the expansion of nested and recursive aliases
+     * @return the text, empty if it would be longer
+     */
+    static Optional<String> json(Node node, int mostCharacters) {
+        NodeText writer = new NodeText(mostCharacters);
+        writer.write(node);
+        return writer.isFull() ? Optional.empty() : Optional.of(writer.text.toString());
+    }
+
+    private boolean isFull() {
+        return text.length() > mostCharacters;
+    }
+
+    // The depth of the recursion is bounded, as each level adds a character before it descends.
+    private void write(Node node) {
+        if (isFull()) {
+            return;
+        }
+        if (node instanceof MappingNode mapping) {
+            writeMapping(mapping);
+        } else if (node instanceof SequenceNode sequence) {
+            writeSequence(sequence);
+        } else if (node instanceof ScalarNode scalar) {
+            writeScalar(scalar);
+        }
+    }
+
+    private void writeMapping(MappingNode mapping) {
+        char separator = '{';
+        for (NodeTuple tuple : mapping.getValue()) {
+            text.append(separator);
+            separator = ',';
+            write(tuple.getKeyNode());
+            text.append(": ");
+            write(tuple.getValueNode());
+        }
+        text.append(separator == '{' ? "{}" : "}");
+    }
+
+    private void writeSequence(SequenceNode sequence) {
+        char separator = '[';
+        for (Node item : sequence.getValue()) {
+            text.append(separator);
+            separator = ',';
+            write(item);
+        }
+        text.append(separator == '[' ? "[]" : "]");
+    }
+
+    private void writeScalar(ScalarNode scalar) {
+        if (scalar.getScalarStyle() == ScalarStyle.PLAIN && BARE_TAGS.contains(scalar.getTag())) {
+            text.append(scalar.getValue().isEmpty() ? "null" : scalar.getValue());
+            return;
+        }
+        text.append('"');
+        for (char character : scalar.getValue().toCharArray()) {
+            writeCharacter(character);
+        }
+        text.append('"');
+    }
+
+    private void writeCharacter(char character) {
+        if (character == '"' || character == '\\') {
+            text.append('\\').append(character);
+        } else if (character < FIRST_PRINTABLE || character > LAST_PRINTABLE_ASCII && !Character.isLetter(character)) {
+            text.append(String.format("\\u%04x", (int) character));
+        } else {
+            text.append(character);
+        }
+    }
+}
--- a/core/src/main/java/org/redwinghook/core/document/YamlMap.java
+++ b/core/src/main/java/org/redwinghook/core/document/YamlMap.java
@@ -13,6 +13,7 @@
 import org.jspecify.annotations.Nullable;
 import org.snakeyaml.engine.v2.api.LoadSettings;
 import org.snakeyaml.engine.v2.api.lowlevel.Compose;
+import org.snakeyaml.engine.v2.common.ScalarStyle;
 import org.snakeyaml.engine.v2.exceptions.Mark;
 import org.snakeyaml.engine.v2.exceptions.MarkedYamlEngineException;
 import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
@@ -34,6 +35,7 @@
     private final @Nullable Mark start;
     private final Map<String, NodeTuple> entries;
     private final Set<String> keysRead = new LinkedHashSet<>();
+    private final Map<String, YamlMap> children = new LinkedHashMap<>();
     private final Findings findings;
 
     private YamlMap(String file, String path, @Nullable Node node, Findings findings) {
@@ -72,6 +74,58 @@
         return new YamlMap(file, "", null, findings);
     }
 
+    /**
+     * Puts together a mapping whose values are separate YAML texts. A value that is not one YAML document is a finding
+     * and counts as absent.
+     *
+     * @param file name for findings
+     * @param values texts of the values by key
+     * @param findings receives what is wrong
+     * @return the mapping
+     */
+    public static YamlMap ofTexts(String file, Map<String, String> values, Findings findings) {
+        LoadSettings settings = LoadSettings.builder()
+                .setLabel(file)
+                .setAllowDuplicateKeys(true)
+                .build();
+        YamlMap map = new YamlMap(file, "", null, findings);
+        for (Map.Entry<String, String> entry : values.entrySet()) {
+            String key = entry.getKey();
+            try {
+                Optional<Node> value = new Compose(settings).composeString(entry.getValue());
+                if (value.isEmpty()) {
+                    findings.add(new Finding(file, 0, 0, key, "must not be empty"));
+                    continue;
+                }
+                Optional<Mark> mark = value.get().getStartMark();
+                ScalarNode keyNode = new ScalarNode(Tag.STR, true, key, ScalarStyle.PLAIN, mark, mark);
+                map.entries.put(key, new NodeTuple(keyNode, value.get()));
+            } catch (YamlEngineException exception) {
+                findings.add(new Finding(file, 0, 0, key, "not valid YAML: " + exception.getMessage()));
+            }
+        }
+        return map;
+    }
+
+    /**
+     * The value of a key as JSON on one line, for use with {@link #ofTexts}. A value that is too long is a finding.
+     *
+     * @param key the key
+     * @param mostCharacters longest text
+     * @return the text, empty if the key is absent or after a finding
+     */
+    public String json(String key, int mostCharacters) {
+        Node node = take(key);
+        if (node == null) {
+            return "";
+        }
+        Optional<String> text = NodeText.json(node, mostCharacters);
+        if (text.isEmpty()) {
+            reportAt(key, "must be at most " + mostCharacters + " characters of JSON without recursion");
+        }
+        return text.orElse("");
+    }
+
     /**
      * The keys in order of the document.
      *
@@ -268,12 +322,18 @@
      * @return the mapping, empty if absent or after a finding
      */
     public YamlMap map(String key) {
+        YamlMap known = children.get(key);
+        if (known != null) {
+            return known;
+        }
         Node node = take(key);
         if (node != null && !(node instanceof MappingNode)) {
             reportAt(key, "must be a mapping");
             node = null;
         }
-        return new YamlMap(file, child(key), node, findings);
+        YamlMap read = new YamlMap(file, child(key), node, findings);
+        children.put(key, read);
+        return read;
     }
 
     /**
--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -19,7 +19,11 @@
     @JsonSubTypes.Type(value = Finished.class, name = "finished"),
     @JsonSubTypes.Type(value = Interrupted.class, name = "interrupted"),
     @JsonSubTypes.Type(value = CallAnswer.class, name = "callAnswer"),
-    @JsonSubTypes.Type(value = OutcomeUnknown.class, name = "outcomeUnknown")
+    @JsonSubTypes.Type(value = OutcomeUnknown.class, name = "outcomeUnknown"),
+    @JsonSubTypes.Type(value = ConfigurationAnnouncement.class, name = "configAnnounce"),
+    @JsonSubTypes.Type(value = ConfigurationPull.class, name = "configPull"),
+    @JsonSubTypes.Type(value = ConfigurationRecords.class, name = "configRecords"),
+    @JsonSubTypes.Type(value = WithdrawalNotice.class, name = "withdrawal")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/membership/MeshPositionsTest.java
@@ -0,0 +1,43 @@
+package org.redwinghook.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public final class MeshPositionsTest {
+
+    /** Guards against routers that an announcement does not reach, or reaches in more hops than the design allows. */
+    @Test
+    public void everyRouterIsReachedWithinTheHopsOfTheDesign() {
+        for (int size : List.of(1, 2, 3, 5, 8, 100, 360)) {
+            List<String> routers = new ArrayList<>();
+            for (int index = 0; index < size; index++) {
+                routers.add("router-" + index);
+            }
+            Set<String> reached = new HashSet<>(Set.of("router-0"));
+            int hops = 0;
+            while (reached.size() < size) {
+                for (String router : List.copyOf(reached)) {
+                    reached.addAll(MeshPositions.neighbours(routers, router));
+                }
+                hops++;
+                assertTrue(hops <= 9, size + " routers need more than 9 hops");
+            }
+            assertTrue(hops <= 8 || size > 256, size + " routers took " + hops + " hops");
+        }
+    }
+
+    /** Guards against a router that connects to itself or twice to another one. */
+    @Test
+    public void neighboursAreDistinctAndOthers() {
+        assertEquals(MeshPositions.neighbours(List.of("a"), "a"), List.of());
+        assertEquals(MeshPositions.neighbours(List.of("b"), "a"), List.of("b"));
+        assertEquals(MeshPositions.neighbours(List.of("a", "b", "c", "d", "e"), "d"), List.of("e", "a", "c"));
+    }
+}
