--- a/core/src/main/java/org/redwinghook/core/config/ConfigurationFold.java
+++ b/core/src/main/java/org/redwinghook/core/config/ConfigurationFold.java
@@ -111,6 +111,15 @@
         return offset;
     }
 
+    /**
+     * Whether all changes up to the offset are decided as in a process that read the whole log.
+     *
+     * @return false for a reader that missed records and has not reached the log's end
+     */
+    public boolean isDecided() {
+        return isWholeLogSeen;
+    }
+
     /**
      * Version and team of a section.
      *
--- /dev/null
+++ b/operator/src/main/java/org/redwinghook/operator/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' command. */
+@NullMarked
+package org.redwinghook.operator;
+
+import org.jspecify.annotations.NullMarked;
--- a/router/src/main/java/org/redwinghook/router/RouterMain.java
+++ b/router/src/main/java/org/redwinghook/router/RouterMain.java
@@ -1,8 +1,11 @@
 package org.redwinghook.router;
 
-import org.redwinghook.core.config.Configuration;
-import org.redwinghook.core.config.ConfigurationReader;
-import org.redwinghook.runtime.config.FixedConfigurationSource;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vertx.core.Vertx;
+import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.runtime.config.Followers;
+import org.redwinghook.runtime.process.ManagedProcess;
 import org.redwinghook.runtime.process.ProcessLauncher;
 
 /** Entry point of the binary redwinghook-router. */
@@ -16,21 +19,14 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        ProcessLauncher<RouterSettings> launcher = new ProcessLauncher<>(
-                "redwinghook-router",
-                RouterSettings::read,
-                (vertx, settings) ->
-                        new RouterProcess(vertx, settings, new FixedConfigurationSource(bootstrapConfiguration())));
+        ProcessLauncher<RouterSettings> launcher =
+                new ProcessLauncher<>("redwinghook-router", RouterSettings::read, RouterMain::make);
         System.exit(launcher.run(arguments).number());
     }
 
-    private static Configuration bootstrapConfiguration() {
-        String file = System.getProperty("redwinghook.configuration", "");
-        try {
-            return ConfigurationReader.read(file, java.nio.file.Files.readString(java.nio.file.Path.of(file)))
-                    .getOrElse(Configuration.EMPTY);
-        } catch (java.io.IOException exception) {
-            throw new java.io.UncheckedIOException(exception);
-        }
+    private static ManagedProcess make(Vertx vertx, RouterSettings settings) {
+        PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        return new RouterProcess(
+                vertx, settings, Followers.of(vertx, ProcessRole.ROUTER, settings.shared(), metrics), metrics);
     }
 }
--- a/router/src/main/java/org/redwinghook/router/RouterProcess.java
+++ b/router/src/main/java/org/redwinghook/router/RouterProcess.java
@@ -15,8 +15,10 @@
 import org.redwinghook.router.caller.CompletionHandler;
 import org.redwinghook.router.caller.ServiceCallHandler;
 import org.redwinghook.router.endpoint.EndpointDirectory;
+import org.redwinghook.router.peer.RouterMesh;
 import org.redwinghook.runtime.admin.AdminServer;
-import org.redwinghook.runtime.config.ConfigurationSource;
+import org.redwinghook.runtime.config.ConfigurationAdmin;
+import org.redwinghook.runtime.config.ConfigurationService;
 import org.redwinghook.runtime.platform.VmListClient;
 import org.redwinghook.runtime.process.ManagedProcess;
 import org.redwinghook.runtime.wire.FrameCodec;
@@ -28,10 +30,11 @@
     private static final int PROTOCOL_VERSION = 1;
 
     private final RouterSettings settings;
-    private final ConfigurationSource configuration;
+    private final ConfigurationService configuration;
     private final long incarnation = System.currentTimeMillis();
     private final EndpointDirectory directory;
     private final CallerServer callers;
+    private final RouterMesh mesh;
     private final AdminServer admin;
     private boolean accepting = true;
 
@@ -42,18 +45,32 @@
      * @param settings its settings
      * @param configuration the configuration in force
      */
-    public RouterProcess(Vertx vertx, RouterSettings settings, ConfigurationSource configuration) {
+    public RouterProcess(Vertx vertx, RouterSettings settings, ConfigurationService configuration) {
+        this(vertx, settings, configuration, new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+    }
+
+    /**
+     * Creates a router.
+     *
+     * @param vertx runs it
+     * @param settings its settings
+     * @param configuration the configuration in force
+     * @param metrics where counters are registered
+     */
+    public RouterProcess(
+            Vertx vertx, RouterSettings settings, ConfigurationService configuration, PrometheusMeterRegistry metrics) {
         this.settings = settings;
         this.configuration = configuration;
-        PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        FrameCodec codec = new FrameCodec();
+        WireMetrics wireMetrics = new WireMetrics(metrics);
         ServiceRegistry services = new ServiceRegistry();
         directory = new EndpointDirectory(
                 vertx,
                 new VmListClient(vertx, settings.shared().vmList()),
                 configuration,
                 settings.shared().dataCentre(),
-                new FrameCodec(),
-                new WireMetrics(metrics),
+                codec,
+                wireMetrics,
                 this::hello);
         Authenticator authenticator = new Authenticator(configuration);
         EndpointSelector selector =
@@ -63,20 +80,41 @@
         ServiceCallHandler calls = new ServiceCallHandler(
                 configuration, authenticator, directory, selector, settings.requestTimeoutMillis());
         callers = new CallerServer(vertx, settings.caller(), completions, calls);
+        mesh = new RouterMesh(
+                vertx,
+                settings.shared().process(),
+                settings.shared().peer(),
+                codec,
+                wireMetrics,
+                this::hello,
+                configuration);
+        directory.onMembers(mesh::update);
         services.register("endpoints", directory);
-        admin = new AdminServer(vertx, settings.shared().admin(), services, metrics, () -> accepting);
+        services.register("mesh", mesh);
+        services.register("configuration", configuration);
+        admin = new AdminServer(
+                vertx, settings.shared().admin(), services, metrics, () -> accepting && configuration.isReady());
+        new ConfigurationAdmin(configuration).register(admin.routes());
     }
 
     @Override
     public Future<Void> start() {
-        directory.start();
-        return callers.start().compose(port -> admin.start());
+        return mesh.start()
+                .compose(port -> callers.start())
+                .compose(port -> admin.start())
+                .onSuccess(ignored -> {
+                    configuration.start();
+                    directory.start();
+                });
     }
 
     @Override
     public Future<Void> stopGracefully() {
         accepting = false;
-        return callers.stop().onComplete(ignored -> directory.close());
+        return callers.stop().onComplete(ignored -> directory.close()).eventually(() -> {
+            configuration.stop();
+            return mesh.stop();
+        });
     }
 
     private Hello hello() {
--- a/router/src/main/java/org/redwinghook/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointConnection.java
@@ -23,6 +23,8 @@
 import org.redwinghook.core.message.OutcomeUnknown;
 import org.redwinghook.core.message.Refused;
 import org.redwinghook.core.message.Tokens;
+import org.redwinghook.runtime.config.ConfigurationExchange;
+import org.redwinghook.runtime.config.ConnectionPeer;
 import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.PeerConnection;
 import org.redwinghook.runtime.wire.WireMetrics;
@@ -41,8 +43,10 @@
     private final WireMetrics metrics;
     private final Member member;
     private final Supplier<Hello> hello;
+    private final ConfigurationExchange configuration;
     private final Map<Long, ExchangeListener> exchanges = new HashMap<>();
     private @Nullable PeerConnection connection;
+    private @Nullable ConnectionPeer peer;
     private @Nullable EndpointLoad load;
     private long lastExchange;
     private boolean closed;
@@ -56,6 +60,7 @@
      * @param metrics counts bytes and messages
      * @param member the sidecar
      * @param hello gives this router's greeting
+     * @param configuration spreads over the connection
      */
     public EndpointConnection(
             Vertx vertx,
@@ -63,13 +68,15 @@
             FrameCodec codec,
             WireMetrics metrics,
             Member member,
-            Supplier<Hello> hello) {
+            Supplier<Hello> hello,
+            ConfigurationExchange configuration) {
         this.vertx = vertx;
         this.client = client;
         this.codec = codec;
         this.metrics = metrics;
         this.member = member;
         this.hello = hello;
+        this.configuration = configuration;
     }
 
     /** Opens the connection and keeps it open until {@link #close}. */
@@ -166,11 +173,17 @@
         opened.onMessage(this::receive);
         opened.onClose(this::lost);
         opened.send(hello.get());
+        peer = new ConnectionPeer(member.vm(), opened);
+        configuration.opened(peer);
         LOGGER.info("connected to {}", member.vm());
     }
 
     private void lost() {
         connection = null;
+        if (peer != null) {
+            configuration.closed(peer);
+            peer = null;
+        }
         load = null;
         if (!closed) {
             LOGGER.info("lost connection to {}", member.vm());
@@ -190,6 +203,7 @@
     private void receive(Message message) {
         if (message instanceof Heartbeat heartbeat) {
             noteLoad(heartbeat.load());
+            passConfiguration(message);
         } else if (message instanceof Accepted accepted) {
             pass(accepted.exchange(), message, false);
         } else if (message instanceof Tokens tokens) {
@@ -207,6 +221,14 @@
             pass(answer.exchange(), message, true);
         } else if (message instanceof OutcomeUnknown unknown) {
             pass(unknown.exchange(), message, true);
+        } else {
+            passConfiguration(message);
+        }
+    }
+
+    private void passConfiguration(Message message) {
+        if (peer != null) {
+            configuration.received(peer, message);
         }
     }
 
--- a/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.vertx.core.Vertx;
@@ -19,7 +20,7 @@
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.routing.EndpointView;
 import org.redwinghook.runtime.admin.StateSource;
-import org.redwinghook.runtime.config.ConfigurationSource;
+import org.redwinghook.runtime.config.ConfigurationService;
 import org.redwinghook.runtime.platform.VmListClient;
 import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.WireMetrics;
@@ -33,13 +34,14 @@
 
     private final Vertx vertx;
     private final VmListClient vmList;
-    private final ConfigurationSource configuration;
+    private final ConfigurationService configuration;
     private final String ownDataCentre;
     private final FrameCodec codec;
     private final WireMetrics metrics;
     private final Supplier<Hello> hello;
     private final NetClient client;
     private final Map<String, EndpointConnection> connections = new HashMap<>();
+    private final List<Consumer<List<Member>>> listeners = new ArrayList<>();
 
     /**
      * Creates a directory without endpoints.
@@ -55,7 +57,7 @@
     public EndpointDirectory(
             Vertx vertx,
             VmListClient vmList,
-            ConfigurationSource configuration,
+            ConfigurationService configuration,
             String ownDataCentre,
             FrameCodec codec,
             WireMetrics metrics,
@@ -78,6 +80,15 @@
         vertx.setPeriodic(HEARTBEAT_MILLIS, ignored -> heartbeat());
     }
 
+    /**
+     * Adds a listener that is called with each VM list that was read.
+     *
+     * @param listener called on the event loop of the process
+     */
+    public void onMembers(Consumer<List<Member>> listener) {
+        listeners.add(listener);
+    }
+
     /**
      * Endpoints of a service that take new work.
      *
@@ -137,6 +148,7 @@
     }
 
     private void update(List<Member> members) {
+        listeners.forEach(listener -> listener.accept(members));
         Set<String> present = new HashSet<>();
         for (Member member : members) {
             if (member.role() != ProcessRole.SIDECAR) {
@@ -160,7 +172,7 @@
         if (known != null) {
             known.close();
         }
-        EndpointConnection added = new EndpointConnection(vertx, client, codec, metrics, member, hello);
+        EndpointConnection added = new EndpointConnection(vertx, client, codec, metrics, member, hello, configuration);
         connections.put(member.vm(), added);
         added.open();
     }
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/peer/MeshConnection.java
@@ -0,0 +1,86 @@
+package org.redwinghook.router.peer;
+
+import java.util.function.Supplier;
+
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.message.Heartbeat;
+import org.redwinghook.core.message.Hello;
+import org.redwinghook.core.message.Message;
+import org.redwinghook.runtime.config.ConfigurationExchange;
+import org.redwinghook.runtime.config.ConnectionPeer;
+import org.redwinghook.runtime.wire.PeerConnection;
+
+/** One open connection between two routers, whichever of them opened it. */
+final class MeshConnection {
+
+    private static final long SILENCE_NANOS = 15_000_000_000L;
+
+    private final PeerConnection connection;
+    private final Supplier<Hello> hello;
+    private final ConfigurationExchange exchange;
+    private final boolean isOpener;
+    private @Nullable ConnectionPeer peer;
+    private long lastHeardNanos = System.nanoTime();
+
+    MeshConnection(
+            PeerConnection connection,
+            Supplier<Hello> hello,
+            ConfigurationExchange exchange,
+            boolean isOpener,
+            Runnable onClose) {
+        this.connection = connection;
+        this.hello = hello;
+        this.exchange = exchange;
+        this.isOpener = isOpener;
+        connection.onMessage(this::receive);
+        connection.onClose(() -> {
+            if (peer != null) {
+                exchange.closed(peer);
+            }
+            onClose.run();
+        });
+        if (isOpener) {
+            connection.send(hello.get());
+        }
+    }
+
+    /** Closes the connection if it has been silent for too long, otherwise sends a sign of life. */
+    void beat() {
+        if (System.nanoTime() - lastHeardNanos > SILENCE_NANOS) {
+            connection.close();
+            return;
+        }
+        if (peer != null) {
+            connection.send(new Heartbeat(hello.get().configurationOffset(), null));
+        }
+    }
+
+    void close() {
+        connection.close();
+    }
+
+    private void receive(Message message) {
+        lastHeardNanos = System.nanoTime();
+        if (message instanceof Hello greeting) {
+            greeted(greeting);
+        }
+        if (peer != null) {
+            exchange.received(peer, message);
+        }
+    }
+
+    private void greeted(Hello greeting) {
+        if (greeting.protocolVersion() != hello.get().protocolVersion()) {
+            connection.close();
+            return;
+        }
+        if (peer != null) {
+            return;
+        }
+        if (!isOpener) {
+            connection.send(hello.get());
+        }
+        peer = new ConnectionPeer(greeting.process(), connection);
+        exchange.opened(peer);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/peer/MeshLink.java
@@ -0,0 +1,95 @@
+package org.redwinghook.router.peer;
+
+import java.util.function.Supplier;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.membership.Member;
+import org.redwinghook.core.message.Hello;
+import org.redwinghook.runtime.config.ConfigurationExchange;
+import org.redwinghook.runtime.wire.FrameCodec;
+import org.redwinghook.runtime.wire.PeerConnection;
+import org.redwinghook.runtime.wire.WireMetrics;
+
+/** Keeps a connection to another router open. */
+final class MeshLink {
+
+    private static final long RECONNECT_MILLIS = 1_000;
+
+    private final Vertx vertx;
+    private final NetClient client;
+    private final FrameCodec codec;
+    private final WireMetrics metrics;
+    private final Member member;
+    private final Supplier<Hello> hello;
+    private final ConfigurationExchange exchange;
+    private @Nullable MeshConnection connection;
+    private boolean isUnreachable;
+    private boolean isClosed;
+
+    MeshLink(
+            Vertx vertx,
+            NetClient client,
+            FrameCodec codec,
+            WireMetrics metrics,
+            Member member,
+            Supplier<Hello> hello,
+            ConfigurationExchange exchange) {
+        this.vertx = vertx;
+        this.client = client;
+        this.codec = codec;
+        this.metrics = metrics;
+        this.member = member;
+        this.hello = hello;
+        this.exchange = exchange;
+    }
+
+    void open() {
+        if (isClosed) {
+            return;
+        }
+        client.connect(member.peerPort(), member.host())
+                .onSuccess(socket -> opened(new PeerConnection(socket, codec, metrics)))
+                .onFailure(failure -> lost(true));
+    }
+
+    void beat() {
+        if (connection != null) {
+            connection.beat();
+        }
+    }
+
+    void close() {
+        isClosed = true;
+        if (connection != null) {
+            connection.close();
+        }
+    }
+
+    Member member() {
+        return member;
+    }
+
+    /** Whether the last attempt to connect failed. */
+    boolean isUnreachable() {
+        return isUnreachable;
+    }
+
+    private void opened(PeerConnection opened) {
+        if (isClosed) {
+            opened.close();
+            return;
+        }
+        isUnreachable = false;
+        connection = new MeshConnection(opened, hello, exchange, true, () -> lost(false));
+    }
+
+    private void lost(boolean unreachable) {
+        connection = null;
+        isUnreachable = unreachable;
+        if (!isClosed) {
+            vertx.setTimer(RECONNECT_MILLIS, ignored -> open());
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/peer/RouterMesh.java
@@ -0,0 +1,152 @@
+package org.redwinghook.router.peer;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import org.redwinghook.core.membership.Member;
+import org.redwinghook.core.membership.MeshPositions;
+import org.redwinghook.core.message.Hello;
+import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.runtime.admin.StateSource;
+import org.redwinghook.runtime.config.ConfigurationService;
+import org.redwinghook.runtime.settings.Address;
+import org.redwinghook.runtime.wire.FrameCodec;
+import org.redwinghook.runtime.wire.PeerConnection;
+import org.redwinghook.runtime.wire.PeerServer;
+import org.redwinghook.runtime.wire.WireMetrics;
+
+/** Connects this router to others, so that configuration reaches each router within a few hops. */
+public final class RouterMesh implements StateSource {
+
+    private static final long HEARTBEAT_MILLIS = 5_000;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    private final Vertx vertx;
+    private final String self;
+    private final FrameCodec codec;
+    private final WireMetrics metrics;
+    private final Supplier<Hello> hello;
+    private final ConfigurationService configuration;
+    private final NetClient client;
+    private final PeerServer server;
+    private final Map<String, MeshLink> links = new HashMap<>();
+    private final Set<MeshConnection> accepted = new HashSet<>();
+    private int liveRouters = 1;
+
+    /**
+     * Creates a mesh without connections.
+     *
+     * @param vertx runs timers
+     * @param self name of this router
+     * @param address where other routers connect
+     * @param codec encodes and decodes frames
+     * @param metrics counts bytes and messages
+     * @param hello gives this router's greeting
+     * @param configuration spreads over the connections
+     */
+    public RouterMesh(
+            Vertx vertx,
+            String self,
+            Address address,
+            FrameCodec codec,
+            WireMetrics metrics,
+            Supplier<Hello> hello,
+            ConfigurationService configuration) {
+        this.vertx = vertx;
+        this.self = self;
+        this.codec = codec;
+        this.metrics = metrics;
+        this.hello = hello;
+        this.configuration = configuration;
+        this.client = vertx.createNetClient(
+                new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setTcpNoDelay(true));
+        this.server = new PeerServer(vertx, address, codec, metrics, this::accept);
+    }
+
+    /**
+     * Starts to listen for other routers.
+     *
+     * @return the port
+     */
+    public Future<Integer> start() {
+        vertx.setPeriodic(HEARTBEAT_MILLIS, ignored -> beat());
+        return server.start();
+    }
+
+    /**
+     * Connects to the routers that the VM list names.
+     *
+     * @param members all members of the list
+     */
+    public void update(List<Member> members) {
+        Map<String, Member> routers = new HashMap<>();
+        for (Member member : members) {
+            if (member.role() == ProcessRole.ROUTER && !member.leaving()) {
+                routers.put(member.vm(), member);
+            }
+        }
+        List<String> neighbours = MeshPositions.neighbours(routers.keySet(), self);
+        for (String name : Set.copyOf(links.keySet())) {
+            MeshLink link = links.get(name);
+            if (!neighbours.contains(name) || !link.member().equals(routers.get(name))) {
+                links.remove(name);
+                link.close();
+            }
+        }
+        for (String name : neighbours) {
+            links.computeIfAbsent(name, added -> link(routers.get(name)));
+        }
+        liveRouters = routers.size() + (routers.containsKey(self) ? 0 : 1);
+        tellMembers();
+    }
+
+    /**
+     * Closes the port and all connections.
+     *
+     * @return completes when the port is closed
+     */
+    public Future<Void> stop() {
+        links.values().forEach(MeshLink::close);
+        links.clear();
+        return server.stop();
+    }
+
+    @Override
+    public Object state() {
+        return new MeshState(liveRouters, List.copyOf(links.keySet()), accepted.size());
+    }
+
+    private MeshLink link(Member member) {
+        MeshLink link = new MeshLink(vertx, client, codec, metrics, member, hello, configuration);
+        link.open();
+        return link;
+    }
+
+    private void accept(PeerConnection connection) {
+        MeshConnection[] made = new MeshConnection[1];
+        made[0] = new MeshConnection(connection, hello, configuration, false, () -> accepted.remove(made[0]));
+        accepted.add(made[0]);
+    }
+
+    private void beat() {
+        links.values().forEach(MeshLink::beat);
+        Set.copyOf(accepted).forEach(MeshConnection::beat);
+        tellMembers();
+    }
+
+    private void tellMembers() {
+        long reachable =
+                links.values().stream().filter(link -> !link.isUnreachable()).count();
+        configuration.membersChanged(liveRouters, (int) reachable);
+    }
+
+    private record MeshState(int liveRouters, List<String> links, int accepted) {}
+}
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/ConfigurationCodec.java
@@ -0,0 +1,42 @@
+package org.redwinghook.runtime.config;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.vavr.control.Try;
+import org.redwinghook.core.config.ConfigurationRecord;
+
+/** Encodes configuration records as the log's JSON. */
+public final class ConfigurationCodec {
+
+    private final ObjectMapper mapper = JsonMapper.builder()
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .build();
+
+    /**
+     * Encodes a record.
+     *
+     * @param record the record
+     * @return its JSON in UTF-8
+     */
+    public byte[] encode(ConfigurationRecord record) {
+        try {
+            return mapper.writerFor(ConfigurationRecord.class).writeValueAsBytes(record);
+        } catch (IOException exception) {
+            throw new UncheckedIOException("cannot encode a change of section " + record.section(), exception);
+        }
+    }
+
+    /**
+     * Decodes a record.
+     *
+     * @param data JSON in UTF-8
+     * @return the record, or a failure that is the same in each process
+     */
+    public Try<ConfigurationRecord> decode(byte[] data) {
+        return Try.of(() -> mapper.readValue(data, ConfigurationRecord.class));
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/ConfigurationPublisher.java
@@ -0,0 +1,203 @@
+package org.redwinghook.runtime.config;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.Supplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.config.ConfigurationFold;
+import org.redwinghook.core.config.ConfigurationRecord;
+import org.redwinghook.core.config.FoldOutcome;
+import org.redwinghook.core.config.FoldResult;
+import org.redwinghook.core.config.Section;
+import org.redwinghook.core.config.SectionChange;
+import org.redwinghook.core.config.SectionVersion;
+import org.redwinghook.runtime.platform.LogPage;
+import org.redwinghook.runtime.platform.LogRecord;
+
+/**
+ * Changes sections. The result is always what the log says: after each append, whether it was answered or not, the
+ * publisher reads its change back and folds it. Publishes one change at a time.
+ */
+public final class ConfigurationPublisher {
+
+    private static final int RECORDS_PER_READ = 500;
+    private static final int ATTEMPTS = 3;
+    // A record whose append was not answered may still be on its way; the log gets this time before it is read back.
+    private static final long RETRY_MILLIS = 500;
+
+    private final ConfigurationLog log;
+    private final Scheduler scheduler;
+    private final ConfigurationCodec codec = new ConfigurationCodec();
+    private final ConfigurationFold fold = new ConfigurationFold();
+    private String awaited = "";
+    private @Nullable FoldOutcome awaitedOutcome;
+    private long awaitedOffset;
+
+    /**
+     * Creates a publisher.
+     *
+     * @param log the log
+     * @param scheduler time and timers
+     */
+    public ConfigurationPublisher(ConfigurationLog log, Scheduler scheduler) {
+        this.log = log;
+        this.scheduler = scheduler;
+    }
+
+    /**
+     * Reads the log to its end.
+     *
+     * @return what the log says now; fails if the log cannot be reached
+     */
+    public Future<ConfigurationFold> read() {
+        return retried(this::readToEnd, ATTEMPTS).map(ignored -> fold);
+    }
+
+    /**
+     * Gives a section the wanted entries, from whatever version it has now.
+     *
+     * @param section the section
+     * @param team team that makes the change
+     * @param author person that makes the change
+     * @return how it ended; never fails
+     */
+    public Future<PublishResult> publish(Section section, String team, String author) {
+        return read().compose(now -> {
+                    SectionVersion version = now.version(section.name());
+                    Section before = now.section(section.name());
+                    Map<String, String> put = before == null ? section.texts() : before.missingFrom(section.texts());
+                    List<String> remove = before == null ? List.of() : before.superfluousIn(section.texts());
+                    if (before != null && put.isEmpty() && remove.isEmpty()) {
+                        return Future.<PublishResult>succeededFuture(new PublishResult.Unchanged());
+                    }
+                    String identifier = UUID.randomUUID().toString();
+                    return publish(new SectionChange(
+                            section.name(), team, version.version(), identifier, author, put, remove));
+                })
+                .otherwise(ConfigurationPublisher::unknown);
+    }
+
+    /**
+     * Publishes a change.
+     *
+     * @param change the change
+     * @return how it ended; never fails
+     */
+    public Future<PublishResult> publish(SectionChange change) {
+        awaited = change.change();
+        awaitedOutcome = null;
+        return read().compose(now -> {
+                    Optional<PublishResult> early = resultOnLog(change).or(() -> refusal(now, change));
+                    return early.map(Future::succeededFuture).orElseGet(() -> append(change, ATTEMPTS));
+                })
+                .otherwise(ConfigurationPublisher::unknown);
+    }
+
+    private Future<PublishResult> append(SectionChange change, int attempts) {
+        return log.append(codec.encode(change))
+                .map(offset -> "")
+                .otherwise(failure -> "the append was not answered: " + failure.getMessage())
+                .compose(problem -> readBack(change, problem, attempts));
+    }
+
+    private Future<PublishResult> readBack(SectionChange change, String problem, int attempts) {
+        return read().compose(now -> {
+            Optional<PublishResult> result = resultOnLog(change).or(() -> refusal(now, change));
+            if (result.isPresent()) {
+                return Future.succeededFuture(result.get());
+            }
+            if (attempts <= 1) {
+                return Future.succeededFuture(
+                        new PublishResult.Unknown(problem.isEmpty() ? "the log does not show the change" : problem));
+            }
+            return later(() -> append(change, attempts - 1));
+        });
+    }
+
+    /** What became of the change, once it has been read from the log. */
+    private Optional<PublishResult> resultOnLog(SectionChange change) {
+        FoldOutcome outcome = awaitedOutcome;
+        if (outcome == null) {
+            return Optional.empty();
+        }
+        boolean isInForce = fold.version(change.section()).version() == awaitedOffset;
+        if (outcome.result() == FoldResult.ACCEPTED || isInForce) {
+            return Optional.of(new PublishResult.Accepted(awaitedOffset));
+        }
+        if (outcome.result() == FoldResult.INVALID) {
+            return Optional.of(new PublishResult.Invalid(outcome.findings()));
+        }
+        SectionVersion winner =
+                outcome.result() == FoldResult.PENDING ? fold.version(change.section()) : outcome.current();
+        return Optional.of(new PublishResult.Conflict(winner.version(), winner.team()));
+    }
+
+    /** Why a change that is not on the log would be rejected, so that no append is needed to tell. */
+    private static Optional<PublishResult> refusal(ConfigurationFold now, SectionChange change) {
+        SectionVersion version = now.version(change.section());
+        boolean isOtherTeams = version.version() > 0 && !version.team().equals(change.team());
+        if (version.version() != change.replaces() || isOtherTeams) {
+            return Optional.of(new PublishResult.Conflict(version.version(), version.team()));
+        }
+        Section before = now.section(change.section());
+        return (before == null
+                        ? Section.read(change.section(), change.put())
+                        : before.with(change.put(), change.remove()))
+                .swap()
+                .toJavaOptional()
+                .map(PublishResult.Invalid::new);
+    }
+
+    private Future<Void> readToEnd() {
+        return log.read(fold.offset() + 1, RECORDS_PER_READ).compose(page -> {
+            take(page);
+            boolean isAtEnd = fold.offset() + 1 >= page.next() || page.records().isEmpty();
+            if (!isAtEnd) {
+                return readToEnd();
+            }
+            fold.reachedEnd();
+            return Future.succeededFuture();
+        });
+    }
+
+    private void take(LogPage page) {
+        fold.startAt(page.first());
+        for (LogRecord entry : page.records()) {
+            codec.decode(entry.data())
+                    .onSuccess(decoded -> take(entry, decoded))
+                    .onFailure(failure -> fold.skip(entry.offset()));
+        }
+    }
+
+    private void take(LogRecord entry, ConfigurationRecord decoded) {
+        FoldOutcome outcome = fold.fold(entry.offset(), entry.timestampMillis(), decoded);
+        boolean isAwaited =
+                decoded instanceof SectionChange change && change.change().equals(awaited);
+        boolean isDecidedBefore = awaitedOutcome != null && awaitedOutcome.result() == FoldResult.ACCEPTED;
+        if (isAwaited && !isDecidedBefore) {
+            awaitedOutcome = outcome;
+            awaitedOffset = entry.offset();
+        }
+    }
+
+    private <T> Future<T> retried(Supplier<Future<T>> action, int attempts) {
+        return action.get()
+                .recover(failure ->
+                        attempts <= 1 ? Future.failedFuture(failure) : later(() -> retried(action, attempts - 1)));
+    }
+
+    private <T> Future<T> later(Supplier<Future<T>> action) {
+        Promise<T> promise = Promise.promise();
+        scheduler.after(RETRY_MILLIS, () -> action.get().onComplete(promise));
+        return promise.future();
+    }
+
+    private static PublishResult unknown(Throwable failure) {
+        return new PublishResult.Unknown("the log cannot be reached: " + failure.getMessage());
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/ConfigurationService.java
@@ -0,0 +1,45 @@
+package org.redwinghook.runtime.config;
+
+import java.util.List;
+
+import org.redwinghook.core.config.Withdrawal;
+
+/** Gives a process its configuration and takes part in spreading it. */
+public interface ConfigurationService extends ConfigurationSource, ConfigurationExchange {
+
+    /** Starts to follow the configuration. */
+    void start();
+
+    /** Stops to follow the configuration. */
+    void stop();
+
+    /**
+     * Whether the configuration is complete enough to serve.
+     *
+     * @return false before a configuration is known
+     */
+    boolean isReady();
+
+    /**
+     * Tells how many other processes matter.
+     *
+     * @param liveRouters live routers, this process included if it is one
+     * @param peers other processes that are connected or that may still be reached
+     */
+    void membersChanged(int liveRouters, int peers);
+
+    /**
+     * Takes an operator's withdrawal and passes it on.
+     *
+     * @param withdrawal the withdrawal
+     * @return whether it restricts anything; false if the section has a newer version than it is based on
+     */
+    boolean withdraw(Withdrawal withdrawal);
+
+    /**
+     * Withdrawals that hold.
+     *
+     * @return the withdrawals
+     */
+    List<Withdrawal> withdrawals();
+}
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/ConfigurationState.java
@@ -0,0 +1,124 @@
+package org.redwinghook.runtime.config;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+
+import io.vavr.control.Try;
+import org.redwinghook.core.config.Configuration;
+import org.redwinghook.core.config.ConfigurationFold;
+import org.redwinghook.core.config.ConfigurationRecord;
+import org.redwinghook.core.config.PendingChange;
+import org.redwinghook.core.config.SectionState;
+import org.redwinghook.core.message.ConfigurationPull;
+import org.redwinghook.core.message.ConfigurationRecords;
+import org.redwinghook.core.message.RawRecord;
+
+/** The fold of a process with the recent records, from which it answers pulls of other processes. */
+final class ConfigurationState {
+
+    private static final int MOST_RECENT_RECORDS = 2_000;
+    private static final long MOST_RECENT_BYTES = 1024 * 1024;
+    // Small parts keep a whole configuration from holding up other messages of the connection.
+    private static final long PART_BYTES = 256 * 1024;
+
+    private ConfigurationFold fold = new ConfigurationFold();
+    private final RecentRecords recent = new RecentRecords(MOST_RECENT_RECORDS, MOST_RECENT_BYTES);
+    private final ConfigurationCodec codec;
+    private final FollowerMetrics metrics;
+
+    ConfigurationState(ConfigurationCodec codec, FollowerMetrics metrics) {
+        this.codec = codec;
+        this.metrics = metrics;
+    }
+
+    void startAt(long first) {
+        if (first > fold.offset() + 1) {
+            fold.startAt(first);
+            recent.restartAfter(first - 1);
+        }
+    }
+
+    void reachedEnd() {
+        fold.reachedEnd();
+    }
+
+    void fold(Collection<RawRecord> records) {
+        for (RawRecord raw : records) {
+            if (raw.offset() <= fold.offset()) {
+                continue;
+            }
+            recent.add(raw);
+            Try<ConfigurationRecord> decoded = codec.decode(raw.data());
+            if (decoded.isFailure()) {
+                metrics.undecodable();
+                fold.skip(raw.offset());
+                continue;
+            }
+            metrics.folded(fold.fold(raw.offset(), raw.timestampMillis(), decoded.get())
+                    .result());
+        }
+    }
+
+    void adopt(long through, Collection<SectionState> sections, Collection<PendingChange> pending) {
+        if (!fold.isDecided()) {
+            // What was read of the log is incomplete and has not been published, so the peer's sections replace it.
+            fold = new ConfigurationFold();
+        }
+        if (through > fold.offset()) {
+            recent.restartAfter(through);
+        }
+        fold.adopt(through, sections, pending);
+    }
+
+    ConfigurationFold folded() {
+        return fold;
+    }
+
+    Configuration configuration() {
+        return fold.configuration();
+    }
+
+    List<ConfigurationRecords> answer(ConfigurationPull pull) {
+        long after = pull.after();
+        if (!fold.isDecided()) {
+            return List.of();
+        }
+        Optional<List<RawRecord>> records = recent.after(after);
+        if (records.isEmpty() || pull.whole()) {
+            return wholeSections(after);
+        }
+        List<RawRecord> part = new ArrayList<>();
+        long bytes = 0;
+        for (RawRecord raw : records.get()) {
+            if (bytes > PART_BYTES) {
+                break;
+            }
+            part.add(raw);
+            bytes += raw.data().length;
+        }
+        long through =
+                part.isEmpty() ? fold.offset() : part.get(part.size() - 1).offset();
+        return List.of(new ConfigurationRecords(after, through, part, List.of(), List.of(), false, true));
+    }
+
+    private List<ConfigurationRecords> wholeSections(long after) {
+        List<ConfigurationRecords> parts = new ArrayList<>();
+        List<SectionState> part = new ArrayList<>();
+        long bytes = 0;
+        for (SectionState section : fold.states()) {
+            part.add(section);
+            for (String text : section.entries().values()) {
+                bytes += text.length();
+            }
+            if (bytes > PART_BYTES) {
+                parts.add(new ConfigurationRecords(after, fold.offset(), List.of(), part, List.of(), true, false));
+                part = new ArrayList<>();
+                bytes = 0;
+            }
+        }
+        parts.add(new ConfigurationRecords(after, fold.offset(), List.of(), part, fold.pending(), true, true));
+        return parts;
+    }
+}
--- a/runtime/src/main/java/org/redwinghook/runtime/config/FixedConfigurationSource.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/FixedConfigurationSource.java
@@ -1,11 +1,14 @@
 package org.redwinghook.runtime.config;
 
+import java.util.List;
 import java.util.function.Consumer;
 
 import org.redwinghook.core.config.Configuration;
+import org.redwinghook.core.config.Withdrawal;
+import org.redwinghook.core.message.Message;
 
-/** A configuration that never changes. */
-public final class FixedConfigurationSource implements ConfigurationSource {
+/** A configuration that never changes, for tests. */
+public final class FixedConfigurationSource implements ConfigurationService {
 
     private final Configuration configuration;
 
@@ -27,4 +30,49 @@
     public void onChange(Consumer<Configuration> listener) {
         // A fixed configuration has no changes to report.
     }
+
+    @Override
+    public void start() {
+        // Nothing to follow.
+    }
+
+    @Override
+    public void stop() {
+        // Nothing to follow.
+    }
+
+    @Override
+    public boolean isReady() {
+        return true;
+    }
+
+    @Override
+    public void membersChanged(int liveRouters, int peers) {
+        // The number of members changes nothing here.
+    }
+
+    @Override
+    public boolean withdraw(Withdrawal withdrawal) {
+        return false;
+    }
+
+    @Override
+    public List<Withdrawal> withdrawals() {
+        return List.of();
+    }
+
+    @Override
+    public void opened(ConfigurationPeer peer) {
+        // Nothing to exchange.
+    }
+
+    @Override
+    public void received(ConfigurationPeer peer, Message message) {
+        // Nothing to exchange.
+    }
+
+    @Override
+    public void closed(ConfigurationPeer peer) {
+        // Nothing to exchange.
+    }
 }
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/FollowerMetrics.java
@@ -0,0 +1,50 @@
+package org.redwinghook.runtime.config;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import org.redwinghook.core.config.FoldResult;
+
+/** Counters of the configuration's follower. */
+final class FollowerMetrics {
+
+    private final MeterRegistry registry;
+    private final Counter polls;
+    private final Counter pollFailures;
+    private final Counter pulls;
+    private final Counter undecodable;
+    private final Counter carries;
+
+    FollowerMetrics(MeterRegistry registry) {
+        this.registry = registry;
+        polls = registry.counter("redwinghook.configuration.polls");
+        pollFailures = registry.counter("redwinghook.configuration.poll.failures");
+        pulls = registry.counter("redwinghook.configuration.pulls");
+        undecodable = registry.counter("redwinghook.configuration.undecodable.records");
+        carries = registry.counter("redwinghook.configuration.carries");
+    }
+
+    void polled() {
+        polls.increment();
+    }
+
+    void pollFailed() {
+        pollFailures.increment();
+    }
+
+    void pulled() {
+        pulls.increment();
+    }
+
+    void undecodable() {
+        undecodable.increment();
+    }
+
+    void carried() {
+        carries.increment();
+    }
+
+    void folded(FoldResult result) {
+        registry.counter("redwinghook.configuration.records", "result", result.name())
+                .increment();
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/PlatformConfigurationLog.java
@@ -0,0 +1,31 @@
+package org.redwinghook.runtime.config;
+
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import org.redwinghook.runtime.platform.LogClient;
+import org.redwinghook.runtime.platform.LogPage;
+
+/** The configuration's stream at the platform's log service. */
+public final class PlatformConfigurationLog implements ConfigurationLog {
+
+    private final LogClient client;
+
+    /**
+     * Uses a client.
+     *
+     * @param client client of the log service
+     */
+    public PlatformConfigurationLog(LogClient client) {
+        this.client = client;
+    }
+
+    @Override
+    public Future<LogPage> read(long from, int limit) {
+        return client.read(STREAM, from, limit);
+    }
+
+    @Override
+    public Future<Long> append(byte[] data) {
+        return client.append(STREAM, Buffer.buffer(data));
+    }
+}
--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarMain.java
@@ -1,7 +1,11 @@
 package org.redwinghook.sidecar;
 
-import org.redwinghook.core.config.Configuration;
-import org.redwinghook.runtime.config.FixedConfigurationSource;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vertx.core.Vertx;
+import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.runtime.config.Followers;
+import org.redwinghook.runtime.process.ManagedProcess;
 import org.redwinghook.runtime.process.ProcessLauncher;
 
 /** Entry point of the binary redwinghook-sidecar. */
@@ -15,11 +19,14 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        ProcessLauncher<SidecarSettings> launcher = new ProcessLauncher<>(
-                "redwinghook-sidecar",
-                SidecarSettings::read,
-                (vertx, settings) ->
-                        new SidecarProcess(vertx, settings, new FixedConfigurationSource(Configuration.EMPTY)));
+        ProcessLauncher<SidecarSettings> launcher =
+                new ProcessLauncher<>("redwinghook-sidecar", SidecarSettings::read, SidecarMain::make);
         System.exit(launcher.run(arguments).number());
     }
+
+    private static ManagedProcess make(Vertx vertx, SidecarSettings settings) {
+        PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        return new SidecarProcess(
+                vertx, settings, Followers.of(vertx, ProcessRole.SIDECAR, settings.shared(), metrics), metrics);
+    }
 }
--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -8,11 +8,13 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import org.redwinghook.core.admission.AdmissionController;
+import org.redwinghook.core.config.Configuration;
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.runtime.admin.AdminServer;
-import org.redwinghook.runtime.config.ConfigurationSource;
+import org.redwinghook.runtime.config.ConfigurationAdmin;
+import org.redwinghook.runtime.config.ConfigurationService;
 import org.redwinghook.runtime.process.ManagedProcess;
 import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.PeerConnection;
@@ -24,14 +26,17 @@
 import org.redwinghook.sidecar.generation.GenerationStore;
 import org.redwinghook.sidecar.peer.EndpointGate;
 import org.redwinghook.sidecar.peer.RouterSession;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Assembles a sidecar from its services. */
 public final class SidecarProcess implements ManagedProcess {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(SidecarProcess.class);
     private static final int PROTOCOL_VERSION = 1;
 
     private final SidecarSettings settings;
-    private final ConfigurationSource configuration;
+    private final ConfigurationService configuration;
     private final long incarnation = System.currentTimeMillis();
     private final AtomicLong lastIdentifier = new AtomicLong();
     private final EndpointGate gate;
@@ -39,6 +44,7 @@
     private final CallService calls;
     private final PeerServer peers;
     private final AdminServer admin;
+    private boolean stopping;
 
     /**
      * Creates a sidecar.
@@ -47,10 +53,25 @@
      * @param settings its settings
      * @param configuration the configuration in force
      */
-    public SidecarProcess(Vertx vertx, SidecarSettings settings, ConfigurationSource configuration) {
+    public SidecarProcess(Vertx vertx, SidecarSettings settings, ConfigurationService configuration) {
+        this(vertx, settings, configuration, new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+    }
+
+    /**
+     * Creates a sidecar.
+     *
+     * @param vertx runs it
+     * @param settings its settings
+     * @param configuration the configuration in force
+     * @param metrics where counters are registered
+     */
+    public SidecarProcess(
+            Vertx vertx,
+            SidecarSettings settings,
+            ConfigurationService configuration,
+            PrometheusMeterRegistry metrics) {
         this.settings = settings;
         this.configuration = configuration;
-        PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         ServiceRegistry services = new ServiceRegistry();
         gate = new EndpointGate(vertx, new AdmissionController(settings.concurrency()));
         generations = new GenerationService(
@@ -63,25 +84,50 @@
         peers = new PeerServer(
                 vertx, settings.shared().peer(), new FrameCodec(), new WireMetrics(metrics), this::accept);
         services.register("gate", gate);
-        admin = new AdminServer(vertx, settings.shared().admin(), services, metrics, gate::accepting);
+        services.register("configuration", configuration);
+        admin = new AdminServer(
+                vertx, settings.shared().admin(), services, metrics, () -> gate.accepting() && configuration.isReady());
+        new ConfigurationAdmin(configuration).register(admin.routes());
+        configuration.onChange(this::apply);
+        apply(configuration.current());
     }
 
     @Override
     public Future<Void> start() {
-        return peers.start().compose(port -> admin.start());
+        return peers.start().compose(port -> admin.start()).onSuccess(ignored -> configuration.start());
     }
 
     @Override
     public Future<Void> stopGracefully() {
+        stopping = true;
         gate.setAccepting(false);
         Promise<Void> idle = Promise.promise();
         gate.whenIdle(() -> idle.tryComplete());
-        return idle.future().compose(ignored -> peers.stop());
+        return idle.future().compose(ignored -> {
+            configuration.stop();
+            return peers.stop();
+        });
+    }
+
+    private void apply(Configuration current) {
+        boolean takesNewWork = current.takesNewWork(
+                settings.shared().dataCentre(), settings.shared().process());
+        if (takesNewWork != gate.accepting() && !stopping) {
+            LOGGER.info("the configuration says that this endpoint is {}", takesNewWork ? "in" : "out");
+            gate.setAccepting(takesNewWork);
+        }
     }
 
     private void accept(PeerConnection connection) {
         new RouterSession(
-                connection, this::hello, settings.service(), gate, generations, calls, lastIdentifier::incrementAndGet);
+                connection,
+                this::hello,
+                settings.service(),
+                gate,
+                generations,
+                calls,
+                lastIdentifier::incrementAndGet,
+                configuration);
     }
 
     private Hello hello() {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
@@ -7,6 +7,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.admission.WorkItem;
 import org.redwinghook.core.message.Cancel;
 import org.redwinghook.core.message.Credit;
@@ -17,6 +18,8 @@
 import org.redwinghook.core.message.Refused;
 import org.redwinghook.core.message.Resume;
 import org.redwinghook.core.message.Submit;
+import org.redwinghook.runtime.config.ConfigurationExchange;
+import org.redwinghook.runtime.config.ConnectionPeer;
 import org.redwinghook.runtime.wire.PeerConnection;
 import org.redwinghook.sidecar.call.CallService;
 import org.redwinghook.sidecar.generation.GenerationService;
@@ -33,8 +36,10 @@
     private final GenerationService generations;
     private final CallService calls;
     private final LongSupplier identifiers;
+    private final ConfigurationExchange configuration;
     private final Map<Long, Long> waiting = new HashMap<>();
     private final Set<Long> following = new HashSet<>();
+    private @Nullable ConnectionPeer peer;
 
     /**
      * Takes over a connection.
@@ -46,6 +51,7 @@
      * @param generations runs generations
      * @param calls runs calls
      * @param identifiers gives numbers for requests that are never used twice in this process
+     * @param configuration spreads over the connection
      */
     public RouterSession(
             PeerConnection connection,
@@ -54,7 +60,8 @@
             EndpointGate gate,
             GenerationService generations,
             CallService calls,
-            LongSupplier identifiers) {
+            LongSupplier identifiers,
+            ConfigurationExchange configuration) {
         this.connection = connection;
         this.hello = hello;
         this.service = service;
@@ -62,6 +69,7 @@
         this.generations = generations;
         this.calls = calls;
         this.identifiers = identifiers;
+        this.configuration = configuration;
         connection.onMessage(this::receive);
         connection.onClose(this::closed);
     }
@@ -76,12 +84,23 @@
             generations.grant(connection, credit.exchange(), credit.sendThrough());
         } else if (message instanceof Cancel cancel) {
             cancel(cancel.exchange());
-        } else if (message instanceof Hello) {
+        } else if (message instanceof Hello greeting) {
             connection.send(hello.get());
             connection.send(new Heartbeat(hello.get().configurationOffset(), gate.load()));
+            greeted(greeting);
         } else if (message instanceof Heartbeat) {
             connection.send(new Heartbeat(hello.get().configurationOffset(), gate.load()));
         }
+        if (peer != null) {
+            configuration.received(peer, message);
+        }
+    }
+
+    private void greeted(Hello greeting) {
+        if (peer == null) {
+            peer = new ConnectionPeer(greeting.process(), connection);
+            configuration.opened(peer);
+        }
     }
 
     private void submit(Submit submit) {
@@ -123,6 +142,9 @@
     }
 
     private void closed() {
+        if (peer != null) {
+            configuration.closed(peer);
+        }
         Set.copyOf(waiting.keySet()).forEach(this::cancel);
         Set.copyOf(following).forEach(this::cancel);
     }
