--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -120,14 +120,7 @@
 
     private void accept(PeerConnection connection) {
         new RouterSession(
-                connection,
-                this::hello,
-                settings.service(),
-                gate,
-                generations,
-                calls,
-                lastIdentifier::incrementAndGet,
-                configuration);
+                connection, this::hello, gate, generations, calls, lastIdentifier::incrementAndGet, configuration);
     }
 
     private Hello hello() {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -46,7 +47,6 @@
      *
      * @param connection the connection
      * @param hello gives this sidecar's greeting
-     * @param service service of the endpoint
      * @param gate admits requests
      * @param generations runs generations
      * @param calls runs calls
@@ -56,7 +56,6 @@
     public RouterSession(
             PeerConnection connection,
             Supplier<Hello> hello,
-            String service,
             EndpointGate gate,
             GenerationService generations,
             CallService calls,
@@ -64,7 +63,7 @@
             ConfigurationExchange configuration) {
         this.connection = connection;
         this.hello = hello;
-        this.service = service;
+        this.service = Objects.requireNonNull(hello.get().service(), "service of the endpoint");
         this.gate = gate;
         this.generations = generations;
         this.calls = calls;
