--- /dev/null
+++ b/runtime/src/test/java/org/redwinghook/runtime/config/LogConfigurationFollowerTest.java
@@ -0,0 +1,286 @@
+package org.redwinghook.runtime.config;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import org.redwinghook.core.config.PlaceKind;
+import org.redwinghook.core.config.SectionChange;
+import org.redwinghook.core.config.SectionVersion;
+import org.redwinghook.core.config.Withdrawal;
+import org.redwinghook.core.membership.MeshPositions;
+import org.redwinghook.core.message.ConfigurationAnnouncement;
+import org.redwinghook.core.message.ProcessRole;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public final class LogConfigurationFollowerTest {
+
+    private static final long RETENTION_MILLIS = 10_000_000;
+
+    /** One deployment in virtual time. */
+    private static class Deployment {
+
+        final VirtualTime time = new VirtualTime();
+        final FakeLog log = new FakeLog(time, RETENTION_MILLIS);
+        final FakeNetwork network = new FakeNetwork(time);
+        final Random random = new Random(7);
+        private long version;
+
+        LogConfigurationFollower follower(ProcessRole role) {
+            return new LogConfigurationFollower(role, log, RETENTION_MILLIS, time, random, new SimpleMeterRegistry());
+        }
+
+        LogConfigurationFollower started(ProcessRole role) {
+            LogConfigurationFollower follower = follower(role);
+            follower.start();
+            return follower;
+        }
+
+        long putOwner(String name) {
+            version = log.put(change("owners", version, name, "{}"));
+            return version;
+        }
+
+        static SectionChange change(String section, long replaces, String entry, String text) {
+            return new SectionChange(section, "team", replaces, "c", "author", Map.of(entry, text), List.of());
+        }
+    }
+
+    public static final class Distribution {
+
+        /** Guards against changes that do not reach each process within the seven seconds of the design. */
+        @Test
+        public void changeReachesAllProcessesWithinSevenSeconds() {
+            Deployment deployment = new Deployment();
+            List<String> names = new ArrayList<>();
+            List<LogConfigurationFollower> routers = new ArrayList<>();
+            for (int index = 0; index < 360; index++) {
+                names.add(String.format("router-%03d", index));
+                routers.add(deployment.follower(ProcessRole.ROUTER));
+                routers.get(index).membersChanged(360, 0);
+            }
+            for (int index = 0; index < routers.size(); index++) {
+                for (String neighbour : MeshPositions.neighbours(names, names.get(index))) {
+                    deployment.network.connect(routers.get(index), routers.get(names.indexOf(neighbour)));
+                }
+            }
+            LogConfigurationFollower sidecar = deployment.follower(ProcessRole.SIDECAR);
+            deployment.network.connect(routers.get(17), sidecar);
+            deployment.putOwner("a");
+            // Processes that all start at once would also poll at once; a rolling start spreads them.
+            for (LogConfigurationFollower router : routers) {
+                router.start();
+                deployment.time.advance(170);
+            }
+            sidecar.start();
+            deployment.time.advance(120_000);
+            int readsBefore = deployment.log.reads();
+            deployment.time.advance(60_000);
+            int reads = deployment.log.reads() - readsBefore;
+            assertTrue(reads > 3 * 60 && reads < 9 * 60, reads + " reads a minute");
+            for (int change = 0; change < 5; change++) {
+                int messagesBefore = deployment.network.messages();
+                long offset = deployment.putOwner("b" + change);
+                deployment.time.advance(7_000);
+                routers.forEach(router -> assertEquals(router.current().offset(), offset));
+                assertEquals(sidecar.current().offset(), offset);
+                int each = (deployment.network.messages() - messagesBefore) / 360;
+                assertTrue(each <= 20, each + " messages for each router");
+            }
+        }
+
+        /** Guards against a process that stays behind when announcements are lost. */
+        @Test
+        public void heartbeatRepairsLostAnnouncements() {
+            Deployment deployment = new Deployment();
+            deployment.putOwner("a");
+            LogConfigurationFollower router = deployment.started(ProcessRole.ROUTER);
+            LogConfigurationFollower sidecar = deployment.started(ProcessRole.SIDECAR);
+            deployment.network.connect(router, sidecar);
+            deployment.time.advance(1_000);
+            deployment.network.deliverOnly(message -> !(message instanceof ConfigurationAnnouncement));
+            long offset = deployment.putOwner("b");
+            deployment.time.advance(5_000);
+            assertEquals(router.current().offset(), offset);
+            assertEquals(sidecar.current().offset(), offset - 1);
+            deployment.network.heartbeat();
+            deployment.time.advance(10);
+            assertEquals(sidecar.current().offset(), offset);
+        }
+
+        /** Guards against one damaged record that stops all processes. */
+        @Test
+        public void recordOfUnknownFormIsSkipped() {
+            Deployment deployment = new Deployment();
+            deployment.log.store("{\"type\": \"change\", \"section\": null}".getBytes(StandardCharsets.UTF_8));
+            deployment.log.store("no JSON".getBytes(StandardCharsets.UTF_8));
+            long offset = deployment.putOwner("a");
+            LogConfigurationFollower router = deployment.started(ProcessRole.ROUTER);
+            assertEquals(router.current().version("owners"), new SectionVersion(offset, "team"));
+        }
+
+        /** Guards against processes that poll too often or too seldom at any size. */
+        @Test
+        public void pollIntervalStaysWithinItsBounds() {
+            Random random = new Random(3);
+            for (int routers : new int[] {0, 1, 2, 10, 100, 360, 5_000}) {
+                for (int draw = 0; draw < 100; draw++) {
+                    long millis = PollInterval.millis(routers, random);
+                    assertTrue(millis >= 500 && millis <= 60_000, millis + " ms for " + routers);
+                }
+            }
+        }
+    }
+
+    public static final class Outage {
+
+        /** Guards against a start with the oldest of several configurations, and against one that never gets ready. */
+        @Test
+        public void startTakesTheHighestOffsetOfItsPeers() {
+            Deployment deployment = new Deployment();
+            List<LogConfigurationFollower> peers = new ArrayList<>();
+            for (String name : List.of("a", "b", "c")) {
+                deployment.putOwner(name);
+                LogConfigurationFollower peer = deployment.started(ProcessRole.ROUTER);
+                peer.stop();
+                peers.add(peer);
+            }
+            deployment.log.setDown(true);
+            LogConfigurationFollower late = deployment.follower(ProcessRole.ROUTER);
+            late.membersChanged(4, 3);
+            late.start();
+            deployment.network.connect(late, peers.get(0));
+            deployment.time.advance(5_000);
+            assertFalse(late.isReady(), "one of three peers is not enough");
+            deployment.network.connect(late, peers.get(2));
+            deployment.network.connect(late, peers.get(1));
+            deployment.time.advance(5_000);
+            assertTrue(late.isReady());
+            assertEquals(late.current().offset(), 3);
+            assertEquals(late.current().owners().size(), 3);
+        }
+
+        /** Guards against a process being ready with nothing, or never where it has a single peer. */
+        @Test
+        public void singlePeerIsEnoughWhereThereIsNoOther() {
+            Deployment deployment = new Deployment();
+            deployment.putOwner("a");
+            LogConfigurationFollower peer = deployment.started(ProcessRole.ROUTER);
+            deployment.log.setDown(true);
+            LogConfigurationFollower late = deployment.started(ProcessRole.SIDECAR);
+            deployment.time.advance(10_000);
+            assertFalse(late.isReady());
+            deployment.network.connect(peer, late);
+            deployment.time.advance(5_000);
+            assertTrue(late.isReady());
+            assertEquals(late.current().owners().size(), 1);
+        }
+
+        /** Guards against a reader that is stuck between the retained records and an outage. */
+        @Test
+        public void readerWithoutBaseTakesWholeSectionsOfAPeer() {
+            Deployment deployment = new Deployment();
+            deployment.putOwner("a");
+            LogConfigurationFollower peer = deployment.started(ProcessRole.ROUTER);
+            // The peer polls on while the first record expires; its copies are not appended in this test.
+            deployment.time.advance(RETENTION_MILLIS / 3);
+            deployment.putOwner("b");
+            deployment.putOwner("c");
+            deployment.time.advance(1_000);
+            peer.stop();
+            deployment.time.advance(RETENTION_MILLIS * 2 / 3);
+            deployment.log.setReadableThrough(2);
+            LogConfigurationFollower late = deployment.started(ProcessRole.ROUTER);
+            deployment.time.advance(5_000);
+            assertEquals(late.current().offset(), 0, "a change without its base is not in force");
+            late.membersChanged(2, 1);
+            deployment.network.connect(late, peer);
+            deployment.time.advance(5_000);
+            assertTrue(late.isReady());
+            assertEquals(late.current().owners().keySet(), java.util.Set.of("a", "b", "c"));
+            deployment.log.setReadableThrough(Long.MAX_VALUE);
+            long offset = deployment.putOwner("d");
+            deployment.time.advance(5_000);
+            assertEquals(late.current().version("owners").version(), offset);
+        }
+    }
+
+    public static final class Retention {
+
+        /** Guards against sections that are lost when the log drops the records that made them. */
+        @Test
+        public void copiesKeepAllSectionsOnTheLog() {
+            Deployment deployment = new Deployment();
+            deployment.putOwner("a");
+            deployment.log.put(Deployment.change("rules", 0, "attempts", "2"));
+            List<LogConfigurationFollower> followers = new ArrayList<>();
+            for (int index = 0; index < 5; index++) {
+                followers.add(deployment.started(ProcessRole.ROUTER));
+            }
+            for (int step = 0; step < 20; step++) {
+                deployment.time.advance(RETENTION_MILLIS / 4);
+                deployment.putOwner("b" + step);
+                deployment.time.advance(1_000);
+                LogConfigurationFollower reader = deployment.started(ProcessRole.ROUTER);
+                assertEquals(reader.current().owners().size(), step + 2, "step " + step);
+                assertEquals(reader.current().rules().attempts(), 2);
+                assertEquals(
+                        reader.current().sections(), followers.get(0).current().sections());
+                reader.stop();
+            }
+            long records = deployment.log.retained().size();
+            assertTrue(records <= 20, records + " records are retained; copies should be few");
+        }
+    }
+
+    public static final class Withdrawals {
+
+        private static final Withdrawal OUT = new Withdrawal(PlaceKind.DATA_CENTRE, "dc", 0);
+
+        /** Guards against a withdrawal that does not spread, never ends, or is revived by a peer after its end. */
+        @Test
+        public void withdrawalSpreadsAndEndsAfterTwoHours() {
+            Deployment deployment = new Deployment();
+            deployment.putOwner("a");
+            List<LogConfigurationFollower> followers = new ArrayList<>();
+            for (int index = 0; index < 3; index++) {
+                followers.add(deployment.started(ProcessRole.ROUTER));
+            }
+            deployment.network.connect(followers.get(0), followers.get(1));
+            deployment.log.setDown(true);
+            assertTrue(followers.get(0).withdraw(OUT));
+            assertFalse(followers.get(0).withdraw(OUT), "a known withdrawal is not passed on again");
+            deployment.time.advance(3_600_000);
+            assertFalse(followers.get(1).current().takesNewWork("dc", "vm"));
+            deployment.network.connect(followers.get(1), followers.get(2));
+            deployment.time.advance(100);
+            assertFalse(followers.get(2).current().takesNewWork("dc", "vm"), "a new connection passes it on");
+            deployment.time.advance(3_602_000);
+            followers.forEach(follower -> assertTrue(follower.current().takesNewWork("dc", "vm")));
+            deployment.time.advance(10_000);
+            followers.forEach(follower -> assertEquals(follower.withdrawals(), List.of()));
+        }
+
+        /** Guards against a withdrawal that overrides a later decision on the log, or that brings something in. */
+        @Test
+        public void withdrawalEndsWithAHigherVersionOfItsSection() {
+            Deployment deployment = new Deployment();
+            LogConfigurationFollower follower = deployment.started(ProcessRole.ROUTER);
+            assertTrue(follower.withdraw(OUT));
+            List<Boolean> notified = new ArrayList<>();
+            follower.onChange(configuration -> notified.add(configuration.takesNewWork("dc", "vm")));
+            deployment.log.put(Deployment.change("availability.dc", 0, "dataCentre", "\"in\""));
+            deployment.time.advance(2_000);
+            assertEquals(notified, List.of(true));
+            assertFalse(follower.withdraw(OUT), "the section has a higher version");
+            assertTrue(follower.current().takesNewWork("dc", "vm"));
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/redwinghook/runtime/config/VirtualTime.java
@@ -0,0 +1,36 @@
+package org.redwinghook.runtime.config;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Time that passes only when a test lets it. */
+final class VirtualTime implements Scheduler {
+
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(Comparator.comparingLong(Task::atMillis).thenComparingLong(Task::number));
+    private long nowMillis = 1_000_000_000;
+    private long lastNumber;
+
+    @Override
+    public long nowMillis() {
+        return nowMillis;
+    }
+
+    @Override
+    public void after(long delayMillis, Runnable task) {
+        lastNumber++;
+        tasks.add(new Task(nowMillis + delayMillis, lastNumber, task));
+    }
+
+    void advance(long millis) {
+        long end = nowMillis + millis;
+        while (!tasks.isEmpty() && tasks.peek().atMillis() <= end) {
+            Task next = tasks.remove();
+            nowMillis = next.atMillis();
+            next.task().run();
+        }
+        nowMillis = end;
+    }
+
+    private record Task(long atMillis, long number, Runnable task) {}
+}
