--- a/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
@@ -3,10 +3,12 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.admission.WorkItem;
 import org.redwinghook.core.message.Cancel;
 import org.redwinghook.core.message.Credit;
@@ -17,6 +19,8 @@
 import org.redwinghook.core.message.Refused;
 import org.redwinghook.core.message.Resume;
 import org.redwinghook.core.message.Submit;
+import org.redwinghook.runtime.config.ConfigurationExchange;
+import org.redwinghook.runtime.config.ConnectionPeer;
 import org.redwinghook.runtime.wire.PeerConnection;
 import org.redwinghook.sidecar.call.CallService;
 import org.redwinghook.sidecar.generation.GenerationService;
@@ -33,35 +37,38 @@
     private final GenerationService generations;
     private final CallService calls;
     private final LongSupplier identifiers;
+    private final ConfigurationExchange configuration;
     private final Map<Long, Long> waiting = new HashMap<>();
     private final Set<Long> following = new HashSet<>();
+    private @Nullable ConnectionPeer peer;
 
     /**
      * Takes over a connection.
      *
      * @param connection the connection
      * @param hello gives this sidecar's greeting
-     * @param service service of the endpoint
      * @param gate admits requests
      * @param generations runs generations
      * @param calls runs calls
      * @param identifiers gives numbers for requests that are never used twice in this process
+     * @param configuration spreads over the connection
      */
     public RouterSession(
             PeerConnection connection,
             Supplier<Hello> hello,
-            String service,
             EndpointGate gate,
             GenerationService generations,
             CallService calls,
-            LongSupplier identifiers) {
+            LongSupplier identifiers,
+            ConfigurationExchange configuration) {
         this.connection = connection;
         this.hello = hello;
-        this.service = service;
+        this.service = Objects.requireNonNull(hello.get().service(), "service of the endpoint");
         this.gate = gate;
         this.generations = generations;
         this.calls = calls;
         this.identifiers = identifiers;
+        this.configuration = configuration;
         connection.onMessage(this::receive);
         connection.onClose(this::closed);
     }
@@ -76,12 +83,23 @@
             generations.grant(connection, credit.exchange(), credit.sendThrough());
         } else if (message instanceof Cancel cancel) {
             cancel(cancel.exchange());
-        } else if (message instanceof Hello) {
+        } else if (message instanceof Hello greeting) {
             connection.send(hello.get());
             connection.send(new Heartbeat(hello.get().configurationOffset(), gate.load()));
+            greeted(greeting);
         } else if (message instanceof Heartbeat) {
             connection.send(new Heartbeat(hello.get().configurationOffset(), gate.load()));
         }
+        if (peer != null) {
+            configuration.received(peer, message);
+        }
+    }
+
+    private void greeted(Hello greeting) {
+        if (peer == null) {
+            peer = new ConnectionPeer(greeting.process(), connection);
+            configuration.opened(peer);
+        }
     }
 
     private void submit(Submit submit) {
@@ -123,6 +141,9 @@
     }
 
     private void closed() {
+        if (peer != null) {
+            configuration.closed(peer);
+        }
         Set.copyOf(waiting.keySet()).forEach(this::cancel);
         Set.copyOf(following).forEach(this::cancel);
     }
