--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/once/Attempt.java
@@ -0,0 +1,69 @@
+package org.redwinghook.core.once;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+/** One attempt of this executor to run a key, with all claims that wait for it. */
+final class Attempt {
+
+    /** Stage of an attempt. */
+    enum Stage {
+        QUEUED,
+        APPENDED,
+        RUNNING,
+        ENDED
+    }
+
+    private final Intent intent;
+    private final List<Claim> claims = new ArrayList<>();
+    private Stage stage = Stage.QUEUED;
+    private long runningClaim;
+    private @Nullable Outcome outcome;
+
+    Attempt(Intent intent, Claim first) {
+        this.intent = intent;
+        claims.add(first);
+    }
+
+    Intent intent() {
+        return intent;
+    }
+
+    List<Claim> claims() {
+        return claims;
+    }
+
+    Stage stage() {
+        return stage;
+    }
+
+    boolean isUndecided() {
+        return stage == Stage.QUEUED || stage == Stage.APPENDED;
+    }
+
+    long runningClaim() {
+        return runningClaim;
+    }
+
+    @Nullable
+    Outcome outcome() {
+        return outcome;
+    }
+
+    void appended() {
+        stage = Stage.APPENDED;
+    }
+
+    void running(long claim) {
+        stage = Stage.RUNNING;
+        runningClaim = claim;
+    }
+
+    void ended(Outcome end) {
+        stage = Stage.ENDED;
+        outcome = end;
+        claims.clear();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/once/BatchInterval.java
@@ -0,0 +1,27 @@
+package org.redwinghook.core.once;
+
+/** Flush interval of a sidecar's partitions. */
+public final class BatchInterval {
+
+    /** Interval of a single executor with one busy partition, in milliseconds. */
+    public static final long SHORTEST_MILLIS = 5;
+
+    /** Appends that all executors together may make each second; the log takes several hundred. */
+    public static final int MOST_APPENDS_PER_SECOND = 200;
+
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private BatchInterval() {}
+
+    /**
+     * Interval between two appends to one partition by one executor. Each busy partition is one append.
+     *
+     * @param executors live executors that share the log
+     * @param busyPartitions partitions of this executor that have something to append
+     * @return milliseconds
+     */
+    public static long millis(int executors, int busyPartitions) {
+        long writers = (long) Math.max(1, executors) * Math.max(1, busyPartitions);
+        return Math.max(SHORTEST_MILLIS, writers * MILLIS_PER_SECOND / MOST_APPENDS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/once/KeyReport.java
@@ -0,0 +1,20 @@
+package org.redwinghook.core.once;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Report of an executor about an attempt of its own.
+ *
+ * @param stage how far it is
+ * @param answer answer of the service if it is done and was kept
+ */
+public record KeyReport(KeyStage stage, @Nullable StoredAnswer answer) {
+
+    static KeyReport of(Outcome outcome) {
+        return switch (outcome.kind()) {
+            case DONE -> new KeyReport(KeyStage.DONE, outcome.answer());
+            case NOT_RUN -> new KeyReport(KeyStage.NOT_RUN, null);
+            case UNKNOWN -> new KeyReport(KeyStage.UNKNOWN, null);
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/once/OutcomeKind.java
@@ -0,0 +1,11 @@
+package org.redwinghook.core.once;
+
+/** How an attempt ended. */
+public enum OutcomeKind {
+    /** The service answered. */
+    DONE,
+    /** Nothing was sent to the service; the key is free again. */
+    NOT_RUN,
+    /** The request may have reached the service, and its answer was lost. */
+    UNKNOWN
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/once/PartitionExecutor.java
@@ -0,0 +1,397 @@
+package org.redwinghook.core.once;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides for one executor and one partition which claims run. An attempt runs only after the executor has read its own
+ * intent back and found it to be the winner. Not safe for use by several threads.
+ */
+public final class PartitionExecutor {
+
+    private static final int MOST_INTENTS = 256;
+    private static final int MOST_OUTCOMES = 32;
+
+    /** Attempts without a run that are remembered for other executors' questions. */
+    private static final int MOST_NOT_RUN = 10_000;
+
+    private final ExecutorIdentity self;
+    private final PartitionFold fold = new PartitionFold();
+    private final Map<Long, Attempt> attempts = new LinkedHashMap<>();
+    private final Map<OperationKey, Attempt> byKey = new HashMap<>();
+    private final Map<Long, Outcome> unconfirmed = new LinkedHashMap<>();
+    private final Set<Long> notRun = new LinkedHashSet<>();
+    private long lastSequence;
+    private boolean appending;
+
+    /**
+     * Creates an executor that has read nothing.
+     *
+     * @param self this executor
+     */
+    public PartitionExecutor(ExecutorIdentity self) {
+        this.self = self;
+    }
+
+    /**
+     * Takes a claim. Without a verdict it waits for the log or for a running attempt.
+     *
+     * @param claim the claim
+     * @param wallMillis time now in milliseconds since 1970
+     * @param windowMillis time for which keys are remembered
+     * @return verdicts that are clear at once
+     */
+    public List<Verdict> offer(Claim claim, long wallMillis, long windowMillis) {
+        Attempt attempt = byKey.get(claim.key());
+        if (attempt != null) {
+            return join(attempt, claim);
+        }
+        // An entry that is past its window by this clock may be stale; the log decides after a new intent.
+        Optional<KeyEntry> entry =
+                fold.find(claim.key()).filter(known -> known.lastIntentMillis() + windowMillis > wallMillis);
+        if (entry.isPresent()) {
+            return List.of(verdict(claim, entry.get()));
+        }
+        Attempt created = new Attempt(new Intent(claim.number(), claim.key(), claim.requestHash()), claim);
+        attempts.put(claim.number(), created);
+        byKey.put(claim.key(), created);
+        return List.of();
+    }
+
+    /**
+     * Takes what is to be appended next. The record must be appended once and not repeated.
+     *
+     * @return the record, empty if there is nothing to append or an append is not settled
+     */
+    public Optional<IntentBatch> takeBatch() {
+        if (appending || !hasSomethingToAppend()) {
+            return Optional.empty();
+        }
+        List<Intent> intents = new ArrayList<>();
+        for (Attempt attempt : attempts.values()) {
+            if (attempt.stage() == Attempt.Stage.QUEUED && intents.size() < MOST_INTENTS) {
+                attempt.appended();
+                intents.add(attempt.intent());
+            }
+        }
+        List<Outcome> outcomes =
+                unconfirmed.values().stream().limit(MOST_OUTCOMES).toList();
+        appending = true;
+        lastSequence++;
+        return Optional.of(new IntentBatch(self, lastSequence, outcomes, intents));
+    }
+
+    /** The last append gave no answer. Its record may still appear; its outcomes are appended again. */
+    public void appendFailed() {
+        appending = false;
+    }
+
+    /**
+     * Folds the next record of the stream.
+     *
+     * @param batch the record
+     * @param timestampMillis log time of the record in milliseconds since 1970
+     * @param windowMillis time for which keys are remembered
+     * @param nowMillis monotonic time now
+     * @return verdicts that became clear
+     */
+    public List<Verdict> apply(IntentBatch batch, long timestampMillis, long windowMillis, long nowMillis) {
+        Set<Long> won = fold.apply(batch, timestampMillis, windowMillis);
+        if (!batch.executor().equals(self)) {
+            return List.of();
+        }
+        if (batch.sequence() == lastSequence) {
+            appending = false;
+        }
+        batch.outcomes().forEach(this::confirm);
+        List<Verdict> verdicts = new ArrayList<>();
+        for (Intent intent : batch.intents()) {
+            if (won.contains(intent.number())) {
+                win(intent, nowMillis, verdicts);
+            } else {
+                lose(intent, verdicts);
+            }
+        }
+        return verdicts;
+    }
+
+    /**
+     * Gives up all claims that wait for the log.
+     *
+     * @return the verdicts
+     */
+    public List<Verdict> logUnavailable() {
+        List<Verdict> verdicts = new ArrayList<>();
+        for (Attempt attempt : List.copyOf(attempts.values())) {
+            if (attempt.isUndecided()) {
+                notRun(attempt.claims(), NotRunCause.LOG_UNAVAILABLE, verdicts);
+                abandon(attempt);
+            }
+        }
+        return verdicts;
+    }
+
+    /**
+     * Answers claims whose callers no longer wait.
+     *
+     * @param nowMillis monotonic time now
+     * @return the verdicts
+     */
+    public List<Verdict> expire(long nowMillis) {
+        List<Verdict> verdicts = new ArrayList<>();
+        for (Attempt attempt : List.copyOf(attempts.values())) {
+            expire(attempt, nowMillis, verdicts);
+        }
+        return verdicts;
+    }
+
+    /**
+     * Notes the end of a run.
+     *
+     * @param number number of the attempt
+     * @param kind how it ended
+     * @param answer answer of the service if it is done
+     * @return verdicts for all claims of the attempt
+     */
+    public List<Verdict> finished(long number, OutcomeKind kind, @Nullable StoredAnswer answer) {
+        Attempt attempt = attempts.get(number);
+        if (attempt == null || attempt.stage() != Attempt.Stage.RUNNING) {
+            return List.of();
+        }
+        List<Verdict> verdicts = new ArrayList<>();
+        for (Claim claim : attempt.claims()) {
+            verdicts.add(end(claim, kind, answer, claim.number() != attempt.runningClaim()));
+        }
+        StoredAnswer stored = answer != null && answer.isStorable() ? answer : null;
+        Outcome outcome = new Outcome(number, attempt.intent().key(), kind, stored);
+        attempt.ended(outcome);
+        unconfirmed.put(number, outcome);
+        return verdicts;
+    }
+
+    /**
+     * Answers another executor's question about an attempt of this one.
+     *
+     * @param key the key
+     * @param number number of the attempt
+     * @return the report
+     */
+    public KeyReport report(OperationKey key, long number) {
+        Attempt attempt = attempts.get(number);
+        if (attempt != null) {
+            Outcome outcome = attempt.outcome();
+            return outcome == null ? new KeyReport(KeyStage.RUNNING, null) : KeyReport.of(outcome);
+        }
+        if (notRun.contains(number)) {
+            return new KeyReport(KeyStage.NOT_RUN, null);
+        }
+        Outcome outcome = fold.find(key)
+                .filter(entry -> entry.isWonBy(self, number))
+                .map(KeyEntry::outcome)
+                .orElse(null);
+        return outcome == null ? new KeyReport(KeyStage.UNKNOWN, null) : KeyReport.of(outcome);
+    }
+
+    /**
+     * Whether the stream must be read on: an intent or outcome of this executor has not been read back.
+     *
+     * @return true while something is missing
+     */
+    public boolean awaitsRecords() {
+        return appending || attempts.values().stream().anyMatch(attempt -> attempt.stage() == Attempt.Stage.APPENDED);
+    }
+
+    /**
+     * Whether there are intents or outcomes that are not on the log.
+     *
+     * @return true if an append is due
+     */
+    public boolean hasSomethingToAppend() {
+        return !unconfirmed.isEmpty()
+                || attempts.values().stream().anyMatch(attempt -> attempt.stage() == Attempt.Stage.QUEUED);
+    }
+
+    /**
+     * Attempts that wait for the log.
+     *
+     * @return their number
+     */
+    public int pendingIntents() {
+        return (int) attempts.values().stream().filter(Attempt::isUndecided).count();
+    }
+
+    /**
+     * Attempts that run at the endpoint.
+     *
+     * @return their number
+     */
+    public int runningAttempts() {
+        return (int) attempts.values().stream()
+                .filter(attempt -> attempt.stage() == Attempt.Stage.RUNNING)
+                .count();
+    }
+
+    /**
+     * Outcomes that have not been read back.
+     *
+     * @return their number
+     */
+    public int pendingOutcomes() {
+        return unconfirmed.size();
+    }
+
+    /**
+     * Keys remembered.
+     *
+     * @return their number
+     */
+    public int keys() {
+        return fold.size();
+    }
+
+    /** Starts the reading again at a later offset, because records in between are no longer on the log. */
+    public void restartReading() {
+        fold.clear();
+    }
+
+    private List<Verdict> join(Attempt attempt, Claim claim) {
+        Outcome outcome = attempt.outcome();
+        if (outcome != null && outcome.kind() == OutcomeKind.NOT_RUN) {
+            return List.of(new Verdict.NotRun(claim.number(), NotRunCause.EARLIER_ATTEMPT));
+        }
+        if (!attempt.intent().requestHash().equals(claim.requestHash())) {
+            return List.of(new Verdict.Conflict(claim.number()));
+        }
+        if (outcome != null) {
+            return List.of(end(claim, outcome.kind(), outcome.answer(), true));
+        }
+        attempt.claims().add(claim);
+        return List.of();
+    }
+
+    private Verdict verdict(Claim claim, KeyEntry entry) {
+        if (!entry.winner().requestHash().equals(claim.requestHash())) {
+            return new Verdict.Conflict(claim.number());
+        }
+        Outcome outcome = entry.outcome();
+        if (outcome != null) {
+            return end(claim, outcome.kind(), outcome.answer(), true);
+        }
+        if (!entry.executor().equals(self)) {
+            return new Verdict.Ask(
+                    claim.number(), entry.executor(), entry.winner().number());
+        }
+        return report(claim.key(), entry.winner().number()).stage() == KeyStage.NOT_RUN
+                ? new Verdict.NotRun(claim.number(), NotRunCause.EARLIER_ATTEMPT)
+                : new Verdict.Unknown(claim.number(), "the end of an earlier attempt is not known");
+    }
+
+    private static Verdict end(Claim claim, OutcomeKind kind, @Nullable StoredAnswer answer, boolean replayed) {
+        return switch (kind) {
+            case DONE ->
+                answer == null
+                        ? new Verdict.Unknown(
+                                claim.number(), "the call has run, but its answer is too large to be kept")
+                        : new Verdict.Answered(claim.number(), answer, replayed);
+            case NOT_RUN -> new Verdict.NotRun(claim.number(), NotRunCause.ENDPOINT);
+            case UNKNOWN -> new Verdict.Unknown(claim.number(), "the answer of the service was lost");
+        };
+    }
+
+    private void win(Intent intent, long nowMillis, List<Verdict> verdicts) {
+        Attempt attempt = attempts.get(intent.number());
+        if (attempt == null) {
+            release(intent);
+            return;
+        }
+        if (attempt.stage() != Attempt.Stage.APPENDED) {
+            return;
+        }
+        // A pause between the append and now may have outlasted the caller.
+        expire(attempt, nowMillis, verdicts);
+        if (attempt.claims().isEmpty()) {
+            release(intent);
+            return;
+        }
+        long claim = attempt.claims().get(0).number();
+        attempt.running(claim);
+        verdicts.add(new Verdict.Run(claim, intent.number()));
+    }
+
+    private void lose(Intent intent, List<Verdict> verdicts) {
+        Attempt attempt = attempts.get(intent.number());
+        if (attempt == null || attempt.stage() != Attempt.Stage.APPENDED) {
+            return;
+        }
+        KeyEntry entry = fold.find(intent.key()).orElseThrow();
+        remove(attempt);
+        attempt.claims().forEach(claim -> verdicts.add(verdict(claim, entry)));
+    }
+
+    private void release(Intent intent) {
+        unconfirmed.put(intent.number(), new Outcome(intent.number(), intent.key(), OutcomeKind.NOT_RUN, null));
+    }
+
+    private void confirm(Outcome outcome) {
+        unconfirmed.remove(outcome.number());
+        Attempt attempt = attempts.get(outcome.number());
+        if (attempt == null) {
+            return;
+        }
+        remove(attempt);
+        if (outcome.kind() == OutcomeKind.NOT_RUN) {
+            rememberNotRun(outcome.number());
+        }
+    }
+
+    private void expire(Attempt attempt, long nowMillis, List<Verdict> verdicts) {
+        List<Claim> expired = attempt.claims().stream()
+                .filter(claim -> claim.deadlineMillis() <= nowMillis)
+                .toList();
+        if (expired.isEmpty()) {
+            return;
+        }
+        attempt.claims().removeAll(expired);
+        if (attempt.isUndecided() && attempt.claims().isEmpty()) {
+            notRun(expired, NotRunCause.DEADLINE, verdicts);
+            abandon(attempt);
+            return;
+        }
+        // Another claim of the same key keeps the attempt alive, so "not run" could become false.
+        expired.forEach(claim -> verdicts.add(
+                new Verdict.Unknown(claim.number(), "the call had not ended when the caller's timeout passed")));
+    }
+
+    private static void notRun(Collection<Claim> claims, NotRunCause cause, List<Verdict> verdicts) {
+        claims.forEach(claim -> verdicts.add(new Verdict.NotRun(claim.number(), cause)));
+    }
+
+    private void abandon(Attempt attempt) {
+        remove(attempt);
+        rememberNotRun(attempt.intent().number());
+    }
+
+    private void rememberNotRun(long number) {
+        notRun.add(number);
+        if (notRun.size() > MOST_NOT_RUN) {
+            Iterator<Long> oldest = notRun.iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
+    private void remove(Attempt attempt) {
+        attempts.remove(attempt.intent().number());
+        byKey.remove(attempt.intent().key(), attempt);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/once/PartitionFold.java
@@ -0,0 +1,97 @@
+package org.redwinghook.core.once;
+
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * State of one partition after the records of its stream in log order. Only log time counts, so that all readers forget
+ * a key at the same record.
+ *
+ * <p>A key is remembered until the window has passed after its newest intent, losing intents included. A reader that
+ * starts later may take a losing intent for the winner because the winning one is no longer on the log. If only the
+ * winner's time counted, the two readers would forget the key at different times, and both could run it.
+ */
+public final class PartitionFold {
+
+    private final Map<OperationKey, KeyEntry> entries = new LinkedHashMap<>();
+    private long timeMillis;
+
+    /**
+     * Folds the next record.
+     *
+     * @param batch the record
+     * @param timestampMillis log time of the record in milliseconds since 1970
+     * @param windowMillis time for which keys are remembered
+     * @return numbers of the record's intents that won their keys
+     */
+    public Set<Long> apply(IntentBatch batch, long timestampMillis, long windowMillis) {
+        timeMillis = Math.max(timeMillis, timestampMillis);
+        forget(timeMillis - windowMillis);
+        batch.outcomes().forEach(outcome -> applyOutcome(batch.executor(), outcome));
+        Set<Long> won = new HashSet<>();
+        for (Intent intent : batch.intents()) {
+            if (applyIntent(batch.executor(), intent)) {
+                won.add(intent.number());
+            }
+        }
+        return won;
+    }
+
+    /**
+     * Looks up a key.
+     *
+     * @param key the key
+     * @return what the log says, empty if the key is free
+     */
+    public Optional<KeyEntry> find(OperationKey key) {
+        return Optional.ofNullable(entries.get(key));
+    }
+
+    /**
+     * Number of keys remembered.
+     *
+     * @return the number
+     */
+    public int size() {
+        return entries.size();
+    }
+
+    /** Forgets everything, for a reader that must start again at a later offset. */
+    public void clear() {
+        entries.clear();
+    }
+
+    private boolean applyIntent(ExecutorIdentity executor, Intent intent) {
+        // Removing first keeps the map in the order of the newest intents, which forget relies on.
+        KeyEntry known = entries.remove(intent.key());
+        if (known != null) {
+            entries.put(intent.key(), known.seenAgain(timeMillis));
+            return false;
+        }
+        entries.put(intent.key(), new KeyEntry(executor, intent, timeMillis, null));
+        return true;
+    }
+
+    private void applyOutcome(ExecutorIdentity executor, Outcome outcome) {
+        KeyEntry known = entries.get(outcome.key());
+        if (known == null || !known.isWonBy(executor, outcome.number()) || known.outcome() != null) {
+            return;
+        }
+        if (outcome.kind() == OutcomeKind.NOT_RUN) {
+            entries.remove(outcome.key());
+            return;
+        }
+        entries.replace(outcome.key(), known.withOutcome(outcome));
+    }
+
+    private void forget(long oldestMillis) {
+        Iterator<KeyEntry> oldestFirst = entries.values().iterator();
+        while (oldestFirst.hasNext() && oldestFirst.next().lastIntentMillis() < oldestMillis) {
+            oldestFirst.remove();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/once/StoredAnswer.java
@@ -0,0 +1,25 @@
+package org.redwinghook.core.once;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Answer of a service that is kept for retries.
+ *
+ * @param status HTTP status
+ * @param contentType media type of the body
+ * @param body body as received
+ */
+public record StoredAnswer(int status, @Nullable String contentType, byte[] body) {
+
+    /** Largest body that is written to the log, in bytes. */
+    public static final int LARGEST_BODY_BYTES = 16 * 1024;
+
+    /**
+     * Whether the answer is small enough for the log.
+     *
+     * @return true if it may be written
+     */
+    public boolean isStorable() {
+        return body.length <= LARGEST_BODY_BYTES;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/once/PartitionExecutorTest.java
@@ -0,0 +1,386 @@
+package org.redwinghook.core.once;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards against a key that runs twice and against refusals "not run" that are or become false. */
+public class PartitionExecutorTest {
+
+    private static final long WINDOW_MILLIS = 1_000_000;
+    private static final OperationKey KEY = new OperationKey("yoga", "order-1");
+
+    private static Claim claim(long number, long deadlineMillis) {
+        return new Claim(number, KEY, "hash", deadlineMillis);
+    }
+
+    private static PartitionExecutor executor(String process) {
+        return new PartitionExecutor(new ExecutorIdentity(process, 1));
+    }
+
+    private static List<Verdict> apply(PartitionExecutor executor, IntentBatch batch, long nowMillis) {
+        return executor.apply(batch, 1, WINDOW_MILLIS, nowMillis);
+    }
+
+    /** Single failures, one at a time. */
+    public static class SingleFailures {
+
+        /** Guards against an intent that runs after its caller was told "not run", and against a key blocked by it. */
+        @Test
+        public void lateAppendIsReleasedAndNeverRun() {
+            PartitionExecutor executor = executor("a");
+            executor.offer(claim(1, 100), 0, WINDOW_MILLIS);
+            IntentBatch late = executor.takeBatch().orElseThrow();
+            executor.appendFailed();
+            Assert.assertEquals(executor.expire(100), List.of(new Verdict.NotRun(1, NotRunCause.DEADLINE)));
+            Assert.assertEquals(apply(executor, late, 101), List.of());
+            Assert.assertEquals(executor.report(KEY, 1).stage(), KeyStage.NOT_RUN);
+            Assert.assertEquals(
+                    executor.offer(claim(2, 500), 1, WINDOW_MILLIS),
+                    List.of(new Verdict.NotRun(2, NotRunCause.EARLIER_ATTEMPT)));
+            IntentBatch release = executor.takeBatch().orElseThrow();
+            Assert.assertEquals(release.outcomes().get(0).kind(), OutcomeKind.NOT_RUN);
+            apply(executor, release, 102);
+            executor.offer(claim(3, 500), 1, WINDOW_MILLIS);
+            Assert.assertEquals(
+                    apply(executor, executor.takeBatch().orElseThrow(), 103), List.of(new Verdict.Run(3, 3)));
+        }
+
+        /** Guards against a winner that was paused after the append and calls for a caller who has gone. */
+        @Test
+        public void pausedWinnerChecksTheDeadlineAgain() {
+            PartitionExecutor executor = executor("a");
+            executor.offer(claim(1, 100), 0, WINDOW_MILLIS);
+            IntentBatch batch = executor.takeBatch().orElseThrow();
+            Assert.assertEquals(apply(executor, batch, 15_000), List.of(new Verdict.NotRun(1, NotRunCause.DEADLINE)));
+            Assert.assertEquals(
+                    executor.takeBatch().orElseThrow().outcomes().get(0).kind(), OutcomeKind.NOT_RUN);
+        }
+
+        /** Guards against a second run when the winner is paused in its call: others must ask it and not take over. */
+        @Test
+        public void loserAsksTheWinner() {
+            PartitionExecutor first = executor("a");
+            PartitionExecutor second = executor("b");
+            first.offer(claim(1, 100), 0, WINDOW_MILLIS);
+            second.offer(claim(7, 100), 0, WINDOW_MILLIS);
+            IntentBatch winning = first.takeBatch().orElseThrow();
+            IntentBatch losing = second.takeBatch().orElseThrow();
+            apply(second, winning, 1);
+            Assert.assertEquals(apply(second, losing, 2), List.of(new Verdict.Ask(7, new ExecutorIdentity("a", 1), 1)));
+            Assert.assertEquals(apply(first, winning, 3), List.of(new Verdict.Run(1, 1)));
+            Assert.assertEquals(first.report(KEY, 1).stage(), KeyStage.RUNNING);
+        }
+
+        /** Guards against a restarted sidecar that runs what its dead predecessor may have run. */
+        @Test
+        public void restartedExecutorDoesNotTakeOverItsPredecessorsKey() {
+            PartitionExecutor before = executor("a");
+            before.offer(claim(1, 100), 0, WINDOW_MILLIS);
+            IntentBatch intent = before.takeBatch().orElseThrow();
+            PartitionExecutor after = new PartitionExecutor(new ExecutorIdentity("a", 2));
+            after.offer(claim(1, 100), 0, WINDOW_MILLIS);
+            IntentBatch retry = after.takeBatch().orElseThrow();
+            apply(after, intent, 1);
+            Assert.assertEquals(apply(after, retry, 2), List.of(new Verdict.Ask(1, new ExecutorIdentity("a", 1), 1)));
+        }
+
+        /** Guards against claims that wait for ever, or run later, when the log is down. */
+        @Test
+        public void claimsAreRefusedWhenTheLogIsDown() {
+            PartitionExecutor executor = executor("a");
+            executor.offer(claim(1, 100), 0, WINDOW_MILLIS);
+            IntentBatch lost = executor.takeBatch().orElseThrow();
+            executor.appendFailed();
+            Assert.assertEquals(executor.logUnavailable(), List.of(new Verdict.NotRun(1, NotRunCause.LOG_UNAVAILABLE)));
+            Assert.assertEquals(apply(executor, lost, 50), List.of());
+        }
+
+        /** Guards against an outcome that is lost with its append's answer. */
+        @Test
+        public void outcomeIsAppendedAgainUntilItIsReadBack() {
+            PartitionExecutor executor = executor("a");
+            executor.offer(claim(1, 100), 0, WINDOW_MILLIS);
+            apply(executor, executor.takeBatch().orElseThrow(), 1);
+            StoredAnswer answer = new StoredAnswer(200, null, new byte[] {1});
+            Assert.assertEquals(
+                    executor.finished(1, OutcomeKind.DONE, answer), List.of(new Verdict.Answered(1, answer, false)));
+            executor.takeBatch().orElseThrow();
+            executor.appendFailed();
+            apply(executor, executor.takeBatch().orElseThrow(), 2);
+            Assert.assertFalse(executor.hasSomethingToAppend());
+            Assert.assertEquals(
+                    executor.offer(claim(2, 100), 1, WINDOW_MILLIS), List.of(new Verdict.Answered(2, answer, true)));
+        }
+
+        /** Guards against the answer of one request given to another that reuses its key. */
+        @Test
+        public void differentRequestUnderTheSameKeyIsAConflict() {
+            PartitionExecutor executor = executor("a");
+            executor.offer(claim(1, 100), 0, WINDOW_MILLIS);
+            Claim other = new Claim(2, KEY, "other", 100);
+            Assert.assertEquals(executor.offer(other, 0, WINDOW_MILLIS), List.of(new Verdict.Conflict(2)));
+            apply(executor, executor.takeBatch().orElseThrow(), 1);
+            Assert.assertEquals(executor.offer(other, 0, WINDOW_MILLIS), List.of(new Verdict.Conflict(2)));
+        }
+
+        /** Guards against "not run" for one claim while another claim of the same key still leads to the run. */
+        @Test
+        public void joinedClaimThatExpiresIsNotToldNotRun() {
+            PartitionExecutor executor = executor("a");
+            executor.offer(claim(1, 10), 0, WINDOW_MILLIS);
+            executor.offer(claim(2, 100), 0, WINDOW_MILLIS);
+            Assert.assertTrue(executor.expire(10).get(0) instanceof Verdict.Unknown);
+            Assert.assertEquals(
+                    apply(executor, executor.takeBatch().orElseThrow(), 11), List.of(new Verdict.Run(2, 1)));
+        }
+    }
+
+    /** Rules of the fold and of batching. */
+    public static class Rules {
+
+        private static IntentBatch intent(String process, long number) {
+            return new IntentBatch(
+                    new ExecutorIdentity(process, 1), number, List.of(), List.of(new Intent(number, KEY, "hash")));
+        }
+
+        /** Guards against two readers that forget a key at different records and let it run twice in the window. */
+        @Test
+        public void lateReaderNeverFreesAKeyThatAnEarlyReaderHolds() {
+            PartitionFold early = new PartitionFold();
+            PartitionFold late = new PartitionFold();
+            early.apply(intent("a", 1), 79, 10);
+            for (PartitionFold fold : List.of(early, late)) {
+                fold.apply(intent("b", 2), 85, 10);
+                fold.apply(intent("c", 3), 92, 10);
+            }
+            Assert.assertEquals(early.apply(intent("d", 4), 100, 10), late.apply(intent("d", 4), 100, 10));
+            Assert.assertEquals(late.apply(intent("d", 5), 111, 10), Set.of(5L));
+        }
+
+        /** Guards against a loser's record that frees or ends the winner's key. */
+        @Test
+        public void outcomeOfALoserHasNoEffect() {
+            PartitionFold fold = new PartitionFold();
+            fold.apply(intent("a", 1), 1, 10);
+            Outcome outcome = new Outcome(1, KEY, OutcomeKind.NOT_RUN, null);
+            fold.apply(new IntentBatch(new ExecutorIdentity("b", 1), 1, List.of(outcome), List.of()), 2, 10);
+            Assert.assertTrue(fold.find(KEY).isPresent());
+        }
+
+        /** Guards against more appends than the log takes. */
+        @Test
+        public void intervalGrowsWithTheExecutors() {
+            Assert.assertEquals(BatchInterval.millis(1, 1), 5);
+            Assert.assertEquals(BatchInterval.millis(3, 2), 30);
+            Assert.assertEquals(BatchInterval.millis(100, 1), 500);
+        }
+
+        /** Guards against old time-ordered keys that are taken for new requests. */
+        @Test
+        public void timeOfAVersionSevenKeyIsKnown() {
+            OperationKey key = new OperationKey("yoga", "017f22e2-79b0-7cc3-98c4-dc0c0c07398f");
+            Assert.assertEquals(key.createdMillis().orElseThrow(), 0x017F22E279B0L);
+            Assert.assertTrue(KEY.createdMillis().isEmpty());
+        }
+    }
+
+    /** Seeded interleavings of three executors, a log that loses and delays appends, and restarts. */
+    public static class Interleavings {
+
+        private static final int SEEDS = 600;
+        private static final int STEPS = 300;
+        private static final int KEYS = 3;
+        private static final int EXECUTORS = 3;
+
+        @Test
+        public void noKeyRunsTwiceAndNoRefusalIsFalse() {
+            int runs = 0;
+            int refusals = 0;
+            for (int seed = 0; seed < SEEDS; seed++) {
+                World world = new World(seed);
+                for (int step = 0; step < STEPS; step++) {
+                    world.step();
+                }
+                world.settle();
+                runs += world.runs;
+                refusals += world.refusals;
+            }
+            // Both must happen often, or the invariants in the world were hardly tested.
+            Assert.assertTrue(runs > SEEDS, "runs: " + runs);
+            Assert.assertTrue(refusals > SEEDS, "refusals: " + refusals);
+        }
+
+        private static final class World {
+
+            private final int seed;
+            private final Random random;
+            private final List<IntentBatch> log = new ArrayList<>();
+            private final List<IntentBatch> delayed = new ArrayList<>();
+            private final Node[] nodes = new Node[EXECUTORS];
+            private final Map<OperationKey, Integer> effects = new HashMap<>();
+            private long now;
+            private long lastNumber;
+            private int runs;
+            private int refusals;
+
+            World(int seed) {
+                this.seed = seed;
+                this.random = new Random(seed);
+                for (int index = 0; index < EXECUTORS; index++) {
+                    nodes[index] = new Node(new ExecutorIdentity("s" + index, 1));
+                }
+            }
+
+            void step() {
+                now += random.nextInt(5);
+                int index = random.nextInt(EXECUTORS);
+                Node node = nodes[index];
+                switch (random.nextInt(12)) {
+                    case 0, 1 -> node.offer();
+                    case 2, 3 -> node.append();
+                    case 4, 5, 6, 7 -> node.read();
+                    case 8 -> node.finish();
+                    case 9 -> node.take(node.executor.expire(now));
+                    case 10 -> appendDelayed();
+                    default -> rare(index, node);
+                }
+            }
+
+            void settle() {
+                while (!delayed.isEmpty()) {
+                    appendDelayed();
+                }
+                // An append that was lost for good is known only by the callers' deadlines.
+                now += 1_000;
+                for (int round = 0; round < 10; round++) {
+                    for (Node node : nodes) {
+                        node.take(node.executor.expire(now));
+                        node.executor.appendFailed();
+                        node.executor.takeBatch().ifPresent(log::add);
+                        while (node.position < log.size()) {
+                            node.read();
+                        }
+                        while (!node.running.isEmpty()) {
+                            node.finish();
+                        }
+                    }
+                }
+                for (Node node : nodes) {
+                    Assert.assertFalse(node.executor.hasSomethingToAppend(), "seed " + seed);
+                    Assert.assertEquals(node.executor.pendingIntents(), 0, "seed " + seed);
+                }
+            }
+
+            private void rare(int index, Node node) {
+                if (random.nextBoolean()) {
+                    node.take(node.executor.logUnavailable());
+                    node.executor.appendFailed();
+                } else if (random.nextInt(4) == 0) {
+                    // A killed process: calls that it had started count as run.
+                    nodes[index] = new Node(new ExecutorIdentity(node.identity.process(), lastNumber + 1_000));
+                }
+            }
+
+            private void appendDelayed() {
+                if (!delayed.isEmpty()) {
+                    log.add(delayed.remove(random.nextInt(delayed.size())));
+                }
+            }
+
+            private final class Node {
+
+                private final ExecutorIdentity identity;
+                private final PartitionExecutor executor;
+                private final Map<Long, OperationKey> keys = new HashMap<>();
+                private final Map<Long, OperationKey> running = new HashMap<>();
+                private final Set<Long> refused = new HashSet<>();
+                private final Set<Long> called = new HashSet<>();
+                private int position;
+
+                Node(ExecutorIdentity identity) {
+                    this.identity = identity;
+                    this.executor = new PartitionExecutor(identity);
+                }
+
+                void offer() {
+                    lastNumber++;
+                    OperationKey key = new OperationKey("c", "k" + random.nextInt(KEYS));
+                    keys.put(lastNumber, key);
+                    take(executor.offer(new Claim(lastNumber, key, "hash", now + 20), 1, WINDOW_MILLIS));
+                }
+
+                void append() {
+                    executor.takeBatch().ifPresent(batch -> {
+                        switch (random.nextInt(5)) {
+                            case 0 -> executor.appendFailed();
+                            case 1 -> {
+                                delayed.add(batch);
+                                executor.appendFailed();
+                            }
+                            case 2 -> {
+                                log.add(batch);
+                                executor.appendFailed();
+                            }
+                            default -> log.add(batch);
+                        }
+                    });
+                }
+
+                void read() {
+                    if (position < log.size()) {
+                        take(executor.apply(log.get(position), 1, WINDOW_MILLIS, now));
+                        position++;
+                    }
+                }
+
+                void finish() {
+                    if (running.isEmpty()) {
+                        return;
+                    }
+                    long attempt = running.keySet().iterator().next();
+                    OperationKey key = running.remove(attempt);
+                    OutcomeKind kind = OutcomeKind.values()[random.nextInt(3)];
+                    if (kind == OutcomeKind.NOT_RUN) {
+                        effects.merge(key, -1, Integer::sum);
+                        called.remove(attempt);
+                        called.removeIf(claim -> key.equals(keys.get(claim)));
+                    }
+                    StoredAnswer answer = kind == OutcomeKind.DONE ? new StoredAnswer(200, null, new byte[0]) : null;
+                    take(executor.finished(attempt, kind, answer));
+                }
+
+                void take(List<Verdict> verdicts) {
+                    for (Verdict verdict : verdicts) {
+                        if (verdict instanceof Verdict.Run run) {
+                            run(run);
+                        } else if (verdict instanceof Verdict.NotRun notRun) {
+                            refusals++;
+                            refused.add(notRun.claim());
+                            Assert.assertFalse(called.contains(notRun.claim()), "false refusal, seed " + seed);
+                        }
+                    }
+                }
+
+                private void run(Verdict.Run run) {
+                    runs++;
+                    OperationKey key = keys.get(run.claim());
+                    Assert.assertFalse(refused.contains(run.claim()), "ran after a refusal, seed " + seed);
+                    Assert.assertFalse(refused.contains(run.attempt()), "ran after a refusal, seed " + seed);
+                    int effectsNow = effects.merge(key, 1, Integer::sum);
+                    Assert.assertEquals(effectsNow, 1, "second run of " + key + ", seed " + seed);
+                    running.put(run.attempt(), key);
+                    called.add(run.claim());
+                    called.add(run.attempt());
+                }
+            }
+        }
+    }
+}
