--- a/core/src/main/java/org/redwinghook/core/once/KeyStage.java
+++ b/core/src/main/java/org/redwinghook/core/message/KeyStage.java
@@ -1,4 +1,4 @@
-package org.redwinghook.core.once;
+package org.redwinghook.core.message;
 
 /** What an executor says about an attempt of its own. */
 public enum KeyStage {
--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -19,7 +19,9 @@
     @JsonSubTypes.Type(value = Finished.class, name = "finished"),
     @JsonSubTypes.Type(value = Interrupted.class, name = "interrupted"),
     @JsonSubTypes.Type(value = CallAnswer.class, name = "callAnswer"),
-    @JsonSubTypes.Type(value = OutcomeUnknown.class, name = "outcomeUnknown")
+    @JsonSubTypes.Type(value = OutcomeUnknown.class, name = "outcomeUnknown"),
+    @JsonSubTypes.Type(value = KeyQuestion.class, name = "keyQuestion"),
+    @JsonSubTypes.Type(value = KeyAnswer.class, name = "keyAnswer")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
--- a/core/src/main/java/org/redwinghook/core/message/RefusalReason.java
+++ b/core/src/main/java/org/redwinghook/core/message/RefusalReason.java
@@ -16,6 +16,8 @@
     NO_ENDPOINT(503, false),
     /** The customer's limit is reached. */
     RATE_LIMITED(429, false),
+    /** The idempotency key belongs to a different request. */
+    KEY_REUSED(422, false),
     /** The generation to resume is not known here or belongs to another customer. */
     UNKNOWN_GENERATION(404, false);
 
--- a/core/src/main/java/org/redwinghook/core/once/KeyReport.java
+++ b/core/src/main/java/org/redwinghook/core/once/KeyReport.java
@@ -1,6 +1,7 @@
 package org.redwinghook.core.once;
 
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.message.KeyStage;
 
 /**
  * Report of an executor about an attempt of its own.
--- a/core/src/main/java/org/redwinghook/core/once/PartitionExecutor.java
+++ b/core/src/main/java/org/redwinghook/core/once/PartitionExecutor.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.message.KeyStage;
 
 /**
  * Decides for one executor and one partition which claims run. An attempt runs only after the executor has read its own
@@ -172,7 +173,7 @@
         for (Claim claim : attempt.claims()) {
             verdicts.add(end(claim, kind, answer, claim.number() != attempt.runningClaim()));
         }
-        StoredAnswer stored = answer != null && answer.isStorable() ? answer : null;
+        StoredAnswer stored = answer != null && answer.fitsLog() ? answer : null;
         Outcome outcome = new Outcome(number, attempt.intent().key(), kind, stored);
         attempt.ended(outcome);
         unconfirmed.put(number, outcome);
--- a/core/src/main/java/org/redwinghook/core/once/StoredAnswer.java
+++ b/core/src/main/java/org/redwinghook/core/once/StoredAnswer.java
@@ -19,7 +19,7 @@
      *
      * @return true if it may be written
      */
-    public boolean isStorable() {
+    public boolean fitsLog() {
         return body.length <= LARGEST_BODY_BYTES;
     }
 }
--- a/core/src/main/java/org/redwinghook/core/stream/TokenBuffer.java
+++ b/core/src/main/java/org/redwinghook/core/stream/TokenBuffer.java
@@ -7,6 +7,7 @@
 public final class TokenBuffer {
 
     private final List<String> texts = new ArrayList<>();
+    private long characters;
 
     /**
      * Appends a token.
@@ -16,6 +17,7 @@
      */
     public long append(String text) {
         texts.add(text);
+        characters += text.length();
         return texts.size();
     }
 
@@ -28,6 +30,15 @@
         return texts.size();
     }
 
+    /**
+     * Characters of all tokens.
+     *
+     * @return their number
+     */
+    public long characters() {
+        return characters;
+    }
+
     /**
      * A run of tokens.
      *
--- a/core/src/test/java/org/redwinghook/core/once/PartitionExecutorTest.java
+++ b/core/src/test/java/org/redwinghook/core/once/PartitionExecutorTest.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.Set;
 
+import org.redwinghook.core.message.KeyStage;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
--- a/runtime/src/main/java/org/redwinghook/runtime/wire/PeerConnection.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/PeerConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
@@ -20,6 +21,8 @@
     private final WireMetrics metrics;
     private final RecordParser parser;
     private int expectedBodyBytes;
+    private long messagesReceived;
+    private Future<Void> lastWrite = Future.succeededFuture();
     private boolean open = true;
     private Consumer<Message> messageHandler = message -> {};
     private @Nullable Runnable closeHandler;
@@ -63,14 +66,34 @@
      * Sends a message. Nothing happens on a closed connection; its close handler has told the user.
      *
      * @param message the message
+     * @return completes when the operating system took the message, fails if the connection ended before
      */
-    public void send(Message message) {
+    public Future<Void> send(Message message) {
         if (!open) {
-            return;
+            return Future.failedFuture("the connection is closed");
         }
         Buffer frame = codec.encode(message);
         metrics.sent(frame.length());
-        socket.write(frame);
+        lastWrite = socket.write(frame);
+        return lastWrite;
+    }
+
+    /**
+     * Waits until the operating system took all messages sent so far.
+     *
+     * @return completes then, fails if the connection ended before
+     */
+    public Future<Void> flushed() {
+        return lastWrite;
+    }
+
+    /**
+     * Messages received, undecodable ones included.
+     *
+     * @return their number
+     */
+    public long messagesReceived() {
+        return messagesReceived;
     }
 
     /**
@@ -104,6 +127,7 @@
         }
         expectedBodyBytes = 0;
         parser.fixedSizeMode(FrameCodec.LENGTH_BYTES);
+        messagesReceived++;
         metrics.received(record.length() + FrameCodec.LENGTH_BYTES);
         codec.decode(record)
                 .onFailure(failure -> metrics.undecodable())
--- a/runtime/src/main/java/org/redwinghook/runtime/wire/PeerServer.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/PeerServer.java
@@ -1,5 +1,8 @@
 package org.redwinghook.runtime.wire;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.vertx.core.Future;
@@ -13,11 +16,15 @@
 /** Accepts connections of other processes. */
 public final class PeerServer {
 
+    /** Longest wait for the last messages at a stop; a connection that takes longer is stalled. */
+    private static final long FLUSH_MILLIS = 5_000;
+
     private final Vertx vertx;
     private final Address address;
     private final FrameCodec codec;
     private final WireMetrics metrics;
     private final Consumer<PeerConnection> onConnection;
+    private final List<PeerConnection> connections = new ArrayList<>();
     private @Nullable NetServer server;
 
     /**
@@ -56,15 +63,24 @@
     }
 
     /**
-     * Stops to listen and closes all connections.
+     * Stops to listen and closes all connections once the messages sent on them are written.
      *
      * @return completes when the port is closed
      */
     public Future<Void> stop() {
-        return server == null ? Future.succeededFuture() : server.close();
+        NetServer listening = server;
+        if (listening == null) {
+            return Future.succeededFuture();
+        }
+        List<Future<Void>> writes =
+                connections.stream().map(PeerConnection::flushed).toList();
+        return Future.join(writes).timeout(FLUSH_MILLIS, TimeUnit.MILLISECONDS).transform(ignored -> listening.close());
     }
 
     private void accept(NetSocket socket) {
-        onConnection.accept(new PeerConnection(socket, codec, metrics));
+        connections.removeIf(connection -> !connection.isOpen());
+        PeerConnection connection = new PeerConnection(socket, codec, metrics);
+        connections.add(connection);
+        onConnection.accept(connection);
     }
 }
--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -1,5 +1,7 @@
 package org.redwinghook.sidecar;
 
+import java.security.SecureRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -8,11 +10,15 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import org.redwinghook.core.admission.AdmissionController;
+import org.redwinghook.core.config.ServiceKind;
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.once.ExecutorIdentity;
 import org.redwinghook.runtime.admin.AdminServer;
 import org.redwinghook.runtime.config.ConfigurationSource;
+import org.redwinghook.runtime.platform.LogClient;
+import org.redwinghook.runtime.platform.VmListClient;
 import org.redwinghook.runtime.process.ManagedProcess;
 import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.PeerConnection;
@@ -20,25 +26,45 @@
 import org.redwinghook.runtime.wire.WireMetrics;
 import org.redwinghook.sidecar.call.CallService;
 import org.redwinghook.sidecar.engine.EngineClient;
+import org.redwinghook.sidecar.engine.LoadMonitor;
+import org.redwinghook.sidecar.generation.GenerationMetrics;
 import org.redwinghook.sidecar.generation.GenerationService;
 import org.redwinghook.sidecar.generation.GenerationStore;
+import org.redwinghook.sidecar.once.ExecutorCount;
+import org.redwinghook.sidecar.once.ExecutorInquiry;
+import org.redwinghook.sidecar.once.OnceMetrics;
+import org.redwinghook.sidecar.once.OnceService;
 import org.redwinghook.sidecar.peer.EndpointGate;
 import org.redwinghook.sidecar.peer.RouterSession;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Assembles a sidecar from its services. */
 public final class SidecarProcess implements ManagedProcess {
 
     private static final int PROTOCOL_VERSION = 1;
 
+    /** Longest wait for outcomes to reach the log at a graceful stop. */
+    private static final long OUTCOME_FLUSH_MILLIS = 30_000;
+
+    /** Random part of the incarnation; a clock that was set back must not give two starts one number. */
+    private static final int RANDOM_BITS = 20;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(SidecarProcess.class);
+
+    private final Vertx vertx;
     private final SidecarSettings settings;
     private final ConfigurationSource configuration;
-    private final long incarnation = System.currentTimeMillis();
+    private final long incarnation =
+            (System.currentTimeMillis() << RANDOM_BITS) | new SecureRandom().nextInt(1 << RANDOM_BITS);
     private final AtomicLong lastIdentifier = new AtomicLong();
     private final EndpointGate gate;
     private final GenerationService generations;
     private final CallService calls;
+    private final OnceService once;
     private final PeerServer peers;
     private final AdminServer admin;
+    private int peerPort;
 
     /**
      * Creates a sidecar.
@@ -48,27 +74,48 @@
      * @param configuration the configuration in force
      */
     public SidecarProcess(Vertx vertx, SidecarSettings settings, ConfigurationSource configuration) {
+        this.vertx = vertx;
         this.settings = settings;
         this.configuration = configuration;
         PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         ServiceRegistry services = new ServiceRegistry();
         gate = new EndpointGate(vertx, new AdmissionController(settings.concurrency()));
+        EngineClient engine = new EngineClient(vertx, settings.endpoint());
         generations = new GenerationService(
                 vertx,
-                new EngineClient(vertx, settings.endpoint()),
+                engine,
                 new GenerationStore(settings.shared().process(), incarnation),
                 gate,
-                () -> configuration.current().rules().resumeWindowMillis());
-        calls = new CallService(vertx, settings.endpoint(), gate);
-        peers = new PeerServer(
-                vertx, settings.shared().peer(), new FrameCodec(), new WireMetrics(metrics), this::accept);
+                () -> configuration.current().rules().resumeWindowMillis(),
+                GenerationService.MOST_CHARACTERS,
+                new GenerationMetrics(metrics));
+        FrameCodec codec = new FrameCodec();
+        WireMetrics wireMetrics = new WireMetrics(metrics);
+        VmListClient vmList = new VmListClient(vertx, settings.shared().vmList());
+        once = new OnceService(
+                vertx,
+                new LogClient(vertx, settings.shared().log()),
+                new ExecutorIdentity(settings.shared().process(), incarnation),
+                settings.service(),
+                new ExecutorInquiry(vertx, codec, wireMetrics, vmList::read, this::hello),
+                () -> configuration.current().rules().idempotencyWindowMillis(),
+                new ExecutorCount(vertx, vmList, configuration, settings.service()),
+                new OnceMetrics(metrics));
+        calls = new CallService(vertx, settings.endpoint(), gate, once);
+        peers = new PeerServer(vertx, settings.shared().peer(), codec, wireMetrics, this::accept);
         services.register("gate", gate);
+        services.register("generations", generations);
+        services.register("once", once);
+        if (settings.kind() == ServiceKind.ENGINE) {
+            services.register(
+                    "engine", new LoadMonitor(vertx, engine, LoadMonitor.INTERVAL_MILLIS, gate::endpointRestarted));
+        }
         admin = new AdminServer(vertx, settings.shared().admin(), services, metrics, gate::accepting);
     }
 
     @Override
     public Future<Void> start() {
-        return peers.start().compose(port -> admin.start());
+        return peers.start().onSuccess(port -> peerPort = port).compose(port -> admin.start());
     }
 
     @Override
@@ -76,12 +123,53 @@
         gate.setAccepting(false);
         Promise<Void> idle = Promise.promise();
         gate.whenIdle(() -> idle.tryComplete());
-        return idle.future().compose(ignored -> peers.stop());
+        Future<Void> finished = Future.join(idle.future(), once.idle()).compose(ignored -> generations.delivered());
+        Future<Void> drained = limited(finished, settings.shared().drainTimeoutMillis());
+        // Outcomes that a log outage holds back must not keep the process for ever: without them a retry is told
+        // "outcome unknown", which is true.
+        return drained.compose(ignored -> limited(once.flushed(), OUTCOME_FLUSH_MILLIS))
+                .compose(ignored -> peers.stop());
+    }
+
+    /**
+     * Port for other processes.
+     *
+     * @return the port, 0 before the start
+     */
+    public int peerPort() {
+        return peerPort;
+    }
+
+    /**
+     * Port for operators.
+     *
+     * @return the port, 0 before the start
+     */
+    public int adminPort() {
+        return admin.port();
+    }
+
+    private static Future<Void> limited(Future<Void> work, long limitMillis) {
+        if (limitMillis == 0) {
+            return work;
+        }
+        return work.timeout(limitMillis, TimeUnit.MILLISECONDS).recover(failure -> {
+            LOGGER.warn("the graceful stop goes on after its limit of {} ms", limitMillis);
+            return Future.succeededFuture();
+        });
     }
 
     private void accept(PeerConnection connection) {
         new RouterSession(
-                connection, this::hello, settings.service(), gate, generations, calls, lastIdentifier::incrementAndGet);
+                vertx,
+                connection,
+                this::hello,
+                settings.service(),
+                gate,
+                generations,
+                calls,
+                once,
+                lastIdentifier::incrementAndGet);
     }
 
     private Hello hello() {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/call/CallService.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/call/CallService.java
@@ -1,5 +1,7 @@
 package org.redwinghook.sidecar.call;
 
+import java.util.function.Consumer;
+
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -7,6 +9,8 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.admission.WorkItem;
 import org.redwinghook.core.message.CallAnswer;
 import org.redwinghook.core.message.CallRequest;
@@ -14,38 +18,65 @@
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.core.message.Refused;
 import org.redwinghook.core.message.Submit;
+import org.redwinghook.core.once.NotRunCause;
+import org.redwinghook.core.once.OperationKey;
+import org.redwinghook.core.once.OutcomeKind;
+import org.redwinghook.core.once.StoredAnswer;
 import org.redwinghook.runtime.settings.Address;
 import org.redwinghook.runtime.wire.PeerConnection;
+import org.redwinghook.sidecar.once.ClaimListener;
+import org.redwinghook.sidecar.once.KeyedRun;
+import org.redwinghook.sidecar.once.OnceService;
 import org.redwinghook.sidecar.peer.EndpointGate;
 
 /** Runs calls at a plain service. */
 public final class CallService {
 
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    /** The gate limits calls; the pool must not hold back an admitted one. */
+    private static final int MOST_CONNECTIONS = 10_000;
+
     private static final long RETRY_AFTER_MILLIS = 500;
+    private static final String CONNECTION_BROKE = "the connection to the service broke during the call";
 
     private final HttpClient client;
     private final Address address;
     private final EndpointGate gate;
+    private final OnceService once;
 
     /**
      * Creates the service.
      *
      * @param vertx runs it
      * @param address the plain service
-     * @param gate told of the ends of calls
+     * @param gate admits keyed calls and is told of the ends of all calls
+     * @param once decides which keyed calls run
      */
-    public CallService(Vertx vertx, Address address, EndpointGate gate) {
+    public CallService(Vertx vertx, Address address, EndpointGate gate, OnceService once) {
         // A pooled connection may die between calls; without keep-alive a failed connect proves that nothing was sent.
-        this.client = vertx.createHttpClient(new HttpClientOptions()
-                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-                .setKeepAlive(false));
+        this.client = vertx.createHttpClient(
+                new HttpClientOptions()
+                        .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                        .setKeepAlive(false),
+                new PoolOptions().setHttp1MaxSize(MOST_CONNECTIONS));
         this.address = address;
         this.gate = gate;
+        this.once = once;
+    }
+
+    /**
+     * Whether a call needs its key on the log before it may run.
+     *
+     * @param call the call
+     * @return true for calls with a key that must not be repeated
+     */
+    public static boolean isKeyed(CallRequest call) {
+        return call.idempotencyKey() != null && !call.idempotent();
     }
 
     /**
-     * Runs an admitted call.
+     * Runs an admitted call without a claim on its key.
      *
      * @param connection connection to the router
      * @param submit the router's message; its call is present
@@ -53,16 +84,42 @@
      */
     public void start(PeerConnection connection, Submit submit, WorkItem item) {
         CallRequest call = submit.call();
-        if (call == null) {
+        if (call != null) {
+            run(call, item, end -> tell(connection, submit, end));
+        }
+    }
+
+    /**
+     * Runs a keyed call if its key was not run before. The call asks for admission only when its intent has won, so
+     * that replays and joined calls take no place at the endpoint.
+     *
+     * @param connection connection to the router
+     * @param submit the router's message; its call is present and keyed
+     * @param item the request, not yet admitted
+     */
+    public void startKeyed(PeerConnection connection, Submit submit, WorkItem item) {
+        CallRequest call = submit.call();
+        if (call == null || call.idempotencyKey() == null) {
             return;
         }
+        OperationKey key = new OperationKey(submit.customer(), call.idempotencyKey());
+        once.claim(key, call, item.deadlineMillis(), new KeyedCall(connection, submit, call, item));
+    }
+
+    private void run(CallRequest call, WorkItem item, Consumer<CallEnd> onEnd) {
+        Consumer<CallEnd> ended = end -> {
+            gate.finished(item.identifier(), end.kind() == OutcomeKind.DONE);
+            onEnd.accept(end);
+        };
         client.request(HttpMethod.valueOf(call.method()), address.port(), address.host(), call.path())
-                .onFailure(failure -> notRun(connection, submit, item))
-                .onSuccess(request -> send(request, connection, submit, call, item));
+                .onFailure(failure -> {
+                    gate.endpointRestarted();
+                    ended.accept(new CallEnd(OutcomeKind.NOT_RUN, null));
+                })
+                .onSuccess(request -> send(request, call, ended));
     }
 
-    private void send(
-            HttpClientRequest request, PeerConnection connection, Submit submit, CallRequest call, WorkItem item) {
+    private static void send(HttpClientRequest request, CallRequest call, Consumer<CallEnd> ended) {
         if (call.contentType() != null) {
             request.putHeader("content-type", call.contentType());
         }
@@ -70,35 +127,98 @@
             request.putHeader("idempotency-key", call.idempotencyKey());
         }
         request.send(Buffer.buffer(call.body()))
-                .compose(response -> response.body().map(body -> answer(submit, response, body)))
-                .onSuccess(answer -> {
-                    gate.finished(item.identifier(), true);
-                    connection.send(answer);
-                })
-                .onFailure(failure -> {
-                    gate.finished(item.identifier(), false);
-                    connection.send(new OutcomeUnknown(
-                            submit.exchange(), "the connection to the service broke during the call"));
-                });
+                .compose(response -> response.body().map(body -> answer(response, body)))
+                .onSuccess(answer -> ended.accept(new CallEnd(OutcomeKind.DONE, answer)))
+                .onFailure(failure -> ended.accept(new CallEnd(OutcomeKind.UNKNOWN, null)));
     }
 
-    private CallAnswer answer(Submit submit, HttpClientResponse response, Buffer body) {
+    private static StoredAnswer answer(HttpClientResponse response, Buffer body) {
+        return new StoredAnswer(response.statusCode(), response.getHeader("content-type"), body.getBytes());
+    }
+
+    private void tell(PeerConnection connection, Submit submit, CallEnd end) {
+        StoredAnswer answer = end.answer();
+        if (answer != null) {
+            connection.send(callAnswer(submit, answer, false));
+        } else if (end.kind() == OutcomeKind.NOT_RUN) {
+            refuse(connection, submit, RefusalReason.ENDPOINT_DOWN, "the service does not accept connections");
+        } else {
+            connection.send(new OutcomeUnknown(submit.exchange(), CONNECTION_BROKE));
+        }
+    }
+
+    private CallAnswer callAnswer(Submit submit, StoredAnswer answer, boolean replayed) {
         return new CallAnswer(
-                submit.exchange(),
-                response.statusCode(),
-                response.getHeader("content-type"),
-                body.getBytes(),
-                false,
-                gate.load());
+                submit.exchange(), answer.status(), answer.contentType(), answer.body(), replayed, gate.load());
+    }
+
+    private void refuse(PeerConnection connection, Submit submit, RefusalReason reason, String detail) {
+        connection.send(new Refused(submit.exchange(), reason, detail, RETRY_AFTER_MILLIS, gate.load()));
     }
 
-    private void notRun(PeerConnection connection, Submit submit, WorkItem item) {
-        gate.finished(item.identifier(), false);
-        connection.send(new Refused(
-                submit.exchange(),
-                RefusalReason.ENDPOINT_DOWN,
-                "the service does not accept connections",
-                RETRY_AFTER_MILLIS,
-                gate.load()));
+    /** How a call ended; the answer is present if it is done. */
+    private record CallEnd(OutcomeKind kind, @Nullable StoredAnswer answer) {}
+
+    /** One caller's keyed call. */
+    private final class KeyedCall implements ClaimListener {
+
+        private final PeerConnection connection;
+        private final Submit submit;
+        private final CallRequest call;
+        private final WorkItem item;
+
+        KeyedCall(PeerConnection connection, Submit submit, CallRequest call, WorkItem item) {
+            this.connection = connection;
+            this.submit = submit;
+            this.call = call;
+            this.item = item;
+        }
+
+        @Override
+        public void run(KeyedRun keyedRun) {
+            gate.offer(
+                    item,
+                    admitted -> runAdmitted(keyedRun),
+                    detail -> once.finished(keyedRun, OutcomeKind.NOT_RUN, null));
+        }
+
+        private void runAdmitted(KeyedRun keyedRun) {
+            if (item.deadlineMillis() <= EndpointGate.nowMillis()) {
+                gate.finished(item.identifier(), false);
+                once.finished(keyedRun, OutcomeKind.NOT_RUN, null);
+                return;
+            }
+            CallService.this.run(call, item, end -> once.finished(keyedRun, end.kind(), end.answer()));
+        }
+
+        @Override
+        public void answered(StoredAnswer answer, boolean replayed) {
+            connection.send(callAnswer(submit, answer, replayed));
+        }
+
+        @Override
+        public void notRun(NotRunCause cause) {
+            RefusalReason reason =
+                    switch (cause) {
+                        case LOG_UNAVAILABLE -> RefusalReason.LOG_UNAVAILABLE;
+                        case ENDPOINT -> RefusalReason.ENDPOINT_DOWN;
+                        case DEADLINE, EARLIER_ATTEMPT -> RefusalReason.OVERLOADED;
+                    };
+            refuse(connection, submit, reason, cause.detail());
+        }
+
+        @Override
+        public void conflict() {
+            refuse(
+                    connection,
+                    submit,
+                    RefusalReason.KEY_REUSED,
+                    "the idempotency key was used before with a different method, path or body");
+        }
+
+        @Override
+        public void unknown(String detail) {
+            connection.send(new OutcomeUnknown(submit.exchange(), detail));
+        }
     }
 }
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineListener.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineListener.java
@@ -2,9 +2,18 @@
 
 import org.redwinghook.core.message.FinishReason;
 
-/** Receives what an engine sends for one generation. Exactly one of finished and failed is called, and it is last. */
+/**
+ * Receives what an engine sends for one generation. Exactly one of refused, finished and failed is called, and it is
+ * last.
+ */
 public interface EngineListener {
 
+    /** The engine took the connection; the request is being sent. */
+    void connected();
+
+    /** The engine does not accept connections; nothing was sent. */
+    void refused();
+
     /**
      * A token arrived.
      *
@@ -20,10 +29,9 @@
     void finished(FinishReason reason);
 
     /**
-     * The stream ended before the generation was whole.
+     * The generation ended before it was whole.
      *
      * @param cause what happened
-     * @param sent whether the engine may have received the request
      */
-    void failed(String cause, boolean sent);
+    void failed(String cause);
 }
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/LoadMonitor.java
@@ -0,0 +1,99 @@
+package org.redwinghook.sidecar.engine;
+
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.json.JsonObject;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.runtime.admin.StateSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Polls the engine's load reports and notices when the engine was started anew or is down. */
+public final class LoadMonitor implements StateSource {
+
+    /** Usual interval of the polls in milliseconds. */
+    public static final long INTERVAL_MILLIS = 1_000;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(LoadMonitor.class);
+    private static final int HTTP_OK = 200;
+
+    private final EngineClient engine;
+    private final Runnable onRestart;
+    private final long timeoutMillis;
+    private @Nullable LoadReport report;
+    private boolean down;
+    private boolean asking;
+
+    /**
+     * Starts to poll.
+     *
+     * @param vertx runs the timer
+     * @param engine the engine
+     * @param intervalMillis interval of the polls; also the longest wait for a report
+     * @param onRestart called when the engine was started anew or refuses connections
+     */
+    public LoadMonitor(Vertx vertx, EngineClient engine, long intervalMillis, Runnable onRestart) {
+        this.engine = engine;
+        this.onRestart = onRestart;
+        this.timeoutMillis = intervalMillis;
+        vertx.setPeriodic(intervalMillis, ignored -> poll());
+    }
+
+    /**
+     * The newest report.
+     *
+     * @return the report, null before the first one
+     */
+    public @Nullable LoadReport report() {
+        return report;
+    }
+
+    @Override
+    public Object state() {
+        LoadReport newest = report;
+        return newest == null ? "no report" : newest;
+    }
+
+    private void poll() {
+        if (asking) {
+            return;
+        }
+        asking = true;
+        engine.load()
+                .onFailure(failure -> refused())
+                .compose(response -> response.body().map(body -> parse(response, body)))
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                .onSuccess(this::received)
+                .onComplete(ignored -> asking = false);
+    }
+
+    private static @Nullable LoadReport parse(HttpClientResponse response, Buffer body) {
+        return response.statusCode() == HTTP_OK ? new JsonObject(body).mapTo(LoadReport.class) : null;
+    }
+
+    private void refused() {
+        if (down) {
+            return;
+        }
+        down = true;
+        LOGGER.warn("the engine does not accept connections");
+        onRestart.run();
+    }
+
+    private void received(@Nullable LoadReport received) {
+        down = false;
+        if (received == null) {
+            return;
+        }
+        LoadReport before = report;
+        report = received;
+        if (before != null && !Objects.equals(before.startedAt(), received.startedAt())) {
+            LOGGER.info("the engine was started anew");
+            onRestart.run();
+        }
+    }
+}
--- a/sidecar/src/main/java/org/redwinghook/sidecar/generation/Generation.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/generation/Generation.java
@@ -4,6 +4,7 @@
 import org.redwinghook.core.message.FinishReason;
 import org.redwinghook.core.message.TokenUsage;
 import org.redwinghook.core.stream.TokenBuffer;
+import org.redwinghook.sidecar.engine.EngineStream;
 
 /** One generation with all its tokens, kept until its callers have had time to resume. */
 public final class Generation {
@@ -12,11 +13,16 @@
     private final String owner;
     private final String customer;
     private final int promptTokens;
+    private final long item;
     private final TokenBuffer tokens = new TokenBuffer();
     private GenerationState state = GenerationState.RUNNING;
     private FinishReason finishReason = FinishReason.STOP;
     private String interruption = "";
     private @Nullable Subscription subscription;
+    private @Nullable EngineStream stream;
+    private boolean paused;
+    private boolean endDelivered;
+    private long retentions;
 
     /**
      * Creates a generation without tokens.
@@ -25,12 +31,14 @@
      * @param owner owner of the customer
      * @param customer customer that started it
      * @param promptTokens prompt length in tokens
+     * @param item number under which it was admitted
      */
-    public Generation(String identifier, String owner, String customer, int promptTokens) {
+    public Generation(String identifier, String owner, String customer, int promptTokens, long item) {
         this.identifier = identifier;
         this.owner = owner;
         this.customer = customer;
         this.promptTokens = promptTokens;
+        this.item = item;
     }
 
     /**
@@ -60,6 +68,101 @@
         return customer;
     }
 
+    /**
+     * Number under which the generation was admitted.
+     *
+     * @return the number
+     */
+    public long item() {
+        return item;
+    }
+
+    /**
+     * Sets the engine's stream.
+     *
+     * @param opened the stream
+     */
+    public void stream(EngineStream opened) {
+        stream = opened;
+    }
+
+    /** Cancels the generation at the engine. */
+    public void cancel() {
+        interrupt("the generation was cancelled");
+        if (stream != null) {
+            stream.cancel();
+        }
+    }
+
+    /**
+     * Whether the engine's stream is not read for want of memory.
+     *
+     * @return true while it is paused
+     */
+    public boolean isPaused() {
+        return paused;
+    }
+
+    /**
+     * Stops or continues to read the engine's stream.
+     *
+     * @param value whether to stop
+     */
+    public void setPaused(boolean value) {
+        if (paused == value || stream == null) {
+            return;
+        }
+        paused = value;
+        if (paused) {
+            stream.pause();
+        } else {
+            stream.resume();
+        }
+    }
+
+    /**
+     * Whether tokens wait that no follower has been sent.
+     *
+     * @return true if some wait
+     */
+    public boolean hasBacklog() {
+        return subscription == null || subscription.sentThrough() < tokens.lastSequence();
+    }
+
+    /**
+     * Whether a follower was sent the end.
+     *
+     * @return true if the operating system took the last message
+     */
+    public boolean isEndDelivered() {
+        return endDelivered;
+    }
+
+    /** Notes that the end was sent. */
+    public void endWasDelivered() {
+        endDelivered = true;
+    }
+
+    /**
+     * Notes an event that starts the time for which the generation is kept anew.
+     *
+     * @return number of such events, by which an outdated timer is told
+     */
+    public long renewRetention() {
+        retentions++;
+        return retentions;
+    }
+
+    /**
+     * Whether no event has started the retention anew since.
+     *
+     * @param count number from {@link #renewRetention}
+     * @return true if it was the last one
+     */
+    public boolean isRetention(long count) {
+        return retentions == count;
+    }
+
     /**
      * Tokens so far.
      *
--- a/sidecar/src/main/java/org/redwinghook/sidecar/generation/GenerationStore.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/generation/GenerationStore.java
@@ -1,5 +1,7 @@
 package org.redwinghook.sidecar.generation;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -28,11 +30,12 @@
      * @param owner owner of the customer
      * @param customer customer that starts it
      * @param promptTokens prompt length in tokens
+     * @param item number under which it was admitted
      * @return the generation
      */
-    public Generation create(String owner, String customer, int promptTokens) {
+    public Generation create(String owner, String customer, int promptTokens, long item) {
         lastNumber++;
-        Generation generation = new Generation(prefix + lastNumber, owner, customer, promptTokens);
+        Generation generation = new Generation(prefix + lastNumber, owner, customer, promptTokens, item);
         generations.put(generation.identifier(), generation);
         return generation;
     }
@@ -59,11 +62,11 @@
     }
 
     /**
-     * Number of generations kept.
+     * Generations kept.
      *
-     * @return the number
+     * @return a view of them
      */
-    public int size() {
-        return generations.size();
+    public Collection<Generation> all() {
+        return Collections.unmodifiableCollection(generations.values());
     }
 }
--- a/sidecar/src/main/java/org/redwinghook/sidecar/generation/Subscription.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/generation/Subscription.java
@@ -3,9 +3,13 @@
 import java.util.List;
 import java.util.function.Supplier;
 
+import org.redwinghook.core.message.Accepted;
 import org.redwinghook.core.message.EndpointLoad;
 import org.redwinghook.core.message.Finished;
 import org.redwinghook.core.message.Interrupted;
+import org.redwinghook.core.message.Message;
+import org.redwinghook.core.message.RefusalReason;
+import org.redwinghook.core.message.Refused;
 import org.redwinghook.core.message.Tokens;
 import org.redwinghook.runtime.wire.PeerConnection;
 
@@ -18,6 +22,7 @@
     private final PeerConnection connection;
     private final long exchange;
     private final Supplier<EndpointLoad> load;
+    private final Runnable onEndDelivered;
     private long sentThrough;
     private long sendThrough;
     private boolean endSent;
@@ -30,24 +35,62 @@
      * @param load gives the endpoint's load for the last message
      * @param sentThrough last sequence number that the router already has
      * @param credit tokens that may be sent after it
+     * @param onEndDelivered called when the operating system took the last message
      */
     public Subscription(
-            PeerConnection connection, long exchange, Supplier<EndpointLoad> load, long sentThrough, int credit) {
+            PeerConnection connection,
+            long exchange,
+            Supplier<EndpointLoad> load,
+            long sentThrough,
+            int credit,
+            Runnable onEndDelivered) {
         this.connection = connection;
         this.exchange = exchange;
         this.load = load;
+        this.onEndDelivered = onEndDelivered;
         this.sentThrough = sentThrough;
         this.sendThrough = sentThrough + credit;
     }
 
     /**
-     * Whether this follower came over a connection.
+     * Whether this follower has an exchange on a connection.
      *
      * @param other the connection
-     * @return true if it did
+     * @param number the exchange
+     * @return true if it does
      */
-    public boolean uses(PeerConnection other) {
-        return connection == other;
+    public boolean uses(PeerConnection other, long number) {
+        return connection == other && exchange == number;
+    }
+
+    /**
+     * Last sequence number that was sent.
+     *
+     * @return the number
+     */
+    public long sentThrough() {
+        return sentThrough;
+    }
+
+    /**
+     * Tells the follower that the generation exists.
+     *
+     * @param generation the generation
+     */
+    public void accept(Generation generation) {
+        connection.send(new Accepted(exchange, generation.identifier()));
+    }
+
+    /**
+     * Tells the follower that the generation was not run.
+     *
+     * @param reason why
+     * @param detail explanation for the caller
+     * @param retryAfterMillis time after which another try makes sense
+     */
+    public void refuse(RefusalReason reason, String detail, long retryAfterMillis) {
+        endSent = true;
+        connection.send(new Refused(exchange, reason, detail, retryAfterMillis, load.get()));
     }
 
     /**
@@ -84,9 +127,13 @@
         }
         endSent = true;
         if (generation.state() == GenerationState.FINISHED) {
-            connection.send(new Finished(exchange, generation.finishReason(), generation.usage(), last, load.get()));
+            deliverEnd(new Finished(exchange, generation.finishReason(), generation.usage(), last, load.get()));
             return;
         }
-        connection.send(new Interrupted(exchange, generation.interruption(), last));
+        deliverEnd(new Interrupted(exchange, generation.interruption(), last));
+    }
+
+    private void deliverEnd(Message end) {
+        connection.send(end).onSuccess(ignored -> onEndDelivered.run());
     }
 }
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/ClaimListener.java
@@ -0,0 +1,40 @@
+package org.redwinghook.sidecar.once;
+
+import org.redwinghook.core.once.NotRunCause;
+import org.redwinghook.core.once.StoredAnswer;
+
+/** Receives what happens with a claim. All methods but run are last calls. */
+public interface ClaimListener {
+
+    /**
+     * The call must be run now; its end must be reported with {@link OnceService#finished}.
+     *
+     * @param run the run
+     */
+    void run(KeyedRun run);
+
+    /**
+     * The service answered.
+     *
+     * @param answer the answer
+     * @param replayed whether another request's run produced it
+     */
+    void answered(StoredAnswer answer, boolean replayed);
+
+    /**
+     * The call was not run and will not be.
+     *
+     * @param cause why
+     */
+    void notRun(NotRunCause cause);
+
+    /** The key belongs to a different request; nothing was run. */
+    void conflict();
+
+    /**
+     * The call may have run.
+     *
+     * @param detail why nothing more is known
+     */
+    void unknown(String detail);
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/ExecutorInquiry.java
@@ -0,0 +1,99 @@
+package org.redwinghook.sidecar.once;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import org.redwinghook.core.membership.Member;
+import org.redwinghook.core.message.Hello;
+import org.redwinghook.core.message.KeyAnswer;
+import org.redwinghook.core.message.KeyQuestion;
+import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.once.ExecutorIdentity;
+import org.redwinghook.core.once.OperationKey;
+import org.redwinghook.runtime.wire.FrameCodec;
+import org.redwinghook.runtime.wire.PeerConnection;
+import org.redwinghook.runtime.wire.WireMetrics;
+
+/** Asks other executors about attempts of theirs, on one connection for each question. */
+public final class ExecutorInquiry {
+
+    /** Longest wait for an answer; an executor that takes longer counts as unreachable. */
+    private static final int TIMEOUT_MILLIS = 1_000;
+
+    private static final long EXCHANGE = 1;
+
+    private final NetClient client;
+    private final FrameCodec codec;
+    private final WireMetrics metrics;
+    private final Supplier<Future<List<Member>>> members;
+    private final Supplier<Hello> hello;
+
+    /**
+     * Creates the inquiry.
+     *
+     * @param vertx runs it
+     * @param codec encodes and decodes frames
+     * @param metrics counts bytes and messages
+     * @param members reads the VM list
+     * @param hello gives this sidecar's greeting
+     */
+    public ExecutorInquiry(
+            Vertx vertx,
+            FrameCodec codec,
+            WireMetrics metrics,
+            Supplier<Future<List<Member>>> members,
+            Supplier<Hello> hello) {
+        this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(TIMEOUT_MILLIS));
+        this.codec = codec;
+        this.metrics = metrics;
+        this.members = members;
+        this.hello = hello;
+    }
+
+    /**
+     * Asks an executor.
+     *
+     * @param executor the executor
+     * @param key the key that it won
+     * @param attempt number of its attempt
+     * @return its answer; fails if the executor is gone or does not answer
+     */
+    public Future<KeyAnswer> ask(ExecutorIdentity executor, OperationKey key, long attempt) {
+        KeyQuestion question = new KeyQuestion(
+                EXCHANGE, executor.process(), executor.incarnation(), key.customer(), key.key(), attempt);
+        return members.get()
+                .compose(list -> address(list, executor))
+                .compose(member -> client.connect(member.peerPort(), member.host()))
+                .compose(socket -> exchange(socket, question));
+    }
+
+    private static Future<Member> address(List<Member> members, ExecutorIdentity executor) {
+        for (Member member : members) {
+            if (member.role() == ProcessRole.SIDECAR && member.vm().equals(executor.process())) {
+                return Future.succeededFuture(member);
+            }
+        }
+        return Future.failedFuture("the VM list has no sidecar " + executor.process());
+    }
+
+    private Future<KeyAnswer> exchange(NetSocket socket, KeyQuestion question) {
+        PeerConnection connection = new PeerConnection(socket, codec, metrics);
+        Promise<KeyAnswer> answer = Promise.promise();
+        connection.onMessage(message -> {
+            if (message instanceof KeyAnswer received) {
+                answer.tryComplete(received);
+            }
+        });
+        connection.onClose(() -> answer.tryFail("the connection was closed"));
+        connection.send(hello.get());
+        connection.send(question);
+        return answer.future().timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).onComplete(ignored -> connection.close());
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/OnceMetrics.java
@@ -0,0 +1,79 @@
+package org.redwinghook.sidecar.once;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+
+/** Counters of keyed calls. */
+public final class OnceMetrics {
+
+    private final Counter appends;
+    private final Counter appendFailures;
+    private final Counter readFailures;
+    private final Counter undecodable;
+    private final Counter runs;
+    private final Counter answers;
+    private final Counter replays;
+    private final Counter notRun;
+    private final Counter conflicts;
+    private final Counter unknown;
+    private final Counter questions;
+
+    /**
+     * Creates the counters.
+     *
+     * @param registry where they are registered
+     */
+    public OnceMetrics(MeterRegistry registry) {
+        appends = registry.counter("redwinghook.once.appends");
+        appendFailures = registry.counter("redwinghook.once.append.failures");
+        readFailures = registry.counter("redwinghook.once.read.failures");
+        undecodable = registry.counter("redwinghook.once.undecodable.records");
+        runs = registry.counter("redwinghook.once.runs");
+        answers = registry.counter("redwinghook.once.answers");
+        replays = registry.counter("redwinghook.once.replays");
+        notRun = registry.counter("redwinghook.once.not.run");
+        conflicts = registry.counter("redwinghook.once.conflicts");
+        unknown = registry.counter("redwinghook.once.unknown");
+        questions = registry.counter("redwinghook.once.questions");
+    }
+
+    void appended() {
+        appends.increment();
+    }
+
+    void appendFailed() {
+        appendFailures.increment();
+    }
+
+    void readFailed() {
+        readFailures.increment();
+    }
+
+    void undecodable() {
+        undecodable.increment();
+    }
+
+    void run() {
+        runs.increment();
+    }
+
+    void answered(boolean replayed) {
+        (replayed ? replays : answers).increment();
+    }
+
+    void notRun() {
+        notRun.increment();
+    }
+
+    void conflict() {
+        conflicts.increment();
+    }
+
+    void unknown() {
+        unknown.increment();
+    }
+
+    void asked() {
+        questions.increment();
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/OnceService.java
@@ -0,0 +1,281 @@
+package org.redwinghook.sidecar.once;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.message.CallRequest;
+import org.redwinghook.core.message.KeyAnswer;
+import org.redwinghook.core.message.KeyQuestion;
+import org.redwinghook.core.message.KeyStage;
+import org.redwinghook.core.once.BatchInterval;
+import org.redwinghook.core.once.Claim;
+import org.redwinghook.core.once.ExecutorIdentity;
+import org.redwinghook.core.once.KeyReport;
+import org.redwinghook.core.once.NotRunCause;
+import org.redwinghook.core.once.OperationKey;
+import org.redwinghook.core.once.OutcomeKind;
+import org.redwinghook.core.once.RequestHash;
+import org.redwinghook.core.once.StoredAnswer;
+import org.redwinghook.core.once.Verdict;
+import org.redwinghook.runtime.admin.StateSource;
+import org.redwinghook.runtime.platform.LogClient;
+import org.redwinghook.sidecar.peer.EndpointGate;
+
+/** Runs keyed calls at most once. */
+public final class OnceService implements StateSource {
+
+    private static final long EXPIRY_CHECK_MILLIS = 25;
+
+    /** Pause between two questions about an attempt that runs at another executor. */
+    private static final long ASK_AGAIN_MILLIS = 100;
+
+    private final Vertx vertx;
+    private final LogClient log;
+    private final ExecutorIdentity self;
+    private final String service;
+    private final ExecutorInquiry inquiry;
+    private final LongSupplier windowMillis;
+    private final IntSupplier executors;
+    private final OnceMetrics metrics;
+    private final Map<Integer, PartitionRunner> partitions = new TreeMap<>();
+    private final Map<Long, PendingClaim> pending = new HashMap<>();
+    private long lastClaim;
+    private final Promise<Void> idle = Promise.promise();
+    private final Promise<Void> flushed = Promise.promise();
+    private boolean stopping;
+
+    /**
+     * Creates the service.
+     *
+     * @param vertx runs it
+     * @param log the log
+     * @param self this executor
+     * @param service service of the endpoint
+     * @param inquiry asks other executors
+     * @param windowMillis time for which keys are remembered
+     * @param executors number of live executors that share the log
+     * @param metrics counts claims and appends
+     */
+    public OnceService(
+            Vertx vertx,
+            LogClient log,
+            ExecutorIdentity self,
+            String service,
+            ExecutorInquiry inquiry,
+            LongSupplier windowMillis,
+            IntSupplier executors,
+            OnceMetrics metrics) {
+        this.vertx = vertx;
+        this.log = log;
+        this.self = self;
+        this.service = service;
+        this.inquiry = inquiry;
+        this.windowMillis = windowMillis;
+        this.executors = executors;
+        this.metrics = metrics;
+        vertx.setPeriodic(EXPIRY_CHECK_MILLIS, ignored -> tick());
+    }
+
+    /**
+     * Claims a key for a call.
+     *
+     * @param key the key
+     * @param call the call
+     * @param deadlineMillis monotonic time after which the caller no longer waits
+     * @param listener told what happens
+     */
+    public void claim(OperationKey key, CallRequest call, long deadlineMillis, ClaimListener listener) {
+        OptionalLong created = key.createdMillis();
+        if (created.isPresent() && created.getAsLong() < System.currentTimeMillis() - windowMillis.getAsLong()) {
+            metrics.unknown();
+            listener.unknown("the idempotency key is older than the time for which keys are remembered");
+            return;
+        }
+        lastClaim++;
+        Claim claim = new Claim(lastClaim, key, RequestHash.of(call), deadlineMillis);
+        pending.put(claim.number(), new PendingClaim(claim, listener));
+        partition(key.partition()).offer(claim);
+    }
+
+    /**
+     * Notes the end of a run.
+     *
+     * @param run the run
+     * @param kind how it ended
+     * @param answer answer of the service if it is done
+     */
+    public void finished(KeyedRun run, OutcomeKind kind, @Nullable StoredAnswer answer) {
+        partition(run.partition()).finished(run.attempt(), kind, answer);
+    }
+
+    /**
+     * Answers another sidecar's question.
+     *
+     * @param question the question
+     * @return the answer
+     */
+    public KeyAnswer answer(KeyQuestion question) {
+        if (!self.equals(new ExecutorIdentity(question.process(), question.incarnation()))) {
+            return new KeyAnswer(question.exchange(), KeyStage.UNKNOWN, 0, null, null);
+        }
+        OperationKey key = new OperationKey(question.customer(), question.key());
+        KeyReport report = partition(key.partition()).report(key, question.attempt());
+        StoredAnswer answer = report.answer();
+        return answer == null
+                ? new KeyAnswer(question.exchange(), report.stage(), 0, null, null)
+                : new KeyAnswer(
+                        question.exchange(), report.stage(), answer.status(), answer.contentType(), answer.body());
+    }
+
+    /**
+     * Waits until every claim is answered and no keyed call runs. New claims must not come any more.
+     *
+     * @return completes then
+     */
+    public Future<Void> idle() {
+        stopping = true;
+        tick();
+        return idle.future();
+    }
+
+    /**
+     * Waits until all outcomes are on the log after {@link #idle} has completed.
+     *
+     * @return completes then
+     */
+    public Future<Void> flushed() {
+        return flushed.future();
+    }
+
+    @Override
+    public Object state() {
+        List<PartitionState> states = new ArrayList<>();
+        partitions.values().forEach(partition -> states.add(partition.state()));
+        return new OnceState(pending.size(), states);
+    }
+
+    private PartitionRunner partition(int number) {
+        return partitions.computeIfAbsent(
+                number,
+                created -> new PartitionRunner(
+                        vertx,
+                        log,
+                        self,
+                        service,
+                        created,
+                        windowMillis,
+                        this::intervalMillis,
+                        verdict -> take(created, verdict),
+                        metrics));
+    }
+
+    private long intervalMillis() {
+        int busy = (int)
+                partitions.values().stream().filter(PartitionRunner::isBusy).count();
+        return BatchInterval.millis(executors.getAsInt(), busy);
+    }
+
+    private void tick() {
+        partitions.values().forEach(PartitionRunner::expire);
+        if (!stopping || !pending.isEmpty() || !partitions.values().stream().allMatch(PartitionRunner::isIdle)) {
+            return;
+        }
+        idle.tryComplete();
+        if (partitions.values().stream().noneMatch(PartitionRunner::isBusy)) {
+            flushed.tryComplete();
+        }
+    }
+
+    private void take(int partition, Verdict verdict) {
+        PendingClaim claim = pending.get(verdict.claim());
+        if (claim == null) {
+            return;
+        }
+        if (verdict instanceof Verdict.Run run) {
+            metrics.run();
+            claim.listener().run(new KeyedRun(partition, run.attempt()));
+        } else if (verdict instanceof Verdict.Ask ask) {
+            ask(claim, ask);
+        } else if (verdict instanceof Verdict.Answered answered) {
+            answered(claim, answered.answer(), answered.replayed());
+        } else if (verdict instanceof Verdict.NotRun notRun) {
+            notRun(claim, notRun.cause());
+        } else if (verdict instanceof Verdict.Unknown unknown) {
+            unknown(claim, unknown.detail());
+        } else if (verdict instanceof Verdict.Conflict) {
+            close(claim);
+            metrics.conflict();
+            claim.listener().conflict();
+        }
+    }
+
+    private void ask(PendingClaim claim, Verdict.Ask ask) {
+        if (ask.executor().process().equals(self.process())) {
+            unknown(claim, "the sidecar was restarted after it had taken the call");
+            return;
+        }
+        metrics.asked();
+        inquiry.ask(ask.executor(), claim.claim().key(), ask.attempt())
+                .onSuccess(answer -> told(claim, ask, answer))
+                .onFailure(failure -> unknown(claim, "the sidecar that took the call does not answer"));
+    }
+
+    private void told(PendingClaim claim, Verdict.Ask ask, KeyAnswer answer) {
+        byte[] body = answer.body();
+        switch (answer.stage()) {
+            case RUNNING -> askAgain(claim, ask);
+            case NOT_RUN -> notRun(claim, NotRunCause.EARLIER_ATTEMPT);
+            case UNKNOWN -> unknown(claim, "the sidecar that took the call does not know its end");
+            case DONE -> {
+                if (body == null) {
+                    unknown(claim, "the call has run, but its answer is too large to be kept");
+                    return;
+                }
+                answered(claim, new StoredAnswer(answer.status(), answer.contentType(), body), true);
+            }
+            default -> throw new IllegalStateException("unknown stage " + answer.stage());
+        }
+    }
+
+    private void askAgain(PendingClaim claim, Verdict.Ask ask) {
+        if (claim.claim().deadlineMillis() <= EndpointGate.nowMillis()) {
+            unknown(claim, "the call had not ended when the caller's timeout passed");
+            return;
+        }
+        vertx.setTimer(ASK_AGAIN_MILLIS, ignored -> ask(claim, ask));
+    }
+
+    private void answered(PendingClaim claim, StoredAnswer answer, boolean replayed) {
+        close(claim);
+        metrics.answered(replayed);
+        claim.listener().answered(answer, replayed);
+    }
+
+    private void notRun(PendingClaim claim, NotRunCause cause) {
+        close(claim);
+        metrics.notRun();
+        claim.listener().notRun(cause);
+    }
+
+    private void unknown(PendingClaim claim, String detail) {
+        close(claim);
+        metrics.unknown();
+        claim.listener().unknown(detail);
+    }
+
+    private void close(PendingClaim claim) {
+        pending.remove(claim.claim().number());
+    }
+
+    private record PendingClaim(Claim claim, ClaimListener listener) {}
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/PartitionRunner.java
@@ -0,0 +1,222 @@
+package org.redwinghook.sidecar.once;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import io.vertx.core.Vertx;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.message.KeyStage;
+import org.redwinghook.core.once.Claim;
+import org.redwinghook.core.once.ExecutorIdentity;
+import org.redwinghook.core.once.IntentBatch;
+import org.redwinghook.core.once.KeyReport;
+import org.redwinghook.core.once.OperationKey;
+import org.redwinghook.core.once.OutcomeKind;
+import org.redwinghook.core.once.PartitionExecutor;
+import org.redwinghook.core.once.StoredAnswer;
+import org.redwinghook.core.once.Verdict;
+import org.redwinghook.runtime.platform.LogClient;
+import org.redwinghook.runtime.platform.LogPage;
+import org.redwinghook.runtime.platform.LogRecord;
+import org.redwinghook.sidecar.peer.EndpointGate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Appends and reads one partition's stream. The stream is read from the first record that the log keeps, so an intent is
+ * decided only after the whole window before it was read.
+ */
+final class PartitionRunner {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(PartitionRunner.class);
+    private static final int PAGE_RECORDS = 500;
+
+    /** Pause before the stream is read again for a record that has not appeared. */
+    private static final long READ_AGAIN_MILLIS = 50;
+
+    /** Pause after a failed read during which new claims are refused at once. */
+    private static final long BACK_OFF_MILLIS = 500;
+
+    private final Vertx vertx;
+    private final LogClient log;
+    private final IntentCodec codec = new IntentCodec();
+    private final int partition;
+    private final String stream;
+    private final PartitionExecutor executor;
+    private final LongSupplier windowMillis;
+    private final LongSupplier intervalMillis;
+    private final Consumer<Verdict> onVerdict;
+    private final OnceMetrics metrics;
+    private long nextOffset = 1;
+    private long lastAppendMillis;
+    private long acknowledgedOffset;
+    private boolean appendScheduled;
+    private boolean reading;
+    private boolean readAgainScheduled;
+    private boolean logDown;
+
+    PartitionRunner(
+            Vertx vertx,
+            LogClient log,
+            ExecutorIdentity self,
+            String service,
+            int partition,
+            LongSupplier windowMillis,
+            LongSupplier intervalMillis,
+            Consumer<Verdict> onVerdict,
+            OnceMetrics metrics) {
+        this.vertx = vertx;
+        this.log = log;
+        this.partition = partition;
+        this.stream = OperationKey.stream(service, partition);
+        this.executor = new PartitionExecutor(self);
+        this.windowMillis = windowMillis;
+        this.intervalMillis = intervalMillis;
+        this.onVerdict = onVerdict;
+        this.metrics = metrics;
+        this.lastAppendMillis = EndpointGate.nowMillis() - BACK_OFF_MILLIS;
+    }
+
+    void offer(Claim claim) {
+        pass(executor.offer(claim, System.currentTimeMillis(), windowMillis.getAsLong()));
+        if (logDown) {
+            pass(executor.logUnavailable());
+            return;
+        }
+        scheduleAppend();
+    }
+
+    void finished(long attempt, OutcomeKind kind, @Nullable StoredAnswer answer) {
+        pass(executor.finished(attempt, kind, answer));
+        scheduleAppend();
+    }
+
+    void expire() {
+        pass(executor.expire(EndpointGate.nowMillis()));
+    }
+
+    KeyReport report(OperationKey key, long attempt) {
+        KeyReport report = executor.report(key, attempt);
+        if (report.stage() == KeyStage.NOT_RUN) {
+            // The abandoned intent has appeared on the log; reading it releases the key.
+            read();
+        }
+        return report;
+    }
+
+    boolean isBusy() {
+        return executor.hasSomethingToAppend();
+    }
+
+    boolean isIdle() {
+        return executor.pendingIntents() == 0 && executor.runningAttempts() == 0;
+    }
+
+    PartitionState state() {
+        return new PartitionState(
+                partition,
+                nextOffset,
+                executor.keys(),
+                executor.pendingIntents(),
+                executor.runningAttempts(),
+                executor.pendingOutcomes());
+    }
+
+    private void scheduleAppend() {
+        if (appendScheduled || logDown || !executor.hasSomethingToAppend()) {
+            return;
+        }
+        appendScheduled = true;
+        long due = lastAppendMillis + intervalMillis.getAsLong() - EndpointGate.nowMillis();
+        vertx.setTimer(Math.max(1, due), ignored -> {
+            appendScheduled = false;
+            executor.takeBatch().ifPresent(this::append);
+        });
+    }
+
+    private void append(IntentBatch batch) {
+        lastAppendMillis = EndpointGate.nowMillis();
+        metrics.appended();
+        log.append(stream, codec.encode(batch)).onComplete(this::acknowledged, failure -> {
+            metrics.appendFailed();
+            executor.appendFailed();
+            read();
+        });
+    }
+
+    private void acknowledged(long offset) {
+        acknowledgedOffset = offset;
+        read();
+    }
+
+    private void read() {
+        if (reading) {
+            return;
+        }
+        reading = true;
+        log.read(stream, nextOffset, PAGE_RECORDS).onComplete(this::received, this::readFailed);
+    }
+
+    private void received(LogPage page) {
+        reading = false;
+        if (page.first() > nextOffset) {
+            // Records that were dropped before they were read leave a gap; the fold starts again after it.
+            executor.restartReading();
+            nextOffset = page.first();
+            read();
+            return;
+        }
+        page.records().forEach(this::apply);
+        if (acknowledgedOffset != 0 && nextOffset > acknowledgedOffset) {
+            // Settled even if the record was damaged or dropped, so that later appends are not held up.
+            acknowledgedOffset = 0;
+            executor.appendFailed();
+        }
+        scheduleAppend();
+        if (nextOffset < page.next()) {
+            read();
+        } else if (executor.awaitsRecords()) {
+            readAgainLater();
+        }
+    }
+
+    private void apply(LogRecord record) {
+        nextOffset = record.offset() + 1;
+        codec.decode(record.data())
+                .onFailure(failure -> metrics.undecodable())
+                .onSuccess(batch -> pass(executor.apply(
+                        batch, record.timestampMillis(), windowMillis.getAsLong(), EndpointGate.nowMillis())));
+    }
+
+    private void readFailed(Throwable failure) {
+        reading = false;
+        metrics.readFailed();
+        executor.appendFailed();
+        pass(executor.logUnavailable());
+        if (logDown) {
+            return;
+        }
+        LOGGER.warn("stream {} cannot be read: {}", stream, failure.getMessage());
+        logDown = true;
+        vertx.setTimer(BACK_OFF_MILLIS, ignored -> {
+            logDown = false;
+            scheduleAppend();
+        });
+    }
+
+    private void readAgainLater() {
+        if (readAgainScheduled) {
+            return;
+        }
+        readAgainScheduled = true;
+        vertx.setTimer(READ_AGAIN_MILLIS, ignored -> {
+            readAgainScheduled = false;
+            read();
+        });
+    }
+
+    private void pass(List<Verdict> verdicts) {
+        verdicts.forEach(onVerdict);
+    }
+}
--- a/sidecar/src/main/java/org/redwinghook/sidecar/peer/EndpointGate.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/EndpointGate.java
@@ -83,6 +83,11 @@
         }
     }
 
+    /** Notes that the endpoint was started anew or refuses connections, so that admission starts cold. */
+    public void endpointRestarted() {
+        admission.endpointRestarted(nowMillis());
+    }
+
     /**
      * Load of the endpoint.
      *
--- a/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
@@ -1,27 +1,30 @@
 package org.redwinghook.sidecar.peer;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
+import io.vertx.core.Vertx;
 import org.redwinghook.core.admission.WorkItem;
 import org.redwinghook.core.message.Cancel;
 import org.redwinghook.core.message.Credit;
 import org.redwinghook.core.message.Heartbeat;
 import org.redwinghook.core.message.Hello;
+import org.redwinghook.core.message.KeyQuestion;
 import org.redwinghook.core.message.Message;
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.core.message.Refused;
 import org.redwinghook.core.message.Resume;
 import org.redwinghook.core.message.Submit;
+import org.redwinghook.runtime.wire.LivenessMonitor;
 import org.redwinghook.runtime.wire.PeerConnection;
 import org.redwinghook.sidecar.call.CallService;
 import org.redwinghook.sidecar.generation.GenerationService;
+import org.redwinghook.sidecar.once.OnceService;
 
-/** Messages of one router on one connection. */
+/** Messages of one router, or of another sidecar that asks about a key, on one connection. */
 public final class RouterSession {
 
     private static final long RETRY_AFTER_MILLIS = 500;
@@ -32,28 +35,32 @@
     private final EndpointGate gate;
     private final GenerationService generations;
     private final CallService calls;
+    private final OnceService once;
     private final LongSupplier identifiers;
     private final Map<Long, Long> waiting = new HashMap<>();
-    private final Set<Long> following = new HashSet<>();
 
     /**
      * Takes over a connection.
      *
+     * @param vertx runs the heartbeat's timer
      * @param connection the connection
      * @param hello gives this sidecar's greeting
      * @param service service of the endpoint
      * @param gate admits requests
      * @param generations runs generations
      * @param calls runs calls
+     * @param once answers other sidecars' questions
      * @param identifiers gives numbers for requests that are never used twice in this process
      */
     public RouterSession(
+            Vertx vertx,
             PeerConnection connection,
             Supplier<Hello> hello,
             String service,
             EndpointGate gate,
             GenerationService generations,
             CallService calls,
+            OnceService once,
             LongSupplier identifiers) {
         this.connection = connection;
         this.hello = hello;
@@ -61,16 +68,20 @@
         this.gate = gate;
         this.generations = generations;
         this.calls = calls;
+        this.once = once;
         this.identifiers = identifiers;
         connection.onMessage(this::receive);
-        connection.onClose(this::closed);
+        LivenessMonitor monitor = new LivenessMonitor(vertx, connection, this::heartbeat);
+        connection.onClose(() -> {
+            monitor.stop();
+            closed();
+        });
     }
 
     private void receive(Message message) {
         if (message instanceof Submit submit) {
             submit(submit);
         } else if (message instanceof Resume resume) {
-            following.add(resume.exchange());
             generations.resume(connection, resume);
         } else if (message instanceof Credit credit) {
             generations.grant(connection, credit.exchange(), credit.sendThrough());
@@ -78,12 +89,16 @@
             cancel(cancel.exchange());
         } else if (message instanceof Hello) {
             connection.send(hello.get());
-            connection.send(new Heartbeat(hello.get().configurationOffset(), gate.load()));
-        } else if (message instanceof Heartbeat) {
-            connection.send(new Heartbeat(hello.get().configurationOffset(), gate.load()));
+            connection.send(heartbeat());
+        } else if (message instanceof KeyQuestion question) {
+            connection.send(once.answer(question));
         }
     }
 
+    private Heartbeat heartbeat() {
+        return new Heartbeat(hello.get().configurationOffset(), gate.load());
+    }
+
     private void submit(Submit submit) {
         if (!submit.service().equals(service)) {
             refuse(submit, RefusalReason.WRONG_SERVICE, "this endpoint serves " + service);
@@ -94,6 +109,10 @@
             return;
         }
         WorkItem item = item(submit);
+        if (submit.call() != null && CallService.isKeyed(submit.call())) {
+            calls.startKeyed(connection, submit, item);
+            return;
+        }
         waiting.put(submit.exchange(), item.identifier());
         gate.offer(item, admitted -> start(submit, admitted), detail -> {
             waiting.remove(submit.exchange());
@@ -104,7 +123,6 @@
     private void start(Submit submit, WorkItem item) {
         waiting.remove(submit.exchange());
         if (submit.generation() != null) {
-            following.add(submit.exchange());
             generations.start(connection, submit, item);
             return;
         }
@@ -117,14 +135,12 @@
             gate.withdraw(identifier);
             return;
         }
-        if (following.remove(exchange)) {
-            generations.leave(connection, exchange);
-        }
+        generations.leave(connection, exchange);
     }
 
     private void closed() {
         Set.copyOf(waiting.keySet()).forEach(this::cancel);
-        Set.copyOf(following).forEach(this::cancel);
+        generations.leaveAll(connection);
     }
 
     private WorkItem item(Submit submit) {
