--- a/core/src/main/java/org/redwinghook/core/once/PartitionExecutor.java
+++ b/core/src/main/java/org/redwinghook/core/once/PartitionExecutor.java
@@ -58,8 +58,10 @@
             return join(attempt, claim);
         }
         // An entry that is past its window by this clock may be stale; the log decides after a new intent.
-        Optional<KeyEntry> entry =
-                fold.find(claim.key()).filter(known -> known.lastIntentMillis() + windowMillis > wallMillis);
+        // The same holds for an entry without an outcome, which may have ended since the stream was read.
+        Optional<KeyEntry> entry = fold.find(claim.key())
+                .filter(known -> known.lastIntentMillis() + windowMillis > wallMillis)
+                .filter(known -> known.outcome() != null);
         if (entry.isPresent()) {
             return List.of(verdict(claim, entry.get()));
         }
--- /dev/null
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/FaultyService.java
@@ -0,0 +1,64 @@
+package org.redwinghook.sidecar;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+
+/** A plain service that counts its effects and can hold or lose answers. */
+final class FaultyService {
+
+    /** What happens with an answer after the effect. */
+    enum Mode {
+        ANSWER,
+        /** Waits for {@link #release}. */
+        HOLD,
+        /** The connection is closed, as when the service dies in the call. */
+        BREAK
+    }
+
+    private final HttpServer server;
+    private final List<HttpServerRequest> held = new ArrayList<>();
+    private Mode mode = Mode.ANSWER;
+    private int effects;
+
+    FaultyService(Vertx vertx, int port) {
+        server = vertx.createHttpServer()
+                .requestHandler(request -> request.body().onSuccess(body -> handle(request)))
+                .listen(port, "127.0.0.1")
+                .await();
+    }
+
+    int port() {
+        return server.actualPort();
+    }
+
+    void stop() {
+        server.close().await();
+    }
+
+    synchronized void mode(Mode value) {
+        mode = value;
+    }
+
+    synchronized int effects() {
+        return effects;
+    }
+
+    synchronized void release() {
+        mode = Mode.ANSWER;
+        held.forEach(request -> request.response().end("effect"));
+        held.clear();
+    }
+
+    private synchronized void handle(HttpServerRequest request) {
+        effects++;
+        switch (mode) {
+            case ANSWER -> request.response().end("effect");
+            case HOLD -> held.add(request);
+            default -> request.connection().close();
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/RouterClient.java
@@ -0,0 +1,82 @@
+package org.redwinghook.sidecar;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import org.redwinghook.core.message.CallRequest;
+import org.redwinghook.core.message.GenerationRequest;
+import org.redwinghook.core.message.Heartbeat;
+import org.redwinghook.core.message.Hello;
+import org.redwinghook.core.message.Message;
+import org.redwinghook.core.message.Submit;
+import org.redwinghook.runtime.wire.FrameCodec;
+import org.redwinghook.runtime.wire.PeerConnection;
+import org.redwinghook.runtime.wire.WireMetrics;
+import org.testng.Assert;
+
+/** The router's end of one connection, for a test thread that waits for messages. */
+final class RouterClient {
+
+    private static final long WAIT_SECONDS = 10;
+
+    private final Context context;
+    private final PeerConnection connection;
+    private final LinkedBlockingQueue<Message> received = new LinkedBlockingQueue<>();
+
+    RouterClient(Vertx vertx, int port) {
+        context = vertx.getOrCreateContext();
+        WireMetrics metrics = new WireMetrics(new SimpleMeterRegistry());
+        connection = vertx.createNetClient()
+                .connect(port, "127.0.0.1")
+                .map(socket -> {
+                    PeerConnection opened = new PeerConnection(socket, new FrameCodec(), metrics);
+                    opened.onMessage(message -> {
+                        if (!(message instanceof Hello) && !(message instanceof Heartbeat)) {
+                            received.add(message);
+                        }
+                    });
+                    return opened;
+                })
+                .await();
+    }
+
+    void send(Message message) {
+        context.runOnContext(ignored -> connection.send(message));
+    }
+
+    void close() {
+        context.runOnContext(ignored -> connection.close());
+    }
+
+    /** Sends a call that must not be repeated; a key of null means none. */
+    void call(long exchange, String key, String body, long timeoutMillis) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        CallRequest call = new CallRequest("POST", "/orders", "text/plain", bytes, key, false);
+        send(new Submit(exchange, SidecarUnderTest.SERVICE, "o", "yoga", 1, timeoutMillis, 0, null, call));
+    }
+
+    void generate(long exchange, int credit) {
+        GenerationRequest request = new GenerationRequest("m", "prompt", 3, 10_000);
+        send(new Submit(exchange, SidecarUnderTest.SERVICE, "o", "yoga", 1, 5_000, credit, request, null));
+    }
+
+    Message next() {
+        try {
+            Message message = received.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            Assert.assertNotNull(message, "no message from the sidecar");
+            return message;
+        } catch (InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    <M extends Message> M next(Class<M> type) {
+        Message message = next();
+        Assert.assertTrue(type.isInstance(message), "expected " + type.getSimpleName() + ", received " + message);
+        return type.cast(message);
+    }
+}
