--- a/sidecar/src/test/java/org/redwinghook/sidecar/RouterClient.java
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/RouterClient.java
@@ -7,6 +7,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
 import org.redwinghook.core.message.CallRequest;
 import org.redwinghook.core.message.GenerationRequest;
 import org.redwinghook.core.message.Heartbeat;
@@ -23,6 +24,9 @@
 
     private static final long WAIT_SECONDS = 10;
 
+    /** Kept because Vert.x closes the connections of a client that is garbage-collected. */
+    private final NetClient client;
+
     private final Context context;
     private final PeerConnection connection;
     private final LinkedBlockingQueue<Message> received = new LinkedBlockingQueue<>();
@@ -30,8 +34,8 @@
     RouterClient(Vertx vertx, int port) {
         context = vertx.getOrCreateContext();
         WireMetrics metrics = new WireMetrics(new SimpleMeterRegistry());
-        connection = vertx.createNetClient()
-                .connect(port, "127.0.0.1")
+        client = vertx.createNetClient();
+        connection = client.connect(port, "127.0.0.1")
                 .map(socket -> {
                     PeerConnection opened = new PeerConnection(socket, new FrameCodec(), metrics);
                     opened.onMessage(message -> {
