--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -32,9 +32,11 @@
 import org.redwinghook.sidecar.generation.GenerationStore;
 import org.redwinghook.sidecar.once.ExecutorCount;
 import org.redwinghook.sidecar.once.ExecutorInquiry;
+import org.redwinghook.sidecar.once.OnceContext;
 import org.redwinghook.sidecar.once.OnceMetrics;
 import org.redwinghook.sidecar.once.OnceService;
 import org.redwinghook.sidecar.peer.EndpointGate;
+import org.redwinghook.sidecar.peer.EndpointServices;
 import org.redwinghook.sidecar.peer.RouterSession;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -57,11 +59,10 @@
     private final ConfigurationSource configuration;
     private final long incarnation =
             (System.currentTimeMillis() << RANDOM_BITS) | new SecureRandom().nextInt(1 << RANDOM_BITS);
-    private final AtomicLong lastIdentifier = new AtomicLong();
     private final EndpointGate gate;
     private final GenerationService generations;
-    private final CallService calls;
     private final OnceService once;
+    private final EndpointServices endpoint;
     private final PeerServer peers;
     private final AdminServer admin;
     private int peerPort;
@@ -92,16 +93,19 @@
         FrameCodec codec = new FrameCodec();
         WireMetrics wireMetrics = new WireMetrics(metrics);
         VmListClient vmList = new VmListClient(vertx, settings.shared().vmList());
-        once = new OnceService(
+        OnceContext onceContext = new OnceContext(
                 vertx,
                 new LogClient(vertx, settings.shared().log()),
                 new ExecutorIdentity(settings.shared().process(), incarnation),
                 settings.service(),
-                new ExecutorInquiry(vertx, codec, wireMetrics, vmList::read, this::hello),
                 () -> configuration.current().rules().idempotencyWindowMillis(),
                 new ExecutorCount(vertx, vmList, configuration, settings.service()),
                 new OnceMetrics(metrics));
-        calls = new CallService(vertx, settings.endpoint(), gate, once);
+        once = new OnceService(onceContext, new ExecutorInquiry(vertx, codec, wireMetrics, vmList::read, this::hello));
+        CallService calls = new CallService(vertx, settings.endpoint(), gate, once);
+        AtomicLong lastIdentifier = new AtomicLong();
+        endpoint = new EndpointServices(
+                settings.service(), gate, generations, calls, once, lastIdentifier::incrementAndGet);
         peers = new PeerServer(vertx, settings.shared().peer(), codec, wireMetrics, this::accept);
         services.register("gate", gate);
         services.register("generations", generations);
@@ -160,16 +164,7 @@
     }
 
     private void accept(PeerConnection connection) {
-        new RouterSession(
-                vertx,
-                connection,
-                this::hello,
-                settings.service(),
-                gate,
-                generations,
-                calls,
-                once,
-                lastIdentifier::incrementAndGet);
+        new RouterSession(vertx, connection, this::hello, endpoint);
     }
 
     private Hello hello() {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/once/OnceService.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/OnceService.java
@@ -6,12 +6,9 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.TreeMap;
-import java.util.function.IntSupplier;
-import java.util.function.LongSupplier;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.message.CallRequest;
 import org.redwinghook.core.message.KeyAnswer;
@@ -28,7 +25,6 @@
 import org.redwinghook.core.once.StoredAnswer;
 import org.redwinghook.core.once.Verdict;
 import org.redwinghook.runtime.admin.StateSource;
-import org.redwinghook.runtime.platform.LogClient;
 import org.redwinghook.sidecar.peer.EndpointGate;
 
 /** Runs keyed calls at most once. */
@@ -39,13 +35,8 @@
     /** Pause between two questions about an attempt that runs at another executor. */
     private static final long ASK_AGAIN_MILLIS = 100;
 
-    private final Vertx vertx;
-    private final LogClient log;
-    private final ExecutorIdentity self;
-    private final String service;
+    private final OnceContext context;
     private final ExecutorInquiry inquiry;
-    private final LongSupplier windowMillis;
-    private final IntSupplier executors;
     private final OnceMetrics metrics;
     private final Map<Integer, PartitionRunner> partitions = new TreeMap<>();
     private final Map<Long, PendingClaim> pending = new HashMap<>();
@@ -57,33 +48,14 @@
     /**
      * Creates the service.
      *
-     * @param vertx runs it
-     * @param log the log
-     * @param self this executor
-     * @param service service of the endpoint
+     * @param context what its partitions share
      * @param inquiry asks other executors
-     * @param windowMillis time for which keys are remembered
-     * @param executors number of live executors that share the log
-     * @param metrics counts claims and appends
      */
-    public OnceService(
-            Vertx vertx,
-            LogClient log,
-            ExecutorIdentity self,
-            String service,
-            ExecutorInquiry inquiry,
-            LongSupplier windowMillis,
-            IntSupplier executors,
-            OnceMetrics metrics) {
-        this.vertx = vertx;
-        this.log = log;
-        this.self = self;
-        this.service = service;
+    public OnceService(OnceContext context, ExecutorInquiry inquiry) {
+        this.context = context;
         this.inquiry = inquiry;
-        this.windowMillis = windowMillis;
-        this.executors = executors;
-        this.metrics = metrics;
-        vertx.setPeriodic(EXPIRY_CHECK_MILLIS, ignored -> tick());
+        this.metrics = context.metrics();
+        context.vertx().setPeriodic(EXPIRY_CHECK_MILLIS, ignored -> tick());
     }
 
     /**
@@ -96,7 +68,9 @@
      */
     public void claim(OperationKey key, CallRequest call, long deadlineMillis, ClaimListener listener) {
         OptionalLong created = key.createdMillis();
-        if (created.isPresent() && created.getAsLong() < System.currentTimeMillis() - windowMillis.getAsLong()) {
+        if (created.isPresent()
+                && created.getAsLong()
+                        < System.currentTimeMillis() - context.windowMillis().getAsLong()) {
             metrics.unknown();
             listener.unknown("the idempotency key is older than the time for which keys are remembered");
             return;
@@ -125,7 +99,7 @@
      * @return the answer
      */
     public KeyAnswer answer(KeyQuestion question) {
-        if (!self.equals(new ExecutorIdentity(question.process(), question.incarnation()))) {
+        if (!context.self().equals(new ExecutorIdentity(question.process(), question.incarnation()))) {
             return new KeyAnswer(question.exchange(), KeyStage.UNKNOWN, 0, null, null);
         }
         OperationKey key = new OperationKey(question.customer(), question.key());
@@ -167,22 +141,14 @@
     private PartitionRunner partition(int number) {
         return partitions.computeIfAbsent(
                 number,
-                created -> new PartitionRunner(
-                        vertx,
-                        log,
-                        self,
-                        service,
-                        created,
-                        windowMillis,
-                        this::intervalMillis,
-                        verdict -> take(created, verdict),
-                        metrics));
+                created ->
+                        new PartitionRunner(context, created, this::intervalMillis, verdict -> take(created, verdict)));
     }
 
     private long intervalMillis() {
         int busy = (int)
                 partitions.values().stream().filter(PartitionRunner::isBusy).count();
-        return BatchInterval.millis(executors.getAsInt(), busy);
+        return BatchInterval.millis(context.executors().getAsInt(), busy);
     }
 
     private void tick() {
@@ -220,7 +186,7 @@
     }
 
     private void ask(PendingClaim claim, Verdict.Ask ask) {
-        if (ask.executor().process().equals(self.process())) {
+        if (ask.executor().process().equals(context.self().process())) {
             unknown(claim, "the sidecar was restarted after it had taken the call");
             return;
         }
@@ -252,7 +218,7 @@
             unknown(claim, "the call had not ended when the caller's timeout passed");
             return;
         }
-        vertx.setTimer(ASK_AGAIN_MILLIS, ignored -> ask(claim, ask));
+        context.vertx().setTimer(ASK_AGAIN_MILLIS, ignored -> ask(claim, ask));
     }
 
     private void answered(PendingClaim claim, StoredAnswer answer, boolean replayed) {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/once/PartitionRunner.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/PartitionRunner.java
@@ -8,7 +8,6 @@
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.message.KeyStage;
 import org.redwinghook.core.once.Claim;
-import org.redwinghook.core.once.ExecutorIdentity;
 import org.redwinghook.core.once.IntentBatch;
 import org.redwinghook.core.once.KeyReport;
 import org.redwinghook.core.once.OperationKey;
@@ -56,25 +55,16 @@
     private boolean readAgainScheduled;
     private boolean logDown;
 
-    PartitionRunner(
-            Vertx vertx,
-            LogClient log,
-            ExecutorIdentity self,
-            String service,
-            int partition,
-            LongSupplier windowMillis,
-            LongSupplier intervalMillis,
-            Consumer<Verdict> onVerdict,
-            OnceMetrics metrics) {
-        this.vertx = vertx;
-        this.log = log;
+    PartitionRunner(OnceContext context, int partition, LongSupplier intervalMillis, Consumer<Verdict> onVerdict) {
+        this.vertx = context.vertx();
+        this.log = context.log();
         this.partition = partition;
-        this.stream = OperationKey.stream(service, partition);
-        this.executor = new PartitionExecutor(self);
-        this.windowMillis = windowMillis;
+        this.stream = OperationKey.stream(context.service(), partition);
+        this.executor = new PartitionExecutor(context.self());
+        this.windowMillis = context.windowMillis();
         this.intervalMillis = intervalMillis;
         this.onVerdict = onVerdict;
-        this.metrics = metrics;
+        this.metrics = context.metrics();
         this.lastAppendMillis = EndpointGate.nowMillis() - BACK_OFF_MILLIS;
     }
 
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/EndpointServices.java
@@ -0,0 +1,25 @@
+package org.redwinghook.sidecar.peer;
+
+import java.util.function.LongSupplier;
+
+import org.redwinghook.sidecar.call.CallService;
+import org.redwinghook.sidecar.generation.GenerationService;
+import org.redwinghook.sidecar.once.OnceService;
+
+/**
+ * What the connections of a sidecar share.
+ *
+ * @param service service of the endpoint
+ * @param gate admits requests
+ * @param generations runs generations
+ * @param calls runs calls
+ * @param once answers other sidecars' questions
+ * @param identifiers gives numbers for requests that are never used twice in this process
+ */
+public record EndpointServices(
+        String service,
+        EndpointGate gate,
+        GenerationService generations,
+        CallService calls,
+        OnceService once,
+        LongSupplier identifiers) {}
--- a/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
@@ -45,31 +45,17 @@
      * @param vertx runs the heartbeat's timer
      * @param connection the connection
      * @param hello gives this sidecar's greeting
-     * @param service service of the endpoint
-     * @param gate admits requests
-     * @param generations runs generations
-     * @param calls runs calls
-     * @param once answers other sidecars' questions
-     * @param identifiers gives numbers for requests that are never used twice in this process
+     * @param endpoint what the connections share
      */
-    public RouterSession(
-            Vertx vertx,
-            PeerConnection connection,
-            Supplier<Hello> hello,
-            String service,
-            EndpointGate gate,
-            GenerationService generations,
-            CallService calls,
-            OnceService once,
-            LongSupplier identifiers) {
+    public RouterSession(Vertx vertx, PeerConnection connection, Supplier<Hello> hello, EndpointServices endpoint) {
         this.connection = connection;
         this.hello = hello;
-        this.service = service;
-        this.gate = gate;
-        this.generations = generations;
-        this.calls = calls;
-        this.once = once;
-        this.identifiers = identifiers;
+        this.service = endpoint.service();
+        this.gate = endpoint.gate();
+        this.generations = endpoint.generations();
+        this.calls = endpoint.calls();
+        this.once = endpoint.once();
+        this.identifiers = endpoint.identifiers();
         connection.onMessage(this::receive);
         LivenessMonitor monitor = new LivenessMonitor(vertx, connection, this::heartbeat);
         connection.onClose(() -> {
