--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -47,7 +47,7 @@
     private static final int PROTOCOL_VERSION = 1;
 
     /** Longest wait for outcomes to reach the log at a graceful stop. */
-    private static final long OUTCOME_FLUSH_MILLIS = 30_000;
+    private static final long OUTCOME_FLUSH_MILLIS = 10_000;
 
     /** Random part of the incarnation; a clock that was set back must not give two starts one number. */
     private static final int RANDOM_BITS = 20;
@@ -99,7 +99,7 @@
                 new ExecutorIdentity(settings.shared().process(), incarnation),
                 settings.service(),
                 () -> configuration.current().rules().idempotencyWindowMillis(),
-                new ExecutorCount(vertx, vmList, configuration, settings.service()),
+                new ExecutorCount(vmList, configuration, settings.service()),
                 new OnceMetrics(metrics));
         once = new OnceService(onceContext, new ExecutorInquiry(vertx, codec, wireMetrics, vmList::read, this::hello));
         CallService calls = new CallService(vertx, settings.endpoint(), gate, once);
--- a/sidecar/src/main/java/org/redwinghook/sidecar/once/ExecutorCount.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/ExecutorCount.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.function.IntSupplier;
 
-import io.vertx.core.Vertx;
 import org.redwinghook.core.config.Configuration;
 import org.redwinghook.core.config.Service;
 import org.redwinghook.core.config.ServiceKind;
@@ -11,35 +10,42 @@
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.runtime.config.ConfigurationSource;
 import org.redwinghook.runtime.platform.VmListClient;
+import org.redwinghook.sidecar.peer.EndpointGate;
 
-/** Counts the sidecars that share the log for keyed calls: those of all plain services. */
+/**
+ * Counts the sidecars that share the log for keyed calls: those of all plain services. The VM list is read only while
+ * the count is used and at most once a minute, since a list of a thousand VMs takes some hundred kilobytes.
+ */
 public final class ExecutorCount implements IntSupplier {
 
-    private static final long REFRESH_MILLIS = 10_000;
+    private static final long REFRESH_MILLIS = 60_000;
 
     private final VmListClient vmList;
     private final ConfigurationSource configuration;
     private final String ownService;
     private int count = 1;
+    private long nextRefreshMillis = Long.MIN_VALUE;
 
     /**
-     * Starts to count.
+     * Creates the count.
      *
-     * @param vertx runs the timer
      * @param vmList the VM list
      * @param configuration tells which services are plain ones
      * @param ownService service of this sidecar's endpoint, which counts in any case
      */
-    public ExecutorCount(Vertx vertx, VmListClient vmList, ConfigurationSource configuration, String ownService) {
+    public ExecutorCount(VmListClient vmList, ConfigurationSource configuration, String ownService) {
         this.vmList = vmList;
         this.configuration = configuration;
         this.ownService = ownService;
-        refresh();
-        vertx.setPeriodic(REFRESH_MILLIS, ignored -> refresh());
     }
 
     @Override
     public int getAsInt() {
+        long now = EndpointGate.nowMillis();
+        if (now >= nextRefreshMillis) {
+            nextRefreshMillis = now + REFRESH_MILLIS;
+            refresh();
+        }
         return count;
     }
 
--- a/sidecar/src/main/java/org/redwinghook/sidecar/once/ExecutorInquiry.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/ExecutorInquiry.java
@@ -21,7 +21,10 @@
 import org.redwinghook.runtime.wire.PeerConnection;
 import org.redwinghook.runtime.wire.WireMetrics;
 
-/** Asks other executors about attempts of theirs, on one connection for each question. */
+/**
+ * Asks other executors about attempts of theirs, on one connection for each question. The VM list is read again when an
+ * executor is not on it or cannot be asked.
+ */
 public final class ExecutorInquiry {
 
     /** Longest wait for an answer; an executor that takes longer counts as unreachable. */
@@ -34,6 +37,7 @@
     private final WireMetrics metrics;
     private final Supplier<Future<List<Member>>> members;
     private final Supplier<Hello> hello;
+    private List<Member> known = List.of();
 
     /**
      * Creates the inquiry.
@@ -68,10 +72,14 @@
     public Future<KeyAnswer> ask(ExecutorIdentity executor, OperationKey key, long attempt) {
         KeyQuestion question = new KeyQuestion(
                 EXCHANGE, executor.process(), executor.incarnation(), key.customer(), key.key(), attempt);
-        return members.get()
-                .compose(list -> address(list, executor))
+        return address(known, executor)
+                .recover(unknown -> members.get().compose(list -> {
+                    known = list;
+                    return address(list, executor);
+                }))
                 .compose(member -> client.connect(member.peerPort(), member.host()))
-                .compose(socket -> exchange(socket, question));
+                .compose(socket -> exchange(socket, question))
+                .onFailure(failure -> known = List.of());
     }
 
     private static Future<Member> address(List<Member> members, ExecutorIdentity executor) {
