--- a/core/src/test/java/org/redwinghook/core/once/PartitionExecutorTest.java
+++ b/core/src/test/java/org/redwinghook/core/once/PartitionExecutorTest.java
@@ -171,6 +171,13 @@
             Assert.assertTrue(fold.find(KEY).isPresent());
         }
 
+        /** Guards against a caller's timeout beyond the window, after which others have forgotten the key. */
+        @Test
+        public void startIsLimitedToHalfAWindow() {
+            Assert.assertEquals(Claim.latestStart(50, 10, 100), 50);
+            Assert.assertEquals(Claim.latestStart(500, 10, 100), 60);
+        }
+
         /** Guards against more appends than the log takes. */
         @Test
         public void intervalGrowsWithTheExecutors() {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/call/CallService.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/call/CallService.java
@@ -103,7 +103,17 @@
             return;
         }
         OperationKey key = new OperationKey(submit.customer(), call.idempotencyKey());
-        once.claim(key, call, item.deadlineMillis(), new KeyedCall(connection, submit, call, item));
+        long latestStart = once.latestStart(item.deadlineMillis());
+        WorkItem limited = new WorkItem(
+                item.identifier(),
+                item.owner(),
+                item.customer(),
+                item.priority(),
+                item.promptTokens(),
+                item.maximumOutputTokens(),
+                item.arrivalMillis(),
+                latestStart);
+        once.claim(key, call, latestStart, new KeyedCall(connection, submit, call, limited));
     }
 
     private void run(CallRequest call, WorkItem item, Consumer<CallEnd> onEnd) {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/once/OnceService.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/OnceService.java
@@ -58,12 +58,23 @@
         context.vertx().setPeriodic(EXPIRY_CHECK_MILLIS, ignored -> tick());
     }
 
+    /**
+     * Latest time at which a keyed call may start.
+     *
+     * @param deadlineMillis monotonic time after which its caller no longer waits
+     * @return that time, or an earlier one at which others might soon forget the key
+     */
+    public long latestStart(long deadlineMillis) {
+        return Claim.latestStart(
+                deadlineMillis, EndpointGate.nowMillis(), context.windowMillis().getAsLong());
+    }
+
     /**
      * Claims a key for a call.
      *
      * @param key the key
      * @param call the call
-     * @param deadlineMillis monotonic time after which the caller no longer waits
+     * @param deadlineMillis monotonic time from {@link #latestStart}
      * @param listener told what happens
      */
     public void claim(OperationKey key, CallRequest call, long deadlineMillis, ClaimListener listener) {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/once/PartitionRunner.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/PartitionRunner.java
@@ -173,10 +173,15 @@
 
     private void apply(LogRecord record) {
         nextOffset = record.offset() + 1;
+        // The monotonic clock may stand still while a VM is suspended. An intent that is old by the log's clock is not
+        // run, whatever its deadline: others may have forgotten the key.
+        long wallMillis = System.currentTimeMillis();
+        long latestMillis = Claim.latestStart(Long.MAX_VALUE, record.timestampMillis(), windowMillis.getAsLong());
+        long nowMillis = wallMillis > latestMillis ? Long.MAX_VALUE : EndpointGate.nowMillis();
         codec.decode(record.data())
                 .onFailure(failure -> metrics.undecodable())
-                .onSuccess(batch -> pass(executor.apply(
-                        batch, record.timestampMillis(), windowMillis.getAsLong(), EndpointGate.nowMillis())));
+                .onSuccess(batch ->
+                        pass(executor.apply(batch, record.timestampMillis(), windowMillis.getAsLong(), nowMillis)));
     }
 
     private void readFailed(Throwable failure) {
