--- a/core/src/main/java/org/redwinghook/core/message/KeyAnswer.java
+++ b/core/src/main/java/org/redwinghook/core/message/KeyAnswer.java
@@ -9,7 +9,7 @@
  * @param stage how far the attempt is
  * @param status HTTP status of the service's answer, 0 if there is none
  * @param contentType media type of the body
- * @param body body of the service's answer, absent if there is none or it was not kept
+ * @param body body of the service's answer, absent if there is none or it is only on the log
  */
 public record KeyAnswer(
         long exchange, KeyStage stage, int status, @Nullable String contentType, byte @Nullable [] body)
--- a/core/src/main/java/org/redwinghook/core/once/KeyEntry.java
+++ b/core/src/main/java/org/redwinghook/core/once/KeyEntry.java
@@ -8,20 +8,24 @@
  * @param executor executor of the winning intent
  * @param winner the winning intent
  * @param lastIntentMillis log time of the newest intent for the key, winning or not, in milliseconds since 1970
- * @param outcome outcome of the winning intent, absent while it is not known
+ * @param outcome outcome of the winning intent without its answer, absent while it is not known
+ * @param answerOffset offset of the record with the stored answer, 0 if there is none
  */
 public record KeyEntry(
         ExecutorIdentity executor,
         Intent winner,
         long lastIntentMillis,
-        @Nullable Outcome outcome) {
+        @Nullable Outcome outcome,
+        long answerOffset) {
 
     KeyEntry seenAgain(long timeMillis) {
-        return new KeyEntry(executor, winner, timeMillis, outcome);
+        return new KeyEntry(executor, winner, timeMillis, outcome, answerOffset);
     }
 
-    KeyEntry withOutcome(Outcome ended) {
-        return new KeyEntry(executor, winner, lastIntentMillis, ended);
+    /** Answers stay on the log, since those of a whole window may not fit into memory. */
+    KeyEntry withOutcome(Outcome ended, long offset) {
+        Outcome bare = new Outcome(ended.number(), ended.key(), ended.kind(), null);
+        return new KeyEntry(executor, winner, lastIntentMillis, bare, ended.answer() == null ? 0 : offset);
     }
 
     boolean isWonBy(ExecutorIdentity candidate, long number) {
--- a/core/src/main/java/org/redwinghook/core/once/KeyReport.java
+++ b/core/src/main/java/org/redwinghook/core/once/KeyReport.java
@@ -7,7 +7,7 @@
  * Report of an executor about an attempt of its own.
  *
  * @param stage how far it is
- * @param answer answer of the service if it is done and was kept
+ * @param answer answer of the service if it is done and still in memory; later it is on the log only
  */
 public record KeyReport(KeyStage stage, @Nullable StoredAnswer answer) {
 
--- a/core/src/main/java/org/redwinghook/core/once/PartitionExecutor.java
+++ b/core/src/main/java/org/redwinghook/core/once/PartitionExecutor.java
@@ -103,13 +103,15 @@
      * Folds the next record of the stream.
      *
      * @param batch the record
+     * @param offset offset of the record
      * @param timestampMillis log time of the record in milliseconds since 1970
      * @param windowMillis time for which keys are remembered
      * @param nowMillis monotonic time now
      * @return verdicts that became clear
      */
-    public List<Verdict> apply(IntentBatch batch, long timestampMillis, long windowMillis, long nowMillis) {
-        Set<Long> won = fold.apply(batch, timestampMillis, windowMillis);
+    public List<Verdict> apply(
+            IntentBatch batch, long offset, long timestampMillis, long windowMillis, long nowMillis) {
+        Set<Long> won = fold.apply(batch, offset, timestampMillis, windowMillis);
         if (!batch.executor().equals(self)) {
             return List.of();
         }
@@ -286,6 +288,9 @@
         if (!entry.winner().requestHash().equals(claim.requestHash())) {
             return new Verdict.Conflict(claim.number());
         }
+        if (entry.answerOffset() != 0) {
+            return new Verdict.Replay(claim.number(), claim.key(), entry.answerOffset());
+        }
         Outcome outcome = entry.outcome();
         if (outcome != null) {
             return end(claim, outcome.kind(), outcome.answer(), true);
--- a/core/src/main/java/org/redwinghook/core/once/PartitionFold.java
+++ b/core/src/main/java/org/redwinghook/core/once/PartitionFold.java
@@ -24,14 +24,15 @@
      * Folds the next record.
      *
      * @param batch the record
+     * @param offset offset of the record
      * @param timestampMillis log time of the record in milliseconds since 1970
      * @param windowMillis time for which keys are remembered
      * @return numbers of the record's intents that won their keys
      */
-    public Set<Long> apply(IntentBatch batch, long timestampMillis, long windowMillis) {
+    public Set<Long> apply(IntentBatch batch, long offset, long timestampMillis, long windowMillis) {
         timeMillis = Math.max(timeMillis, timestampMillis);
         forget(timeMillis - windowMillis);
-        batch.outcomes().forEach(outcome -> applyOutcome(batch.executor(), outcome));
+        batch.outcomes().forEach(outcome -> applyOutcome(batch.executor(), outcome, offset));
         Set<Long> won = new HashSet<>();
         for (Intent intent : batch.intents()) {
             if (applyIntent(batch.executor(), intent)) {
@@ -72,11 +73,11 @@
             entries.put(intent.key(), known.seenAgain(timeMillis));
             return false;
         }
-        entries.put(intent.key(), new KeyEntry(executor, intent, timeMillis, null));
+        entries.put(intent.key(), new KeyEntry(executor, intent, timeMillis, null, 0));
         return true;
     }
 
-    private void applyOutcome(ExecutorIdentity executor, Outcome outcome) {
+    private void applyOutcome(ExecutorIdentity executor, Outcome outcome, long offset) {
         KeyEntry known = entries.get(outcome.key());
         if (known == null || !known.isWonBy(executor, outcome.number()) || known.outcome() != null) {
             return;
@@ -85,7 +86,7 @@
             entries.remove(outcome.key());
             return;
         }
-        entries.replace(outcome.key(), known.withOutcome(outcome));
+        entries.replace(outcome.key(), known.withOutcome(outcome, offset));
     }
 
     private void forget(long oldestMillis) {
--- a/core/src/main/java/org/redwinghook/core/once/Verdict.java
+++ b/core/src/main/java/org/redwinghook/core/once/Verdict.java
@@ -27,6 +27,15 @@
      */
     record Answered(long claim, StoredAnswer answer, boolean replayed) implements Verdict {}
 
+    /**
+     * The service answered an earlier claim, and its answer is on the log.
+     *
+     * @param claim the claim
+     * @param key the key
+     * @param offset offset of the record with the outcome
+     */
+    record Replay(long claim, OperationKey key, long offset) implements Verdict {}
+
     /**
      * The call was not run on behalf of this claim and will not be.
      *
--- a/core/src/test/java/org/redwinghook/core/once/PartitionExecutorTest.java
+++ b/core/src/test/java/org/redwinghook/core/once/PartitionExecutorTest.java
@@ -27,7 +27,7 @@
     }
 
     private static List<Verdict> apply(PartitionExecutor executor, IntentBatch batch, long nowMillis) {
-        return executor.apply(batch, 1, WINDOW_MILLIS, nowMillis);
+        return executor.apply(batch, 9, 1, WINDOW_MILLIS, nowMillis);
     }
 
     /** Single failures, one at a time. */
@@ -113,7 +113,7 @@
             apply(executor, executor.takeBatch().orElseThrow(), 2);
             Assert.assertFalse(executor.hasSomethingToAppend());
             Assert.assertEquals(
-                    executor.offer(claim(2, 100), 1, WINDOW_MILLIS), List.of(new Verdict.Answered(2, answer, true)));
+                    executor.offer(claim(2, 100), 1, WINDOW_MILLIS), List.of(new Verdict.Replay(2, KEY, 9)));
         }
 
         /** Guards against the answer of one request given to another that reuses its key. */
@@ -152,22 +152,22 @@
         public void lateReaderNeverFreesAKeyThatAnEarlyReaderHolds() {
             PartitionFold early = new PartitionFold();
             PartitionFold late = new PartitionFold();
-            early.apply(intent("a", 1), 79, 10);
+            early.apply(intent("a", 1), 1, 79, 10);
             for (PartitionFold fold : List.of(early, late)) {
-                fold.apply(intent("b", 2), 85, 10);
-                fold.apply(intent("c", 3), 92, 10);
+                fold.apply(intent("b", 2), 1, 85, 10);
+                fold.apply(intent("c", 3), 1, 92, 10);
             }
-            Assert.assertEquals(early.apply(intent("d", 4), 100, 10), late.apply(intent("d", 4), 100, 10));
-            Assert.assertEquals(late.apply(intent("d", 5), 111, 10), Set.of(5L));
+            Assert.assertEquals(early.apply(intent("d", 4), 1, 100, 10), late.apply(intent("d", 4), 1, 100, 10));
+            Assert.assertEquals(late.apply(intent("d", 5), 1, 111, 10), Set.of(5L));
         }
 
         /** Guards against a loser's record that frees or ends the winner's key. */
         @Test
         public void outcomeOfALoserHasNoEffect() {
             PartitionFold fold = new PartitionFold();
-            fold.apply(intent("a", 1), 1, 10);
+            fold.apply(intent("a", 1), 1, 1, 10);
             Outcome outcome = new Outcome(1, KEY, OutcomeKind.NOT_RUN, null);
-            fold.apply(new IntentBatch(new ExecutorIdentity("b", 1), 1, List.of(outcome), List.of()), 2, 10);
+            fold.apply(new IntentBatch(new ExecutorIdentity("b", 1), 1, List.of(outcome), List.of()), 2, 2, 10);
             Assert.assertTrue(fold.find(KEY).isPresent());
         }
 
@@ -373,7 +373,7 @@
                     if (position < log.size()) {
                         Entry entry = log.get(position);
                         readMillis = entry.timeMillis();
-                        take(executor.apply(entry.batch(), entry.timeMillis(), window, now));
+                        take(executor.apply(entry.batch(), position + 1, entry.timeMillis(), window, now));
                         position++;
                     }
                 }
--- a/sidecar/src/main/java/org/redwinghook/sidecar/once/OnceService.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/OnceService.java
@@ -86,10 +86,7 @@
             listener.unknown("the idempotency key is older than the time for which keys are remembered");
             return;
         }
-        lastClaim++;
-        Claim claim = new Claim(lastClaim, key, RequestHash.of(call), deadlineMillis);
-        pending.put(claim.number(), new PendingClaim(claim, listener));
-        partition(key.partition()).offer(claim);
+        open(key, RequestHash.of(call), deadlineMillis, listener);
     }
 
     /**
@@ -215,7 +212,7 @@
             case UNKNOWN -> unknown(claim, "the sidecar that took the call does not know its end");
             case DONE -> {
                 if (body == null) {
-                    unknown(claim, "the call has run, but its answer is too large to be kept");
+                    readFromLog(claim);
                     return;
                 }
                 answered(claim, new StoredAnswer(answer.status(), answer.contentType(), body), true);
@@ -224,6 +221,25 @@
         }
     }
 
+    /** The outcome is on the log or about to be; a new intent makes sure that it is read. */
+    private void readFromLog(PendingClaim claim) {
+        if (claim.claim().deadlineMillis() <= EndpointGate.nowMillis()) {
+            unknown(claim, "the call has run, but its answer was not read before the caller's timeout passed");
+            return;
+        }
+        context.vertx().setTimer(ASK_AGAIN_MILLIS, ignored -> {
+            close(claim);
+            open(claim.claim().key(), claim.claim().requestHash(), claim.claim().deadlineMillis(), claim.listener());
+        });
+    }
+
+    private void open(OperationKey key, String requestHash, long deadlineMillis, ClaimListener listener) {
+        lastClaim++;
+        Claim claim = new Claim(lastClaim, key, requestHash, deadlineMillis);
+        pending.put(claim.number(), new PendingClaim(claim, listener));
+        partition(key.partition()).offer(claim);
+    }
+
     private void askAgain(PendingClaim claim, Verdict.Ask ask) {
         if (claim.claim().deadlineMillis() <= EndpointGate.nowMillis()) {
             unknown(claim, "the call had not ended when the caller's timeout passed");
--- a/sidecar/src/main/java/org/redwinghook/sidecar/once/PartitionRunner.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/once/PartitionRunner.java
@@ -1,6 +1,7 @@
 package org.redwinghook.sidecar.once;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -11,6 +12,7 @@
 import org.redwinghook.core.once.IntentBatch;
 import org.redwinghook.core.once.KeyReport;
 import org.redwinghook.core.once.OperationKey;
+import org.redwinghook.core.once.Outcome;
 import org.redwinghook.core.once.OutcomeKind;
 import org.redwinghook.core.once.PartitionExecutor;
 import org.redwinghook.core.once.StoredAnswer;
@@ -180,8 +182,8 @@
         long nowMillis = wallMillis > latestMillis ? Long.MAX_VALUE : EndpointGate.nowMillis();
         codec.decode(record.data())
                 .onFailure(failure -> metrics.undecodable())
-                .onSuccess(batch ->
-                        pass(executor.apply(batch, record.timestampMillis(), windowMillis.getAsLong(), nowMillis)));
+                .onSuccess(batch -> pass(executor.apply(
+                        batch, record.offset(), record.timestampMillis(), windowMillis.getAsLong(), nowMillis)));
     }
 
     private void readFailed(Throwable failure) {
@@ -212,6 +214,36 @@
     }
 
     private void pass(List<Verdict> verdicts) {
-        verdicts.forEach(onVerdict);
+        for (Verdict verdict : verdicts) {
+            if (verdict instanceof Verdict.Replay replay) {
+                replay(replay);
+            } else {
+                onVerdict.accept(verdict);
+            }
+        }
+    }
+
+    private void replay(Verdict.Replay replay) {
+        log.read(stream, replay.offset(), 1)
+                .map(page -> Optional.ofNullable(answer(page, replay)))
+                .otherwise(Optional.empty())
+                .onSuccess(answer -> onVerdict.accept(replayed(replay, answer)));
+    }
+
+    private static Verdict replayed(Verdict.Replay replay, Optional<StoredAnswer> answer) {
+        return answer.isPresent()
+                ? new Verdict.Answered(replay.claim(), answer.get(), true)
+                : new Verdict.Unknown(replay.claim(), "the call has run, but its answer cannot be read from the log");
+    }
+
+    private @Nullable StoredAnswer answer(LogPage page, Verdict.Replay replay) {
+        for (LogRecord record : page.records()) {
+            for (Outcome outcome : codec.decode(record.data()).get().outcomes()) {
+                if (record.offset() == replay.offset() && outcome.key().equals(replay.key())) {
+                    return outcome.answer();
+                }
+            }
+        }
+        return null;
     }
 }
--- a/sidecar/src/test/java/org/redwinghook/sidecar/FaultyService.java
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/FaultyService.java
@@ -22,6 +22,7 @@
     private final HttpServer server;
     private final List<HttpServerRequest> held = new ArrayList<>();
     private Mode mode = Mode.ANSWER;
+    private String answer = "effect";
     private int effects;
 
     FaultyService(Vertx vertx, int port) {
@@ -43,20 +44,24 @@
         mode = value;
     }
 
+    synchronized void answer(String value) {
+        answer = value;
+    }
+
     synchronized int effects() {
         return effects;
     }
 
     synchronized void release() {
         mode = Mode.ANSWER;
-        held.forEach(request -> request.response().end("effect"));
+        held.forEach(request -> request.response().end(answer));
         held.clear();
     }
 
     private synchronized void handle(HttpServerRequest request) {
         effects++;
         switch (mode) {
-            case ANSWER -> request.response().end("effect");
+            case ANSWER -> request.response().end(answer);
             case HOLD -> held.add(request);
             default -> request.connection().close();
         }
--- a/sidecar/src/test/java/org/redwinghook/sidecar/KeyedCallsTest.java
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/KeyedCallsTest.java
@@ -13,6 +13,7 @@
 import org.redwinghook.core.message.OutcomeUnknown;
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.core.message.Refused;
+import org.redwinghook.core.once.StoredAnswer;
 import org.redwinghook.standins.vmlist.VmListStandIn;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
@@ -218,6 +219,20 @@
         Assert.assertEquals(service.effects(), 1);
     }
 
+    /** Guards against log records of any size, and against a second run because the answer was not stored. */
+    @Test
+    public void largeAnswerIsGivenOnceAndNotStored() {
+        RouterClient router = router(sidecar("a"));
+        String large = "x".repeat(StoredAnswer.LARGEST_BODY_BYTES + 1);
+        service.answer(large);
+        Assert.assertEquals(((CallAnswer) retry(router, "k")).body().length, large.length());
+        Await.until("outcome", () -> log.contains("DONE"));
+        Assert.assertFalse(log.contains("body"));
+        Assert.assertTrue(retry(router, "k") instanceof OutcomeUnknown);
+        Assert.assertTrue(retry(router(sidecar("b")), "k") instanceof OutcomeUnknown);
+        Assert.assertEquals(service.effects(), 1);
+    }
+
     /** Guards against one request's answer for another, and against keys that were forgotten and come back. */
     @Test
     public void reusedAndExpiredKeysRunNothing() {
