--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -23,7 +23,9 @@
     @JsonSubTypes.Type(value = ConfigurationAnnouncement.class, name = "configAnnounce"),
     @JsonSubTypes.Type(value = ConfigurationPull.class, name = "configPull"),
     @JsonSubTypes.Type(value = ConfigurationRecords.class, name = "configRecords"),
-    @JsonSubTypes.Type(value = WithdrawalNotice.class, name = "withdrawal")
+    @JsonSubTypes.Type(value = WithdrawalNotice.class, name = "withdrawal"),
+    @JsonSubTypes.Type(value = KeyQuestion.class, name = "keyQuestion"),
+    @JsonSubTypes.Type(value = KeyAnswer.class, name = "keyAnswer")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
