--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -19,7 +19,9 @@
     @JsonSubTypes.Type(value = Finished.class, name = "finished"),
     @JsonSubTypes.Type(value = Interrupted.class, name = "interrupted"),
     @JsonSubTypes.Type(value = CallAnswer.class, name = "callAnswer"),
-    @JsonSubTypes.Type(value = OutcomeUnknown.class, name = "outcomeUnknown")
+    @JsonSubTypes.Type(value = OutcomeUnknown.class, name = "outcomeUnknown"),
+    @JsonSubTypes.Type(value = QuotaRequest.class, name = "quotaRequest"),
+    @JsonSubTypes.Type(value = QuotaGrant.class, name = "quotaGrant")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/quota/QuotaOwner.java
@@ -0,0 +1,82 @@
+package org.redwinghook.core.quota;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import org.redwinghook.core.message.QuotaGrant;
+import org.redwinghook.core.message.QuotaRequest;
+import org.redwinghook.core.routing.RendezvousHash;
+
+/** A router's part as owner of some customers' quotas. */
+public final class QuotaOwner {
+
+    private final Map<String, CustomerBuckets> buckets = new HashMap<>();
+    private long ownerSinceMillis;
+
+    /**
+     * Creates an owner whose buckets are empty now.
+     *
+     * @param nowMillis the time
+     */
+    public QuotaOwner(long nowMillis) {
+        ownerSinceMillis = nowMillis;
+    }
+
+    /**
+     * Owner router of a customer.
+     *
+     * @param customer name of the customer
+     * @param routers names of the region's live routers
+     * @return the owner's name, empty if there are no routers
+     */
+    public static Optional<String> of(String customer, Collection<String> routers) {
+        long key = RendezvousHash.hash(customer);
+        String best = null;
+        long bestScore = 0;
+        for (String router : routers) {
+            long score = RendezvousHash.score(key, router);
+            if (best == null || score > bestScore) {
+                best = router;
+                bestScore = score;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * The live routers changed. Customers that this router no longer owns are forgotten, and those that it may own from
+     * now on start empty.
+     *
+     * @param nowMillis the time
+     * @param owned whether this router owns a customer now
+     */
+    public void routersChanged(long nowMillis, Predicate<String> owned) {
+        buckets.keySet().removeIf(owned.negate());
+        ownerSinceMillis = nowMillis;
+    }
+
+    /**
+     * Grants a batch.
+     *
+     * @param nowMillis the time
+     * @param request the request
+     * @param limit limit of the customer in this region
+     * @return the grant
+     */
+    public QuotaGrant grant(long nowMillis, QuotaRequest request, QuotaLimit limit) {
+        return buckets.computeIfAbsent(request.customer(), ignored -> new CustomerBuckets(ownerSinceMillis))
+                .grant(nowMillis, request, limit);
+    }
+
+    /**
+     * Customers with buckets here.
+     *
+     * @return their number
+     */
+    public int customers() {
+        return buckets.size();
+    }
+}
