--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/usage/UsageEntry.java
@@ -0,0 +1,9 @@
+package org.redwinghook.core.usage;
+
+/**
+ * Cumulative counts of one process for one key.
+ *
+ * @param key what the counts are for
+ * @param counts counts since the start of the process
+ */
+public record UsageEntry(UsageKey key, UsageCounts counts) {}
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/usage/package-info.java
@@ -0,0 +1,5 @@
+/** Reports of usage counts to the log. */
+@NullMarked
+package org.redwinghook.runtime.usage;
+
+import org.jspecify.annotations.NullMarked;
