--- a/router/src/main/java/org/redwinghook/router/RouterProcess.java
+++ b/router/src/main/java/org/redwinghook/router/RouterProcess.java
@@ -1,25 +1,45 @@
 package org.redwinghook.router;
 
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClientOptions;
+import org.redwinghook.core.config.Configuration;
+import org.redwinghook.core.config.DataCentre;
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.quota.QuotaLimit;
 import org.redwinghook.core.routing.EndpointSelector;
+import org.redwinghook.core.usage.UsageLedger;
 import org.redwinghook.router.caller.Authenticator;
 import org.redwinghook.router.caller.CallerServer;
 import org.redwinghook.router.caller.CompletionHandler;
 import org.redwinghook.router.caller.ServiceCallHandler;
+import org.redwinghook.router.endpoint.ConnectionSetup;
+import org.redwinghook.router.endpoint.DeliveryContext;
 import org.redwinghook.router.endpoint.EndpointDirectory;
+import org.redwinghook.router.endpoint.RetryPermission;
+import org.redwinghook.router.endpoint.RunningDeliveries;
+import org.redwinghook.router.limit.QuotaClient;
+import org.redwinghook.router.limit.RequestLimits;
+import org.redwinghook.router.metrics.RouterMetrics;
+import org.redwinghook.router.peer.RouterPeers;
 import org.redwinghook.runtime.admin.AdminServer;
+import org.redwinghook.runtime.admin.StateSource;
 import org.redwinghook.runtime.config.ConfigurationSource;
+import org.redwinghook.runtime.platform.LogClient;
 import org.redwinghook.runtime.platform.VmListClient;
 import org.redwinghook.runtime.process.ManagedProcess;
+import org.redwinghook.runtime.usage.UsageReporter;
 import org.redwinghook.runtime.wire.FrameCodec;
+import org.redwinghook.runtime.wire.MessageDispatcher;
+import org.redwinghook.runtime.wire.PeerServer;
 import org.redwinghook.runtime.wire.WireMetrics;
 
 /** Assembles a router from its services. */
@@ -27,13 +47,20 @@
 
     private static final int PROTOCOL_VERSION = 1;
 
+    private final Vertx vertx;
     private final RouterSettings settings;
     private final ConfigurationSource configuration;
     private final long incarnation = System.currentTimeMillis();
+    private final RunningDeliveries running = new RunningDeliveries();
     private final EndpointDirectory directory;
+    private final RouterPeers peers;
+    private final PeerServer peerServer;
+    private final QuotaClient quota;
+    private final UsageReporter usage;
     private final CallerServer callers;
     private final AdminServer admin;
     private boolean accepting = true;
+    private int callerPort;
 
     /**
      * Creates a router.
@@ -43,40 +70,135 @@
      * @param configuration the configuration in force
      */
     public RouterProcess(Vertx vertx, RouterSettings settings, ConfigurationSource configuration) {
+        this.vertx = vertx;
         this.settings = settings;
         this.configuration = configuration;
-        PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-        ServiceRegistry services = new ServiceRegistry();
+        String process = settings.shared().process();
+        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        RouterMetrics metrics = new RouterMetrics(registry);
+        WireMetrics wireMetrics = new WireMetrics(registry);
+        FrameCodec codec = new FrameCodec();
         directory = new EndpointDirectory(
                 vertx,
                 new VmListClient(vertx, settings.shared().vmList()),
                 configuration,
                 settings.shared().dataCentre(),
-                new FrameCodec(),
-                new WireMetrics(metrics),
-                this::hello);
+                new ConnectionSetup(codec, wireMetrics, this::hello, settings.timing(), metrics));
+        MessageDispatcher dispatcher = new MessageDispatcher();
+        peers = new RouterPeers(
+                process,
+                vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)),
+                codec,
+                wireMetrics,
+                this::hello,
+                directory::regionRouters,
+                dispatcher);
+        peerServer = new PeerServer(vertx, settings.shared().peer(), codec, wireMetrics, peers::accept);
+        quota = new QuotaClient(vertx, process, peers, dispatcher, this::limit, metrics);
+        UsageLedger ledger = new UsageLedger(process, incarnation);
+        LogClient log = new LogClient(vertx, settings.shared().log());
+        usage = new UsageReporter(vertx, log::append, ledger, UsageReporter.INTERVAL_MILLIS);
+        DeliveryContext deliveries = new DeliveryContext(
+                vertx,
+                directory,
+                new EndpointSelector(bound -> ThreadLocalRandom.current().nextInt(bound)),
+                RetryPermission.UNLIMITED,
+                settings.timing(),
+                metrics,
+                running);
+        RequestLimits limits = new RequestLimits(quota, ledger, metrics);
         Authenticator authenticator = new Authenticator(configuration);
-        EndpointSelector selector =
-                new EndpointSelector(bound -> ThreadLocalRandom.current().nextInt(bound));
-        CompletionHandler completions = new CompletionHandler(
-                configuration, authenticator, directory, selector, settings.requestTimeoutMillis());
-        ServiceCallHandler calls = new ServiceCallHandler(
-                configuration, authenticator, directory, selector, settings.requestTimeoutMillis());
-        callers = new CallerServer(vertx, settings.caller(), completions, calls);
+        callers = new CallerServer(
+                vertx,
+                settings.caller(),
+                new CompletionHandler(
+                        configuration, authenticator, deliveries, limits, settings.requestTimeoutMillis()),
+                new ServiceCallHandler(
+                        configuration, authenticator, deliveries, limits, settings.requestTimeoutMillis()));
+        ServiceRegistry services = new ServiceRegistry();
         services.register("endpoints", directory);
-        admin = new AdminServer(vertx, settings.shared().admin(), services, metrics, () -> accepting);
+        services.register("quota", quota);
+        services.register("router", (StateSource) this::state);
+        admin = new AdminServer(vertx, settings.shared().admin(), services, registry, () -> accepting);
     }
 
     @Override
     public Future<Void> start() {
         directory.start();
-        return callers.start().compose(port -> admin.start());
+        quota.start();
+        usage.start();
+        return peerServer
+                .start()
+                .compose(port -> callers.start())
+                .onSuccess(port -> callerPort = port)
+                .compose(port -> admin.start());
     }
 
     @Override
     public Future<Void> stopGracefully() {
         accepting = false;
-        return callers.stop().onComplete(ignored -> directory.close());
+        return delay(settings.settleMillis())
+                .compose(ignored -> drain())
+                .compose(ignored -> usage.stop())
+                .compose(ignored -> callers.stop())
+                .onComplete(ignored -> {
+                    directory.close();
+                    peers.close();
+                    peerServer.stop();
+                });
+    }
+
+    /**
+     * Port that callers connect to.
+     *
+     * @return the port, 0 before the start
+     */
+    public int callerPort() {
+        return callerPort;
+    }
+
+    /**
+     * Port that operators connect to.
+     *
+     * @return the port, 0 before the start
+     */
+    public int adminPort() {
+        return admin.port();
+    }
+
+    private Future<Void> drain() {
+        Future<Void> drained = callers.drain();
+        long limit = settings.shared().drainTimeoutMillis();
+        if (limit == 0 || drained.isComplete()) {
+            return drained;
+        }
+        long timer = vertx.setTimer(limit, ignored -> running.abortAll("the router reached its limit for draining"));
+        return drained.onComplete(ignored -> vertx.cancelTimer(timer));
+    }
+
+    private Future<Void> delay(long millis) {
+        Promise<Void> elapsed = Promise.promise();
+        if (millis == 0) {
+            return Future.succeededFuture();
+        }
+        vertx.setTimer(millis, ignored -> elapsed.complete());
+        return elapsed.future();
+    }
+
+    private Optional<QuotaLimit> limit(String customer) {
+        Configuration current = configuration.current();
+        long regions = Math.max(
+                1,
+                current.dataCentres().values().stream()
+                        .map(DataCentre::region)
+                        .distinct()
+                        .count());
+        return Optional.ofNullable(current.customers().get(customer))
+                .map(known -> QuotaLimit.of(known).share(1.0 / regions));
+    }
+
+    private RouterState state() {
+        return new RouterState(incarnation, accepting, callers.running(), running.size());
     }
 
     private Hello hello() {
@@ -89,4 +211,6 @@
                 settings.shared().dataCentre(),
                 configuration.current().offset());
     }
+
+    private record RouterState(long incarnation, boolean accepting, int requests, int deliveries) {}
 }
--- a/router/src/main/java/org/redwinghook/router/RouterSettings.java
+++ b/router/src/main/java/org/redwinghook/router/RouterSettings.java
@@ -6,6 +6,7 @@
 import org.redwinghook.core.document.Finding;
 import org.redwinghook.core.document.Findings;
 import org.redwinghook.core.document.YamlMap;
+import org.redwinghook.router.endpoint.DeliveryTiming;
 import org.redwinghook.runtime.settings.Address;
 import org.redwinghook.runtime.settings.ProcessSettings;
 
@@ -14,12 +15,16 @@
  *
  * @param shared settings that all processes have
  * @param caller where callers connect
- * @param requestTimeoutMillis time after which a caller that got no token and no answer is refused
+ * @param requestTimeoutMillis time after which a caller that got no token and no answer is told so
+ * @param settleMillis time at a stop during which new requests are still served, so that the balancer can notice
+ * @param timing times of connections and deliveries
  */
-public record RouterSettings(ProcessSettings shared, Address caller, long requestTimeoutMillis) {
+public record RouterSettings(
+        ProcessSettings shared, Address caller, long requestTimeoutMillis, long settleMillis, DeliveryTiming timing) {
 
     private static final long LONGEST_TIMEOUT_MILLIS = 3_600_000;
     private static final long USUAL_TIMEOUT_MILLIS = 30_000;
+    private static final long USUAL_SETTLE_MILLIS = 5_000;
 
     /**
      * Reads the settings.
@@ -34,7 +39,9 @@
         RouterSettings settings = new RouterSettings(
                 ProcessSettings.read(top),
                 Address.read(top.requiredMap("caller")),
-                top.number("requestTimeoutMillis", 1, LONGEST_TIMEOUT_MILLIS, USUAL_TIMEOUT_MILLIS));
+                top.number("requestTimeoutMillis", 1, LONGEST_TIMEOUT_MILLIS, USUAL_TIMEOUT_MILLIS),
+                top.number("settleMillis", 0, LONGEST_TIMEOUT_MILLIS, USUAL_SETTLE_MILLIS),
+                DeliveryTiming.read(top.map("timing")));
         top.rejectUnknownKeys();
         return findings.resultOf(settings);
     }
--- a/router/src/main/java/org/redwinghook/router/call/CallDelivery.java
+++ b/router/src/main/java/org/redwinghook/router/call/CallDelivery.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.message.CallAnswer;
@@ -12,54 +13,54 @@
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.core.message.Refused;
 import org.redwinghook.core.message.Submit;
-import org.redwinghook.core.routing.EndpointSelector;
 import org.redwinghook.core.routing.EndpointView;
 import org.redwinghook.core.routing.RoutingQuery;
+import org.redwinghook.router.endpoint.DeliveryContext;
 import org.redwinghook.router.endpoint.EndpointConnection;
-import org.redwinghook.router.endpoint.EndpointDirectory;
 import org.redwinghook.router.endpoint.ExchangeListener;
 
 /**
  * Brings the answer of a plain service to one caller. A call that is not idempotent goes to another endpoint only after
- * a refusal, which says that it was not run.
+ * a refusal, which says that it was not run. Each attempt has its own listener, so that a late answer to an earlier
+ * attempt is dropped.
  */
-public final class CallDelivery implements ExchangeListener {
+public final class CallDelivery {
 
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
-    private final EndpointDirectory directory;
-    private final EndpointSelector selector;
+    private final DeliveryContext context;
     private final Submit template;
     private final CallRequest call;
     private final RoutingQuery query;
     private final int mostAttempts;
     private final CallSink sink;
     private final Set<String> tried = new HashSet<>();
+    private final long startedNanos = System.nanoTime();
+    private long timeoutTimer;
     private int attempts;
+    private boolean mayHaveRun;
     private boolean ended;
+    private @Nullable Attempt current;
     private @Nullable Refused lastRefusal;
 
     /**
      * Prepares a delivery.
      *
-     * @param directory endpoints
-     * @param selector selects among them
-     * @param template request; its exchange number is replaced at each attempt
+     * @param context what all deliveries share
+     * @param template request; its exchange number and timeout are set at each attempt
      * @param call the call
      * @param query how to select the first endpoint
      * @param mostAttempts attempts allowed
      * @param sink the caller
      */
     public CallDelivery(
-            EndpointDirectory directory,
-            EndpointSelector selector,
+            DeliveryContext context,
             Submit template,
             CallRequest call,
             RoutingQuery query,
             int mostAttempts,
             CallSink sink) {
-        this.directory = directory;
-        this.selector = selector;
+        this.context = context;
         this.template = template;
         this.call = call;
         this.query = query;
@@ -69,78 +70,172 @@
 
     /** Sends the call to the best endpoint. */
     public void start() {
+        context.metrics().callRequested();
+        context.running().add(this, this::abort);
+        context.retries().requestStarted();
+        long timeoutMillis = template.timeoutMillis() + context.timing().graceMillis();
+        timeoutTimer = context.vertx().setTimer(timeoutMillis, ignored -> abort("no answer arrived in time"));
+        tryEndpoints();
+    }
+
+    /** The caller went away. */
+    public void callerGone() {
+        if (!ended) {
+            end();
+            sink.abandoned();
+        }
+    }
+
+    private void abort(String detail) {
+        if (ended) {
+            return;
+        }
+        // Once the submit frame was written only the sidecar knows whether the call ran.
+        if (current != null || mayHaveRun) {
+            outcomeUnknown(detail);
+        } else {
+            refuse();
+        }
+    }
+
+    private void tryEndpoints() {
         while (attempts < mostAttempts) {
             RoutingQuery next = new RoutingQuery(query.affinityHash(), query.pinned(), 0, tried);
-            Optional<EndpointView> chosen = selector.select(directory.views(template.service()), next);
-            if (chosen.isEmpty()) {
+            Optional<EndpointView> chosen =
+                    context.selector().select(context.directory().views(template.service()), next);
+            if (chosen.isEmpty() || (attempts > 0 && !context.retries().tryRetry())) {
                 break;
             }
+            if (attempts > 0) {
+                context.metrics().retried();
+            }
             tried.add(chosen.get().vm());
             attempts++;
-            EndpointConnection connection =
-                    directory.connection(chosen.get().vm()).orElse(null);
-            if (connection != null && connection.start(this, this::submit).isPresent()) {
+            if (submitTo(chosen.get().vm())) {
                 return;
             }
         }
-        refuse();
+        if (mayHaveRun) {
+            outcomeUnknown("an earlier attempt of the call was lost and no endpoint is left");
+        } else {
+            refuse();
+        }
     }
 
-    @Override
-    public void message(Message message) {
-        if (ended) {
-            return;
+    private boolean submitTo(String vm) {
+        EndpointConnection connection = context.directory().connection(vm).orElse(null);
+        if (connection == null) {
+            return false;
+        }
+        Attempt attempt = new Attempt(connection);
+        Optional<Long> exchange = connection.start(attempt, this::submit);
+        if (exchange.isEmpty()) {
+            return false;
         }
+        attempt.exchange = exchange.get();
+        current = attempt;
+        return true;
+    }
+
+    private void receive(Message message) {
         if (message instanceof CallAnswer answer) {
-            ended = true;
+            end();
             sink.answered(answer);
         } else if (message instanceof OutcomeUnknown unknown) {
             lost(unknown.detail());
         } else if (message instanceof Refused refused) {
-            lastRefusal = refused;
-            if (refused.reason().retryElsewhere()) {
-                start();
-            } else {
-                refuse();
-            }
+            refused(refused);
         }
     }
 
-    @Override
-    public void connectionLost() {
-        if (!ended) {
-            lost("the connection to the endpoint was lost during the call");
+    private void refused(Refused refused) {
+        current = null;
+        lastRefusal = refused;
+        if (refused.reason().retryElsewhere()) {
+            tryEndpoints();
+        } else if (mayHaveRun) {
+            outcomeUnknown("an earlier attempt of the call was lost");
+        } else {
+            refuse();
         }
     }
 
     private void lost(String detail) {
-        if (call.idempotent() && attempts < mostAttempts) {
-            start();
+        current = null;
+        mayHaveRun = true;
+        if (call.idempotent()) {
+            tryEndpoints();
             return;
         }
-        ended = true;
-        sink.unknown(detail);
+        outcomeUnknown(detail);
     }
 
-    private Submit submit(long number) {
+    private Submit submit(long exchange) {
+        long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
         return new Submit(
-                number,
+                exchange,
                 template.service(),
                 template.owner(),
                 template.customer(),
                 template.priority(),
-                template.timeoutMillis(),
+                Math.max(1, template.timeoutMillis() - elapsed),
                 0,
                 null,
                 call);
     }
 
+    private void outcomeUnknown(String detail) {
+        context.metrics().outcomeUnknown();
+        end();
+        sink.unknown(detail);
+    }
+
     private void refuse() {
-        ended = true;
-        if (lastRefusal == null) {
-            sink.refused(RefusalReason.NO_ENDPOINT, "no endpoint takes new work", RETRY_AFTER_MILLIS);
+        Refused last = lastRefusal;
+        RefusalReason reason = last == null ? RefusalReason.NO_ENDPOINT : last.reason();
+        context.metrics().refused(reason);
+        end();
+        if (last == null) {
+            sink.refused(reason, "no endpoint takes new work", RETRY_AFTER_MILLIS);
             return;
         }
-        sink.refused(lastRefusal.reason(), lastRefusal.detail(), lastRefusal.retryAfterMillis());
+        sink.refused(reason, last.detail(), last.retryAfterMillis());
+    }
+
+    private void end() {
+        ended = true;
+        context.vertx().cancelTimer(timeoutTimer);
+        context.running().remove(this);
+        Attempt attempt = current;
+        if (attempt != null) {
+            attempt.connection.cancel(attempt.exchange, true);
+        }
+    }
+
+    /** One exchange with one sidecar. */
+    private final class Attempt implements ExchangeListener {
+
+        private final EndpointConnection connection;
+        private long exchange;
+
+        Attempt(EndpointConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void message(Message message) {
+            if (ended || current != this) {
+                context.metrics().messageDropped();
+                return;
+            }
+            receive(message);
+        }
+
+        @Override
+        public void connectionLost() {
+            if (!ended && current == this) {
+                lost("the connection to the endpoint was lost during the call");
+            }
+        }
     }
 }
--- a/router/src/main/java/org/redwinghook/router/call/CallSink.java
+++ b/router/src/main/java/org/redwinghook/router/call/CallSink.java
@@ -28,4 +28,7 @@
      * @param retryAfterMillis time after which another try makes sense
      */
     void refused(RefusalReason reason, String detail, long retryAfterMillis);
+
+    /** The caller went away; nothing can be delivered. */
+    void abandoned();
 }
--- a/router/src/main/java/org/redwinghook/router/caller/CallerErrors.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CallerErrors.java
@@ -1,14 +1,17 @@
 package org.redwinghook.router.caller;
 
+import java.util.List;
 import java.util.Locale;
 
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.redwinghook.core.message.RefusalReason;
 
 /** Error answers to callers, all of the same shape. */
 public final class CallerErrors {
 
+    private static final int HTTP_BAD_REQUEST = 400;
     private static final long MILLIS_PER_SECOND = 1_000;
 
     private CallerErrors() {}
@@ -53,6 +56,18 @@
         end(response, status, Outcome.NOT_RUN, body(type, message));
     }
 
+    /**
+     * Rejects a request for everything that is wrong with it.
+     *
+     * @param response the response
+     * @param findings what is wrong, at least one
+     */
+    public static void rejectBody(HttpServerResponse response, List<String> findings) {
+        JsonObject error = body("invalid_request", String.join("; ", findings));
+        error.getJsonObject("error").put("findings", new JsonArray(findings));
+        end(response, HTTP_BAD_REQUEST, Outcome.NOT_RUN, error);
+    }
+
     /**
      * Ends a response with an error.
      *
@@ -62,7 +77,7 @@
      * @param body the error
      */
     public static void end(HttpServerResponse response, int status, Outcome outcome, JsonObject body) {
-        if (response.ended() || response.closed()) {
+        if (response.ended() || response.closed() || response.headWritten()) {
             return;
         }
         response.setStatusCode(status)
--- a/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
@@ -1,24 +1,40 @@
 package org.redwinghook.router.caller;
 
+import java.util.Map;
+
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.runtime.settings.Address;
 
 /** The callers' HTTP port. */
 public final class CallerServer {
 
     private static final long LARGEST_BODY_BYTES = 2L * 1024 * 1024;
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+    private static final int HTTP_INTERNAL_ERROR = 500;
+    private static final Map<Integer, String> ERROR_TYPES = Map.of(
+            400, "invalid_request",
+            404, "unknown_path",
+            405, "method_not_allowed",
+            413, "body_too_large");
 
     private final Vertx vertx;
     private final Address address;
     private final CompletionHandler completions;
     private final ServiceCallHandler calls;
+    private final Promise<Void> idle = Promise.promise();
     private @Nullable HttpServer server;
+    private int running;
+    private boolean draining;
 
     /**
      * Creates the server.
@@ -42,9 +58,15 @@
      */
     public Future<Integer> start() {
         Router routes = Router.router(vertx);
+        routes.route().handler(this::track);
         routes.route().handler(BodyHandler.create(false).setBodyLimit(LARGEST_BODY_BYTES));
-        routes.post("/v1/completions").handler(completions::handle);
+        routes.post("/v1/completions").handler(context -> completions.complete(context, CompletionFormat.TEXT));
+        routes.post("/v1/chat/completions").handler(context -> completions.complete(context, CompletionFormat.CHAT));
+        routes.get("/v1/generations/:generation/events").handler(completions::events);
         routes.route("/services/*").handler(calls::handle);
+        routes.route().failureHandler(CallerServer::failed);
+        ERROR_TYPES.forEach((status, type) -> routes.errorHandler(status, CallerServer::failed));
+        routes.errorHandler(HTTP_INTERNAL_ERROR, CallerServer::failed);
         HttpServer created = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         server = created;
         return created.requestHandler(routes)
@@ -53,11 +75,58 @@
     }
 
     /**
-     * Stops to listen, after running requests have ended.
+     * Refuses new requests as not run from now on.
+     *
+     * @return completes when all running requests have ended
+     */
+    public Future<Void> drain() {
+        draining = true;
+        if (running == 0) {
+            idle.tryComplete();
+        }
+        return idle.future();
+    }
+
+    /**
+     * Requests that have not ended.
+     *
+     * @return their number
+     */
+    public int running() {
+        return running;
+    }
+
+    /**
+     * Stops to listen and closes all connections.
      *
      * @return completes when the port is closed
      */
     public Future<Void> stop() {
         return server == null ? Future.succeededFuture() : server.close();
     }
+
+    private void track(RoutingContext context) {
+        if (draining) {
+            HttpServerResponse response = context.response().putHeader("Connection", "close");
+            CallerErrors.refuse(response, RefusalReason.LEAVING, "the router is leaving", RETRY_AFTER_MILLIS);
+            return;
+        }
+        running++;
+        context.addEndHandler(ignored -> {
+            running--;
+            if (draining && running == 0) {
+                idle.tryComplete();
+            }
+        });
+        context.next();
+    }
+
+    private static void failed(RoutingContext context) {
+        int status = context.statusCode() < 0 ? HTTP_INTERNAL_ERROR : context.statusCode();
+        String type = ERROR_TYPES.getOrDefault(status, "internal_error");
+        // A fault of the router may come after the request was sent on; every other failure comes before.
+        Outcome outcome = status == HTTP_INTERNAL_ERROR ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        String message = context.request().method() + " " + context.request().path() + ": " + type.replace('_', ' ');
+        CallerErrors.end(context.response(), status, outcome, CallerErrors.body(type, message));
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/caller/CompletionHandler.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CompletionHandler.java
@@ -1,27 +1,31 @@
 package org.redwinghook.router.caller;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.vavr.control.Either;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.RoutingContext;
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.config.Configuration;
 import org.redwinghook.core.config.Customer;
 import org.redwinghook.core.config.Service;
 import org.redwinghook.core.config.ServiceKind;
 import org.redwinghook.core.message.GenerationRequest;
 import org.redwinghook.core.message.Submit;
-import org.redwinghook.core.routing.EndpointSelector;
 import org.redwinghook.core.routing.RendezvousHash;
-import org.redwinghook.router.endpoint.EndpointDirectory;
+import org.redwinghook.core.stream.EventId;
+import org.redwinghook.router.endpoint.DeliveryContext;
+import org.redwinghook.router.endpoint.EndpointConnection;
 import org.redwinghook.router.generation.GenerationDelivery;
 import org.redwinghook.router.generation.GenerationSink;
+import org.redwinghook.router.limit.RequestLimits;
 import org.redwinghook.runtime.config.ConfigurationSource;
 
-/** Handles POST /v1/completions. */
+/** Handles POST /v1/completions, POST /v1/chat/completions and GET /v1/generations/GENERATION/events. */
 public final class CompletionHandler {
 
-    private static final int HTTP_BAD_REQUEST = 400;
+    private static final String LAST_EVENT_ID = "Last-Event-ID";
     private static final int HTTP_UNAUTHORIZED = 401;
     private static final int HTTP_NOT_FOUND = 404;
     private static final int PREFIX_CHARACTERS = 256;
@@ -29,8 +33,8 @@
 
     private final ConfigurationSource configuration;
     private final Authenticator authenticator;
-    private final EndpointDirectory directory;
-    private final EndpointSelector selector;
+    private final DeliveryContext deliveries;
+    private final RequestLimits limits;
     private final long timeoutMillis;
 
     /**
@@ -38,42 +42,47 @@
      *
      * @param configuration the configuration in force
      * @param authenticator finds customers
-     * @param directory endpoints
-     * @param selector selects among them
+     * @param deliveries what all deliveries share
+     * @param limits limits and counts requests by customer
      * @param timeoutMillis time that a caller waits for the first token
      */
     public CompletionHandler(
             ConfigurationSource configuration,
             Authenticator authenticator,
-            EndpointDirectory directory,
-            EndpointSelector selector,
+            DeliveryContext deliveries,
+            RequestLimits limits,
             long timeoutMillis) {
         this.configuration = configuration;
         this.authenticator = authenticator;
-        this.directory = directory;
-        this.selector = selector;
+        this.deliveries = deliveries;
+        this.limits = limits;
         this.timeoutMillis = timeoutMillis;
     }
 
     /**
-     * Handles a request.
+     * Handles a request that starts a generation, or continues one if it has the header Last-Event-ID.
      *
      * @param context the request with its body
+     * @param format shape of request and answer
      */
-    public void handle(RoutingContext context) {
+    public void complete(RoutingContext context, CompletionFormat format) {
         HttpServerResponse response = context.response();
-        Optional<Customer> customer = authenticator.customer(context.request().getHeader("Authorization"));
+        Optional<Customer> customer = customer(context);
         if (customer.isEmpty()) {
-            CallerErrors.reject(response, HTTP_UNAUTHORIZED, "unauthorized", "the credential is not known");
             return;
         }
-        Either<String, CompletionRequest> read =
-                CompletionRequest.read(context.body().buffer());
+        Either<List<String>, CompletionRequest> read =
+                CompletionRequest.read(context.body().buffer(), format);
         if (read.isLeft()) {
-            CallerErrors.reject(response, HTTP_BAD_REQUEST, "invalid_request", read.getLeft());
+            CallerErrors.rejectBody(response, read.getLeft());
             return;
         }
         CompletionRequest request = read.get();
+        String lastEvent = context.request().getHeader(LAST_EVENT_ID);
+        if (lastEvent != null) {
+            resume(response, customer.get(), format, lastEvent, request.model());
+            return;
+        }
         Configuration current = configuration.current();
         Optional<Service> service =
                 current.service(request.model()).filter(found -> found.kind() == ServiceKind.ENGINE);
@@ -82,26 +91,109 @@
                     response, HTTP_NOT_FOUND, "unknown_model", "there is no model '" + request.model() + "'");
             return;
         }
-        start(response, request, submit(customer.get(), service.get(), request), current);
+        start(response, format, request, submit(customer.get(), service.get(), request), customer.get());
     }
 
-    private void start(HttpServerResponse response, CompletionRequest request, Submit submit, Configuration current) {
-        StreamedCompletion streamed = new StreamedCompletion(response, request.model());
-        WholeCompletion whole = new WholeCompletion(response, request.model());
-        GenerationSink sink = request.stream() ? streamed : whole;
+    /**
+     * Handles a request that continues a generation.
+     *
+     * @param context the request
+     */
+    public void events(RoutingContext context) {
+        Optional<Customer> customer = customer(context);
+        if (customer.isEmpty()) {
+            return;
+        }
+        String generation = context.pathParam("generation");
+        String lastEvent = context.request().getHeader(LAST_EVENT_ID);
+        if (lastEvent != null && !lastEvent.startsWith(generation + ".")) {
+            CallerErrors.rejectBody(context.response(), List.of("'Last-Event-ID' names another generation"));
+            return;
+        }
+        boolean isChat = "chat".equals(context.request().getParam("format"));
+        resume(
+                context.response(),
+                customer.get(),
+                isChat ? CompletionFormat.CHAT : CompletionFormat.TEXT,
+                lastEvent == null ? generation + ".0" : lastEvent,
+                null);
+    }
+
+    private Optional<Customer> customer(RoutingContext context) {
+        Optional<Customer> customer = authenticator.customer(context.request().getHeader("Authorization"));
+        if (customer.isEmpty()) {
+            CallerErrors.reject(context.response(), HTTP_UNAUTHORIZED, "unauthorized", "the credential is not known");
+        }
+        return customer;
+    }
+
+    private void start(
+            HttpServerResponse response,
+            CompletionFormat format,
+            CompletionRequest request,
+            Submit submit,
+            Customer customer) {
+        limits.admitGeneration(customer, submit).onSuccess(admission -> {
+            if (response.closed()) {
+                admission.release();
+                return;
+            }
+            if (admission.refusal().isPresent()) {
+                CallerErrors.refuse(
+                        response,
+                        admission.refusal().get().reason(),
+                        admission.refusal().get().detail(),
+                        admission.refusal().get().retryAfterMillis());
+                return;
+            }
+            deliver(response, format, request, submit, admission);
+        });
+    }
+
+    private void deliver(
+            HttpServerResponse response,
+            CompletionFormat format,
+            CompletionRequest request,
+            Submit submit,
+            RequestLimits.Admission admission) {
+        StreamedCompletion streamed = new StreamedCompletion(response, format, request.model());
+        WholeCompletion whole = new WholeCompletion(response, format, request.model());
+        GenerationSink sink = admission.metered(request.stream() ? streamed : whole);
         String prefix = request.prompt()
                 .substring(0, Math.min(PREFIX_CHARACTERS, request.prompt().length()));
-        GenerationDelivery delivery = new GenerationDelivery(
-                directory,
-                selector,
+        GenerationDelivery delivery = new GenerationDelivery(deliveries, submit.customer(), sink);
+        streamed.onSocketTook(delivery::socketTook);
+        whole.onCollected(delivery::socketTook);
+        response.closeHandler(ignored -> delivery.callerGone());
+        delivery.start(
                 submit,
                 RendezvousHash.hash(prefix),
-                current.rules().attempts(),
-                sink);
+                configuration.current().rules().attempts());
+    }
+
+    private void resume(
+            HttpServerResponse response,
+            Customer customer,
+            CompletionFormat format,
+            String lastEvent,
+            @Nullable String model) {
+        Optional<EventId> position = EventId.parse(lastEvent);
+        if (position.isEmpty()) {
+            CallerErrors.rejectBody(response, List.of("'Last-Event-ID' is not an identifier of an event"));
+            return;
+        }
+        String service = deliveries
+                .directory()
+                .connection(position.get().vm())
+                .map(EndpointConnection::member)
+                .map(member -> member.service() == null ? "" : member.service())
+                .orElse("");
+        StreamedCompletion streamed = new StreamedCompletion(response, format, model == null ? service : model);
+        GenerationDelivery delivery =
+                new GenerationDelivery(deliveries, customer.name(), limits.meteredResume(customer, service, streamed));
         streamed.onSocketTook(delivery::socketTook);
-        whole.onCollected(delivery::socketTook);
         response.closeHandler(ignored -> delivery.callerGone());
-        delivery.start();
+        delivery.resumeAfter(position.get());
     }
 
     private Submit submit(Customer customer, Service service, CompletionRequest request) {
--- a/router/src/main/java/org/redwinghook/router/caller/Outcome.java
+++ b/router/src/main/java/org/redwinghook/router/caller/Outcome.java
@@ -2,7 +2,10 @@
 
 /** What a caller is told about its request in the header Redwinghook-Outcome. */
 public enum Outcome {
-    /** The answer is the request's own and whole. */
+    /**
+     * The request ran and the answer is its own. The header of a streamed answer precedes its end, so a stream is whole
+     * only with the final data line [DONE].
+     */
     DONE("done"),
     /** The request was not run and may be sent again. */
     NOT_RUN("not-run"),
--- a/router/src/main/java/org/redwinghook/router/caller/ServiceCallHandler.java
+++ b/router/src/main/java/org/redwinghook/router/caller/ServiceCallHandler.java
@@ -16,12 +16,12 @@
 import org.redwinghook.core.message.CallRequest;
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.core.message.Submit;
-import org.redwinghook.core.routing.EndpointSelector;
 import org.redwinghook.core.routing.RendezvousHash;
 import org.redwinghook.core.routing.RoutingQuery;
 import org.redwinghook.router.call.CallDelivery;
 import org.redwinghook.router.call.CallSink;
-import org.redwinghook.router.endpoint.EndpointDirectory;
+import org.redwinghook.router.endpoint.DeliveryContext;
+import org.redwinghook.router.limit.RequestLimits;
 import org.redwinghook.runtime.config.ConfigurationSource;
 
 /** Handles calls to plain services under /services/NAME/. */
@@ -34,8 +34,8 @@
 
     private final ConfigurationSource configuration;
     private final Authenticator authenticator;
-    private final EndpointDirectory directory;
-    private final EndpointSelector selector;
+    private final DeliveryContext deliveries;
+    private final RequestLimits limits;
     private final long timeoutMillis;
 
     /**
@@ -43,20 +43,20 @@
      *
      * @param configuration the configuration in force
      * @param authenticator finds customers
-     * @param directory endpoints
-     * @param selector selects among them
+     * @param deliveries what all deliveries share
+     * @param limits limits and counts requests by customer
      * @param timeoutMillis time that a caller waits for the answer
      */
     public ServiceCallHandler(
             ConfigurationSource configuration,
             Authenticator authenticator,
-            EndpointDirectory directory,
-            EndpointSelector selector,
+            DeliveryContext deliveries,
+            RequestLimits limits,
             long timeoutMillis) {
         this.configuration = configuration;
         this.authenticator = authenticator;
-        this.directory = directory;
-        this.selector = selector;
+        this.deliveries = deliveries;
+        this.limits = limits;
         this.timeoutMillis = timeoutMillis;
     }
 
@@ -101,9 +101,31 @@
                 0,
                 null,
                 call);
+        limits.admitCall(customer, submit).onSuccess(admission -> {
+            if (response.closed()) {
+                admission.release();
+                return;
+            }
+            admission
+                    .refusal()
+                    .ifPresentOrElse(
+                            refusal -> CallerErrors.refuse(
+                                    response, refusal.reason(), refusal.detail(), refusal.retryAfterMillis()),
+                            () -> deliver(response, submit, call, query(customer, call), admission));
+        });
+    }
+
+    private void deliver(
+            HttpServerResponse response,
+            Submit submit,
+            CallRequest call,
+            RoutingQuery query,
+            RequestLimits.Admission admission) {
         int attempts = configuration.current().rules().attempts();
-        new CallDelivery(directory, selector, submit, call, query(customer, call), attempts, new Sink(response))
-                .start();
+        CallDelivery delivery =
+                new CallDelivery(deliveries, submit, call, query, attempts, admission.metered(new Sink(response)));
+        response.closeHandler(ignored -> delivery.callerGone());
+        delivery.start();
     }
 
     private static RoutingQuery query(Customer customer, CallRequest call) {
@@ -149,6 +171,11 @@
             CallerErrors.end(response, HTTP_BAD_GATEWAY, Outcome.UNKNOWN, CallerErrors.body("outcome_unknown", detail));
         }
 
+        @Override
+        public void abandoned() {
+            // The caller's connection is closed.
+        }
+
         @Override
         public void refused(RefusalReason reason, String detail, long retryAfterMillis) {
             CallerErrors.refuse(response, reason, detail, retryAfterMillis);
--- a/router/src/main/java/org/redwinghook/router/caller/StreamedCompletion.java
+++ b/router/src/main/java/org/redwinghook/router/caller/StreamedCompletion.java
@@ -13,19 +13,25 @@
 /** Writes a generation to a caller as server-sent events. */
 public final class StreamedCompletion implements GenerationSink {
 
+    private static final int HTTP_BAD_GATEWAY = 502;
+    private static final int HTTP_GATEWAY_TIMEOUT = 504;
+
     private final HttpServerResponse response;
+    private final CompletionFormat format;
     private final String model;
     private LongConsumer socketTook = sequence -> {};
-    private long unreported;
+    private long written;
 
     /**
      * Creates a writer.
      *
      * @param response the caller's response
+     * @param format shape of the events
      * @param model model that the caller named
      */
-    public StreamedCompletion(HttpServerResponse response, String model) {
+    public StreamedCompletion(HttpServerResponse response, CompletionFormat format, String model) {
         this.response = response;
+        this.format = format;
         this.model = model;
     }
 
@@ -43,27 +49,36 @@
         begin();
         long sequence = firstSequence;
         for (String text : texts) {
-            event(generation + "." + sequence, CompletionEvents.chunk(generation, model, text, null));
+            JsonObject data = format.chunk(generation, model, text, sequence == 1, null);
+            response.write("id: " + generation + "." + sequence + "\ndata: " + data.encode() + "\n\n");
             sequence++;
         }
-        reportTaken(sequence - 1);
+        written = sequence - 1;
+        if (response.writeQueueFull()) {
+            response.drainHandler(ignored -> socketTook.accept(written));
+        } else {
+            socketTook.accept(written);
+        }
     }
 
     @Override
     public void finished(String generation, FinishReason reason, TokenUsage usage) {
         begin();
         JsonObject last =
-                CompletionEvents.chunk(generation, model, "", reason).put("usage", CompletionEvents.usage(usage));
+                format.chunk(generation, model, "", false, reason).put("usage", CompletionFormat.usage(usage));
         response.write("data: " + last.encode() + "\n\n");
-        response.end("data: [DONE]\n\n");
+        response.end("data: [DONE]\n\n").onSuccess(ignored -> socketTook.accept(written));
     }
 
     @Override
     public void interrupted(String detail, long delivered) {
         JsonObject error = CallerErrors.body("interrupted", detail);
         error.getJsonObject("error").put("tokens_delivered", delivered);
-        response.write("event: error\ndata: " + error.encode() + "\n\n");
-        response.end();
+        if (!response.headWritten()) {
+            CallerErrors.end(response, HTTP_BAD_GATEWAY, Outcome.UNKNOWN, error);
+            return;
+        }
+        response.end("event: error\ndata: " + error.encode() + "\n\n");
     }
 
     @Override
@@ -71,6 +86,16 @@
         CallerErrors.refuse(response, reason, detail, retryAfterMillis);
     }
 
+    @Override
+    public void unknown(String detail) {
+        CallerErrors.end(response, HTTP_GATEWAY_TIMEOUT, Outcome.UNKNOWN, CallerErrors.body("outcome_unknown", detail));
+    }
+
+    @Override
+    public void abandoned() {
+        // The caller's connection is closed.
+    }
+
     private void begin() {
         if (response.headWritten()) {
             return;
@@ -80,17 +105,4 @@
                 .putHeader("cache-control", "no-cache")
                 .putHeader(Outcome.HEADER, Outcome.DONE.headerValue());
     }
-
-    private void event(String identifier, JsonObject data) {
-        response.write("id: " + identifier + "\ndata: " + data.encode() + "\n\n");
-    }
-
-    private void reportTaken(long sequence) {
-        unreported = sequence;
-        if (!response.writeQueueFull()) {
-            socketTook.accept(sequence);
-            return;
-        }
-        response.drainHandler(ignored -> socketTook.accept(unreported));
-    }
 }
--- a/router/src/main/java/org/redwinghook/router/caller/WholeCompletion.java
+++ b/router/src/main/java/org/redwinghook/router/caller/WholeCompletion.java
@@ -15,8 +15,10 @@
 
     private static final int HTTP_OK = 200;
     private static final int HTTP_BAD_GATEWAY = 502;
+    private static final int HTTP_GATEWAY_TIMEOUT = 504;
 
     private final HttpServerResponse response;
+    private final CompletionFormat format;
     private final String model;
     private final StringBuilder text = new StringBuilder();
     private LongConsumer collected = sequence -> {};
@@ -25,10 +27,12 @@
      * Creates a writer.
      *
      * @param response the caller's response
+     * @param format shape of the answer
      * @param model model that the caller named
      */
-    public WholeCompletion(HttpServerResponse response, String model) {
+    public WholeCompletion(HttpServerResponse response, CompletionFormat format, String model) {
         this.response = response;
+        this.format = format;
         this.model = model;
     }
 
@@ -49,8 +53,8 @@
 
     @Override
     public void finished(String generation, FinishReason reason, TokenUsage usage) {
-        JsonObject body = CompletionEvents.chunk(generation, model, text.toString(), reason)
-                .put("usage", CompletionEvents.usage(usage));
+        JsonObject body =
+                format.answer(generation, model, text.toString(), reason).put("usage", CompletionFormat.usage(usage));
         CallerErrors.end(response, HTTP_OK, Outcome.DONE, body);
     }
 
@@ -63,4 +67,14 @@
     public void refused(RefusalReason reason, String detail, long retryAfterMillis) {
         CallerErrors.refuse(response, reason, detail, retryAfterMillis);
     }
+
+    @Override
+    public void unknown(String detail) {
+        CallerErrors.end(response, HTTP_GATEWAY_TIMEOUT, Outcome.UNKNOWN, CallerErrors.body("outcome_unknown", detail));
+    }
+
+    @Override
+    public void abandoned() {
+        // The caller's connection is closed.
+    }
 }
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/endpoint/ConnectionSetup.java
@@ -0,0 +1,24 @@
+package org.redwinghook.router.endpoint;
+
+import java.util.function.Supplier;
+
+import org.redwinghook.core.message.Hello;
+import org.redwinghook.router.metrics.RouterMetrics;
+import org.redwinghook.runtime.wire.FrameCodec;
+import org.redwinghook.runtime.wire.WireMetrics;
+
+/**
+ * What all connections to sidecars share.
+ *
+ * @param codec encodes and decodes frames
+ * @param wireMetrics counts bytes and messages
+ * @param hello gives this router's greeting
+ * @param timing times of connections
+ * @param metrics counts dropped messages
+ */
+public record ConnectionSetup(
+        FrameCodec codec,
+        WireMetrics wireMetrics,
+        Supplier<Hello> hello,
+        DeliveryTiming timing,
+        RouterMetrics metrics) {}
--- a/router/src/main/java/org/redwinghook/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointConnection.java
@@ -4,9 +4,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
-import java.util.function.Supplier;
+import java.util.function.LongSupplier;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import org.jspecify.annotations.Nullable;
@@ -23,9 +27,7 @@
 import org.redwinghook.core.message.OutcomeUnknown;
 import org.redwinghook.core.message.Refused;
 import org.redwinghook.core.message.Tokens;
-import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.PeerConnection;
-import org.redwinghook.runtime.wire.WireMetrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,18 +35,25 @@
 public final class EndpointConnection {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(EndpointConnection.class);
-    private static final long RECONNECT_MILLIS = 250;
+    private static final int PROTOCOL_VERSION = 1;
+    private static final int LARGEST_DOUBLING = 16;
 
     private final Vertx vertx;
     private final NetClient client;
-    private final FrameCodec codec;
-    private final WireMetrics metrics;
-    private final Member member;
-    private final Supplier<Hello> hello;
+    private final ConnectionSetup setup;
+    private final LongSupplier exchangeNumbers;
+    private final DeliveryTiming timing;
     private final Map<Long, ExchangeListener> exchanges = new HashMap<>();
+    private Member member;
+    private Promise<Void> ready = Promise.promise();
     private @Nullable PeerConnection connection;
     private @Nullable EndpointLoad load;
-    private long lastExchange;
+    private long incarnation;
+    private long lastSentNanos;
+    private long lastReceivedNanos;
+    private int failures;
+    private int waiting;
+    private boolean greeted;
     private boolean closed;
 
     /**
@@ -52,24 +61,18 @@
      *
      * @param vertx runs timers
      * @param client opens sockets
-     * @param codec encodes and decodes frames
-     * @param metrics counts bytes and messages
+     * @param setup what all connections share
      * @param member the sidecar
-     * @param hello gives this router's greeting
+     * @param exchangeNumbers gives numbers that this process never uses twice
      */
     public EndpointConnection(
-            Vertx vertx,
-            NetClient client,
-            FrameCodec codec,
-            WireMetrics metrics,
-            Member member,
-            Supplier<Hello> hello) {
+            Vertx vertx, NetClient client, ConnectionSetup setup, Member member, LongSupplier exchangeNumbers) {
         this.vertx = vertx;
         this.client = client;
-        this.codec = codec;
-        this.metrics = metrics;
+        this.setup = setup;
+        this.timing = setup.timing();
         this.member = member;
-        this.hello = hello;
+        this.exchangeNumbers = exchangeNumbers;
     }
 
     /** Opens the connection and keeps it open until {@link #close}. */
@@ -78,16 +81,18 @@
             return;
         }
         client.connect(member.peerPort(), member.host())
-                .onSuccess(socket -> opened(new PeerConnection(socket, codec, metrics)))
+                .onSuccess(socket -> opened(new PeerConnection(socket, setup.codec(), setup.wireMetrics())))
                 .onFailure(failure -> reopenLater());
     }
 
     /** Closes the connection for good. */
     public void close() {
         closed = true;
-        if (connection != null) {
-            connection.close();
+        PeerConnection open = connection;
+        if (open != null) {
+            open.close();
         }
+        ready.tryFail("the endpoint is no longer known");
     }
 
     /**
@@ -99,22 +104,59 @@
         return member;
     }
 
+    /**
+     * Takes a changed entry for the same address. Running exchanges go on: a VM that starts to leave finishes its work.
+     *
+     * @param changed the new entry
+     */
+    public void update(Member changed) {
+        member = changed;
+    }
+
     /**
      * The last reported load.
      *
      * @return the load, empty while the connection is down
      */
     public Optional<EndpointLoad> load() {
-        return connection == null ? Optional.empty() : Optional.ofNullable(load);
+        return greeted ? Optional.ofNullable(load) : Optional.empty();
+    }
+
+    /**
+     * Incarnation that the sidecar's last greeting named.
+     *
+     * @return the incarnation, 0 before the first greeting
+     */
+    public long incarnation() {
+        return incarnation;
     }
 
     /**
-     * Exchanges that have not ended.
+     * Exchanges that have not ended, and generations that wait to be resumed.
      *
      * @return their number
      */
     public int outstanding() {
-        return exchanges.size();
+        return exchanges.size() + waiting;
+    }
+
+    /**
+     * Waits until the sidecar has greeted.
+     *
+     * @return completes at once if it has; fails when the connection is closed for good
+     */
+    public Future<Void> whenReady() {
+        return ready.future();
+    }
+
+    /** Keeps the connection in use while a generation waits to be resumed; ended by {@link #release}. */
+    public void retain() {
+        waiting++;
+    }
+
+    /** Ends one {@link #retain}. */
+    public void release() {
+        waiting--;
     }
 
     /**
@@ -125,28 +167,30 @@
      * @return the exchange's number, empty if the connection is down and nothing was sent
      */
     public Optional<Long> start(ExchangeListener listener, LongFunction<Message> request) {
-        if (connection == null) {
+        if (!greeted) {
             return Optional.empty();
         }
-        lastExchange++;
-        exchanges.put(lastExchange, listener);
-        connection.send(request.apply(lastExchange));
-        return Optional.of(lastExchange);
+        long exchange = exchangeNumbers.getAsLong();
+        exchanges.put(exchange, listener);
+        send(request.apply(exchange));
+        return Optional.of(exchange);
     }
 
     /**
-     * Sends a message of a running exchange.
+     * Sends a message. Nothing happens while the connection is down.
      *
      * @param message the message
      */
     public void send(Message message) {
-        if (connection != null) {
-            connection.send(message);
+        PeerConnection open = connection;
+        if (open != null) {
+            lastSentNanos = System.nanoTime();
+            open.send(message);
         }
     }
 
     /**
-     * Ends an exchange from this side.
+     * Ends an exchange from this side. Later messages for it are dropped.
      *
      * @param exchange the exchange
      * @param callerGone whether the caller went away
@@ -157,38 +201,95 @@
         }
     }
 
+    /** Sends a heartbeat on an idle connection and closes a silent one. Called often. */
+    public void checkLiveness() {
+        PeerConnection open = connection;
+        if (open == null) {
+            return;
+        }
+        long now = System.nanoTime();
+        if (millisSince(lastReceivedNanos, now) >= timing.silenceMillis()) {
+            LOGGER.info("no message from {} for {} ms", member.vm(), timing.silenceMillis());
+            open.close();
+            return;
+        }
+        if (millisSince(lastSentNanos, now) >= timing.heartbeatMillis()) {
+            send(new Heartbeat(setup.hello().get().configurationOffset(), null));
+        }
+    }
+
+    private static long millisSince(long nanos, long now) {
+        return TimeUnit.NANOSECONDS.toMillis(now - nanos);
+    }
+
     private void opened(PeerConnection opened) {
         if (closed) {
             opened.close();
             return;
         }
         connection = opened;
-        opened.onMessage(this::receive);
-        opened.onClose(this::lost);
-        opened.send(hello.get());
-        LOGGER.info("connected to {}", member.vm());
+        lastReceivedNanos = System.nanoTime();
+        opened.onMessage(message -> receive(opened, message));
+        opened.onClose(() -> lost(opened));
+        send(setup.hello().get());
     }
 
-    private void lost() {
-        connection = null;
-        load = null;
-        if (!closed) {
+    private void greeted(PeerConnection source, Hello greeting) {
+        if (greeting.protocolVersion() != PROTOCOL_VERSION) {
+            LOGGER.warn("{} speaks protocol version {}", member.vm(), greeting.protocolVersion());
+            source.close();
+            return;
+        }
+        if (!greeted) {
+            LOGGER.info("connected to {}", member.vm());
+        }
+        incarnation = greeting.incarnation();
+        greeted = true;
+        failures = 0;
+        ready.tryComplete();
+    }
+
+    private void lost(PeerConnection source) {
+        if (source != connection) {
+            return;
+        }
+        if (greeted) {
             LOGGER.info("lost connection to {}", member.vm());
+            ready = Promise.promise();
         }
+        connection = null;
+        load = null;
+        greeted = false;
         List<ExchangeListener> listeners = List.copyOf(exchanges.values());
         exchanges.clear();
+        if (closed) {
+            ready.tryFail("the endpoint is no longer known");
+        }
         listeners.forEach(ExchangeListener::connectionLost);
         reopenLater();
     }
 
     private void reopenLater() {
-        if (!closed) {
-            vertx.setTimer(RECONNECT_MILLIS, ignored -> open());
+        if (closed) {
+            return;
         }
+        long longest = Math.min(
+                timing.reconnectMostMillis(), timing.reconnectLeastMillis() << Math.min(failures, LARGEST_DOUBLING));
+        failures++;
+        // Jitter keeps the routers from reconnecting to a restarted sidecar all at once.
+        long delay = ThreadLocalRandom.current().nextLong(longest / 2, longest + 1);
+        vertx.setTimer(Math.max(1, delay), ignored -> open());
     }
 
-    private void receive(Message message) {
-        if (message instanceof Heartbeat heartbeat) {
+    private void receive(PeerConnection source, Message message) {
+        if (source != connection) {
+            setup.metrics().messageDropped();
+            return;
+        }
+        lastReceivedNanos = System.nanoTime();
+        if (message instanceof Hello greeting) {
+            greeted(source, greeting);
+        } else if (message instanceof Heartbeat heartbeat) {
             noteLoad(heartbeat.load());
         } else if (message instanceof Accepted accepted) {
             pass(accepted.exchange(), message, false);
@@ -218,8 +319,10 @@
 
     private void pass(long exchange, Message message, boolean last) {
         ExchangeListener listener = last ? exchanges.remove(exchange) : exchanges.get(exchange);
-        if (listener != null) {
-            listener.message(message);
+        if (listener == null) {
+            setup.metrics().messageDropped();
+            return;
         }
+        listener.message(message);
     }
 }
--- a/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
@@ -7,39 +7,35 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import org.redwinghook.core.config.Configuration;
 import org.redwinghook.core.membership.Member;
-import org.redwinghook.core.message.Heartbeat;
-import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.routing.EndpointView;
 import org.redwinghook.runtime.admin.StateSource;
 import org.redwinghook.runtime.config.ConfigurationSource;
 import org.redwinghook.runtime.platform.VmListClient;
-import org.redwinghook.runtime.wire.FrameCodec;
-import org.redwinghook.runtime.wire.WireMetrics;
 
 /** Keeps connections to the sidecars that the VM list names. */
 public final class EndpointDirectory implements StateSource {
 
     private static final long VM_LIST_POLL_MILLIS = 1_000;
-    private static final long HEARTBEAT_MILLIS = 5_000;
+    private static final long CHECKS_PER_HEARTBEAT = 5;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
     private final Vertx vertx;
     private final VmListClient vmList;
     private final ConfigurationSource configuration;
     private final String ownDataCentre;
-    private final FrameCodec codec;
-    private final WireMetrics metrics;
-    private final Supplier<Hello> hello;
+    private final ConnectionSetup setup;
     private final NetClient client;
     private final Map<String, EndpointConnection> connections = new HashMap<>();
+    private long lastExchange;
+    private boolean listRead;
+    private List<Member> members = List.of();
 
     /**
      * Creates a directory without endpoints.
@@ -48,25 +44,19 @@
      * @param vmList the platform's list
      * @param configuration the configuration in force
      * @param ownDataCentre data centre of this router
-     * @param codec encodes and decodes frames
-     * @param metrics counts bytes and messages
-     * @param hello gives this router's greeting
+     * @param setup what all connections share
      */
     public EndpointDirectory(
             Vertx vertx,
             VmListClient vmList,
             ConfigurationSource configuration,
             String ownDataCentre,
-            FrameCodec codec,
-            WireMetrics metrics,
-            Supplier<Hello> hello) {
+            ConnectionSetup setup) {
         this.vertx = vertx;
         this.vmList = vmList;
         this.configuration = configuration;
         this.ownDataCentre = ownDataCentre;
-        this.codec = codec;
-        this.metrics = metrics;
-        this.hello = hello;
+        this.setup = setup;
         this.client = vertx.createNetClient(
                 new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setTcpNoDelay(true));
     }
@@ -75,7 +65,9 @@
     public void start() {
         refresh();
         vertx.setPeriodic(VM_LIST_POLL_MILLIS, ignored -> refresh());
-        vertx.setPeriodic(HEARTBEAT_MILLIS, ignored -> heartbeat());
+        vertx.setPeriodic(
+                Math.max(1, setup.timing().heartbeatMillis() / CHECKS_PER_HEARTBEAT),
+                ignored -> List.copyOf(connections.values()).forEach(EndpointConnection::checkLiveness));
     }
 
     /**
@@ -117,6 +109,29 @@
         return Optional.ofNullable(connections.get(vm));
     }
 
+    /**
+     * Whether the VM list has been read.
+     *
+     * @return false until the first answer of the VM list
+     */
+    public boolean isListRead() {
+        return listRead;
+    }
+
+    /**
+     * Routers of this router's region that are not leaving.
+     *
+     * @return members of the VM list
+     */
+    public List<Member> regionRouters() {
+        Configuration current = configuration.current();
+        String ownRegion = current.regionOf(ownDataCentre);
+        return members.stream()
+                .filter(member -> member.role() == ProcessRole.ROUTER && !member.leaving())
+                .filter(member -> ownRegion.equals(current.regionOf(member.dataCentre())))
+                .toList();
+    }
+
     /** Closes all connections. */
     public void close() {
         List.copyOf(connections.values()).forEach(EndpointConnection::close);
@@ -136,9 +151,11 @@
         vmList.read().onSuccess(this::update);
     }
 
-    private void update(List<Member> members) {
+    private void update(List<Member> current) {
+        listRead = true;
+        members = current;
         Set<String> present = new HashSet<>();
-        for (Member member : members) {
+        for (Member member : current) {
             if (member.role() != ProcessRole.SIDECAR) {
                 continue;
             }
@@ -154,21 +171,19 @@
 
     private void keep(Member member) {
         EndpointConnection known = connections.get(member.vm());
-        if (known != null && known.member().equals(member)) {
+        if (known != null
+                && known.member().host().equals(member.host())
+                && known.member().peerPort() == member.peerPort()) {
+            known.update(member);
             return;
         }
         if (known != null) {
             known.close();
         }
-        EndpointConnection added = new EndpointConnection(vertx, client, codec, metrics, member, hello);
+        EndpointConnection added = new EndpointConnection(vertx, client, setup, member, () -> ++lastExchange);
         connections.put(member.vm(), added);
         added.open();
     }
 
-    private void heartbeat() {
-        Heartbeat heartbeat = new Heartbeat(configuration.current().offset(), null);
-        connections.values().forEach(connection -> connection.send(heartbeat));
-    }
-
     private record EndpointState(String vm, int outstanding, boolean connected) {}
 }
--- a/router/src/main/java/org/redwinghook/router/generation/GenerationDelivery.java
+++ b/router/src/main/java/org/redwinghook/router/generation/GenerationDelivery.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
+import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.message.Accepted;
 import org.redwinghook.core.message.Credit;
@@ -13,82 +15,106 @@
 import org.redwinghook.core.message.Message;
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.core.message.Refused;
+import org.redwinghook.core.message.Resume;
 import org.redwinghook.core.message.Submit;
 import org.redwinghook.core.message.Tokens;
-import org.redwinghook.core.routing.EndpointSelector;
 import org.redwinghook.core.routing.EndpointView;
 import org.redwinghook.core.routing.RoutingQuery;
 import org.redwinghook.core.stream.DeliveryCursor;
+import org.redwinghook.core.stream.EventId;
+import org.redwinghook.router.endpoint.DeliveryContext;
 import org.redwinghook.router.endpoint.EndpointConnection;
-import org.redwinghook.router.endpoint.EndpointDirectory;
 import org.redwinghook.router.endpoint.ExchangeListener;
 
 /**
  * Brings one generation to one caller. Before the first token another endpoint may be tried; afterwards the generation
- * is the only one that the caller ever sees.
+ * is the only one that the caller ever sees, and a lost connection to its sidecar is resumed. Each attempt has its own
+ * listener, so that a late message of an earlier attempt is never taken for one of the current attempt.
  */
-public final class GenerationDelivery implements ExchangeListener {
+public final class GenerationDelivery {
 
     /** Tokens granted beyond what the caller's socket took. */
     public static final int CREDIT = 256;
 
+    private static final int CREDIT_STEP = 64;
+    private static final int MOST_RESUMES_WITHOUT_TOKEN = 5;
     private static final long RETRY_AFTER_MILLIS = 1_000;
+    private static final long NO_TIMER = -1;
 
-    private final EndpointDirectory directory;
-    private final EndpointSelector selector;
-    private final Submit template;
-    private final long affinityHash;
-    private final int mostAttempts;
+    private final DeliveryContext context;
+    private final String customer;
     private final GenerationSink sink;
     private final Set<String> tried = new HashSet<>();
+    private final long startedNanos = System.nanoTime();
+    private @Nullable Submit template;
+    private long affinityHash;
+    private int mostAttempts;
     private DeliveryCursor cursor = new DeliveryCursor(0);
     private String generation = "";
     private int attempts;
+    private int resumesWithoutToken;
+    private long taken;
+    private long creditedThrough;
+    private long lastTokenNanos;
+    private long timeoutTimer = NO_TIMER;
+    private long resumeTimer = NO_TIMER;
+    private boolean mayHaveRun;
+    private boolean anyToken;
     private boolean ended;
-    private @Nullable EndpointConnection connection;
-    private long exchange;
+    private @Nullable Attempt current;
+    private @Nullable Attempt resuming;
+    private @Nullable Attempt finished;
     private @Nullable Refused lastRefusal;
 
     /**
      * Prepares a delivery.
      *
-     * @param directory endpoints
-     * @param selector selects among them
-     * @param template request; its exchange number is replaced at each attempt
-     * @param affinityHash hash of the prompt's prefix
-     * @param mostAttempts attempts allowed
+     * @param context what all deliveries share
+     * @param customer customer of the caller
      * @param sink the caller
      */
-    public GenerationDelivery(
-            EndpointDirectory directory,
-            EndpointSelector selector,
-            Submit template,
-            long affinityHash,
-            int mostAttempts,
-            GenerationSink sink) {
-        this.directory = directory;
-        this.selector = selector;
-        this.template = template;
-        this.affinityHash = affinityHash;
-        this.mostAttempts = mostAttempts;
+    public GenerationDelivery(DeliveryContext context, String customer, GenerationSink sink) {
+        this.context = context;
+        this.customer = customer;
         this.sink = sink;
     }
 
-    /** Starts the generation at the best endpoint. */
-    public void start() {
-        while (attempts < mostAttempts) {
-            RoutingQuery query = new RoutingQuery(affinityHash, false, promptTokens(), tried);
-            Optional<EndpointView> chosen = selector.select(directory.views(template.service()), query);
-            if (chosen.isEmpty()) {
-                break;
-            }
-            tried.add(chosen.get().vm());
-            attempts++;
-            if (submitTo(chosen.get().vm())) {
-                return;
-            }
+    /**
+     * Starts a generation at the best endpoint.
+     *
+     * @param submit request; its exchange number, timeout and credit are set at each attempt
+     * @param affinity hash of the prompt's prefix
+     * @param attemptLimit attempts allowed
+     */
+    public void start(Submit submit, long affinity, int attemptLimit) {
+        template = submit;
+        affinityHash = affinity;
+        mostAttempts = attemptLimit;
+        begin();
+        context.retries().requestStarted();
+        long timeoutMillis = submit.timeoutMillis() + context.timing().graceMillis();
+        timeoutTimer = context.vertx().setTimer(timeoutMillis, ignored -> timedOut());
+        tryEndpoints();
+    }
+
+    /**
+     * Continues a generation that was started before, through this or another router.
+     *
+     * @param position last token that the caller has
+     */
+    public void resumeAfter(EventId position) {
+        generation = position.generation();
+        cursor = new DeliveryCursor(position.sequence());
+        taken = position.sequence();
+        begin();
+        Optional<EndpointConnection> connection = context.directory().connection(position.vm());
+        if (connection.isPresent()) {
+            resume(new Attempt(connection.get(), 0));
+        } else if (context.directory().isListRead()) {
+            refuse(RefusalReason.UNKNOWN_GENERATION, "generation " + generation + " is not known", 0);
+        } else {
+            refuse(RefusalReason.NO_ENDPOINT, "the router does not know its endpoints yet", RETRY_AFTER_MILLIS);
         }
-        refuse();
     }
 
     /**
@@ -97,120 +123,399 @@
      * @param deliveredThrough last sequence number that the socket took
      */
     public void socketTook(long deliveredThrough) {
-        if (!ended && connection != null) {
-            connection.send(new Credit(exchange, deliveredThrough, deliveredThrough + CREDIT));
+        taken = Math.max(taken, deliveredThrough);
+        acknowledgeEnd();
+        Attempt attempt = current;
+        if (ended || attempt == null || taken - creditedThrough < CREDIT_STEP) {
+            return;
         }
+        creditedThrough = taken;
+        attempt.connection.send(new Credit(attempt.exchange, taken, taken + CREDIT));
     }
 
     /** The caller went away. */
     public void callerGone() {
+        if (!ended) {
+            end(true);
+            sink.abandoned();
+        }
+    }
+
+    private void begin() {
+        context.metrics().generationRequested();
+        context.running().add(this, this::abort);
+    }
+
+    private void abort(String detail) {
         if (ended) {
             return;
         }
-        ended = true;
-        if (connection != null) {
-            connection.cancel(exchange, true);
+        boolean sent = current != null || mayHaveRun;
+        if (anyToken) {
+            interrupt(detail);
+        } else if (sent) {
+            outcomeUnknown(detail);
+        } else {
+            refuse(RefusalReason.LEAVING, detail, RETRY_AFTER_MILLIS);
         }
     }
 
-    @Override
-    public void message(Message message) {
-        if (ended) {
+    private void timedOut() {
+        timeoutTimer = NO_TIMER;
+        if (ended || anyToken) {
             return;
         }
-        if (message instanceof Accepted accepted) {
-            generation = accepted.generation();
-        } else if (message instanceof Tokens tokens) {
-            deliver(tokens);
-        } else if (message instanceof Finished finished) {
-            finish(finished);
-        } else if (message instanceof Interrupted interrupted) {
-            failed(interrupted.detail());
-        } else if (message instanceof Refused refused) {
-            refused(refused);
+        if (current == null && !mayHaveRun) {
+            refuseWithLast();
+            return;
         }
+        // The submit frame was written, so the engine may have started although no token came back.
+        outcomeUnknown("no token arrived within the timeout; the generation may have started and was cancelled");
     }
 
-    @Override
-    public void connectionLost() {
-        if (!ended) {
-            failed("the connection to the endpoint was lost");
+    private void tryEndpoints() {
+        Submit request = template;
+        while (request != null && attempts < mostAttempts) {
+            RoutingQuery query = new RoutingQuery(affinityHash, false, promptTokens(request), tried);
+            Optional<EndpointView> chosen =
+                    context.selector().select(context.directory().views(request.service()), query);
+            if (chosen.isEmpty() || (attempts > 0 && !context.retries().tryRetry())) {
+                break;
+            }
+            if (attempts > 0) {
+                context.metrics().retried();
+            }
+            tried.add(chosen.get().vm());
+            attempts++;
+            if (submitTo(chosen.get().vm(), request)) {
+                return;
+            }
+        }
+        noEndpointLeft();
+    }
+
+    private void noEndpointLeft() {
+        Attempt lost = resuming;
+        if (lost != null && !generation.isEmpty()) {
+            resume(lost);
+        } else if (mayHaveRun) {
+            outcomeUnknown("the generation started and was lost before its first token");
+        } else {
+            refuseWithLast();
         }
     }
 
-    private boolean submitTo(String vm) {
-        EndpointConnection chosen = directory.connection(vm).orElse(null);
-        if (chosen == null) {
+    private boolean submitTo(String vm, Submit request) {
+        EndpointConnection connection = context.directory().connection(vm).orElse(null);
+        if (connection == null) {
             return false;
         }
-        Optional<Long> started = chosen.start(this, this::submit);
-        if (started.isEmpty()) {
+        Attempt attempt = new Attempt(connection, connection.incarnation());
+        Optional<Long> exchange = connection.start(attempt, number -> submit(number, request));
+        if (exchange.isEmpty()) {
             return false;
         }
-        connection = chosen;
-        exchange = started.get();
+        attempt.exchange = exchange.get();
+        current = attempt;
+        resuming = null;
+        generation = "";
         return true;
     }
 
-    private Submit submit(long number) {
+    private Submit submit(long exchange, Submit request) {
+        long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
         return new Submit(
-                number,
-                template.service(),
-                template.owner(),
-                template.customer(),
-                template.priority(),
-                template.timeoutMillis(),
+                exchange,
+                request.service(),
+                request.owner(),
+                request.customer(),
+                request.priority(),
+                Math.max(1, request.timeoutMillis() - elapsed),
                 CREDIT,
-                template.generation(),
+                request.generation(),
                 null);
     }
 
-    private void deliver(Tokens tokens) {
+    private void resume(Attempt lost) {
+        current = null;
+        if (resumesWithoutToken >= MOST_RESUMES_WITHOUT_TOKEN) {
+            resumeFailed("the generation was resumed " + resumesWithoutToken + " times without a token");
+            return;
+        }
+        resumesWithoutToken++;
+        if (resumeTimer == NO_TIMER) {
+            lost.connection.retain();
+            long limit = context.timing().resumeMillis();
+            resumeTimer = context.vertx().setTimer(limit, ignored -> {
+                lost.connection.release();
+                resumeTimer = NO_TIMER;
+                resumeFailed("the endpoint could not be reached again within " + limit + " ms");
+            });
+        }
+        resuming = lost;
+        lost.connection.whenReady().onComplete(result -> {
+            if (ended || resuming != lost) {
+                return;
+            }
+            if (result.failed()) {
+                resumeFailed("the endpoint is gone");
+            } else {
+                sendResume(lost);
+            }
+        });
+    }
+
+    private void sendResume(Attempt lost) {
+        EndpointConnection connection = lost.connection;
+        if (lost.incarnation != 0 && lost.incarnation != connection.incarnation()) {
+            resumeFailed("the endpoint's sidecar restarted");
+            return;
+        }
+        context.metrics().resumed();
+        Attempt attempt = new Attempt(connection, connection.incarnation());
+        int credit = (int) Math.max(0, taken + CREDIT - cursor.delivered());
+        Optional<Long> exchange = connection.start(
+                attempt, number -> new Resume(number, generation, cursor.delivered(), customer, credit));
+        if (exchange.isEmpty()) {
+            resumeFailed("the endpoint is gone");
+            return;
+        }
+        attempt.exchange = exchange.get();
+        attempt.isResume = true;
+        creditedThrough = taken;
+        current = attempt;
+    }
+
+    private void resumeFailed(String detail) {
+        if (ended) {
+            return;
+        }
+        if (anyToken || template == null) {
+            interrupt(detail);
+        } else {
+            outcomeUnknown(detail);
+        }
+    }
+
+    private void receive(Attempt attempt, Message message) {
+        if (message instanceof Accepted accepted) {
+            accepted(attempt, accepted);
+        } else if (message instanceof Tokens tokens) {
+            deliver(attempt, tokens);
+        } else if (message instanceof Finished end) {
+            finish(attempt, end);
+        } else if (message instanceof Interrupted interrupted) {
+            interrupted(attempt, interrupted);
+        } else if (message instanceof Refused refused) {
+            refused(attempt, refused);
+        }
+    }
+
+    private void accepted(Attempt attempt, Accepted accepted) {
+        mayHaveRun = true;
+        if (!attempt.isResume) {
+            generation = accepted.generation();
+            return;
+        }
+        if (!generation.equals(accepted.generation())) {
+            interrupt("the endpoint answered for another generation");
+            return;
+        }
+        stopResumeTimer(attempt);
+        resuming = null;
+    }
+
+    private void deliver(Attempt attempt, Tokens tokens) {
         long first = cursor.delivered() + 1;
-        List<String> fresh = cursor.take(tokens.firstSequence(), tokens.texts()).getOrElse(List.of());
-        if (!fresh.isEmpty()) {
-            sink.tokens(generation, first, fresh);
+        Either<Long, List<String>> taking = cursor.take(tokens.firstSequence(), tokens.texts());
+        if (taking.isLeft()) {
+            requestAgain(attempt);
+            return;
+        }
+        if (taking.get().isEmpty()) {
+            return;
+        }
+        noteArrival();
+        sink.tokens(generation, first, taking.get());
+    }
+
+    private void noteArrival() {
+        long now = System.nanoTime();
+        if (anyToken) {
+            context.metrics().tokenGap(now - lastTokenNanos);
+        } else {
+            context.metrics().firstToken(now - startedNanos);
+            cancelTimer(timeoutTimer);
+            timeoutTimer = NO_TIMER;
         }
+        lastTokenNanos = now;
+        anyToken = true;
+        mayHaveRun = true;
+        resumesWithoutToken = 0;
     }
 
-    private void finish(Finished finished) {
-        if (finished.lastSequence() != cursor.delivered()) {
-            failed("tokens are missing at the end");
+    /** Tokens are missing, so the exchange is replaced by one that starts after the last token delivered. */
+    private void requestAgain(Attempt attempt) {
+        attempt.connection.cancel(attempt.exchange, false);
+        resume(attempt);
+    }
+
+    private void finish(Attempt attempt, Finished end) {
+        if (end.lastSequence() > cursor.delivered()) {
+            requestAgain(attempt);
             return;
         }
-        ended = true;
-        sink.finished(generation, finished.reason(), finished.usage());
+        if (end.lastSequence() < cursor.delivered()) {
+            interrupt("the endpoint counts fewer tokens than it sent");
+            return;
+        }
+        finished = attempt;
+        end(false);
+        sink.finished(generation, end.reason(), end.usage());
+        acknowledgeEnd();
+    }
+
+    /** Tells the sidecar that the caller has everything, so that the output need not be kept longer. */
+    private void acknowledgeEnd() {
+        Attempt attempt = finished;
+        if (attempt != null && taken >= cursor.delivered()) {
+            finished = null;
+            attempt.connection.send(new Credit(attempt.exchange, cursor.delivered(), cursor.delivered()));
+        }
     }
 
-    private void refused(Refused refused) {
+    private void interrupted(Attempt attempt, Interrupted interrupted) {
+        if (interrupted.lastSequence() > cursor.delivered()) {
+            requestAgain(attempt);
+            return;
+        }
+        mayHaveRun = true;
+        current = null;
+        if (mayStartAnew()) {
+            generation = "";
+            tryEndpoints();
+            return;
+        }
+        interrupt(interrupted.detail());
+    }
+
+    private void refused(Attempt attempt, Refused refused) {
+        if (attempt.isResume) {
+            if (template == null && !anyToken) {
+                refuse(refused.reason(), refused.detail(), refused.retryAfterMillis());
+            } else {
+                resumeFailed(refused.detail());
+            }
+            return;
+        }
+        current = null;
         lastRefusal = refused;
         if (refused.reason().retryElsewhere()) {
-            start();
-            return;
+            tryEndpoints();
+        } else {
+            noEndpointLeft();
         }
-        refuse();
     }
 
-    private void failed(String detail) {
-        if (cursor.delivered() == 0) {
-            cursor = new DeliveryCursor(0);
-            start();
+    private void connectionLost(Attempt attempt) {
+        current = null;
+        mayHaveRun = true;
+        if (!mayStartAnew()) {
+            resume(attempt);
             return;
         }
-        ended = true;
+        resuming = generation.isEmpty() ? null : attempt;
+        tryEndpoints();
+    }
+
+    private boolean mayStartAnew() {
+        return template != null && !anyToken;
+    }
+
+    private void interrupt(String detail) {
+        context.metrics().interrupted();
+        end(false);
         sink.interrupted(detail, cursor.delivered());
     }
 
-    private void refuse() {
+    private void outcomeUnknown(String detail) {
+        context.metrics().outcomeUnknown();
+        end(true);
+        sink.unknown(detail);
+    }
+
+    private void refuseWithLast() {
+        Refused last = lastRefusal;
+        if (last == null) {
+            refuse(RefusalReason.NO_ENDPOINT, "no endpoint takes new work", RETRY_AFTER_MILLIS);
+        } else {
+            refuse(last.reason(), last.detail(), last.retryAfterMillis());
+        }
+    }
+
+    private void refuse(RefusalReason reason, String detail, long retryAfterMillis) {
+        context.metrics().refused(reason);
+        end(true);
+        sink.refused(reason, detail, retryAfterMillis);
+    }
+
+    private void end(boolean callerGone) {
         ended = true;
-        if (lastRefusal == null) {
-            sink.refused(RefusalReason.NO_ENDPOINT, "no endpoint takes new work", RETRY_AFTER_MILLIS);
+        context.running().remove(this);
+        cancelTimer(timeoutTimer);
+        Attempt attempt = current != null ? current : resuming;
+        if (attempt == null) {
             return;
         }
-        sink.refused(lastRefusal.reason(), lastRefusal.detail(), lastRefusal.retryAfterMillis());
+        stopResumeTimer(attempt);
+        attempt.connection.cancel(attempt.exchange, callerGone);
+    }
+
+    private void stopResumeTimer(Attempt attempt) {
+        if (resumeTimer != NO_TIMER) {
+            cancelTimer(resumeTimer);
+            resumeTimer = NO_TIMER;
+            attempt.connection.release();
+        }
+    }
+
+    private void cancelTimer(long timer) {
+        if (timer != NO_TIMER) {
+            context.vertx().cancelTimer(timer);
+        }
     }
 
-    private int promptTokens() {
-        return template.generation() == null ? 0 : template.generation().promptTokens();
+    private static int promptTokens(Submit request) {
+        return request.generation() == null ? 0 : request.generation().promptTokens();
+    }
+
+    /** One exchange with one sidecar. */
+    private final class Attempt implements ExchangeListener {
+
+        private final EndpointConnection connection;
+        private final long incarnation;
+        private long exchange;
+        private boolean isResume;
+
+        Attempt(EndpointConnection connection, long incarnation) {
+            this.connection = connection;
+            this.incarnation = incarnation;
+        }
+
+        @Override
+        public void message(Message message) {
+            if (ended || current != this) {
+                context.metrics().messageDropped();
+                return;
+            }
+            receive(this, message);
+        }
+
+        @Override
+        public void connectionLost() {
+            if (!ended && current == this) {
+                GenerationDelivery.this.connectionLost(this);
+            }
+        }
     }
 }
--- a/router/src/main/java/org/redwinghook/router/generation/GenerationSink.java
+++ b/router/src/main/java/org/redwinghook/router/generation/GenerationSink.java
@@ -43,4 +43,14 @@
      * @param retryAfterMillis time after which another try makes sense
      */
     void refused(RefusalReason reason, String detail, long retryAfterMillis);
+
+    /**
+     * The request got no token and may have run.
+     *
+     * @param detail cause
+     */
+    void unknown(String detail);
+
+    /** The caller went away; nothing more can be delivered. */
+    void abandoned();
 }
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/peer/RouterPeers.java
@@ -0,0 +1,114 @@
+package org.redwinghook.router.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import io.vertx.core.net.NetClient;
+import org.redwinghook.core.membership.Member;
+import org.redwinghook.core.message.Hello;
+import org.redwinghook.runtime.wire.FrameCodec;
+import org.redwinghook.runtime.wire.MessageDispatcher;
+import org.redwinghook.runtime.wire.PeerConnection;
+import org.redwinghook.runtime.wire.PeerDirectory;
+import org.redwinghook.runtime.wire.WireMetrics;
+
+/** Opens connections to other routers when they are first asked for. */
+public final class RouterPeers implements PeerDirectory {
+
+    private final String process;
+    private final NetClient client;
+    private final FrameCodec codec;
+    private final WireMetrics metrics;
+    private final Supplier<Hello> hello;
+    private final Supplier<List<Member>> members;
+    private final MessageDispatcher dispatcher;
+    private final Map<String, PeerConnection> connections = new HashMap<>();
+    private final Set<String> opening = new HashSet<>();
+
+    /**
+     * Creates a directory without connections.
+     *
+     * @param process name of this router
+     * @param client opens sockets
+     * @param codec encodes and decodes frames
+     * @param metrics counts bytes and messages
+     * @param hello gives this router's greeting
+     * @param members live routers of the region, from the VM list
+     * @param dispatcher receives messages
+     */
+    public RouterPeers(
+            String process,
+            NetClient client,
+            FrameCodec codec,
+            WireMetrics metrics,
+            Supplier<Hello> hello,
+            Supplier<List<Member>> members,
+            MessageDispatcher dispatcher) {
+        this.process = process;
+        this.client = client;
+        this.codec = codec;
+        this.metrics = metrics;
+        this.hello = hello;
+        this.members = members;
+        this.dispatcher = dispatcher;
+    }
+
+    @Override
+    public Optional<PeerConnection> connection(String name) {
+        PeerConnection open = connections.get(name);
+        if (open != null) {
+            return Optional.of(open);
+        }
+        if (!name.equals(process) && !opening.contains(name)) {
+            for (Member member : members.get()) {
+                if (member.vm().equals(name)) {
+                    open(member);
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    @Override
+    public List<Member> routers() {
+        return members.get();
+    }
+
+    /**
+     * Takes a connection that another router opened.
+     *
+     * @param connection the connection
+     */
+    public void accept(PeerConnection connection) {
+        connection.onMessage(message -> {
+            if (message instanceof Hello) {
+                connection.send(hello.get());
+            }
+            dispatcher.dispatch(connection, message);
+        });
+    }
+
+    /** Closes all connections. */
+    public void close() {
+        new ArrayList<>(connections.values()).forEach(PeerConnection::close);
+    }
+
+    private void open(Member member) {
+        opening.add(member.vm());
+        client.connect(member.peerPort(), member.host())
+                .onComplete(result -> opening.remove(member.vm()))
+                .onSuccess(socket -> {
+                    PeerConnection connection = new PeerConnection(socket, codec, metrics);
+                    connections.put(member.vm(), connection);
+                    connection.onMessage(message -> dispatcher.dispatch(connection, message));
+                    connection.onClose(() -> connections.remove(member.vm(), connection));
+                    connection.send(hello.get());
+                });
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/PeerDirectory.java
@@ -0,0 +1,25 @@
+package org.redwinghook.runtime.wire;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.redwinghook.core.membership.Member;
+
+/** Connections to other routers. */
+public interface PeerDirectory {
+
+    /**
+     * Connection to a router.
+     *
+     * @param process name of its process
+     * @return the open connection; empty if there is none now, in which case one may be opened for later
+     */
+    Optional<PeerConnection> connection(String process);
+
+    /**
+     * Live routers of this router's region, with this router itself.
+     *
+     * @return members of the VM list
+     */
+    List<Member> routers();
+}
