--- /dev/null
+++ b/router/src/test/java/org/redwinghook/router/FakeSidecar.java
@@ -0,0 +1,156 @@
+package org.redwinghook.router;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.message.EndpointLoad;
+import org.redwinghook.core.message.Heartbeat;
+import org.redwinghook.core.message.Hello;
+import org.redwinghook.core.message.Message;
+import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.runtime.settings.Address;
+import org.redwinghook.runtime.wire.FrameCodec;
+import org.redwinghook.runtime.wire.PeerConnection;
+import org.redwinghook.runtime.wire.PeerServer;
+import org.redwinghook.runtime.wire.WireMetrics;
+import org.testng.Assert;
+
+/** A sidecar whose answers the test writes. */
+final class FakeSidecar {
+
+    private static final long WAIT_SECONDS = 5;
+
+    final String vm;
+    final String service;
+    final AtomicInteger greetings = new AtomicInteger();
+    private final Vertx vertx;
+    private final Context context;
+    private final LinkedBlockingQueue<Received> received = new LinkedBlockingQueue<>();
+    private final List<PeerConnection> connections = new ArrayList<>();
+    private volatile boolean silent;
+    private volatile long incarnation = 1;
+    private volatile int port;
+    private @Nullable PeerServer server;
+
+    FakeSidecar(Vertx vertx, String vm, String service) {
+        this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+        this.vm = vm;
+        this.service = service;
+        listen();
+    }
+
+    JsonObject entry() {
+        return new JsonObject()
+                .put("vm", vm)
+                .put("dataCentre", "dc")
+                .put("role", "sidecar")
+                .put("host", "127.0.0.1")
+                .put("peerPort", port)
+                .put("adminPort", 1)
+                .put("service", service);
+    }
+
+    void listen() {
+        PeerServer created = new PeerServer(
+                vertx,
+                new Address("127.0.0.1", port),
+                new FrameCodec(),
+                new WireMetrics(new SimpleMeterRegistry()),
+                this::accept);
+        port = created.start().await();
+        server = created;
+    }
+
+    void stop() {
+        PeerServer running = server;
+        if (running != null) {
+            running.stop().await();
+        }
+    }
+
+    /** Closes all connections and keeps listening. */
+    void cut() {
+        context.runOnContext(ignored -> List.copyOf(connections).forEach(PeerConnection::close));
+    }
+
+    /** Restarts as a process that knows nothing of the one before. */
+    void restart() {
+        stop();
+        incarnation++;
+        listen();
+    }
+
+    /** No longer answers anything, heartbeats included, while its connections stay open. */
+    void fallSilent() {
+        silent = true;
+    }
+
+    /** The next message of a type; messages of other types before it are dropped. */
+    <M extends Message> Arrival<M> next(Class<M> type) throws InterruptedException {
+        while (true) {
+            Received next = received.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            if (next == null) {
+                throw new AssertionError(vm + " received no " + type.getSimpleName());
+            }
+            if (type.isInstance(next.message)) {
+                return new Arrival<>(this, next.connection, type.cast(next.message));
+            }
+        }
+    }
+
+    void expectNothing(Class<? extends Message> type, long millis) throws InterruptedException {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (System.nanoTime() < deadline) {
+            Received next = received.poll(deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
+            Assert.assertFalse(next != null && type.isInstance(next.message), vm + " received " + next);
+        }
+    }
+
+    static EndpointLoad load() {
+        return new EndpointLoad(0, 0, 10, 0, 0, true);
+    }
+
+    private void accept(PeerConnection connection) {
+        connections.add(connection);
+        connection.onClose(() -> connections.remove(connection));
+        connection.onMessage(message -> receive(connection, message));
+    }
+
+    private void receive(PeerConnection connection, Message message) {
+        if (silent) {
+            return;
+        }
+        if (message instanceof Hello) {
+            connection.send(new Hello(1, vm, incarnation, ProcessRole.SIDECAR, service, "dc", 0));
+            connection.send(new Heartbeat(0, load()));
+            greetings.incrementAndGet();
+        } else if (message instanceof Heartbeat) {
+            connection.send(new Heartbeat(0, load()));
+        } else {
+            received.add(new Received(connection, message));
+        }
+    }
+
+    private record Received(PeerConnection connection, Message message) {}
+
+    /** A message and the connection to answer on. */
+    record Arrival<M extends Message>(FakeSidecar sidecar, PeerConnection connection, M message) {
+
+        void send(Message... answers) {
+            sidecar.context.runOnContext(ignored -> {
+                for (Message answer : answers) {
+                    connection.send(answer);
+                }
+            });
+        }
+    }
+}
