--- /dev/null
+++ b/router/src/test/java/org/redwinghook/router/CallerConnectionTest.java
@@ -0,0 +1,101 @@
+package org.redwinghook.router;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+
+import org.redwinghook.core.message.Accepted;
+import org.redwinghook.core.message.Cancel;
+import org.redwinghook.core.message.Credit;
+import org.redwinghook.core.message.Submit;
+import org.redwinghook.core.message.Tokens;
+import org.redwinghook.router.FakeSidecar.Arrival;
+import org.redwinghook.router.RouterFixture.Running;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against callers that fill the router's memory or leave work behind. */
+public class CallerConnectionTest {
+
+    private static final int LARGE_TOKEN_CHARACTERS = 64 * 1024;
+
+    private RouterFixture fixture = new RouterFixture();
+
+    @BeforeMethod
+    public void open() {
+        fixture.close();
+        fixture = new RouterFixture(RouterFixture.MODEL);
+    }
+
+    @AfterMethod
+    public void close() {
+        fixture.close();
+    }
+
+    /** Guards against unbounded memory: no credit may be granted while the caller's socket takes nothing. */
+    @Test
+    public void grantsNoCreditWhileCallerDoesNotRead() throws Exception {
+        Running router = fixture.router();
+        FakeSidecar sidecar = fixture.sidecars.get(0);
+        try (Socket socket = request(router)) {
+            Arrival<Submit> submit = sidecar.next(Submit.class);
+            long exchange = submit.message().exchange();
+            Assert.assertEquals(submit.message().credit(), 256);
+            submit.send(new Accepted(exchange, "vm.1.1.1"));
+            String text = "x".repeat(LARGE_TOKEN_CHARACTERS);
+            for (int sequence = 1; sequence <= 256; sequence++) {
+                submit.send(new Tokens(exchange, sequence, Collections.singletonList(text)));
+            }
+            RouterFixture.eventually(() -> router.counter("redwinghook_router_token_gap_seconds_count") == 255);
+            long granted = 256;
+            Credit credit;
+            while ((credit = sidecar.poll(Credit.class, 30)) != null) {
+                granted = credit.sendThrough();
+            }
+            Assert.assertTrue(granted < 512, "granted through " + granted);
+            readAll(socket, (long) LARGE_TOKEN_CHARACTERS * 256);
+            Credit after = sidecar.next(Credit.class).message();
+            Assert.assertTrue(after.sendThrough() > granted, "granted through " + after.sendThrough());
+        }
+    }
+
+    /** Guards against a place in a sidecar's queue that nobody waits for. */
+    @Test
+    public void cancelsQueuedRequestWhenCallerGoes() throws Exception {
+        Running router = fixture.router();
+        FakeSidecar sidecar = fixture.sidecars.get(0);
+        Socket socket = request(router);
+        long exchange = sidecar.next(Submit.class).message().exchange();
+        socket.close();
+        Cancel cancel = sidecar.next(Cancel.class).message();
+        Assert.assertEquals(cancel.exchange(), exchange);
+        Assert.assertTrue(cancel.callerGone());
+    }
+
+    private static Socket request(Running router) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(LARGE_TOKEN_CHARACTERS);
+        socket.connect(new InetSocketAddress("127.0.0.1", router.process.callerPort()));
+        String body = Running.body(true);
+        String head = "POST /v1/completions HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer retail-key\r\n"
+                + "Content-Length: " + body.length() + "\r\n\r\n";
+        socket.getOutputStream().write((head + body).getBytes(StandardCharsets.UTF_8));
+        return socket;
+    }
+
+    private static void readAll(Socket socket, long bytes) throws IOException {
+        InputStream input = socket.getInputStream();
+        byte[] buffer = new byte[LARGE_TOKEN_CHARACTERS];
+        long read = 0;
+        while (read < bytes) {
+            int count = input.read(buffer);
+            Assert.assertTrue(count > 0, "the stream ended after " + read + " bytes");
+            read += count;
+        }
+    }
+}
--- a/router/src/test/java/org/redwinghook/router/FakeSidecar.java
+++ b/router/src/test/java/org/redwinghook/router/FakeSidecar.java
@@ -107,6 +107,12 @@
         }
     }
 
+    /** The next message if it is of a type and comes in time, else null. */
+    <M extends Message> @Nullable M poll(Class<M> type, long millis) throws InterruptedException {
+        Received next = received.poll(millis, TimeUnit.MILLISECONDS);
+        return next == null || !type.isInstance(next.message) ? null : type.cast(next.message);
+    }
+
     void expectNothing(Class<? extends Message> type, long millis) throws InterruptedException {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         while (System.nanoTime() < deadline) {
--- /dev/null
+++ b/router/src/test/java/org/redwinghook/router/LateAnswerTest.java
@@ -0,0 +1,144 @@
+package org.redwinghook.router;
+
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+
+import org.redwinghook.core.message.Accepted;
+import org.redwinghook.core.message.CallAnswer;
+import org.redwinghook.core.message.OutcomeUnknown;
+import org.redwinghook.core.message.RefusalReason;
+import org.redwinghook.core.message.Submit;
+import org.redwinghook.router.FakeSidecar.Arrival;
+import org.redwinghook.router.RouterFixture.Running;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+/** Guards against answers that reach the wrong request: late ones, crossed ones and repeated ones. */
+public class LateAnswerTest {
+
+    private RouterFixture fixture = new RouterFixture();
+
+    @AfterMethod
+    public void close() {
+        fixture.close();
+    }
+
+    /** Guards against tokens of a refused or failed attempt that arrive while the next attempt runs. */
+    @Test
+    public void dropsTokensOfAnEarlierAttempt() throws Exception {
+        Running router = start(RouterFixture.MODEL, RouterFixture.MODEL);
+        CompletableFuture<HttpResponse<String>> response = router.complete(true);
+        FakeSidecar first = firstOf(router);
+        Arrival<Submit> old = first.next(Submit.class);
+        long exchange = old.message().exchange();
+        old.send(Answers.refused(exchange, RefusalReason.OVERLOADED));
+        Arrival<Submit> submit = otherThan(first).next(Submit.class);
+        old.send(
+                new Accepted(exchange, "vm.1.1.1"),
+                Answers.tokens(exchange, 1, 9),
+                Answers.finished(exchange, 9),
+                Answers.refused(exchange, RefusalReason.LOG_UNAVAILABLE));
+        RouterFixture.eventually(() -> router.counter("redwinghook_router_dropped_messages_total") >= 4);
+        long current = submit.message().exchange();
+        submit.send(new Accepted(current, "vm.2.1.1"), Answers.tokens(current, 1, 2), Answers.finished(current, 2));
+        HttpResponse<String> answer = Answers.whole(response);
+        Answers.assertWholeStream(answer, 1, 2);
+        Assert.assertFalse(answer.body().contains("vm.1.1.1"), answer.body());
+    }
+
+    /** Guards against answers that are matched by their order instead of their exchange. */
+    @Test
+    public void deliversCrossedAnswersToTheirOwnRequests() throws Exception {
+        Running router = start(RouterFixture.DESK);
+        CompletableFuture<HttpResponse<String>> first = router.post("/services/desk/notices", "one");
+        Arrival<Submit> one = sidecar(0).next(Submit.class);
+        CompletableFuture<HttpResponse<String>> second = router.post("/services/desk/notices", "two");
+        Arrival<Submit> two = sidecar(0).next(Submit.class);
+        two.send(answer(two), answer(two));
+        one.send(answer(one));
+        Assert.assertEquals(Answers.whole(first).body(), "answer to one");
+        Assert.assertEquals(Answers.whole(second).body(), "answer to two");
+        Assert.assertEquals(Answers.outcome(Answers.whole(second)), "done");
+    }
+
+    /** Guards against an answer that comes after its caller was told that the outcome is unknown. */
+    @Test
+    public void dropsAnswerAfterTimeout() throws Exception {
+        restart(new RouterFixture(RouterFixture.DESK).timeout(100));
+        Running router = fixture.router();
+        CompletableFuture<HttpResponse<String>> response = router.post("/services/desk/notices", "one");
+        Arrival<Submit> submit = sidecar(0).next(Submit.class);
+        HttpResponse<String> unknown = Answers.whole(response);
+        Assert.assertEquals(Answers.outcome(unknown), "unknown");
+        Assert.assertEquals(unknown.statusCode(), 502);
+        submit.send(answer(submit));
+        RouterFixture.eventually(() -> router.counter("redwinghook_router_dropped_messages_total") == 1);
+    }
+
+    /** Guards against a second run of a call that is not idempotent, and against "not run" for a lost one. */
+    @Test
+    public void neverRepeatsLostCallThatIsNotIdempotent() throws Exception {
+        Running router = start(RouterFixture.DESK, RouterFixture.DESK);
+        CompletableFuture<HttpResponse<String>> response = router.post("/services/desk/notices", "one");
+        FakeSidecar first = firstOf(router);
+        first.next(Submit.class).sidecar().cut();
+        HttpResponse<String> answer = Answers.whole(response);
+        Assert.assertEquals(Answers.outcome(answer), "unknown");
+        Assert.assertEquals(Answers.errorType(answer), "outcome_unknown");
+        otherThan(first).expectNothing(Submit.class, 50);
+    }
+
+    /** Guards against "not run" for a call whose first attempt was lost and whose second was refused. */
+    @Test
+    public void remembersLostAttemptWhenRetryIsRefused() throws Exception {
+        Running router = start(RouterFixture.DESK, RouterFixture.DESK);
+        CompletableFuture<HttpResponse<String>> response = router.get("/services/desk/status");
+        FakeSidecar first = firstOf(router);
+        Arrival<Submit> lost = first.next(Submit.class);
+        lost.send(new OutcomeUnknown(lost.message().exchange(), "lost"));
+        Arrival<Submit> retry = otherThan(first).next(Submit.class);
+        retry.send(Answers.refused(retry.message().exchange(), RefusalReason.LEAVING));
+        Assert.assertEquals(Answers.outcome(Answers.whole(response)), "unknown");
+    }
+
+    private static CallAnswer answer(Arrival<Submit> submit) {
+        byte[] body = submit.message().call().body();
+        String text = "answer to " + new String(body, StandardCharsets.UTF_8);
+        return new CallAnswer(
+                submit.message().exchange(),
+                200,
+                "text/plain",
+                text.getBytes(StandardCharsets.UTF_8),
+                false,
+                FakeSidecar.load());
+    }
+
+    private Running start(String... services) throws Exception {
+        restart(new RouterFixture(services));
+        return fixture.router();
+    }
+
+    private void restart(RouterFixture next) {
+        fixture.close();
+        fixture = next;
+    }
+
+    private FakeSidecar sidecar(int index) {
+        return fixture.sidecars.get(index);
+    }
+
+    private FakeSidecar otherThan(FakeSidecar one) {
+        return one == sidecar(0) ? sidecar(1) : sidecar(0);
+    }
+
+    private FakeSidecar firstOf(Running router) throws Exception {
+        RouterFixture.eventually(() -> outstanding(router, 0) + outstanding(router, 1) > 0);
+        return outstanding(router, 0) > 0 ? sidecar(0) : sidecar(1);
+    }
+
+    private int outstanding(Running router, int index) throws Exception {
+        return router.endpoint(sidecar(index).vm).getInteger("outstanding");
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/redwinghook/router/RefusalTest.java
@@ -0,0 +1,166 @@
+package org.redwinghook.router;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.core.message.Accepted;
+import org.redwinghook.core.message.Cancel;
+import org.redwinghook.core.message.RefusalReason;
+import org.redwinghook.core.message.Submit;
+import org.redwinghook.router.FakeSidecar.Arrival;
+import org.redwinghook.router.RouterFixture.Running;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+/** Guards against requests that end without a true outcome, and against unclear errors. */
+public class RefusalTest {
+
+    private RouterFixture fixture = new RouterFixture();
+
+    @AfterMethod
+    public void close() {
+        fixture.close();
+    }
+
+    /** Guards against endless retries and against a refusal without a time to try again. */
+    @Test
+    public void refusesWhenAllEndpointsRefuse() throws Exception {
+        Running router = start(
+                new RouterFixture(RouterFixture.MODEL, RouterFixture.MODEL, RouterFixture.MODEL, RouterFixture.MODEL));
+        CompletableFuture<HttpResponse<String>> response = router.complete(true);
+        int submits = 0;
+        while (!response.isDone()) {
+            for (FakeSidecar sidecar : fixture.sidecars) {
+                if (router.endpoint(sidecar.vm).getInteger("outstanding") > 0) {
+                    Arrival<Submit> submit = sidecar.next(Submit.class);
+                    submit.send(Answers.refused(submit.message().exchange(), RefusalReason.OVERLOADED));
+                    submits++;
+                    RouterFixture.eventually(() -> router.endpoint(sidecar.vm).getInteger("outstanding") == 0);
+                }
+            }
+        }
+        HttpResponse<String> answer = Answers.whole(response);
+        Assert.assertEquals(submits, 3);
+        Assert.assertEquals(answer.statusCode(), 503);
+        Assert.assertEquals(Answers.outcome(answer), "not-run");
+        Assert.assertEquals(Answers.errorType(answer), "overloaded");
+        Assert.assertEquals(answer.headers().firstValue("Retry-After").orElse(""), "2");
+        Assert.assertEquals(router.counter("redwinghook_router_refusals_total{reason=\"overloaded\"}"), 1.0);
+    }
+
+    /** Guards against "not run" for a generation that the engine may have started, and against work nobody awaits. */
+    @Test
+    public void reportsUnknownOutcomeAndCancelsWhenNoTokenComes() throws Exception {
+        Running router = start(new RouterFixture(RouterFixture.MODEL).timeout(100));
+        CompletableFuture<HttpResponse<String>> response = router.complete(true);
+        Arrival<Submit> submit = fixture.sidecars.get(0).next(Submit.class);
+        long exchange = submit.message().exchange();
+        submit.send(new Accepted(exchange, "vm.1.1.1"));
+        HttpResponse<String> answer = Answers.whole(response);
+        Assert.assertEquals(answer.statusCode(), 504);
+        Assert.assertEquals(Answers.outcome(answer), "unknown");
+        Assert.assertEquals(fixture.sidecars.get(0).next(Cancel.class).message().exchange(), exchange);
+    }
+
+    /** Guards against errors that callers have to find one by one. */
+    @Test
+    public void reportsAllFindingsOfABodyTogether() throws Exception {
+        Running router = start(new RouterFixture());
+        JsonObject body = new JsonObject()
+                .put(
+                        "messages",
+                        new JsonArray().add(new JsonObject().put("role", 3)).add("text"))
+                .put("max_tokens", 0)
+                .put("stream", "yes");
+        HttpResponse<String> answer = Answers.whole(router.post("/v1/chat/completions", body.encode()));
+        Assert.assertEquals(answer.statusCode(), 400);
+        Assert.assertEquals(Answers.outcome(answer), "not-run");
+        Assert.assertEquals(
+                new JsonObject(answer.body()).getJsonObject("error").getJsonArray("findings"),
+                new JsonArray()
+                        .add("'model' is missing")
+                        .add("'messages[0].role' must be a string")
+                        .add("'messages[0].content' is missing")
+                        .add("'messages[1]' must be an object")
+                        .add("'max_tokens' must be a whole number of at least 1")
+                        .add("'stream' must be true or false"));
+        assertError(router.post("/v1/completions", "[]"), 400, "invalid_request");
+        assertError(router.post("/v1/completions", ""), 400, "invalid_request");
+    }
+
+    /** Guards against errors in other shapes and without an outcome. */
+    @Test
+    public void answersOtherErrorsInTheSameShape() throws Exception {
+        Running router = start(new RouterFixture());
+        assertError(router.get("/v2/other"), 404, "unknown_path");
+        assertError(router.get("/v1/completions"), 405, "method_not_allowed");
+        assertError(router.post("/v1/completions", "x".repeat(3 * 1024 * 1024)), 413, "body_too_large");
+        assertError(router.post("/v1/completions", "{}", "Authorization", "Bearer other"), 401, "unauthorized");
+        assertError(router.get("/services/none/path"), 404, "unknown_service");
+        assertError(router.complete(true), 503, "no_endpoint");
+        String unknown = new JsonObject().put("model", "m").put("prompt", "p").encode();
+        assertError(router.post("/v1/completions", unknown), 404, "unknown_model");
+    }
+
+    /** Guards against a customer that takes more than its limit. */
+    @Test
+    public void refusesCustomerOverItsLimit() throws Exception {
+        Running router = start(new RouterFixture(RouterFixture.DESK).limit(0.5));
+        // The bucket of a new owner is empty, and half a request a second does not fill it during the test.
+        HttpResponse<String> answer = Answers.whole(router.get("/services/desk/status"));
+        Assert.assertEquals(answer.statusCode(), 429, answer.body());
+        Assert.assertEquals(Answers.outcome(answer), "not-run");
+        Assert.assertEquals(Answers.errorType(answer), "rate_limited");
+        Assert.assertEquals(answer.headers().firstValue("Retry-After").orElse(""), "2");
+    }
+
+    /** Guards against chat answers in the shape of text completions. */
+    @Test
+    public void answersChatsInTheirShape() throws Exception {
+        Running router = start(new RouterFixture(RouterFixture.MODEL));
+        JsonArray messages = new JsonArray()
+                .add(new JsonObject().put("role", "system").put("content", "be brief"))
+                .add(new JsonObject().put("role", "user").put("content", "hello"));
+        JsonObject body = new JsonObject().put("model", RouterFixture.MODEL).put("messages", messages);
+        CompletableFuture<HttpResponse<String>> streamed =
+                router.post("/v1/chat/completions", body.put("stream", true).encode());
+        Arrival<Submit> submit = answerTwoTokens();
+        Assert.assertEquals(submit.message().generation().prompt(), "system: be brief\nuser: hello\n");
+        HttpResponse<String> events = Answers.whole(streamed);
+        Answers.assertWholeStream(events, 1, 2);
+        Assert.assertTrue(events.body().contains("\"delta\":{\"role\":\"assistant\",\"content\":\"1 \"}"));
+        Assert.assertTrue(events.body().contains("\"delta\":{\"content\":\"2 \"}"), events.body());
+        CompletableFuture<HttpResponse<String>> whole =
+                router.post("/v1/chat/completions", body.put("stream", false).encode());
+        answerTwoTokens();
+        JsonObject choice = new JsonObject(Answers.whole(whole).body())
+                .getJsonArray("choices")
+                .getJsonObject(0);
+        Assert.assertEquals(choice.getJsonObject("message").getString("content"), "1 2 ");
+        Assert.assertEquals(choice.getString("finish_reason"), "stop");
+    }
+
+    private Arrival<Submit> answerTwoTokens() throws InterruptedException {
+        Arrival<Submit> submit = fixture.sidecars.get(0).next(Submit.class);
+        long exchange = submit.message().exchange();
+        submit.send(new Accepted(exchange, "vm.1.1.1"), Answers.tokens(exchange, 1, 2), Answers.finished(exchange, 2));
+        return submit;
+    }
+
+    private static void assertError(CompletableFuture<HttpResponse<String>> response, int status, String type)
+            throws Exception {
+        HttpResponse<String> answer = Answers.whole(response);
+        Assert.assertEquals(answer.statusCode(), status, answer.body());
+        Assert.assertEquals(Answers.errorType(answer), type);
+        Assert.assertEquals(Answers.outcome(answer), "not-run");
+    }
+
+    private Running start(RouterFixture next) throws Exception {
+        fixture.close();
+        fixture = next;
+        return fixture.router();
+    }
+}
