Ask only for missing quota and stay denied while in debt; count usage in sidecars

A property test found that a lease piled up requests while tokens ran out, and that a request without a reservation passed while its customer was in debt.

--- a/core/src/main/java/org/redwinghook/core/message/QuotaGrant.java
+++ b/core/src/main/java/org/redwinghook/core/message/QuotaGrant.java
@@ -5,10 +5,11 @@
  *
  * @param exchange number of the request
  * @param customer name of the customer
- * @param requests requests granted, 0 if the limit is reached
+ * @param requests requests granted
  * @param tokens tokens granted
  * @param validMillis time from the request for which the batch may be used
- * @param retryAfterMillis time after which another request makes sense if nothing is granted
+ * @param retryAfterMillis 0 if the customer is within its limit; otherwise nothing is granted, and another request
+ *     makes sense after this time
  */
 public record QuotaGrant(
         long exchange, String customer, long requests, long tokens, long validMillis, long retryAfterMillis)
--- a/core/src/main/java/org/redwinghook/core/quota/CustomerBuckets.java
+++ b/core/src/main/java/org/redwinghook/core/quota/CustomerBuckets.java
@@ -41,14 +41,12 @@
         tokens.take((double) request.debtTokens() - request.returnedTokens());
         requests.fill(nowMillis, limit.requestsPerSecond(), requestCapacity);
         tokens.fill(nowMillis, limit.tokensPerSecond(), tokenCapacity);
-        if (request.requests() == 0) {
-            return new QuotaGrant(request.exchange(), request.customer(), 0, 0, LEASE_MILLIS, 0);
-        }
         // A reservation larger than the bucket is granted from a full bucket and leaves a debt.
         double neededTokens = Math.min(request.leastTokens(), tokenCapacity);
-        if (requests.level() < 1 || tokens.level() < neededTokens) {
+        double neededRequests = Math.min(1, request.requests());
+        if (requests.level() < neededRequests || tokens.level() < neededTokens) {
             long wait = Math.max(
-                    requests.millisUntil(1, limit.requestsPerSecond()),
+                    requests.millisUntil(neededRequests, limit.requestsPerSecond()),
                     tokens.millisUntil(neededTokens, limit.tokensPerSecond()));
             long retryAfter = Math.min(LONGEST_RETRY_AFTER_MILLIS, Math.max(1, wait));
             return new QuotaGrant(request.exchange(), request.customer(), 0, 0, LEASE_MILLIS, retryAfter);
--- a/core/src/main/java/org/redwinghook/core/quota/CustomerLease.java
+++ b/core/src/main/java/org/redwinghook/core/quota/CustomerLease.java
@@ -11,9 +11,13 @@
 
     private static final double LARGEST_BATCH_SECONDS = 0.5;
 
+    // Other routers may return quota earlier than the owner expects, so the owner is asked again after this time.
+    private static final long LONGEST_DENIAL_MILLIS = 500;
+
     private long requests;
     private long tokens;
     private long expiresAtMillis;
+    private long deniedUntilMillis;
     private long batch = 1;
     private long returnedRequests;
     private long returnedTokens;
@@ -29,7 +33,7 @@
      */
     public boolean tryTake(long nowMillis, long reservation) {
         expire(nowMillis);
-        if (debtTokens > 0 || requests < 1 || tokens < reservation) {
+        if (debtTokens > 0 || nowMillis < deniedUntilMillis || requests < 1 || tokens < reservation) {
             return false;
         }
         requests--;
@@ -83,10 +87,18 @@
             long nowMillis, long exchange, String customer, int waiting, long reservation, QuotaLimit limit) {
         expire(nowMillis);
         long largest = Math.max(1, (long) (limit.requestsPerSecond() * LARGEST_BATCH_SECONDS));
-        long wanted = waiting == 0 ? 0 : Math.max(waiting, Math.min(batch, largest));
+        long target = waiting == 0 ? 0 : Math.max(waiting, Math.min(batch, largest));
+        // Only what is missing is asked for: otherwise requests pile up here while tokens are what runs out.
         long least = waiting == 0 ? 0 : Math.max(0, reservation - tokens);
         QuotaRequest request = new QuotaRequest(
-                exchange, customer, wanted, least, wanted * reservation, returnedRequests, returnedTokens, debtTokens);
+                exchange,
+                customer,
+                Math.max(0, target - requests),
+                least,
+                Math.max(least, target * reservation - tokens),
+                returnedRequests,
+                returnedTokens,
+                debtTokens);
         returnedRequests = 0;
         returnedTokens = 0;
         askedDebt = debtTokens;
@@ -105,7 +117,12 @@
         expire(nowMillis);
         debtTokens -= askedDebt;
         askedDebt = 0;
-        if (grant.requests() == 0) {
+        if (grant.retryAfterMillis() > 0) {
+            deniedUntilMillis = nowMillis + Math.min(grant.retryAfterMillis(), LONGEST_DENIAL_MILLIS);
+            return;
+        }
+        deniedUntilMillis = 0;
+        if (grant.requests() == 0 && grant.tokens() == 0) {
             return;
         }
         if (isUsedUp) {
@@ -116,6 +133,16 @@
         expiresAtMillis = askedAtMillis + grant.validMillis();
     }
 
+    /**
+     * Time for which the owner has denied quota, so that it need not be asked for each request over the limit.
+     *
+     * @param nowMillis the time
+     * @return the time in milliseconds, 0 if the owner may be asked
+     */
+    public long deniedMillis(long nowMillis) {
+        return Math.max(0, deniedUntilMillis - nowMillis);
+    }
+
     /** The owner did not answer; the debt is asked again. */
     public void unanswered() {
         askedDebt = 0;
--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/quota/CustomerLeaseTest.java
@@ -0,0 +1,114 @@
+package org.redwinghook.core.quota;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.quicktheories.QuickTheory;
+import org.quicktheories.generators.SourceDSL;
+import org.redwinghook.core.message.QuotaGrant;
+import org.redwinghook.core.message.QuotaRequest;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards against quota that is created, lost or kept from its customer. */
+public class CustomerLeaseTest {
+
+    private static final QuotaLimit LIMIT = new QuotaLimit(20, 1_000);
+
+    /** Guards against quota created by leases: over any run, use stays within refill, whatever is returned or owed. */
+    @Test
+    public void neverUsesMoreThanWasFilledAndOwed() {
+        QuickTheory.qt().withExamples(200).forAll(SourceDSL.integers().all()).checkAssert(seed -> {
+            Random random = new Random(seed);
+            CustomerBuckets buckets = new CustomerBuckets(0);
+            CustomerLease lease = new CustomerLease();
+            long now = 0;
+            long requests = 0;
+            long tokens = 0;
+            long debtAllowed = 0;
+            for (int step = 0; step < 300; step++) {
+                now += random.nextInt(300);
+                long reservation = random.nextInt(200);
+                if (!lease.tryTake(now, reservation)) {
+                    QuotaRequest request = lease.ask(now, step, "customer", 1, reservation, LIMIT);
+                    lease.add(now, now, buckets.grant(now, request, LIMIT));
+                    if (!lease.tryTake(now, reservation)) {
+                        continue;
+                    }
+                }
+                requests++;
+                long used = random.nextInt(400);
+                tokens += used;
+                debtAllowed = Math.max(debtAllowed, used);
+                if (used < reservation) {
+                    lease.refund(now, reservation - used);
+                } else {
+                    lease.use(now, used - reservation);
+                }
+                Assert.assertTrue(requests <= now * LIMIT.requestsPerSecond() / 1_000 + 1, requests + " at " + now);
+                Assert.assertTrue(
+                        tokens <= now * LIMIT.tokensPerSecond() / 1_000 + debtAllowed + 1, tokens + " at " + now);
+            }
+        });
+    }
+
+    /** Guards against tokens returned twice when an answer is lost, and against a debt that is forgotten then. */
+    @Test
+    public void returnsOnceAndKeepsDebtUntilAnswered() {
+        CustomerLease lease = new CustomerLease();
+        lease.add(0, 0, new QuotaGrant(1, "customer", 2, 100, 2_000, 0));
+        Assert.assertTrue(lease.tryTake(10, 40));
+        QuotaRequest expired = lease.ask(2_000, 2, "customer", 1, 10, LIMIT);
+        Assert.assertEquals(expired.returnedRequests(), 1);
+        Assert.assertEquals(expired.returnedTokens(), 60);
+        lease.unanswered();
+        lease.use(2_010, 30);
+        QuotaRequest again = lease.ask(2_020, 3, "customer", 1, 10, LIMIT);
+        Assert.assertEquals(again.returnedTokens(), 0);
+        Assert.assertEquals(again.debtTokens(), 30);
+        lease.unanswered();
+        Assert.assertEquals(lease.ask(2_030, 4, "customer", 1, 10, LIMIT).debtTokens(), 30);
+        lease.add(2_040, 2_030, new QuotaGrant(4, "customer", 0, 0, 2_000, 10));
+        Assert.assertFalse(lease.needsSettling(2_050));
+    }
+
+    /** Guards against a request that can never run because its reservation is larger than the bucket. */
+    @Test
+    public void grantsReservationLargerThanTheBucketOnce() {
+        CustomerBuckets buckets = new CustomerBuckets(0);
+        QuotaRequest large = new QuotaRequest(1, "customer", 1, 50_000, 50_000, 0, 0, 0);
+        Assert.assertEquals(buckets.grant(5_000, large, LIMIT).requests(), 0);
+        Assert.assertEquals(buckets.grant(10_000, large, LIMIT).tokens(), 50_000);
+        QuotaGrant refused = buckets.grant(20_000, large, LIMIT);
+        Assert.assertEquals(refused.requests(), 0);
+        Assert.assertEquals(refused.retryAfterMillis(), 40_000);
+    }
+
+    /** Guards against a new owner that grants a second full bucket, and against customers that stay with a lost one. */
+    @Test
+    public void newOwnerStartsEmpty() {
+        List<String> routers =
+                IntStream.range(0, 6).mapToObj(number -> "router-" + number).toList();
+        String owner = QuotaOwner.of("customer", routers).orElseThrow();
+        List<String> left =
+                routers.stream().filter(router -> !router.equals(owner)).toList();
+        String next = QuotaOwner.of("customer", left).orElseThrow();
+        Assert.assertNotEquals(next, owner);
+        QuotaOwner taking = new QuotaOwner(0);
+        taking.routersChanged(60_000, customer -> true);
+        QuotaRequest request = new QuotaRequest(1, "customer", 1, 10, 10, 0, 0, 0);
+        Assert.assertEquals(taking.grant(60_000, request, LIMIT).requests(), 0);
+        Assert.assertEquals(taking.grant(60_050, request, LIMIT).requests(), 1);
+    }
+
+    /** Guards against a region without any quota. */
+    @Test
+    public void dividesLimitByUseWithALeastShare() {
+        Assert.assertEquals(RegionShares.divide(Map.of("a", 0.0, "b", 0.0)), Map.of("a", 0.5, "b", 0.5));
+        Map<String, Double> shares = RegionShares.divide(Map.of("a", 100.0, "b", 0.0, "c", 0.0));
+        Assert.assertEquals(shares.get("b"), 0.1, 1e-9);
+        Assert.assertEquals(shares.get("a"), 0.8, 1e-9);
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
+++ b/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
@@ -94,6 +94,10 @@
         if (account.waiting.isEmpty() && account.lease.tryTake(nowMillis(), reservation)) {
             return Future.succeededFuture(Optional.empty());
         }
+        long denied = account.lease.deniedMillis(nowMillis());
+        if (denied > 0) {
+            return Future.succeededFuture(Optional.of(limited(denied)));
+        }
         Waiter waiter = new Waiter(reservation);
         account.waiting.add(waiter);
         waiter.timer = vertx.setTimer(OWNER_TIMEOUT_MILLIS, ignored -> ownerSilent(account, waiter));
@@ -179,17 +183,18 @@
         }
         account.isAsking = false;
         account.lease.add(nowMillis(), account.askedAtMillis, grant);
+        int waitingBefore = account.waiting.size();
         while (!account.waiting.isEmpty() && account.lease.tryTake(nowMillis(), account.waiting.peek().reservation)) {
             finish(account, account.waiting.remove(), Optional.empty());
         }
         if (account.waiting.isEmpty()) {
             return;
         }
-        if (grant.requests() > 0) {
+        if (account.waiting.size() < waitingBefore && grant.retryAfterMillis() == 0) {
             ask(account);
             return;
         }
-        Refusal refusal = limited(grant.retryAfterMillis());
+        Refusal refusal = limited(Math.max(1, grant.retryAfterMillis()));
         List.copyOf(account.waiting).forEach(waiter -> finish(account, waiter, Optional.of(refusal)));
     }
 
--- a/router/src/test/java/org/redwinghook/router/CallerConnectionTest.java
+++ b/router/src/test/java/org/redwinghook/router/CallerConnectionTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collections;
 
+import io.vertx.core.Future;
 import org.redwinghook.core.message.Accepted;
 import org.redwinghook.core.message.Cancel;
 import org.redwinghook.core.message.Credit;
@@ -77,6 +78,30 @@
         Assert.assertTrue(cancel.callerGone());
     }
 
+    /** Guards against a stop that cuts the end of an answer that a slow caller has not read yet. */
+    @Test
+    public void stopWaitsForCallerThatReadsSlowly() throws Exception {
+        Running router = fixture.router();
+        FakeSidecar sidecar = fixture.sidecars.get(0);
+        try (Socket socket = request(router)) {
+            Arrival<Submit> submit = sidecar.next(Submit.class);
+            long exchange = submit.message().exchange();
+            submit.send(new Accepted(exchange, "vm.1.1.1"));
+            String text = "x".repeat(LARGE_TOKEN_CHARACTERS);
+            for (int sequence = 1; sequence <= 200; sequence++) {
+                submit.send(new Tokens(exchange, sequence, Collections.singletonList(text)));
+            }
+            submit.send(Answers.finished(exchange, 200));
+            RouterFixture.eventually(() -> router.counter("redwinghook_router_token_gap_seconds_count") == 199);
+            Future<Void> stopped = router.verticle.stopGracefully();
+            Thread.sleep(100);
+            Assert.assertFalse(stopped.isComplete(), "stopped while the answer was unread");
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            Assert.assertTrue(answer.contains("data: [DONE]"), answer.length() + " characters read");
+            stopped.await();
+        }
+    }
+
     private static Socket request(Running router) throws IOException {
         Socket socket = new Socket();
         socket.setReceiveBufferSize(LARGE_TOKEN_CHARACTERS);
--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -11,9 +11,12 @@
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.usage.UsageLedger;
 import org.redwinghook.runtime.admin.AdminServer;
 import org.redwinghook.runtime.config.ConfigurationSource;
+import org.redwinghook.runtime.platform.LogClient;
 import org.redwinghook.runtime.process.ManagedProcess;
+import org.redwinghook.runtime.usage.UsageReporter;
 import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.PeerConnection;
 import org.redwinghook.runtime.wire.PeerServer;
@@ -24,6 +27,7 @@
 import org.redwinghook.sidecar.generation.GenerationStore;
 import org.redwinghook.sidecar.peer.EndpointGate;
 import org.redwinghook.sidecar.peer.RouterSession;
+import org.redwinghook.sidecar.usage.EndpointUsage;
 
 /** Assembles a sidecar from its services. */
 public final class SidecarProcess implements ManagedProcess {
@@ -39,6 +43,7 @@
     private final CallService calls;
     private final PeerServer peers;
     private final AdminServer admin;
+    private final UsageReporter usage;
 
     /**
      * Creates a sidecar.
@@ -53,13 +58,18 @@
         PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         ServiceRegistry services = new ServiceRegistry();
         gate = new EndpointGate(vertx, new AdmissionController(settings.concurrency()));
+        UsageLedger ledger = new UsageLedger(settings.shared().process(), incarnation);
+        EndpointUsage counts = new EndpointUsage(ledger, settings.service());
+        LogClient log = new LogClient(vertx, settings.shared().log());
+        usage = new UsageReporter(vertx, log::append, ledger, UsageReporter.INTERVAL_MILLIS);
         generations = new GenerationService(
                 vertx,
                 new EngineClient(vertx, settings.endpoint()),
                 new GenerationStore(settings.shared().process(), incarnation),
                 gate,
+                counts,
                 () -> configuration.current().rules().resumeWindowMillis());
-        calls = new CallService(vertx, settings.endpoint(), gate);
+        calls = new CallService(vertx, settings.endpoint(), gate, counts);
         peers = new PeerServer(
                 vertx, settings.shared().peer(), new FrameCodec(), new WireMetrics(metrics), this::accept);
         services.register("gate", gate);
@@ -68,6 +78,7 @@
 
     @Override
     public Future<Void> start() {
+        usage.start();
         return peers.start().compose(port -> admin.start());
     }
 
@@ -76,7 +87,7 @@
         gate.setAccepting(false);
         Promise<Void> idle = Promise.promise();
         gate.whenIdle(() -> idle.tryComplete());
-        return idle.future().compose(ignored -> peers.stop());
+        return idle.future().compose(ignored -> usage.stop()).compose(ignored -> peers.stop());
     }
 
     private void accept(PeerConnection connection) {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/call/CallService.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/call/CallService.java
@@ -17,6 +17,7 @@
 import org.redwinghook.runtime.settings.Address;
 import org.redwinghook.runtime.wire.PeerConnection;
 import org.redwinghook.sidecar.peer.EndpointGate;
+import org.redwinghook.sidecar.usage.EndpointUsage;
 
 /** Runs calls at a plain service. */
 public final class CallService {
@@ -27,6 +28,7 @@
     private final HttpClient client;
     private final Address address;
     private final EndpointGate gate;
+    private final EndpointUsage usage;
 
     /**
      * Creates the service.
@@ -34,14 +36,16 @@
      * @param vertx runs it
      * @param address the plain service
      * @param gate told of the ends of calls
+     * @param usage counts calls
      */
-    public CallService(Vertx vertx, Address address, EndpointGate gate) {
+    public CallService(Vertx vertx, Address address, EndpointGate gate, EndpointUsage usage) {
         // A pooled connection may die between calls; without keep-alive a failed connect proves that nothing was sent.
         this.client = vertx.createHttpClient(new HttpClientOptions()
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                 .setKeepAlive(false));
         this.address = address;
         this.gate = gate;
+        this.usage = usage;
     }
 
     /**
@@ -69,6 +73,7 @@
         if (call.idempotencyKey() != null) {
             request.putHeader("idempotency-key", call.idempotencyKey());
         }
+        usage.call(submit);
         request.send(Buffer.buffer(call.body()))
                 .compose(response -> response.body().map(body -> answer(submit, response, body)))
                 .onSuccess(answer -> {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/generation/GenerationService.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/generation/GenerationService.java
@@ -18,6 +18,7 @@
 import org.redwinghook.sidecar.engine.EngineClient;
 import org.redwinghook.sidecar.engine.EngineListener;
 import org.redwinghook.sidecar.peer.EndpointGate;
+import org.redwinghook.sidecar.usage.EndpointUsage;
 
 /** Runs generations at the engine and lets routers follow them. */
 public final class GenerationService {
@@ -26,6 +27,7 @@
     private final EngineClient engine;
     private final GenerationStore store;
     private final EndpointGate gate;
+    private final EndpointUsage usage;
     private final LongSupplier resumeWindowMillis;
     private final Supplier<EndpointLoad> load;
     private final Map<ExchangeKey, Generation> byExchange = new HashMap<>();
@@ -37,6 +39,7 @@
      * @param engine the engine
      * @param store keeps the generations
      * @param gate told of tokens and ends
+     * @param usage counts generations that ended
      * @param resumeWindowMillis time for which a generation without follower is kept
      */
     public GenerationService(
@@ -44,11 +47,13 @@
             EngineClient engine,
             GenerationStore store,
             EndpointGate gate,
+            EndpointUsage usage,
             LongSupplier resumeWindowMillis) {
         this.vertx = vertx;
         this.engine = engine;
         this.store = store;
         this.gate = gate;
+        this.usage = usage;
         this.resumeWindowMillis = resumeWindowMillis;
         this.load = gate::load;
     }
@@ -171,12 +176,16 @@
         public void finished(FinishReason reason) {
             gate.finished(item, true);
             generation.finish(reason);
+            usage.generation(generation.owner(), generation.customer(), generation.usage(), true);
         }
 
         @Override
         public void failed(String cause, boolean sent) {
             gate.finished(item, false);
             generation.interrupt(cause);
+            if (sent) {
+                usage.generation(generation.owner(), generation.customer(), generation.usage(), false);
+            }
         }
     }
 }
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/usage/EndpointUsage.java
@@ -0,0 +1,50 @@
+package org.redwinghook.sidecar.usage;
+
+import org.redwinghook.core.message.Submit;
+import org.redwinghook.core.message.TokenUsage;
+import org.redwinghook.core.usage.UsageCounts;
+import org.redwinghook.core.usage.UsageKey;
+import org.redwinghook.core.usage.UsageLedger;
+import org.redwinghook.core.usage.UsageSide;
+
+/** Counts what the endpoint of this sidecar did, by customer. */
+public final class EndpointUsage {
+
+    private final UsageLedger ledger;
+    private final String service;
+
+    /**
+     * Creates the counts.
+     *
+     * @param ledger where they are kept
+     * @param service service of the endpoint
+     */
+    public EndpointUsage(UsageLedger ledger, String service) {
+        this.ledger = ledger;
+        this.service = service;
+    }
+
+    /**
+     * Counts a generation that ended.
+     *
+     * @param owner owner of the customer
+     * @param customer the customer
+     * @param usage its tokens
+     * @param isWhole whether it ended whole
+     */
+    public void generation(String owner, String customer, TokenUsage usage, boolean isWhole) {
+        UsageCounts counts = isWhole
+                ? UsageCounts.generation(usage.inputTokens(), usage.outputTokens())
+                : UsageCounts.interruption(usage.inputTokens(), usage.outputTokens());
+        ledger.add(new UsageKey(owner, customer, service, UsageSide.ENDPOINT), counts);
+    }
+
+    /**
+     * Counts a call that ran or may have run.
+     *
+     * @param submit its request
+     */
+    public void call(Submit submit) {
+        ledger.add(new UsageKey(submit.owner(), submit.customer(), service, UsageSide.ENDPOINT), UsageCounts.call());
+    }
+}
