Finish writing answers to slow callers before a stop

Vert.x reports a response as ended while its end still waits for the caller, so a drained router could close the connection on an unread tail.

--- a/router/src/main/java/org/redwinghook/router/caller/CallerErrors.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CallerErrors.java
@@ -35,10 +35,10 @@
      * @param detail explanation
      * @param retryAfterMillis time after which another try makes sense, 0 for none
      */
-    public static void refuse(HttpServerResponse response, RefusalReason reason, String detail, long retryAfterMillis) {
+    public static void refuse(CallerResponse response, RefusalReason reason, String detail, long retryAfterMillis) {
         if (retryAfterMillis > 0) {
             long seconds = (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
-            response.putHeader("Retry-After", Long.toString(seconds));
+            response.http().putHeader("Retry-After", Long.toString(seconds));
         }
         String type = reason.name().toLowerCase(Locale.ROOT);
         end(response, reason.status(), Outcome.NOT_RUN, body(type, detail));
@@ -52,7 +52,7 @@
      * @param type short name of the error
      * @param message explanation
      */
-    public static void reject(HttpServerResponse response, int status, String type, String message) {
+    public static void reject(CallerResponse response, int status, String type, String message) {
         end(response, status, Outcome.NOT_RUN, body(type, message));
     }
 
@@ -62,7 +62,7 @@
      * @param response the response
      * @param findings what is wrong, at least one
      */
-    public static void rejectBody(HttpServerResponse response, List<String> findings) {
+    public static void rejectBody(CallerResponse response, List<String> findings) {
         JsonObject error = body("invalid_request", String.join("; ", findings));
         error.getJsonObject("error").put("findings", new JsonArray(findings));
         end(response, HTTP_BAD_REQUEST, Outcome.NOT_RUN, error);
@@ -76,13 +76,14 @@
      * @param outcome what is known about the request
      * @param body the error
      */
-    public static void end(HttpServerResponse response, int status, Outcome outcome, JsonObject body) {
-        if (response.ended() || response.closed() || response.headWritten()) {
+    public static void end(CallerResponse response, int status, Outcome outcome, JsonObject body) {
+        HttpServerResponse http = response.http();
+        if (http.ended() || http.closed() || http.headWritten()) {
             return;
         }
-        response.setStatusCode(status)
+        http.setStatusCode(status)
                 .putHeader(Outcome.HEADER, outcome.headerValue())
-                .putHeader("content-type", "application/json")
-                .end(body.toBuffer());
+                .putHeader("content-type", "application/json");
+        response.end(body.toBuffer());
     }
 }
--- a/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
@@ -7,7 +7,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
-import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
@@ -106,27 +105,30 @@
     }
 
     private void track(RoutingContext context) {
+        CallerResponse response = CallerResponse.of(context);
         if (draining) {
-            HttpServerResponse response = context.response().putHeader("Connection", "close");
+            response.http().putHeader("Connection", "close");
             CallerErrors.refuse(response, RefusalReason.LEAVING, "the router is leaving", RETRY_AFTER_MILLIS);
             return;
         }
         running++;
-        context.addEndHandler(ignored -> {
-            running--;
-            if (draining && running == 0) {
-                idle.tryComplete();
-            }
-        });
+        context.addEndHandler(ignored -> response.written().onComplete(written -> ended()));
         context.next();
     }
 
+    private void ended() {
+        running--;
+        if (draining && running == 0) {
+            idle.tryComplete();
+        }
+    }
+
     private static void failed(RoutingContext context) {
         int status = context.statusCode() < 0 ? HTTP_INTERNAL_ERROR : context.statusCode();
         String type = ERROR_TYPES.getOrDefault(status, "internal_error");
         // A fault of the router may come after the request was sent on; every other failure comes before.
         Outcome outcome = status == HTTP_INTERNAL_ERROR ? Outcome.UNKNOWN : Outcome.NOT_RUN;
         String message = context.request().method() + " " + context.request().path() + ": " + type.replace('_', ' ');
-        CallerErrors.end(context.response(), status, outcome, CallerErrors.body(type, message));
+        CallerErrors.end(CallerResponse.of(context), status, outcome, CallerErrors.body(type, message));
     }
 }
--- a/router/src/main/java/org/redwinghook/router/caller/CompletionHandler.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CompletionHandler.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 
 import io.vavr.control.Either;
-import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.RoutingContext;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.config.Configuration;
@@ -66,7 +65,7 @@
      * @param format shape of request and answer
      */
     public void complete(RoutingContext context, CompletionFormat format) {
-        HttpServerResponse response = context.response();
+        CallerResponse response = CallerResponse.of(context);
         Optional<Customer> customer = customer(context);
         if (customer.isEmpty()) {
             return;
@@ -107,12 +106,12 @@
         String generation = context.pathParam("generation");
         String lastEvent = context.request().getHeader(LAST_EVENT_ID);
         if (lastEvent != null && !lastEvent.startsWith(generation + ".")) {
-            CallerErrors.rejectBody(context.response(), List.of("'Last-Event-ID' names another generation"));
+            CallerErrors.rejectBody(CallerResponse.of(context), List.of("'Last-Event-ID' names another generation"));
             return;
         }
         boolean isChat = "chat".equals(context.request().getParam("format"));
         resume(
-                context.response(),
+                CallerResponse.of(context),
                 customer.get(),
                 isChat ? CompletionFormat.CHAT : CompletionFormat.TEXT,
                 lastEvent == null ? generation + ".0" : lastEvent,
@@ -122,19 +121,20 @@
     private Optional<Customer> customer(RoutingContext context) {
         Optional<Customer> customer = authenticator.customer(context.request().getHeader("Authorization"));
         if (customer.isEmpty()) {
-            CallerErrors.reject(context.response(), HTTP_UNAUTHORIZED, "unauthorized", "the credential is not known");
+            CallerErrors.reject(
+                    CallerResponse.of(context), HTTP_UNAUTHORIZED, "unauthorized", "the credential is not known");
         }
         return customer;
     }
 
     private void start(
-            HttpServerResponse response,
+            CallerResponse response,
             CompletionFormat format,
             CompletionRequest request,
             Submit submit,
             Customer customer) {
         limits.admitGeneration(customer, submit).onSuccess(admission -> {
-            if (response.closed()) {
+            if (response.http().closed()) {
                 admission.release();
                 return;
             }
@@ -151,7 +151,7 @@
     }
 
     private void deliver(
-            HttpServerResponse response,
+            CallerResponse response,
             CompletionFormat format,
             CompletionRequest request,
             Submit submit,
@@ -164,7 +164,7 @@
         GenerationDelivery delivery = new GenerationDelivery(deliveries, submit.customer(), sink);
         streamed.onSocketTook(delivery::socketTook);
         whole.onCollected(delivery::socketTook);
-        response.closeHandler(ignored -> delivery.callerGone());
+        response.http().closeHandler(ignored -> delivery.callerGone());
         delivery.start(
                 submit,
                 RendezvousHash.hash(prefix),
@@ -172,7 +172,7 @@
     }
 
     private void resume(
-            HttpServerResponse response,
+            CallerResponse response,
             Customer customer,
             CompletionFormat format,
             String lastEvent,
@@ -192,7 +192,7 @@
         GenerationDelivery delivery =
                 new GenerationDelivery(deliveries, customer.name(), limits.meteredResume(customer, service, streamed));
         streamed.onSocketTook(delivery::socketTook);
-        response.closeHandler(ignored -> delivery.callerGone());
+        response.http().closeHandler(ignored -> delivery.callerGone());
         delivery.resumeAfter(position.get());
     }
 
--- a/router/src/main/java/org/redwinghook/router/caller/ServiceCallHandler.java
+++ b/router/src/main/java/org/redwinghook/router/caller/ServiceCallHandler.java
@@ -67,7 +67,7 @@
      */
     public void handle(RoutingContext context) {
         HttpServerRequest request = context.request();
-        HttpServerResponse response = context.response();
+        CallerResponse response = CallerResponse.of(context);
         Optional<Customer> customer = authenticator.customer(request.getHeader("Authorization"));
         if (customer.isEmpty()) {
             CallerErrors.reject(response, HTTP_UNAUTHORIZED, "unauthorized", "the credential is not known");
@@ -90,7 +90,7 @@
                 call(request, path, service.get(), context.body().buffer()));
     }
 
-    private void start(HttpServerResponse response, Customer customer, Service service, CallRequest call) {
+    private void start(CallerResponse response, Customer customer, Service service, CallRequest call) {
         Submit submit = new Submit(
                 0,
                 service.name(),
@@ -102,7 +102,7 @@
                 null,
                 call);
         limits.admitCall(customer, submit).onSuccess(admission -> {
-            if (response.closed()) {
+            if (response.http().closed()) {
                 admission.release();
                 return;
             }
@@ -116,7 +116,7 @@
     }
 
     private void deliver(
-            HttpServerResponse response,
+            CallerResponse response,
             Submit submit,
             CallRequest call,
             RoutingQuery query,
@@ -124,7 +124,7 @@
         int attempts = configuration.current().rules().attempts();
         CallDelivery delivery =
                 new CallDelivery(deliveries, submit, call, query, attempts, admission.metered(new Sink(response)));
-        response.closeHandler(ignored -> delivery.callerGone());
+        response.http().closeHandler(ignored -> delivery.callerGone());
         delivery.start();
     }
 
@@ -148,22 +148,22 @@
                 service.isIdempotent(request.method().name(), bare));
     }
 
-    private record Sink(HttpServerResponse response) implements CallSink {
+    private record Sink(CallerResponse response) implements CallSink {
 
         @Override
         public void answered(CallAnswer answer) {
-            if (response.closed()) {
+            if (response.http().closed()) {
                 return;
             }
+            HttpServerResponse http = response.http();
             if (answer.contentType() != null) {
-                response.putHeader("content-type", answer.contentType());
+                http.putHeader("content-type", answer.contentType());
             }
             if (answer.replayed()) {
-                response.putHeader("Redwinghook-Replayed", "true");
+                http.putHeader("Redwinghook-Replayed", "true");
             }
-            response.setStatusCode(answer.status())
-                    .putHeader(Outcome.HEADER, Outcome.DONE.headerValue())
-                    .end(Buffer.buffer(answer.body()));
+            http.setStatusCode(answer.status()).putHeader(Outcome.HEADER, Outcome.DONE.headerValue());
+            response.end(Buffer.buffer(answer.body()));
         }
 
         @Override
--- a/router/src/main/java/org/redwinghook/router/caller/StreamedCompletion.java
+++ b/router/src/main/java/org/redwinghook/router/caller/StreamedCompletion.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.LongConsumer;
 
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 import org.redwinghook.core.message.FinishReason;
@@ -16,7 +17,8 @@
     private static final int HTTP_BAD_GATEWAY = 502;
     private static final int HTTP_GATEWAY_TIMEOUT = 504;
 
-    private final HttpServerResponse response;
+    private final CallerResponse response;
+    private final HttpServerResponse http;
     private final CompletionFormat format;
     private final String model;
     private LongConsumer socketTook = sequence -> {};
@@ -29,8 +31,9 @@
      * @param format shape of the events
      * @param model model that the caller named
      */
-    public StreamedCompletion(HttpServerResponse response, CompletionFormat format, String model) {
+    public StreamedCompletion(CallerResponse response, CompletionFormat format, String model) {
         this.response = response;
+        this.http = response.http();
         this.format = format;
         this.model = model;
     }
@@ -50,12 +53,12 @@
         long sequence = firstSequence;
         for (String text : texts) {
             JsonObject data = format.chunk(generation, model, text, sequence == 1, null);
-            response.write("id: " + generation + "." + sequence + "\ndata: " + data.encode() + "\n\n");
+            http.write("id: " + generation + "." + sequence + "\ndata: " + data.encode() + "\n\n");
             sequence++;
         }
         written = sequence - 1;
-        if (response.writeQueueFull()) {
-            response.drainHandler(ignored -> socketTook.accept(written));
+        if (http.writeQueueFull()) {
+            http.drainHandler(ignored -> socketTook.accept(written));
         } else {
             socketTook.accept(written);
         }
@@ -66,19 +69,19 @@
         begin();
         JsonObject last =
                 format.chunk(generation, model, "", false, reason).put("usage", CompletionFormat.usage(usage));
-        response.write("data: " + last.encode() + "\n\n");
-        response.end("data: [DONE]\n\n").onSuccess(ignored -> socketTook.accept(written));
+        http.write("data: " + last.encode() + "\n\n");
+        response.end(Buffer.buffer("data: [DONE]\n\n")).onSuccess(ignored -> socketTook.accept(written));
     }
 
     @Override
     public void interrupted(String detail, long delivered) {
         JsonObject error = CallerErrors.body("interrupted", detail);
         error.getJsonObject("error").put("tokens_delivered", delivered);
-        if (!response.headWritten()) {
+        if (!http.headWritten()) {
             CallerErrors.end(response, HTTP_BAD_GATEWAY, Outcome.UNKNOWN, error);
             return;
         }
-        response.end("event: error\ndata: " + error.encode() + "\n\n");
+        response.end(Buffer.buffer("event: error\ndata: " + error.encode() + "\n\n"));
     }
 
     @Override
@@ -97,10 +100,10 @@
     }
 
     private void begin() {
-        if (response.headWritten()) {
+        if (http.headWritten()) {
             return;
         }
-        response.setChunked(true)
+        http.setChunked(true)
                 .putHeader("content-type", "text/event-stream")
                 .putHeader("cache-control", "no-cache")
                 .putHeader(Outcome.HEADER, Outcome.DONE.headerValue());
--- a/router/src/main/java/org/redwinghook/router/caller/WholeCompletion.java
+++ b/router/src/main/java/org/redwinghook/router/caller/WholeCompletion.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.function.LongConsumer;
 
-import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 import org.redwinghook.core.message.FinishReason;
 import org.redwinghook.core.message.RefusalReason;
@@ -17,7 +16,7 @@
     private static final int HTTP_BAD_GATEWAY = 502;
     private static final int HTTP_GATEWAY_TIMEOUT = 504;
 
-    private final HttpServerResponse response;
+    private final CallerResponse response;
     private final CompletionFormat format;
     private final String model;
     private final StringBuilder text = new StringBuilder();
@@ -30,7 +29,7 @@
      * @param format shape of the answer
      * @param model model that the caller named
      */
-    public WholeCompletion(HttpServerResponse response, CompletionFormat format, String model) {
+    public WholeCompletion(CallerResponse response, CompletionFormat format, String model) {
         this.response = response;
         this.format = format;
         this.model = model;
