--- /dev/null
+++ b/router/src/test/java/org/redwinghook/router/limit/QuotaClientTest.java
@@ -0,0 +1,205 @@
+package org.redwinghook.router.limit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import org.redwinghook.core.config.Customer;
+import org.redwinghook.core.membership.Member;
+import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.message.QuotaGrant;
+import org.redwinghook.core.message.QuotaRequest;
+import org.redwinghook.core.quota.QuotaLimit;
+import org.redwinghook.core.quota.QuotaOwner;
+import org.redwinghook.router.metrics.RouterMetrics;
+import org.redwinghook.runtime.settings.Address;
+import org.redwinghook.runtime.wire.FrameCodec;
+import org.redwinghook.runtime.wire.MessageDispatcher;
+import org.redwinghook.runtime.wire.PeerConnection;
+import org.redwinghook.runtime.wire.PeerDirectory;
+import org.redwinghook.runtime.wire.PeerServer;
+import org.redwinghook.runtime.wire.WireMetrics;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against limits that fail when the owner router is elsewhere, silent or lost. */
+public class QuotaClientTest {
+
+    private static final List<String> ROUTERS = List.of("router-a", "router-b");
+    private static final String OWNER = QuotaOwner.of("retail", ROUTERS).orElseThrow();
+    private static final String OTHER =
+            ROUTERS.stream().filter(name -> !name.equals(OWNER)).findFirst().orElseThrow();
+    private static final Customer RETAIL = new Customer("retail", "owner", List.of(), 20, 60_000, 1, 1);
+
+    private Vertx vertx = Vertx.vertx();
+    private Context context = vertx.getOrCreateContext();
+    private SimpleMeterRegistry meters = new SimpleMeterRegistry();
+
+    @BeforeMethod
+    public void open() {
+        vertx.close().await();
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        context = vertx.getOrCreateContext();
+        meters = new SimpleMeterRegistry();
+    }
+
+    @AfterMethod
+    public void close() {
+        vertx.close().await();
+    }
+
+    /** Guards against a second limit at each router: what one takes must be missing at the other. */
+    @Test
+    public void sharesOneLimitThroughTheOwner() throws Exception {
+        Peers ownersPeers = new Peers();
+        MessageDispatcher ownersDispatcher = new MessageDispatcher();
+        QuotaClient owner = client(OWNER, ownersPeers, ownersDispatcher);
+        Peers peers = new Peers();
+        MessageDispatcher dispatcher = new MessageDispatcher();
+        peers.connect(OWNER, ownersDispatcher, dispatcher);
+        QuotaClient other = client(OTHER, peers, dispatcher);
+        long started = System.nanoTime();
+        int admitted = 0;
+        for (int round = 0; round < 15; round++) {
+            admitted += take(owner).isEmpty() ? 1 : 0;
+            admitted += take(other).isEmpty() ? 1 : 0;
+            Thread.sleep(20);
+        }
+        double seconds = (System.nanoTime() - started) / 1e9 + 0.2;
+        Assert.assertTrue(admitted >= 3, admitted + " admitted");
+        Assert.assertTrue(admitted <= 20 * seconds + 1, admitted + " admitted in " + seconds + " s");
+        Assert.assertEquals(fallbacks(), 0.0);
+    }
+
+    /** Guards against callers that wait for a silent owner, and against no limit at all while it is silent. */
+    @Test
+    public void usesLocalShareWhileTheOwnerIsSilent() throws Exception {
+        MessageDispatcher silent = new MessageDispatcher();
+        List<QuotaRequest> received = new ArrayList<>();
+        List<PeerConnection> asking = new ArrayList<>();
+        silent.on(QuotaRequest.class, (connection, request) -> {
+            received.add(request);
+            asking.add(connection);
+        });
+        Peers peers = new Peers();
+        MessageDispatcher dispatcher = new MessageDispatcher();
+        peers.connect(OWNER, silent, dispatcher);
+        QuotaClient other = client(OTHER, peers, dispatcher);
+        long started = System.nanoTime();
+        int admitted = 0;
+        for (int request = 0; request < 10; request++) {
+            Optional<Refusal> refusal = take(other);
+            admitted += refusal.isEmpty() ? 1 : 0;
+            Assert.assertTrue(refusal.isEmpty() || refusal.get().retryAfterMillis() > 0);
+        }
+        double seconds = (System.nanoTime() - started) / 1e9;
+        Assert.assertTrue(seconds < 2, "ten requests waited " + seconds + " s");
+        Assert.assertTrue(admitted >= 1 && admitted < 10, admitted + " admitted");
+        Assert.assertTrue(admitted <= 1 + 10 * seconds, admitted + " admitted in " + seconds + " s");
+        Assert.assertEquals(fallbacks(), 10.0);
+        run(() -> {
+            long exchange = received.get(0).exchange();
+            asking.get(0).send(new QuotaGrant(exchange, "retail", 5, 100, 2_000, 0));
+            return null;
+        });
+        Counter dropped = meters.get("redwinghook.router.dropped.messages").counter();
+        for (int wait = 0; wait < 500 && dropped.count() == 0; wait++) {
+            Thread.sleep(5);
+        }
+        Assert.assertEquals(dropped.count(), 1.0);
+    }
+
+    /** Guards against requests that hang or pass freely when the owner is lost and another takes over. */
+    @Test
+    public void newOwnerTakesOverWithAnEmptyBucket() throws Exception {
+        Peers peers = new Peers();
+        QuotaClient other = client(OTHER, peers, new MessageDispatcher());
+        Assert.assertTrue(take(other).isEmpty(), "the local share allows one request");
+        Assert.assertEquals(fallbacks(), 1.0);
+        peers.routers = List.of(OTHER);
+        Optional<Refusal> refused = take(other);
+        Assert.assertTrue(refused.isPresent(), "the new owner started with a full bucket");
+        Assert.assertEquals(fallbacks(), 1.0);
+        Thread.sleep(refused.get().retryAfterMillis() + 10);
+        Assert.assertTrue(take(other).isEmpty(), "the bucket of the new owner did not fill");
+    }
+
+    private QuotaClient client(String name, Peers peers, MessageDispatcher dispatcher) throws Exception {
+        return run(() -> new QuotaClient(
+                vertx,
+                name,
+                peers,
+                dispatcher,
+                customer -> Optional.of(QuotaLimit.of(RETAIL)),
+                new RouterMetrics(meters)));
+    }
+
+    private Optional<Refusal> take(QuotaClient client) throws Exception {
+        return run(() -> client.take(RETAIL, 1)).await();
+    }
+
+    private double fallbacks() {
+        return meters.get("redwinghook.router.quota.fallbacks").counter().count();
+    }
+
+    private <T> T run(Callable<T> action) {
+        Promise<T> done = Promise.promise();
+        context.runOnContext(ignored -> Future.<T>future(promise -> {
+                    try {
+                        promise.complete(action.call());
+                    } catch (Exception exception) {
+                        promise.fail(exception);
+                    }
+                })
+                .onComplete(done));
+        return done.future().await();
+    }
+
+    private final class Peers implements PeerDirectory {
+
+        private final Map<String, PeerConnection> connections = new ConcurrentHashMap<>();
+        private volatile List<String> routers = ROUTERS;
+
+        @Override
+        public Optional<PeerConnection> connection(String process) {
+            return Optional.ofNullable(connections.get(process));
+        }
+
+        @Override
+        public List<Member> routers() {
+            return routers.stream()
+                    .map(name -> new Member(name, "dc", ProcessRole.ROUTER, "127.0.0.1", 1, 1, null, false))
+                    .toList();
+        }
+
+        void connect(String name, MessageDispatcher there, MessageDispatcher here) {
+            FrameCodec codec = new FrameCodec();
+            WireMetrics metrics = new WireMetrics(new SimpleMeterRegistry());
+            PeerServer server = new PeerServer(
+                    vertx,
+                    new Address("127.0.0.1", 0),
+                    codec,
+                    metrics,
+                    connection -> connection.onMessage(message -> there.dispatch(connection, message)));
+            int port = server.start().await();
+            PeerConnection connection = vertx.createNetClient()
+                    .connect(port, "127.0.0.1")
+                    .map(socket -> new PeerConnection(socket, codec, metrics))
+                    .onSuccess(opened -> opened.onMessage(message -> here.dispatch(opened, message)))
+                    .await();
+            connections.put(name, connection);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/redwinghook/router/limit/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of limits. */
+@NullMarked
+package org.redwinghook.router.limit;
+
+import org.jspecify.annotations.NullMarked;
