--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -21,7 +21,8 @@
     @JsonSubTypes.Type(value = CallAnswer.class, name = "callAnswer"),
     @JsonSubTypes.Type(value = OutcomeUnknown.class, name = "outcomeUnknown"),
     @JsonSubTypes.Type(value = QuotaRequest.class, name = "quotaRequest"),
-    @JsonSubTypes.Type(value = QuotaGrant.class, name = "quotaGrant")
+    @JsonSubTypes.Type(value = QuotaGrant.class, name = "quotaGrant"),
+    @JsonSubTypes.Type(value = QuotaUse.class, name = "quotaUse")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
--- a/core/src/main/java/org/redwinghook/core/quota/QuotaOwner.java
+++ b/core/src/main/java/org/redwinghook/core/quota/QuotaOwner.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 
 import org.redwinghook.core.message.QuotaGrant;
@@ -14,6 +15,7 @@
 public final class QuotaOwner {
 
     private final Map<String, CustomerBuckets> buckets = new HashMap<>();
+    private final Map<String, RecentUse> uses = new HashMap<>();
     private long ownerSinceMillis;
 
     /**
@@ -55,6 +57,7 @@
      */
     public void routersChanged(long nowMillis, Predicate<String> owned) {
         buckets.keySet().removeIf(owned.negate());
+        uses.keySet().removeIf(owned.negate());
         ownerSinceMillis = nowMillis;
     }
 
@@ -67,16 +70,32 @@
      * @return the grant
      */
     public QuotaGrant grant(long nowMillis, QuotaRequest request, QuotaLimit limit) {
-        return buckets.computeIfAbsent(request.customer(), ignored -> new CustomerBuckets(ownerSinceMillis))
+        QuotaGrant grant = buckets.computeIfAbsent(request.customer(), ignored -> new CustomerBuckets(ownerSinceMillis))
                 .grant(nowMillis, request, limit);
+        uses.computeIfAbsent(request.customer(), ignored -> new RecentUse(nowMillis))
+                .count(nowMillis, request, grant);
+        return grant;
+    }
+
+    /**
+     * Recent use of a customer in this region.
+     *
+     * @param nowMillis the time
+     * @param customer name of the customer
+     * @param limit whole limit of the customer
+     * @return the use as a share of the limit
+     */
+    public double use(long nowMillis, String customer, QuotaLimit limit) {
+        RecentUse use = uses.get(customer);
+        return use == null ? 0 : use.shareOf(nowMillis, limit);
     }
 
     /**
      * Customers with buckets here.
      *
-     * @return their number
+     * @return their names
      */
-    public int customers() {
-        return buckets.size();
+    public Set<String> customers() {
+        return Set.copyOf(buckets.keySet());
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/quota/RegionUse.java
@@ -0,0 +1,60 @@
+package org.redwinghook.core.quota;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.redwinghook.core.message.CustomerUse;
+import org.redwinghook.core.message.QuotaUse;
+
+/** What other regions told about their customers' recent use. */
+public final class RegionUse {
+
+    // Three reports of the other region; without any, its part is kept for it and the limit is not exceeded.
+    private static final long VALID_MILLIS = 30_000;
+
+    private final Map<Key, Told> told = new HashMap<>();
+
+    /**
+     * Takes a report of another region.
+     *
+     * @param nowMillis the time
+     * @param use the report
+     */
+    public void add(long nowMillis, QuotaUse use) {
+        for (CustomerUse customer : use.customers()) {
+            told.put(new Key(use.region(), customer.customer()), new Told(nowMillis, customer.limitShare()));
+        }
+    }
+
+    /**
+     * Part of a customer's limit that belongs to a region. Without a recent report of each other region the limit is
+     * divided equally, since an unknown use may be a large one.
+     *
+     * @param nowMillis the time
+     * @param customer name of the customer
+     * @param ownRegion the region
+     * @param ownUse recent use in the region as a share of the limit
+     * @param regions all regions with routers
+     * @return the share
+     */
+    public double ownShare(long nowMillis, String customer, String ownRegion, double ownUse, Set<String> regions) {
+        Map<String, Double> uses = new HashMap<>();
+        uses.put(ownRegion, ownUse);
+        for (String region : regions) {
+            if (region.equals(ownRegion)) {
+                continue;
+            }
+            Told last = told.get(new Key(region, customer));
+            if (last == null || nowMillis - last.atMillis() > VALID_MILLIS) {
+                return 1.0 / Math.max(1, regions.size());
+            }
+            uses.put(region, last.limitShare());
+        }
+        return RegionShares.divide(uses).getOrDefault(ownRegion, 1.0);
+    }
+
+    private record Key(String region, String customer) {}
+
+    private record Told(long atMillis, double limitShare) {}
+}
--- a/core/src/test/java/org/redwinghook/core/quota/CustomerLeaseTest.java
+++ b/core/src/test/java/org/redwinghook/core/quota/CustomerLeaseTest.java
@@ -3,12 +3,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.quicktheories.QuickTheory;
 import org.quicktheories.generators.SourceDSL;
+import org.redwinghook.core.message.CustomerUse;
 import org.redwinghook.core.message.QuotaGrant;
 import org.redwinghook.core.message.QuotaRequest;
+import org.redwinghook.core.message.QuotaUse;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
@@ -111,4 +114,39 @@
         Assert.assertEquals(shares.get("b"), 0.1, 1e-9);
         Assert.assertEquals(shares.get("a"), 0.8, 1e-9);
     }
+
+    /** Guards against a region that keeps a part it does not use, and against two regions that both take everything. */
+    @Test
+    public void regionsSettleOnSharesThatFollowTheirUse() {
+        RegionUse seenByA = new RegionUse();
+        RegionUse seenByB = new RegionUse();
+        Set<String> regions = Set.of("a", "b");
+        Assert.assertEquals(seenByA.ownShare(0, "customer", "a", 0.9, regions), 0.5, 1e-9);
+        seenByA.add(0, new QuotaUse("b", List.of(new CustomerUse("customer", 0.0))));
+        Assert.assertEquals(seenByA.ownShare(10, "customer", "a", 0.5, regions), 0.9, 1e-9);
+        Assert.assertEquals(seenByA.ownShare(30_001, "customer", "a", 0.5, regions), 0.5, 1e-9);
+        double useA = 0.9;
+        double useB = 0.1;
+        for (int round = 0; round < 30; round++) {
+            seenByA.add(round, new QuotaUse("b", List.of(new CustomerUse("customer", useB))));
+            seenByB.add(round, new QuotaUse("a", List.of(new CustomerUse("customer", useA))));
+            useA = seenByA.ownShare(round, "customer", "a", useA, regions);
+            useB = seenByB.ownShare(round, "customer", "b", useB, regions);
+            Assert.assertEquals(useA + useB, 1, 1e-9);
+        }
+        Assert.assertEquals(useA, 0.5, 0.01);
+    }
+
+    /** Guards against use that is counted although it came back, and against use that is never forgotten. */
+    @Test
+    public void recentUseFollowsGrantsAndFades() {
+        RecentUse use = new RecentUse(0);
+        QuotaRequest asking = new QuotaRequest(1, "customer", 600, 0, 0, 0, 0, 0);
+        use.count(0, asking, new QuotaGrant(1, "customer", 600, 0, 2_000, 0));
+        Assert.assertEquals(use.shareOf(0, LIMIT), 0.5, 1e-9);
+        QuotaRequest returning = new QuotaRequest(2, "customer", 0, 0, 0, 300, 0, 0);
+        use.count(0, returning, new QuotaGrant(2, "customer", 0, 0, 2_000, 0));
+        Assert.assertEquals(use.shareOf(0, LIMIT), 0.25, 1e-9);
+        Assert.assertTrue(use.shareOf(600_000, LIMIT) < 0.001);
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/RouterProcess.java
+++ b/router/src/main/java/org/redwinghook/router/RouterProcess.java
@@ -9,8 +9,6 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClientOptions;
-import org.redwinghook.core.config.Configuration;
-import org.redwinghook.core.config.DataCentre;
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
@@ -61,6 +59,7 @@
     private final AdminServer admin;
     private boolean accepting = true;
     private int callerPort;
+    private int peerPort;
 
     /**
      * Creates a router.
@@ -91,10 +90,10 @@
                 codec,
                 wireMetrics,
                 this::hello,
-                directory::regionRouters,
+                directory::routers,
                 dispatcher);
         peerServer = new PeerServer(vertx, settings.shared().peer(), codec, wireMetrics, peers::accept);
-        quota = new QuotaClient(vertx, process, peers, dispatcher, this::limit, metrics);
+        quota = new QuotaClient(vertx, process, peers, dispatcher, this::limit, this::region, metrics);
         UsageLedger ledger = new UsageLedger(process, incarnation);
         LogClient log = new LogClient(vertx, settings.shared().log());
         usage = new UsageReporter(vertx, log::append, ledger, UsageReporter.INTERVAL_MILLIS);
@@ -129,6 +128,7 @@
         usage.start();
         return peerServer
                 .start()
+                .onSuccess(port -> peerPort = port)
                 .compose(port -> callers.start())
                 .onSuccess(port -> callerPort = port)
                 .compose(port -> admin.start());
@@ -157,6 +157,15 @@
         return callerPort;
     }
 
+    /**
+     * Port that other routers connect to.
+     *
+     * @return the port, 0 before the start
+     */
+    public int peerPort() {
+        return peerPort;
+    }
+
     /**
      * Port that operators connect to.
      *
@@ -186,15 +195,12 @@
     }
 
     private Optional<QuotaLimit> limit(String customer) {
-        Configuration current = configuration.current();
-        long regions = Math.max(
-                1,
-                current.dataCentres().values().stream()
-                        .map(DataCentre::region)
-                        .distinct()
-                        .count());
-        return Optional.ofNullable(current.customers().get(customer))
-                .map(known -> QuotaLimit.of(known).share(1.0 / regions));
+        return Optional.ofNullable(configuration.current().customers().get(customer))
+                .map(QuotaLimit::of);
+    }
+
+    private String region(String dataCentre) {
+        return configuration.current().regionOf(dataCentre);
     }
 
     private RouterState state() {
--- a/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
@@ -119,16 +119,13 @@
     }
 
     /**
-     * Routers of this router's region that are not leaving.
+     * Routers of all regions that are not leaving.
      *
      * @return members of the VM list
      */
-    public List<Member> regionRouters() {
-        Configuration current = configuration.current();
-        String ownRegion = current.regionOf(ownDataCentre);
+    public List<Member> routers() {
         return members.stream()
                 .filter(member -> member.role() == ProcessRole.ROUTER && !member.leaving())
-                .filter(member -> ownRegion.equals(current.regionOf(member.dataCentre())))
                 .toList();
     }
 
--- a/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
+++ b/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
@@ -1,27 +1,33 @@
 package org.redwinghook.router.limit;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeSet;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import org.redwinghook.core.config.Customer;
 import org.redwinghook.core.membership.Member;
+import org.redwinghook.core.message.CustomerUse;
 import org.redwinghook.core.message.QuotaGrant;
 import org.redwinghook.core.message.QuotaRequest;
+import org.redwinghook.core.message.QuotaUse;
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.core.quota.CustomerLease;
 import org.redwinghook.core.quota.LocalShare;
 import org.redwinghook.core.quota.QuotaLimit;
 import org.redwinghook.core.quota.QuotaOwner;
+import org.redwinghook.core.quota.RegionUse;
 import org.redwinghook.router.metrics.RouterMetrics;
 import org.redwinghook.runtime.admin.StateSource;
 import org.redwinghook.runtime.wire.MessageDispatcher;
@@ -38,16 +44,21 @@
     public static final long OWNER_TIMEOUT_MILLIS = 50;
 
     private static final long SETTLE_INTERVAL_MILLIS = 500;
+    private static final long REPORT_INTERVAL_MILLIS = 10_000;
 
     private final Vertx vertx;
     private final String process;
     private final PeerDirectory peers;
     private final Function<String, Optional<QuotaLimit>> limits;
+    private final UnaryOperator<String> regionOf;
     private final RouterMetrics metrics;
     private final QuotaOwner owner;
     private final Map<String, Account> accounts = new HashMap<>();
     private final Map<Long, Account> asked = new HashMap<>();
+    private final RegionUse otherRegions = new RegionUse();
+    private Map<String, List<String>> regions = Map.of();
     private List<String> routers = List.of();
+    private String ownRegion = "";
     private long lastExchange;
 
     /**
@@ -57,7 +68,8 @@
      * @param process name of this router
      * @param peers connections to other routers
      * @param dispatcher passes quota messages of other routers
-     * @param limits finds a customer's limit in this region by the customer's name
+     * @param limits finds a customer's whole limit by the customer's name
+     * @param regionOf finds the region of a data centre
      * @param metrics counts fallbacks
      */
     public QuotaClient(
@@ -66,20 +78,24 @@
             PeerDirectory peers,
             MessageDispatcher dispatcher,
             Function<String, Optional<QuotaLimit>> limits,
+            UnaryOperator<String> regionOf,
             RouterMetrics metrics) {
         this.vertx = vertx;
         this.process = process;
         this.peers = peers;
         this.limits = limits;
+        this.regionOf = regionOf;
         this.metrics = metrics;
         this.owner = new QuotaOwner(nowMillis());
         dispatcher.on(QuotaRequest.class, this::requested);
+        dispatcher.on(QuotaUse.class, (connection, use) -> otherRegions.add(nowMillis(), use));
         dispatcher.on(QuotaGrant.class, (connection, grant) -> granted(grant));
     }
 
     /** Starts to settle expired leases with the owners. */
     public void start() {
         vertx.setPeriodic(SETTLE_INTERVAL_MILLIS, ignored -> settle());
+        vertx.setPeriodic(REPORT_INTERVAL_MILLIS, ignored -> reportUse());
     }
 
     /**
@@ -127,7 +143,7 @@
 
     @Override
     public Object state() {
-        return new QuotaState(routers.size(), owner.customers(), accounts.size());
+        return new QuotaState(routers.size(), owner.customers().size(), accounts.size());
     }
 
     private Account account(String customer) {
@@ -160,7 +176,7 @@
                 limit);
         asked.put(lastExchange, account);
         if (isOwnerHere) {
-            granted(owner.grant(nowMillis(), request, limit));
+            granted(grant(request, limit));
             return;
         }
         long exchange = lastExchange;
@@ -172,7 +188,33 @@
 
     private void requested(PeerConnection connection, QuotaRequest request) {
         updateRouters();
-        limits.apply(request.customer()).ifPresent(limit -> connection.send(owner.grant(nowMillis(), request, limit)));
+        limits.apply(request.customer()).ifPresent(limit -> connection.send(grant(request, limit)));
+    }
+
+    private QuotaGrant grant(QuotaRequest request, QuotaLimit limit) {
+        long now = nowMillis();
+        double use = owner.use(now, request.customer(), limit);
+        double share = otherRegions.ownShare(now, request.customer(), ownRegion, use, regions.keySet());
+        return owner.grant(now, request, limit.share(share));
+    }
+
+    /** Tells the owners in other regions the use of the customers owned here. */
+    void reportUse() {
+        updateRouters();
+        for (Map.Entry<String, List<String>> region : regions.entrySet()) {
+            if (region.getKey().equals(ownRegion)) {
+                continue;
+            }
+            Map<String, List<CustomerUse>> reports = new HashMap<>();
+            for (String customer : owner.customers()) {
+                QuotaLimit limit = limits.apply(customer).orElse(new QuotaLimit(0, 0));
+                QuotaOwner.of(customer, region.getValue())
+                        .ifPresent(name -> reports.computeIfAbsent(name, ignored -> new ArrayList<>())
+                                .add(new CustomerUse(customer, owner.use(nowMillis(), customer, limit))));
+            }
+            reports.forEach((name, uses) ->
+                    peers.connection(name).ifPresent(connection -> connection.send(new QuotaUse(ownRegion, uses))));
+        }
     }
 
     private void granted(QuotaGrant grant) {
@@ -208,7 +250,8 @@
     private void ownerSilent(Account account, Waiter waiter) {
         metrics.quotaFallback();
         QuotaLimit limit = limits.apply(account.customer).orElse(new QuotaLimit(0, 0));
-        long wait = account.share.take(nowMillis(), waiter.reservation, limit, Math.max(1, routers.size()));
+        int sharing = Math.max(1, routers.size() * regions.size());
+        long wait = account.share.take(nowMillis(), waiter.reservation, limit, sharing);
         finish(account, waiter, wait == 0 ? Optional.empty() : Optional.of(limited(wait)));
     }
 
@@ -231,8 +274,17 @@
     }
 
     private void updateRouters() {
-        List<String> now = List.copyOf(
-                new TreeSet<>(peers.routers().stream().map(Member::vm).toList()));
+        Map<String, List<String>> found = new TreeMap<>();
+        for (Member member : peers.routers()) {
+            String region = regionOf.apply(member.dataCentre());
+            found.computeIfAbsent(region, ignored -> new ArrayList<>()).add(member.vm());
+            if (member.vm().equals(process)) {
+                ownRegion = region;
+            }
+        }
+        found.values().forEach(Collections::sort);
+        regions = found;
+        List<String> now = found.getOrDefault(ownRegion, List.of());
         if (now.equals(routers)) {
             return;
         }
--- a/router/src/main/java/org/redwinghook/router/peer/RouterPeers.java
+++ b/router/src/main/java/org/redwinghook/router/peer/RouterPeers.java
@@ -12,6 +12,7 @@
 import io.vertx.core.net.NetClient;
 import org.redwinghook.core.membership.Member;
 import org.redwinghook.core.message.Hello;
+import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.MessageDispatcher;
 import org.redwinghook.runtime.wire.PeerConnection;
@@ -39,7 +40,7 @@
      * @param codec encodes and decodes frames
      * @param metrics counts bytes and messages
      * @param hello gives this router's greeting
-     * @param members live routers of the region, from the VM list
+     * @param members routers of all regions that are not leaving, from the VM list
      * @param dispatcher receives messages
      */
     public RouterPeers(
@@ -77,7 +78,14 @@
 
     @Override
     public List<Member> routers() {
-        return members.get();
+        List<Member> listed = members.get();
+        if (listed.stream().anyMatch(member -> member.vm().equals(process))) {
+            return listed;
+        }
+        // The VM list lags: a router that it does not have yet must not take itself for the only one.
+        List<Member> all = new ArrayList<>(listed);
+        all.add(new Member(process, hello.get().dataCentre(), ProcessRole.ROUTER, "", 0, 0, null, false));
+        return all;
     }
 
     /**
--- a/router/src/test/java/org/redwinghook/router/RefusalTest.java
+++ b/router/src/test/java/org/redwinghook/router/RefusalTest.java
@@ -117,6 +117,32 @@
         Assert.assertEquals(answer.headers().firstValue("Retry-After").orElse(""), "2");
     }
 
+    /** Guards against one whole limit at each router: both ask the customer's owner router over their connection. */
+    @Test
+    public void holdsOneLimitOverTwoRouters() throws Exception {
+        Running first = start(new RouterFixture().limit(10));
+        Running second = fixture.router();
+        fixture.publishRouters();
+        double before = fallbacks(first, second);
+        int admitted = 0;
+        long started = System.nanoTime();
+        for (int round = 0; round < 30; round++) {
+            admitted += Answers.whole(first.get("/services/desk/status")).statusCode() == 429 ? 0 : 1;
+            admitted += Answers.whole(second.get("/services/desk/status")).statusCode() == 429 ? 0 : 1;
+            Thread.sleep(10);
+        }
+        double seconds = (System.nanoTime() - started) / 1e9;
+        // The bucket holds at most two seconds' worth at the start; one request may use the local share.
+        Assert.assertTrue(admitted <= 10 * (seconds + 2) + 1, admitted + " admitted in " + seconds + " s");
+        Assert.assertTrue(admitted >= 5, admitted + " admitted");
+        Assert.assertTrue(fallbacks(first, second) - before <= 1, "the owner router was not asked");
+    }
+
+    private static double fallbacks(Running first, Running second) throws Exception {
+        String name = "redwinghook_router_quota_fallbacks_total";
+        return first.counter(name) + second.counter(name);
+    }
+
     /** Guards against chat answers in the shape of text completions. */
     @Test
     public void answersChatsInTheirShape() throws Exception {
--- a/router/src/test/java/org/redwinghook/router/RouterFixture.java
+++ b/router/src/test/java/org/redwinghook/router/RouterFixture.java
@@ -107,6 +107,32 @@
         return running;
     }
 
+    /** Puts all routers into the VM list and waits until they have read it. */
+    void publishRouters() throws Exception {
+        JsonArray entries = new JsonArray();
+        sidecars.forEach(sidecar -> entries.add(sidecar.entry()));
+        for (int number = 0; number < routers.size(); number++) {
+            entries.add(new JsonObject()
+                    .put("vm", "router-" + number)
+                    .put("dataCentre", "dc")
+                    .put("role", "router")
+                    .put("host", "127.0.0.1")
+                    .put("peerPort", routers.get(number).process.peerPort())
+                    .put("adminPort", routers.get(number).process.adminPort()));
+        }
+        URI uri = URI.create("http://127.0.0.1:" + vmListPort + "/vms");
+        HttpRequest request = HttpRequest.newBuilder(uri)
+                .PUT(HttpRequest.BodyPublishers.ofString(entries.encode()))
+                .build();
+        client.send(request, HttpResponse.BodyHandlers.discarding());
+        for (Running router : routers) {
+            eventually(() -> {
+                Answers.whole(router.get("/services/desk/status", "Authorization", "Bearer press-key"));
+                return router.quotaRouters() == routers.size();
+            });
+        }
+    }
+
     JsonArray log(String stream) throws Exception {
         URI uri = URI.create("http://127.0.0.1:" + logPort + "/streams/" + stream + "/records?from=1&limit=100");
         HttpRequest request = HttpRequest.newBuilder(uri).build();
@@ -199,6 +225,10 @@
             throw new AssertionError("no metric " + line);
         }
 
+        int quotaRouters() throws Exception {
+            return new JsonObject(admin("/state").body()).getJsonObject("quota").getInteger("routers");
+        }
+
         JsonObject endpoint(String vm) throws Exception {
             JsonArray endpoints = new JsonObject(admin("/state").body()).getJsonArray("endpoints");
             for (int index = 0; index < endpoints.size(); index++) {
--- a/router/src/test/java/org/redwinghook/router/limit/QuotaClientTest.java
+++ b/router/src/test/java/org/redwinghook/router/limit/QuotaClientTest.java
@@ -143,6 +143,7 @@
                 peers,
                 dispatcher,
                 customer -> Optional.of(QuotaLimit.of(RETAIL)),
+                dataCentre -> dataCentre,
                 new RouterMetrics(meters)));
     }
 
--- a/runtime/src/main/java/org/redwinghook/runtime/wire/PeerDirectory.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/PeerDirectory.java
@@ -17,7 +17,7 @@
     Optional<PeerConnection> connection(String process);
 
     /**
-     * Live routers of this router's region, with this router itself.
+     * Routers of all regions that are not leaving, with this router itself.
      *
      * @return members of the VM list
      */
