--- a/router/src/main/java/org/redwinghook/router/RouterProcess.java
+++ b/router/src/main/java/org/redwinghook/router/RouterProcess.java
@@ -118,7 +118,7 @@
         services.register("endpoints", directory);
         services.register("quota", quota);
         services.register("router", (StateSource) this::state);
-        admin = new AdminServer(vertx, settings.shared().admin(), services, registry, () -> accepting);
+        admin = new AdminServer(vertx, settings.shared().admin(), services, registry, this::isReady);
     }
 
     @Override
@@ -175,6 +175,10 @@
         return admin.port();
     }
 
+    private boolean isReady() {
+        return accepting && directory.isListRead();
+    }
+
     private Future<Void> drain() {
         Future<Void> drained = callers.drain();
         long limit = settings.shared().drainTimeoutMillis();
--- a/router/src/main/java/org/redwinghook/router/endpoint/DeliveryTiming.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/DeliveryTiming.java
@@ -21,7 +21,7 @@
         long graceMillis) {
 
     /** Times of a deployment that sets none. */
-    public static final DeliveryTiming DEFAULT = new DeliveryTiming(5_000, 15_000, 100, 5_000, 10_000, 250);
+    public static final DeliveryTiming DEFAULT = new DeliveryTiming(5_000, 15_000, 100, 500, 10_000, 250);
 
     private static final long LONGEST_MILLIS = 3_600_000;
 
