--- a/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
+++ b/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
@@ -43,6 +43,9 @@
     /** Time after which the owner router counts as not answering, in milliseconds. */
     public static final long OWNER_TIMEOUT_MILLIS = 50;
 
+    // A silent owner is not asked for this time, so that not every request waits for its timeout.
+    private static final long SILENT_OWNER_MILLIS = 1_000;
+
     private static final long SETTLE_INTERVAL_MILLIS = 500;
     private static final long REPORT_INTERVAL_MILLIS = 10_000;
 
@@ -55,6 +58,7 @@
     private final QuotaOwner owner;
     private final Map<String, Account> accounts = new HashMap<>();
     private final Map<Long, Account> asked = new HashMap<>();
+    private final Map<String, Long> silentUntilMillis = new HashMap<>();
     private final RegionUse otherRegions = new RegionUse();
     private Map<String, List<String>> regions = Map.of();
     private List<String> routers = List.of();
@@ -160,7 +164,8 @@
         String ownerName = QuotaOwner.of(account.customer, routers).orElse(process);
         PeerConnection connection = peers.connection(ownerName).orElse(null);
         boolean isOwnerHere = ownerName.equals(process);
-        if (!isOwnerHere && connection == null) {
+        boolean isSilent = silentUntilMillis.getOrDefault(ownerName, Long.MIN_VALUE) > nowMillis();
+        if (!isOwnerHere && (connection == null || isSilent)) {
             List.copyOf(account.waiting).forEach(waiter -> ownerSilent(account, waiter));
             return;
         }
@@ -180,7 +185,7 @@
             return;
         }
         long exchange = lastExchange;
-        vertx.setTimer(OWNER_TIMEOUT_MILLIS, ignored -> unanswered(account, exchange));
+        vertx.setTimer(OWNER_TIMEOUT_MILLIS, ignored -> unanswered(account, exchange, ownerName));
         if (connection != null) {
             connection.send(request);
         }
@@ -240,8 +245,9 @@
         List.copyOf(account.waiting).forEach(waiter -> finish(account, waiter, Optional.of(refusal)));
     }
 
-    private void unanswered(Account account, long exchange) {
+    private void unanswered(Account account, long exchange, String ownerName) {
         if (asked.remove(exchange) != null) {
+            silentUntilMillis.put(ownerName, nowMillis() + SILENT_OWNER_MILLIS);
             account.isAsking = false;
             account.lease.unanswered();
         }
--- a/router/src/test/java/org/redwinghook/router/CallerConnectionTest.java
+++ b/router/src/test/java/org/redwinghook/router/CallerConnectionTest.java
@@ -16,33 +16,18 @@
 import org.redwinghook.router.FakeSidecar.Arrival;
 import org.redwinghook.router.RouterFixture.Running;
 import org.testng.Assert;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Guards against callers that fill the router's memory or leave work behind. */
-public class CallerConnectionTest {
+public class CallerConnectionTest extends RouterTestCase {
 
     private static final int LARGE_TOKEN_CHARACTERS = 64 * 1024;
 
-    private RouterFixture fixture = new RouterFixture();
-
-    @BeforeMethod
-    public void open() {
-        fixture.close();
-        fixture = new RouterFixture(RouterFixture.MODEL);
-    }
-
-    @AfterMethod
-    public void close() {
-        fixture.close();
-    }
-
     /** Guards against unbounded memory: no credit may be granted while the caller's socket takes nothing. */
     @Test
     public void grantsNoCreditWhileCallerDoesNotRead() throws Exception {
-        Running router = fixture.router();
-        FakeSidecar sidecar = fixture.sidecars.get(0);
+        Running router = start(RouterFixture.MODEL);
+        FakeSidecar sidecar = sidecar(0);
         try (Socket socket = request(router)) {
             Arrival<Submit> submit = sidecar.next(Submit.class);
             long exchange = submit.message().exchange();
@@ -68,8 +53,8 @@
     /** Guards against a place in a sidecar's queue that nobody waits for. */
     @Test
     public void cancelsQueuedRequestWhenCallerGoes() throws Exception {
-        Running router = fixture.router();
-        FakeSidecar sidecar = fixture.sidecars.get(0);
+        Running router = start(RouterFixture.MODEL);
+        FakeSidecar sidecar = sidecar(0);
         Socket socket = request(router);
         long exchange = sidecar.next(Submit.class).message().exchange();
         socket.close();
@@ -81,8 +66,8 @@
     /** Guards against a stop that cuts the end of an answer that a slow caller has not read yet. */
     @Test
     public void stopWaitsForCallerThatReadsSlowly() throws Exception {
-        Running router = fixture.router();
-        FakeSidecar sidecar = fixture.sidecars.get(0);
+        Running router = start(RouterFixture.MODEL);
+        FakeSidecar sidecar = sidecar(0);
         try (Socket socket = request(router)) {
             Arrival<Submit> submit = sidecar.next(Submit.class);
             long exchange = submit.message().exchange();
--- a/router/src/test/java/org/redwinghook/router/LateAnswerTest.java
+++ b/router/src/test/java/org/redwinghook/router/LateAnswerTest.java
@@ -12,25 +12,17 @@
 import org.redwinghook.router.FakeSidecar.Arrival;
 import org.redwinghook.router.RouterFixture.Running;
 import org.testng.Assert;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
 /** Guards against answers that reach the wrong request: late ones, crossed ones and repeated ones. */
-public class LateAnswerTest {
-
-    private RouterFixture fixture = new RouterFixture();
-
-    @AfterMethod
-    public void close() {
-        fixture.close();
-    }
+public class LateAnswerTest extends RouterTestCase {
 
     /** Guards against tokens of a refused or failed attempt that arrive while the next attempt runs. */
     @Test
     public void dropsTokensOfAnEarlierAttempt() throws Exception {
         Running router = start(RouterFixture.MODEL, RouterFixture.MODEL);
         CompletableFuture<HttpResponse<String>> response = router.complete(true);
-        FakeSidecar first = firstOf(router);
+        FakeSidecar first = busy(router);
         Arrival<Submit> old = first.next(Submit.class);
         long exchange = old.message().exchange();
         old.send(Answers.refused(exchange, RefusalReason.OVERLOADED));
@@ -66,8 +58,7 @@
     /** Guards against an answer that comes after its caller was told that the outcome is unknown. */
     @Test
     public void dropsAnswerAfterTimeout() throws Exception {
-        restart(new RouterFixture(RouterFixture.DESK).timeout(100));
-        Running router = fixture.router();
+        Running router = start(new RouterFixture(RouterFixture.DESK).timeout(100));
         CompletableFuture<HttpResponse<String>> response = router.post("/services/desk/notices", "one");
         Arrival<Submit> submit = sidecar(0).next(Submit.class);
         HttpResponse<String> unknown = Answers.whole(response);
@@ -82,7 +73,7 @@
     public void neverRepeatsLostCallThatIsNotIdempotent() throws Exception {
         Running router = start(RouterFixture.DESK, RouterFixture.DESK);
         CompletableFuture<HttpResponse<String>> response = router.post("/services/desk/notices", "one");
-        FakeSidecar first = firstOf(router);
+        FakeSidecar first = busy(router);
         first.next(Submit.class).sidecar().cut();
         HttpResponse<String> answer = Answers.whole(response);
         Assert.assertEquals(Answers.outcome(answer), "unknown");
@@ -95,7 +86,7 @@
     public void remembersLostAttemptWhenRetryIsRefused() throws Exception {
         Running router = start(RouterFixture.DESK, RouterFixture.DESK);
         CompletableFuture<HttpResponse<String>> response = router.get("/services/desk/status");
-        FakeSidecar first = firstOf(router);
+        FakeSidecar first = busy(router);
         Arrival<Submit> lost = first.next(Submit.class);
         lost.send(new OutcomeUnknown(lost.message().exchange(), "lost"));
         Arrival<Submit> retry = otherThan(first).next(Submit.class);
@@ -114,31 +105,4 @@
                 false,
                 FakeSidecar.load());
     }
-
-    private Running start(String... services) throws Exception {
-        restart(new RouterFixture(services));
-        return fixture.router();
-    }
-
-    private void restart(RouterFixture next) {
-        fixture.close();
-        fixture = next;
-    }
-
-    private FakeSidecar sidecar(int index) {
-        return fixture.sidecars.get(index);
-    }
-
-    private FakeSidecar otherThan(FakeSidecar one) {
-        return one == sidecar(0) ? sidecar(1) : sidecar(0);
-    }
-
-    private FakeSidecar firstOf(Running router) throws Exception {
-        RouterFixture.eventually(() -> outstanding(router, 0) + outstanding(router, 1) > 0);
-        return outstanding(router, 0) > 0 ? sidecar(0) : sidecar(1);
-    }
-
-    private int outstanding(Running router, int index) throws Exception {
-        return router.endpoint(sidecar(index).vm).getInteger("outstanding");
-    }
 }
--- a/router/src/test/java/org/redwinghook/router/RefusalTest.java
+++ b/router/src/test/java/org/redwinghook/router/RefusalTest.java
@@ -12,18 +12,10 @@
 import org.redwinghook.router.FakeSidecar.Arrival;
 import org.redwinghook.router.RouterFixture.Running;
 import org.testng.Assert;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
 /** Guards against requests that end without a true outcome, and against unclear errors. */
-public class RefusalTest {
-
-    private RouterFixture fixture = new RouterFixture();
-
-    @AfterMethod
-    public void close() {
-        fixture.close();
-    }
+public class RefusalTest extends RouterTestCase {
 
     /** Guards against endless retries and against a refusal without a time to try again. */
     @Test
@@ -56,19 +48,19 @@
     public void reportsUnknownOutcomeAndCancelsWhenNoTokenComes() throws Exception {
         Running router = start(new RouterFixture(RouterFixture.MODEL).timeout(100));
         CompletableFuture<HttpResponse<String>> response = router.complete(true);
-        Arrival<Submit> submit = fixture.sidecars.get(0).next(Submit.class);
+        Arrival<Submit> submit = sidecar(0).next(Submit.class);
         long exchange = submit.message().exchange();
         submit.send(new Accepted(exchange, "vm.1.1.1"));
         HttpResponse<String> answer = Answers.whole(response);
         Assert.assertEquals(answer.statusCode(), 504);
         Assert.assertEquals(Answers.outcome(answer), "unknown");
-        Assert.assertEquals(fixture.sidecars.get(0).next(Cancel.class).message().exchange(), exchange);
+        Assert.assertEquals(sidecar(0).next(Cancel.class).message().exchange(), exchange);
     }
 
     /** Guards against errors that callers have to find one by one. */
     @Test
     public void reportsAllFindingsOfABodyTogether() throws Exception {
-        Running router = start(new RouterFixture());
+        Running router = start();
         JsonObject body = new JsonObject()
                 .put(
                         "messages",
@@ -94,7 +86,7 @@
     /** Guards against errors in other shapes and without an outcome. */
     @Test
     public void answersOtherErrorsInTheSameShape() throws Exception {
-        Running router = start(new RouterFixture());
+        Running router = start();
         assertError(router.get("/v2/other"), 404, "unknown_path");
         assertError(router.get("/v1/completions"), 405, "method_not_allowed");
         assertError(router.post("/v1/completions", "x".repeat(3 * 1024 * 1024)), 413, "body_too_large");
@@ -170,7 +162,7 @@
     }
 
     private Arrival<Submit> answerTwoTokens() throws InterruptedException {
-        Arrival<Submit> submit = fixture.sidecars.get(0).next(Submit.class);
+        Arrival<Submit> submit = sidecar(0).next(Submit.class);
         long exchange = submit.message().exchange();
         submit.send(new Accepted(exchange, "vm.1.1.1"), Answers.tokens(exchange, 1, 2), Answers.finished(exchange, 2));
         return submit;
@@ -183,10 +175,4 @@
         Assert.assertEquals(Answers.errorType(answer), type);
         Assert.assertEquals(Answers.outcome(answer), "not-run");
     }
-
-    private Running start(RouterFixture next) throws Exception {
-        fixture.close();
-        fixture = next;
-        return fixture.router();
-    }
 }
--- a/router/src/test/java/org/redwinghook/router/ResumeTest.java
+++ b/router/src/test/java/org/redwinghook/router/ResumeTest.java
@@ -11,25 +11,17 @@
 import org.redwinghook.router.FakeSidecar.Arrival;
 import org.redwinghook.router.RouterFixture.Running;
 import org.testng.Assert;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
 /** Guards against lost, repeated and mixed tokens when connections between router and sidecar fail. */
-public class ResumeTest {
+public class ResumeTest extends RouterTestCase {
 
     private static final String GENERATION = "vm.1.1.7";
 
-    private RouterFixture fixture = new RouterFixture();
-
-    @AfterMethod
-    public void close() {
-        fixture.close();
-    }
-
     /** Guards against a cut connection that ends the stream or repeats tokens. */
     @Test
     public void resumesAfterLastTokenWhenCutMidStream() throws Exception {
-        Running router = routerWithSidecars(1);
+        Running router = start(RouterFixture.MODEL);
         CompletableFuture<HttpResponse<String>> response = router.complete(true);
         Arrival<Submit> submit = startedWith(3);
         submit.sidecar().cut();
@@ -46,7 +38,7 @@
     /** Guards against a stalled link that nobody notices: the connection stays open and nothing arrives. */
     @Test
     public void interruptsWhenSidecarStaysSilent() throws Exception {
-        Running router = routerWithSidecars(1);
+        Running router = start(RouterFixture.MODEL);
         CompletableFuture<HttpResponse<String>> response = router.complete(true);
         startedWith(2).sidecar().fallSilent();
         Answers.assertInterrupted(Answers.whole(response), 2);
@@ -56,7 +48,8 @@
     /** Guards against continuing with a generation of another incarnation under the same name. */
     @Test
     public void interruptsWhenSidecarRestarted() throws Exception {
-        CompletableFuture<HttpResponse<String>> response = routerWithSidecars(1).complete(true);
+        CompletableFuture<HttpResponse<String>> response =
+                start(RouterFixture.MODEL).complete(true);
         startedWith(2).sidecar().restart();
         Answers.assertInterrupted(Answers.whole(response), 2);
         sidecar(0).expectNothing(Resume.class, 50);
@@ -65,10 +58,10 @@
     /** Guards against a request that fails although no token was sent and another endpoint is free. */
     @Test
     public void runsElsewhereWhenCutBeforeFirstToken() throws Exception {
-        Running router = routerWithSidecars(2);
+        Running router = start(RouterFixture.MODEL, RouterFixture.MODEL);
         CompletableFuture<HttpResponse<String>> response = router.complete(true);
-        FakeSidecar first = sidecarWithSubmit();
-        FakeSidecar second = first == sidecar(0) ? sidecar(1) : sidecar(0);
+        FakeSidecar first = busy(router);
+        FakeSidecar second = otherThan(first);
         first.cut();
         Arrival<Submit> submit = second.next(Submit.class);
         long exchange = submit.message().exchange();
@@ -83,7 +76,8 @@
     /** Guards against "not run" for a generation that was accepted and lost, with nowhere left to run it. */
     @Test
     public void resumesBeforeFirstTokenWhenNoOtherEndpointIsLeft() throws Exception {
-        CompletableFuture<HttpResponse<String>> response = routerWithSidecars(1).complete(false);
+        CompletableFuture<HttpResponse<String>> response =
+                start(RouterFixture.MODEL).complete(false);
         Arrival<Submit> submit = sidecar(0).next(Submit.class);
         submit.send(new Accepted(submit.message().exchange(), GENERATION));
         RouterFixture.eventually(() -> fixture.routers.get(0).endpoint("vm.1").getInteger("outstanding") == 1);
@@ -97,7 +91,8 @@
     /** Guards against missing and doubled tokens when messages are repeated or lost. */
     @Test
     public void dropsRepeatedTokensAndRequestsMissingOnes() throws Exception {
-        CompletableFuture<HttpResponse<String>> response = routerWithSidecars(1).complete(true);
+        CompletableFuture<HttpResponse<String>> response =
+                start(RouterFixture.MODEL).complete(true);
         Arrival<Submit> submit = startedWith(3);
         long exchange = submit.message().exchange();
         submit.send(Answers.tokens(exchange, 2, 4), Answers.tokens(exchange, 7, 8));
@@ -115,7 +110,8 @@
     /** Guards against an end that hides missing tokens. */
     @Test
     public void requestsTokensThatAreMissingAtTheEnd() throws Exception {
-        CompletableFuture<HttpResponse<String>> response = routerWithSidecars(1).complete(true);
+        CompletableFuture<HttpResponse<String>> response =
+                start(RouterFixture.MODEL).complete(true);
         Arrival<Submit> submit = startedWith(2);
         submit.send(Answers.finished(submit.message().exchange(), 4));
         Arrival<Resume> resume = sidecar(0).next(Resume.class);
@@ -127,7 +123,8 @@
     /** Guards against an endless loop with a sidecar that never sends the missing tokens. */
     @Test
     public void givesUpOnMissingTokensThatNeverCome() throws Exception {
-        CompletableFuture<HttpResponse<String>> response = routerWithSidecars(1).complete(true);
+        CompletableFuture<HttpResponse<String>> response =
+                start(RouterFixture.MODEL).complete(true);
         Arrival<Submit> submit = startedWith(1);
         submit.send(Answers.tokens(submit.message().exchange(), 3, 3));
         for (int resume = 0; resume < 5; resume++) {
@@ -141,7 +138,7 @@
     /** Guards against a dead engine that looks like a whole answer, streamed or not. */
     @Test
     public void reportsInterruptionOfTheEngine() throws Exception {
-        Running router = routerWithSidecars(1);
+        Running router = start(RouterFixture.MODEL);
         CompletableFuture<HttpResponse<String>> streamed = router.complete(true);
         Arrival<Submit> submit = startedWith(2);
         submit.send(new Interrupted(submit.message().exchange(), "the engine died", 2));
@@ -158,7 +155,7 @@
     /** Guards against a caller that loses its generation with its router. */
     @Test
     public void continuesThroughAnotherRouter() throws Exception {
-        routerWithSidecars(1);
+        start(RouterFixture.MODEL);
         Running other = fixture.router();
         CompletableFuture<HttpResponse<String>> events =
                 other.get("/v1/generations/" + GENERATION + "/events", "Last-Event-ID", GENERATION + ".4");
@@ -173,7 +170,7 @@
     /** Guards against reading another customer's generation and against guessing identifiers. */
     @Test
     public void refusesGenerationsThatAreNotTheCustomers() throws Exception {
-        Running router = routerWithSidecars(1);
+        Running router = start(RouterFixture.MODEL);
         CompletableFuture<HttpResponse<String>> foreign =
                 router.get("/v1/generations/" + GENERATION + "/events", "Authorization", "Bearer press-key");
         Arrival<Resume> resume = sidecar(0).next(Resume.class);
@@ -188,25 +185,6 @@
                 Answers.whole(router.get("/v1/generations/nonsense/events")).statusCode(), 400);
     }
 
-    private Running routerWithSidecars(int count) throws Exception {
-        fixture.close();
-        String[] services = new String[count];
-        java.util.Arrays.fill(services, RouterFixture.MODEL);
-        fixture = new RouterFixture(services);
-        return fixture.router();
-    }
-
-    private FakeSidecar sidecar(int index) {
-        return fixture.sidecars.get(index);
-    }
-
-    private FakeSidecar sidecarWithSubmit() throws Exception {
-        RouterFixture.eventually(() -> fixture.routers.get(0).endpoint("vm.1").getInteger("outstanding")
-                        + fixture.routers.get(0).endpoint("vm.2").getInteger("outstanding")
-                > 0);
-        return fixture.routers.get(0).endpoint("vm.1").getInteger("outstanding") > 0 ? sidecar(0) : sidecar(1);
-    }
-
     /** Answers the next submit with the first tokens and waits until the router has them. */
     private Arrival<Submit> startedWith(int tokens) throws Exception {
         double before = received();
--- a/router/src/test/java/org/redwinghook/router/ShutdownTest.java
+++ b/router/src/test/java/org/redwinghook/router/ShutdownTest.java
@@ -13,18 +13,10 @@
 import org.redwinghook.router.FakeSidecar.Arrival;
 import org.redwinghook.router.RouterFixture.Running;
 import org.testng.Assert;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
 /** Guards against requests that a planned stop cuts, and against use that it forgets. */
-public class ShutdownTest {
-
-    private RouterFixture fixture = new RouterFixture();
-
-    @AfterMethod
-    public void close() {
-        fixture.close();
-    }
+public class ShutdownTest extends RouterTestCase {
 
     /** Guards against a listener that closes before the balancer notices, a cut stream and lost counts. */
     @Test
@@ -70,14 +62,8 @@
         stopped.await();
     }
 
-    private Running start(RouterFixture next) throws Exception {
-        fixture.close();
-        fixture = next;
-        return fixture.router();
-    }
-
     private Arrival<Submit> accepted(int tokens) throws InterruptedException {
-        Arrival<Submit> submit = fixture.sidecars.get(0).next(Submit.class);
+        Arrival<Submit> submit = sidecar(0).next(Submit.class);
         long exchange = submit.message().exchange();
         submit.send(new Accepted(exchange, "vm.1.1." + exchange), Answers.tokens(exchange, 1, tokens));
         return submit;
