--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -25,7 +25,10 @@
     @JsonSubTypes.Type(value = ConfigurationRecords.class, name = "configRecords"),
     @JsonSubTypes.Type(value = WithdrawalNotice.class, name = "withdrawal"),
     @JsonSubTypes.Type(value = KeyQuestion.class, name = "keyQuestion"),
-    @JsonSubTypes.Type(value = KeyAnswer.class, name = "keyAnswer")
+    @JsonSubTypes.Type(value = KeyAnswer.class, name = "keyAnswer"),
+    @JsonSubTypes.Type(value = QuotaRequest.class, name = "quotaRequest"),
+    @JsonSubTypes.Type(value = QuotaGrant.class, name = "quotaGrant"),
+    @JsonSubTypes.Type(value = QuotaUse.class, name = "quotaUse")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
--- a/router/src/main/java/org/redwinghook/router/RouterProcess.java
+++ b/router/src/main/java/org/redwinghook/router/RouterProcess.java
@@ -1,27 +1,45 @@
 package org.redwinghook.router;
 
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClientOptions;
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.quota.QuotaLimit;
 import org.redwinghook.core.routing.EndpointSelector;
+import org.redwinghook.core.usage.UsageLedger;
 import org.redwinghook.router.caller.Authenticator;
 import org.redwinghook.router.caller.CallerServer;
 import org.redwinghook.router.caller.CompletionHandler;
 import org.redwinghook.router.caller.ServiceCallHandler;
+import org.redwinghook.router.endpoint.ConnectionSetup;
+import org.redwinghook.router.endpoint.DeliveryContext;
 import org.redwinghook.router.endpoint.EndpointDirectory;
+import org.redwinghook.router.endpoint.RetryPermission;
+import org.redwinghook.router.endpoint.RunningDeliveries;
+import org.redwinghook.router.limit.QuotaClient;
+import org.redwinghook.router.limit.RequestLimits;
+import org.redwinghook.router.metrics.RouterMetrics;
+import org.redwinghook.router.peer.MeshSetup;
 import org.redwinghook.router.peer.RouterMesh;
+import org.redwinghook.router.peer.RouterPeers;
 import org.redwinghook.runtime.admin.AdminServer;
+import org.redwinghook.runtime.admin.StateSource;
 import org.redwinghook.runtime.config.ConfigurationAdmin;
 import org.redwinghook.runtime.config.ConfigurationService;
+import org.redwinghook.runtime.platform.LogClient;
 import org.redwinghook.runtime.platform.VmListClient;
 import org.redwinghook.runtime.process.ManagedProcess;
+import org.redwinghook.runtime.usage.UsageReporter;
 import org.redwinghook.runtime.wire.FrameCodec;
+import org.redwinghook.runtime.wire.MessageDispatcher;
 import org.redwinghook.runtime.wire.WireMetrics;
 
 /** Assembles a router from its services. */
@@ -29,14 +47,21 @@
 
     private static final int PROTOCOL_VERSION = 1;
 
+    private final Vertx vertx;
     private final RouterSettings settings;
     private final ConfigurationService configuration;
     private final long incarnation = System.currentTimeMillis();
+    private final RunningDeliveries running = new RunningDeliveries();
     private final EndpointDirectory directory;
-    private final CallerServer callers;
+    private final RouterPeers peers;
     private final RouterMesh mesh;
+    private final QuotaClient quota;
+    private final UsageReporter usage;
+    private final CallerServer callers;
     private final AdminServer admin;
     private boolean accepting = true;
+    private int callerPort;
+    private int peerPort;
 
     /**
      * Creates a router.
@@ -55,52 +80,80 @@
      * @param vertx runs it
      * @param settings its settings
      * @param configuration the configuration in force
-     * @param metrics where counters are registered
+     * @param registry where counters are registered
      */
     public RouterProcess(
-            Vertx vertx, RouterSettings settings, ConfigurationService configuration, PrometheusMeterRegistry metrics) {
+            Vertx vertx,
+            RouterSettings settings,
+            ConfigurationService configuration,
+            PrometheusMeterRegistry registry) {
+        this.vertx = vertx;
         this.settings = settings;
         this.configuration = configuration;
+        String process = settings.shared().process();
+        RouterMetrics metrics = new RouterMetrics(registry);
+        WireMetrics wireMetrics = new WireMetrics(registry);
         FrameCodec codec = new FrameCodec();
-        WireMetrics wireMetrics = new WireMetrics(metrics);
-        ServiceRegistry services = new ServiceRegistry();
         directory = new EndpointDirectory(
                 vertx,
                 new VmListClient(vertx, settings.shared().vmList()),
                 configuration,
                 settings.shared().dataCentre(),
+                new ConnectionSetup(codec, wireMetrics, this::hello, settings.timing(), metrics, configuration));
+        MessageDispatcher dispatcher = new MessageDispatcher();
+        peers = new RouterPeers(
+                process,
+                vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)),
                 codec,
                 wireMetrics,
-                this::hello);
-        Authenticator authenticator = new Authenticator(configuration);
-        EndpointSelector selector =
-                new EndpointSelector(bound -> ThreadLocalRandom.current().nextInt(bound));
-        CompletionHandler completions = new CompletionHandler(
-                configuration, authenticator, directory, selector, settings.requestTimeoutMillis());
-        ServiceCallHandler calls = new ServiceCallHandler(
-                configuration, authenticator, directory, selector, settings.requestTimeoutMillis());
-        callers = new CallerServer(vertx, settings.caller(), completions, calls);
+                this::hello,
+                directory::routers,
+                dispatcher);
         mesh = new RouterMesh(
                 vertx,
-                settings.shared().process(),
+                process,
                 settings.shared().peer(),
-                codec,
-                wireMetrics,
-                this::hello,
-                configuration);
+                new MeshSetup(codec, wireMetrics, this::hello, configuration, dispatcher));
         directory.onMembers(mesh::update);
+        quota = new QuotaClient(vertx, process, peers, dispatcher, this::limit, this::region, metrics);
+        UsageLedger ledger = new UsageLedger(process, incarnation);
+        LogClient log = new LogClient(vertx, settings.shared().log());
+        usage = new UsageReporter(vertx, log::append, ledger, UsageReporter.INTERVAL_MILLIS);
+        DeliveryContext deliveries = new DeliveryContext(
+                vertx,
+                directory,
+                new EndpointSelector(bound -> ThreadLocalRandom.current().nextInt(bound)),
+                RetryPermission.UNLIMITED,
+                settings.timing(),
+                metrics,
+                running);
+        RequestLimits limits = new RequestLimits(quota, ledger, metrics);
+        Authenticator authenticator = new Authenticator(configuration);
+        callers = new CallerServer(
+                vertx,
+                settings.caller(),
+                new CompletionHandler(
+                        configuration, authenticator, deliveries, limits, settings.requestTimeoutMillis()),
+                new ServiceCallHandler(
+                        configuration, authenticator, deliveries, limits, settings.requestTimeoutMillis()));
+        ServiceRegistry services = new ServiceRegistry();
         services.register("endpoints", directory);
+        services.register("quota", quota);
         services.register("mesh", mesh);
         services.register("configuration", configuration);
-        admin = new AdminServer(
-                vertx, settings.shared().admin(), services, metrics, () -> accepting && configuration.isReady());
+        services.register("router", (StateSource) this::state);
+        admin = new AdminServer(vertx, settings.shared().admin(), services, registry, this::isReady);
         new ConfigurationAdmin(configuration).register(admin.routes());
     }
 
     @Override
     public Future<Void> start() {
+        quota.start();
+        usage.start();
         return mesh.start()
+                .onSuccess(port -> peerPort = port)
                 .compose(port -> callers.start())
+                .onSuccess(port -> callerPort = port)
                 .compose(port -> admin.start())
                 .onSuccess(ignored -> {
                     configuration.start();
@@ -111,10 +164,79 @@
     @Override
     public Future<Void> stopGracefully() {
         accepting = false;
-        return callers.stop().onComplete(ignored -> directory.close()).eventually(() -> {
-            configuration.stop();
-            return mesh.stop();
-        });
+        return delay(settings.settleMillis())
+                .compose(ignored -> drain())
+                .compose(ignored -> usage.stop())
+                .compose(ignored -> callers.stop())
+                .onComplete(ignored -> {
+                    directory.close();
+                    peers.close();
+                    configuration.stop();
+                    mesh.stop();
+                });
+    }
+
+    /**
+     * Port that callers connect to.
+     *
+     * @return the port, 0 before the start
+     */
+    public int callerPort() {
+        return callerPort;
+    }
+
+    /**
+     * Port that other routers connect to.
+     *
+     * @return the port, 0 before the start
+     */
+    public int peerPort() {
+        return peerPort;
+    }
+
+    /**
+     * Port that operators connect to.
+     *
+     * @return the port, 0 before the start
+     */
+    public int adminPort() {
+        return admin.port();
+    }
+
+    private boolean isReady() {
+        return accepting && directory.isListRead() && configuration.isReady();
+    }
+
+    private Future<Void> drain() {
+        Future<Void> drained = callers.drain();
+        long limit = settings.shared().drainTimeoutMillis();
+        if (limit == 0 || drained.isComplete()) {
+            return drained;
+        }
+        long timer = vertx.setTimer(limit, ignored -> running.abortAll("the router reached its limit for draining"));
+        return drained.onComplete(ignored -> vertx.cancelTimer(timer));
+    }
+
+    private Future<Void> delay(long millis) {
+        Promise<Void> elapsed = Promise.promise();
+        if (millis == 0) {
+            return Future.succeededFuture();
+        }
+        vertx.setTimer(millis, ignored -> elapsed.complete());
+        return elapsed.future();
+    }
+
+    private Optional<QuotaLimit> limit(String customer) {
+        return Optional.ofNullable(configuration.current().customers().get(customer))
+                .map(QuotaLimit::of);
+    }
+
+    private String region(String dataCentre) {
+        return configuration.current().regionOf(dataCentre);
+    }
+
+    private RouterState state() {
+        return new RouterState(incarnation, accepting, callers.running(), running.size());
     }
 
     private Hello hello() {
@@ -127,4 +249,6 @@
                 settings.shared().dataCentre(),
                 configuration.current().offset());
     }
+
+    private record RouterState(long incarnation, boolean accepting, int requests, int deliveries) {}
 }
--- a/router/src/main/java/org/redwinghook/router/caller/ServiceCallHandler.java
+++ b/router/src/main/java/org/redwinghook/router/caller/ServiceCallHandler.java
@@ -16,12 +16,12 @@
 import org.redwinghook.core.message.CallRequest;
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.core.message.Submit;
-import org.redwinghook.core.routing.EndpointSelector;
 import org.redwinghook.core.routing.RendezvousHash;
 import org.redwinghook.core.routing.RoutingQuery;
 import org.redwinghook.router.call.CallDelivery;
 import org.redwinghook.router.call.CallSink;
-import org.redwinghook.router.endpoint.EndpointDirectory;
+import org.redwinghook.router.endpoint.DeliveryContext;
+import org.redwinghook.router.limit.RequestLimits;
 import org.redwinghook.runtime.config.ConfigurationSource;
 
 /** Handles calls to plain services under /services/NAME/. */
@@ -34,8 +34,8 @@
 
     private final ConfigurationSource configuration;
     private final Authenticator authenticator;
-    private final EndpointDirectory directory;
-    private final EndpointSelector selector;
+    private final DeliveryContext deliveries;
+    private final RequestLimits limits;
     private final long timeoutMillis;
 
     /**
@@ -43,20 +43,20 @@
      *
      * @param configuration the configuration in force
      * @param authenticator finds customers
-     * @param directory endpoints
-     * @param selector selects among them
+     * @param deliveries what all deliveries share
+     * @param limits limits and counts requests by customer
      * @param timeoutMillis time that a caller waits for the answer
      */
     public ServiceCallHandler(
             ConfigurationSource configuration,
             Authenticator authenticator,
-            EndpointDirectory directory,
-            EndpointSelector selector,
+            DeliveryContext deliveries,
+            RequestLimits limits,
             long timeoutMillis) {
         this.configuration = configuration;
         this.authenticator = authenticator;
-        this.directory = directory;
-        this.selector = selector;
+        this.deliveries = deliveries;
+        this.limits = limits;
         this.timeoutMillis = timeoutMillis;
     }
 
@@ -67,7 +67,7 @@
      */
     public void handle(RoutingContext context) {
         HttpServerRequest request = context.request();
-        HttpServerResponse response = context.response();
+        CallerResponse response = CallerResponse.of(context);
         Optional<Customer> customer = authenticator.customer(request.getHeader("Authorization"));
         if (customer.isEmpty()) {
             CallerErrors.reject(response, HTTP_UNAUTHORIZED, "unauthorized", "the credential is not known");
@@ -90,7 +90,7 @@
                 call(request, path, service.get(), context.body().buffer()));
     }
 
-    private void start(HttpServerResponse response, Customer customer, Service service, CallRequest call) {
+    private void start(CallerResponse response, Customer customer, Service service, CallRequest call) {
         Submit submit = new Submit(
                 0,
                 service.name(),
@@ -101,9 +101,31 @@
                 0,
                 null,
                 call);
+        limits.admitCall(customer, submit).onSuccess(admission -> {
+            if (response.http().closed()) {
+                admission.release();
+                return;
+            }
+            admission
+                    .refusal()
+                    .ifPresentOrElse(
+                            refusal -> CallerErrors.refuse(
+                                    response, refusal.reason(), refusal.detail(), refusal.retryAfterMillis()),
+                            () -> deliver(response, submit, call, query(customer, call), admission));
+        });
+    }
+
+    private void deliver(
+            CallerResponse response,
+            Submit submit,
+            CallRequest call,
+            RoutingQuery query,
+            RequestLimits.Admission admission) {
         int attempts = configuration.current().rules().attempts();
-        new CallDelivery(directory, selector, submit, call, query(customer, call), attempts, new Sink(response))
-                .start();
+        CallDelivery delivery =
+                new CallDelivery(deliveries, submit, call, query, attempts, admission.metered(new Sink(response)));
+        response.http().closeHandler(ignored -> delivery.callerGone());
+        delivery.start();
     }
 
     private static RoutingQuery query(Customer customer, CallRequest call) {
@@ -126,22 +148,22 @@
                 service.isIdempotent(request.method().name(), bare));
     }
 
-    private record Sink(HttpServerResponse response) implements CallSink {
+    private record Sink(CallerResponse response) implements CallSink {
 
         @Override
         public void answered(CallAnswer answer) {
-            if (response.closed()) {
+            if (response.http().closed()) {
                 return;
             }
+            HttpServerResponse http = response.http();
             if (answer.contentType() != null) {
-                response.putHeader("content-type", answer.contentType());
+                http.putHeader("content-type", answer.contentType());
             }
             if (answer.replayed()) {
-                response.putHeader("Redwinghook-Replayed", "true");
+                http.putHeader("Redwinghook-Replayed", "true");
             }
-            response.setStatusCode(answer.status())
-                    .putHeader(Outcome.HEADER, Outcome.DONE.headerValue())
-                    .end(Buffer.buffer(answer.body()));
+            http.setStatusCode(answer.status()).putHeader(Outcome.HEADER, Outcome.DONE.headerValue());
+            response.end(Buffer.buffer(answer.body()));
         }
 
         @Override
@@ -149,6 +171,11 @@
             CallerErrors.end(response, HTTP_BAD_GATEWAY, Outcome.UNKNOWN, CallerErrors.body("outcome_unknown", detail));
         }
 
+        @Override
+        public void abandoned() {
+            // The caller's connection is closed.
+        }
+
         @Override
         public void refused(RefusalReason reason, String detail, long retryAfterMillis) {
             CallerErrors.refuse(response, reason, detail, retryAfterMillis);
--- a/router/src/main/java/org/redwinghook/router/caller/WholeCompletion.java
+++ b/router/src/main/java/org/redwinghook/router/caller/WholeCompletion.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.function.LongConsumer;
 
-import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 import org.redwinghook.core.message.FinishReason;
 import org.redwinghook.core.message.RefusalReason;
@@ -15,8 +14,10 @@
 
     private static final int HTTP_OK = 200;
     private static final int HTTP_BAD_GATEWAY = 502;
+    private static final int HTTP_GATEWAY_TIMEOUT = 504;
 
-    private final HttpServerResponse response;
+    private final CallerResponse response;
+    private final CompletionFormat format;
     private final String model;
     private final StringBuilder text = new StringBuilder();
     private LongConsumer collected = sequence -> {};
@@ -25,10 +26,12 @@
      * Creates a writer.
      *
      * @param response the caller's response
+     * @param format shape of the answer
      * @param model model that the caller named
      */
-    public WholeCompletion(HttpServerResponse response, String model) {
+    public WholeCompletion(CallerResponse response, CompletionFormat format, String model) {
         this.response = response;
+        this.format = format;
         this.model = model;
     }
 
@@ -49,8 +52,8 @@
 
     @Override
     public void finished(String generation, FinishReason reason, TokenUsage usage) {
-        JsonObject body = CompletionEvents.chunk(generation, model, text.toString(), reason)
-                .put("usage", CompletionEvents.usage(usage));
+        JsonObject body =
+                format.answer(generation, model, text.toString(), reason).put("usage", CompletionFormat.usage(usage));
         CallerErrors.end(response, HTTP_OK, Outcome.DONE, body);
     }
 
@@ -63,4 +66,14 @@
     public void refused(RefusalReason reason, String detail, long retryAfterMillis) {
         CallerErrors.refuse(response, reason, detail, retryAfterMillis);
     }
+
+    @Override
+    public void unknown(String detail) {
+        CallerErrors.end(response, HTTP_GATEWAY_TIMEOUT, Outcome.UNKNOWN, CallerErrors.body("outcome_unknown", detail));
+    }
+
+    @Override
+    public void abandoned() {
+        // The caller's connection is closed.
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/peer/MeshConnection.java
+++ b/router/src/main/java/org/redwinghook/router/peer/MeshConnection.java
@@ -1,12 +1,9 @@
 package org.redwinghook.router.peer;
 
-import java.util.function.Supplier;
-
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.message.Heartbeat;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.Message;
-import org.redwinghook.runtime.config.ConfigurationExchange;
 import org.redwinghook.runtime.config.ConnectionPeer;
 import org.redwinghook.runtime.wire.PeerConnection;
 
@@ -16,31 +13,24 @@
     private static final long SILENCE_NANOS = 15_000_000_000L;
 
     private final PeerConnection connection;
-    private final Supplier<Hello> hello;
-    private final ConfigurationExchange exchange;
+    private final MeshSetup setup;
     private final boolean isOpener;
     private @Nullable ConnectionPeer peer;
     private long lastHeardNanos = System.nanoTime();
 
-    MeshConnection(
-            PeerConnection connection,
-            Supplier<Hello> hello,
-            ConfigurationExchange exchange,
-            boolean isOpener,
-            Runnable onClose) {
+    MeshConnection(PeerConnection connection, MeshSetup setup, boolean isOpener, Runnable onClose) {
         this.connection = connection;
-        this.hello = hello;
-        this.exchange = exchange;
+        this.setup = setup;
         this.isOpener = isOpener;
         connection.onMessage(this::receive);
         connection.onClose(() -> {
             if (peer != null) {
-                exchange.closed(peer);
+                setup.configuration().closed(peer);
             }
             onClose.run();
         });
         if (isOpener) {
-            connection.send(hello.get());
+            connection.send(setup.hello().get());
         }
     }
 
@@ -51,7 +41,7 @@
             return;
         }
         if (peer != null) {
-            connection.send(new Heartbeat(hello.get().configurationOffset(), null));
+            connection.send(new Heartbeat(setup.hello().get().configurationOffset(), null));
         }
     }
 
@@ -65,12 +55,13 @@
             greeted(greeting);
         }
         if (peer != null) {
-            exchange.received(peer, message);
+            setup.configuration().received(peer, message);
+            setup.dispatcher().dispatch(connection, message);
         }
     }
 
     private void greeted(Hello greeting) {
-        if (greeting.protocolVersion() != hello.get().protocolVersion()) {
+        if (greeting.protocolVersion() != setup.hello().get().protocolVersion()) {
             connection.close();
             return;
         }
@@ -78,9 +69,9 @@
             return;
         }
         if (!isOpener) {
-            connection.send(hello.get());
+            connection.send(setup.hello().get());
         }
         peer = new ConnectionPeer(greeting.process(), connection);
-        exchange.opened(peer);
+        setup.configuration().opened(peer);
     }
 }
--- a/router/src/main/java/org/redwinghook/router/peer/MeshLink.java
+++ b/router/src/main/java/org/redwinghook/router/peer/MeshLink.java
@@ -1,16 +1,10 @@
 package org.redwinghook.router.peer;
 
-import java.util.function.Supplier;
-
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.membership.Member;
-import org.redwinghook.core.message.Hello;
-import org.redwinghook.runtime.config.ConfigurationExchange;
-import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.PeerConnection;
-import org.redwinghook.runtime.wire.WireMetrics;
 
 /** Keeps a connection to another router open. */
 final class MeshLink {
@@ -19,30 +13,17 @@
 
     private final Vertx vertx;
     private final NetClient client;
-    private final FrameCodec codec;
-    private final WireMetrics metrics;
     private final Member member;
-    private final Supplier<Hello> hello;
-    private final ConfigurationExchange exchange;
+    private final MeshSetup setup;
     private @Nullable MeshConnection connection;
     private boolean isUnreachable;
     private boolean isClosed;
 
-    MeshLink(
-            Vertx vertx,
-            NetClient client,
-            FrameCodec codec,
-            WireMetrics metrics,
-            Member member,
-            Supplier<Hello> hello,
-            ConfigurationExchange exchange) {
+    MeshLink(Vertx vertx, NetClient client, Member member, MeshSetup setup) {
         this.vertx = vertx;
         this.client = client;
-        this.codec = codec;
-        this.metrics = metrics;
         this.member = member;
-        this.hello = hello;
-        this.exchange = exchange;
+        this.setup = setup;
     }
 
     void open() {
@@ -50,7 +31,7 @@
             return;
         }
         client.connect(member.peerPort(), member.host())
-                .onSuccess(socket -> opened(new PeerConnection(socket, codec, metrics)))
+                .onSuccess(socket -> opened(new PeerConnection(socket, setup.codec(), setup.metrics())))
                 .onFailure(failure -> lost(true));
     }
 
@@ -82,7 +63,7 @@
             return;
         }
         isUnreachable = false;
-        connection = new MeshConnection(opened, hello, exchange, true, () -> lost(false));
+        connection = new MeshConnection(opened, setup, true, () -> lost(false));
     }
 
     private void lost(boolean unreachable) {
--- a/router/src/main/java/org/redwinghook/router/peer/RouterMesh.java
+++ b/router/src/main/java/org/redwinghook/router/peer/RouterMesh.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Supplier;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -13,15 +12,11 @@
 import io.vertx.core.net.NetClientOptions;
 import org.redwinghook.core.membership.Member;
 import org.redwinghook.core.membership.MeshPositions;
-import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.runtime.admin.StateSource;
-import org.redwinghook.runtime.config.ConfigurationService;
 import org.redwinghook.runtime.settings.Address;
-import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.PeerConnection;
 import org.redwinghook.runtime.wire.PeerServer;
-import org.redwinghook.runtime.wire.WireMetrics;
 
 /** Connects this router to others, so that configuration reaches each router within a few hops. */
 public final class RouterMesh implements StateSource {
@@ -31,10 +26,7 @@
 
     private final Vertx vertx;
     private final String self;
-    private final FrameCodec codec;
-    private final WireMetrics metrics;
-    private final Supplier<Hello> hello;
-    private final ConfigurationService configuration;
+    private final MeshSetup setup;
     private final NetClient client;
     private final PeerServer server;
     private final Map<String, MeshLink> links = new HashMap<>();
@@ -47,28 +39,15 @@
      * @param vertx runs timers
      * @param self name of this router
      * @param address where other routers connect
-     * @param codec encodes and decodes frames
-     * @param metrics counts bytes and messages
-     * @param hello gives this router's greeting
-     * @param configuration spreads over the connections
+     * @param setup what all connections share
      */
-    public RouterMesh(
-            Vertx vertx,
-            String self,
-            Address address,
-            FrameCodec codec,
-            WireMetrics metrics,
-            Supplier<Hello> hello,
-            ConfigurationService configuration) {
+    public RouterMesh(Vertx vertx, String self, Address address, MeshSetup setup) {
         this.vertx = vertx;
         this.self = self;
-        this.codec = codec;
-        this.metrics = metrics;
-        this.hello = hello;
-        this.configuration = configuration;
+        this.setup = setup;
         this.client = vertx.createNetClient(
                 new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setTcpNoDelay(true));
-        this.server = new PeerServer(vertx, address, codec, metrics, this::accept);
+        this.server = new PeerServer(vertx, address, setup.codec(), setup.metrics(), this::accept);
     }
 
     /**
@@ -125,14 +104,14 @@
     }
 
     private MeshLink link(Member member) {
-        MeshLink link = new MeshLink(vertx, client, codec, metrics, member, hello, configuration);
+        MeshLink link = new MeshLink(vertx, client, member, setup);
         link.open();
         return link;
     }
 
     private void accept(PeerConnection connection) {
         MeshConnection[] made = new MeshConnection[1];
-        made[0] = new MeshConnection(connection, hello, configuration, false, () -> accepted.remove(made[0]));
+        made[0] = new MeshConnection(connection, setup, false, () -> accepted.remove(made[0]));
         accepted.add(made[0]);
     }
 
@@ -145,7 +124,7 @@
     private void tellMembers() {
         long reachable =
                 links.values().stream().filter(link -> !link.isUnreachable()).count();
-        configuration.membersChanged(liveRouters, (int) reachable);
+        setup.configuration().membersChanged(liveRouters, (int) reachable);
     }
 
     private record MeshState(int liveRouters, List<String> links, int accepted) {}
--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -16,12 +16,14 @@
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.once.ExecutorIdentity;
+import org.redwinghook.core.usage.UsageLedger;
 import org.redwinghook.runtime.admin.AdminServer;
 import org.redwinghook.runtime.config.ConfigurationAdmin;
 import org.redwinghook.runtime.config.ConfigurationService;
 import org.redwinghook.runtime.platform.LogClient;
 import org.redwinghook.runtime.platform.VmListClient;
 import org.redwinghook.runtime.process.ManagedProcess;
+import org.redwinghook.runtime.usage.UsageReporter;
 import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.PeerConnection;
 import org.redwinghook.runtime.wire.PeerServer;
@@ -32,6 +34,7 @@
 import org.redwinghook.sidecar.generation.GenerationMetrics;
 import org.redwinghook.sidecar.generation.GenerationService;
 import org.redwinghook.sidecar.generation.GenerationStore;
+import org.redwinghook.sidecar.generation.Retention;
 import org.redwinghook.sidecar.once.ExecutorCount;
 import org.redwinghook.sidecar.once.ExecutorInquiry;
 import org.redwinghook.sidecar.once.OnceContext;
@@ -40,6 +43,7 @@
 import org.redwinghook.sidecar.peer.EndpointGate;
 import org.redwinghook.sidecar.peer.EndpointServices;
 import org.redwinghook.sidecar.peer.RouterSession;
+import org.redwinghook.sidecar.usage.EndpointUsage;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -66,6 +70,7 @@
     private final EndpointServices endpoint;
     private final PeerServer peers;
     private final AdminServer admin;
+    private final UsageReporter usage;
     private boolean stopping;
     private int peerPort;
 
@@ -99,27 +104,32 @@
         ServiceRegistry services = new ServiceRegistry();
         gate = new EndpointGate(vertx, new AdmissionController(settings.concurrency()));
         EngineClient engine = new EngineClient(vertx, settings.endpoint());
+        UsageLedger ledger = new UsageLedger(settings.shared().process(), incarnation);
+        EndpointUsage counts = new EndpointUsage(ledger, settings.service());
+        LogClient log = new LogClient(vertx, settings.shared().log());
+        usage = new UsageReporter(vertx, log::append, ledger, UsageReporter.INTERVAL_MILLIS);
         generations = new GenerationService(
                 vertx,
                 engine,
                 new GenerationStore(settings.shared().process(), incarnation),
                 gate,
-                () -> configuration.current().rules().resumeWindowMillis(),
-                GenerationService.MOST_CHARACTERS,
+                counts,
+                new Retention(
+                        () -> configuration.current().rules().resumeWindowMillis(), GenerationService.MOST_CHARACTERS),
                 new GenerationMetrics(metrics));
         FrameCodec codec = new FrameCodec();
         WireMetrics wireMetrics = new WireMetrics(metrics);
         VmListClient vmList = new VmListClient(vertx, settings.shared().vmList());
         OnceContext onceContext = new OnceContext(
                 vertx,
-                new LogClient(vertx, settings.shared().log()),
+                log,
                 new ExecutorIdentity(settings.shared().process(), incarnation),
                 settings.service(),
                 () -> configuration.current().rules().idempotencyWindowMillis(),
                 new ExecutorCount(vmList, configuration, settings.service()),
                 new OnceMetrics(metrics));
         once = new OnceService(onceContext, new ExecutorInquiry(vertx, codec, wireMetrics, vmList::read, this::hello));
-        CallService calls = new CallService(vertx, settings.endpoint(), gate, once);
+        CallService calls = new CallService(vertx, settings.endpoint(), gate, once, counts);
         AtomicLong lastIdentifier = new AtomicLong();
         endpoint = new EndpointServices(
                 settings.service(), gate, generations, calls, once, lastIdentifier::incrementAndGet, configuration);
@@ -141,6 +151,7 @@
 
     @Override
     public Future<Void> start() {
+        usage.start();
         return peers.start()
                 .onSuccess(port -> peerPort = port)
                 .compose(port -> admin.start())
@@ -157,7 +168,8 @@
         Future<Void> drained = limited(finished, settings.shared().drainTimeoutMillis());
         // Outcomes that a log outage holds back must not keep the process for ever: without them a retry is told
         // "outcome unknown", which is true.
-        return drained.compose(ignored -> limited(once.flushed(), OUTCOME_FLUSH_MILLIS))
+        return drained.compose(ignored ->
+                        limited(Future.join(once.flushed(), usage.stop()).mapEmpty(), OUTCOME_FLUSH_MILLIS))
                 .compose(ignored -> {
                     configuration.stop();
                     return peers.stop();
--- a/sidecar/src/main/java/org/redwinghook/sidecar/call/CallService.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/call/CallService.java
@@ -28,6 +28,7 @@
 import org.redwinghook.sidecar.once.KeyedRun;
 import org.redwinghook.sidecar.once.OnceService;
 import org.redwinghook.sidecar.peer.EndpointGate;
+import org.redwinghook.sidecar.usage.EndpointUsage;
 
 /** Runs calls at a plain service. */
 public final class CallService {
@@ -44,6 +45,7 @@
     private final Address address;
     private final EndpointGate gate;
     private final OnceService once;
+    private final EndpointUsage usage;
 
     /**
      * Creates the service.
@@ -52,8 +54,9 @@
      * @param address the plain service
      * @param gate admits keyed calls and is told of the ends of all calls
      * @param once decides which keyed calls run
+     * @param usage counts calls
      */
-    public CallService(Vertx vertx, Address address, EndpointGate gate, OnceService once) {
+    public CallService(Vertx vertx, Address address, EndpointGate gate, OnceService once, EndpointUsage usage) {
         // A pooled connection may die between calls; without keep-alive a failed connect proves that nothing was sent.
         this.client = vertx.createHttpClient(
                 new HttpClientOptions()
@@ -63,6 +66,7 @@
         this.address = address;
         this.gate = gate;
         this.once = once;
+        this.usage = usage;
     }
 
     /**
@@ -118,6 +122,9 @@
 
     private void run(CallRequest call, WorkItem item, Consumer<CallEnd> onEnd) {
         Consumer<CallEnd> ended = end -> {
+            if (end.kind() != OutcomeKind.NOT_RUN) {
+                usage.call(item.owner(), item.customer());
+            }
             gate.finished(item.identifier(), end.kind() == OutcomeKind.DONE);
             onEnd.accept(end);
         };
--- a/sidecar/src/main/java/org/redwinghook/sidecar/generation/GenerationService.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/generation/GenerationService.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -24,6 +23,7 @@
 import org.redwinghook.sidecar.engine.EngineClient;
 import org.redwinghook.sidecar.engine.EngineListener;
 import org.redwinghook.sidecar.peer.EndpointGate;
+import org.redwinghook.sidecar.usage.EndpointUsage;
 
 /** Runs generations at the engine and lets routers follow them. */
 public final class GenerationService implements StateSource {
@@ -37,8 +37,8 @@
     private final EngineClient engine;
     private final GenerationStore store;
     private final EndpointGate gate;
-    private final LongSupplier resumeWindowMillis;
-    private final long mostCharacters;
+    private final EndpointUsage usage;
+    private final Retention retention;
     private final GenerationMetrics metrics;
     private final Supplier<EndpointLoad> load;
     private final Map<ExchangeKey, Generation> byExchange = new HashMap<>();
@@ -52,8 +52,8 @@
      * @param engine the engine
      * @param store keeps the generations
      * @param gate told of tokens and ends
-     * @param resumeWindowMillis time for which a generation is kept after its end was delivered or its follower left
-     * @param mostCharacters characters of all kept tokens beyond which streams with a backlog are not read
+     * @param usage counts generations that ended
+     * @param retention how long and how much is kept
      * @param metrics counts generations and tokens
      */
     public GenerationService(
@@ -61,15 +61,15 @@
             EngineClient engine,
             GenerationStore store,
             EndpointGate gate,
-            LongSupplier resumeWindowMillis,
-            long mostCharacters,
+            EndpointUsage usage,
+            Retention retention,
             GenerationMetrics metrics) {
         this.vertx = vertx;
         this.engine = engine;
         this.store = store;
         this.gate = gate;
-        this.resumeWindowMillis = resumeWindowMillis;
-        this.mostCharacters = mostCharacters;
+        this.usage = usage;
+        this.retention = retention;
         this.metrics = metrics;
         this.load = gate::load;
     }
@@ -216,9 +216,9 @@
     }
 
     private void expireLater(Generation generation) {
-        long retention = generation.renewRetention();
-        vertx.setTimer(resumeWindowMillis.getAsLong(), ignored -> {
-            if (generation.isRetention(retention)) {
+        long number = generation.renewRetention();
+        vertx.setTimer(retention.windowMillis().getAsLong(), ignored -> {
+            if (generation.isRetention(number)) {
                 expire(generation);
             }
         });
@@ -228,6 +228,7 @@
         if (!generation.state().ended()) {
             generation.cancel();
             metrics.cancelled();
+            usage.generation(generation.owner(), generation.customer(), generation.usage(), false);
             gate.finished(generation.item(), false);
         }
         remove(generation);
@@ -249,7 +250,7 @@
 
     /** Reads those streams on whose generations no longer add to a backlog, or all if memory is free again. */
     private void relievePressure() {
-        boolean free = characters < mostCharacters;
+        boolean free = characters < retention.mostCharacters();
         for (Generation generation : List.copyOf(store.all())) {
             if (generation.isPaused() && (free || !generation.hasBacklog())) {
                 generation.setPaused(false);
@@ -297,7 +298,7 @@
             characters += text.length();
             generation.append(text);
             // Pausing a generation whose follower keeps up would free nothing: its tokens are kept until it has ended.
-            if (characters >= mostCharacters && generation.hasBacklog() && !generation.isPaused()) {
+            if (characters >= retention.mostCharacters() && generation.hasBacklog() && !generation.isPaused()) {
                 metrics.paused();
                 generation.setPaused(true);
             }
@@ -308,6 +309,7 @@
             metrics.finished();
             gate.finished(generation.item(), true);
             generation.finish(reason);
+            usage.generation(generation.owner(), generation.customer(), generation.usage(), true);
         }
 
         @Override
@@ -315,6 +317,7 @@
             metrics.interrupted();
             gate.finished(generation.item(), false);
             generation.interrupt(cause);
+            usage.generation(generation.owner(), generation.customer(), generation.usage(), false);
         }
     }
 }
