--- a/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
@@ -68,6 +69,11 @@
         routes.errorHandler(HTTP_INTERNAL_ERROR, CallerServer::failed);
         HttpServer created = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true));
         server = created;
+        // Requests that are no valid HTTP never reach the routes.
+        created.invalidRequestHandler(request -> {
+            request.response().putHeader(Outcome.HEADER, Outcome.NOT_RUN.headerValue());
+            HttpServerRequest.DEFAULT_INVALID_REQUEST_HANDLER.handle(request);
+        });
         return created.requestHandler(routes)
                 .listen(address.port(), address.host())
                 .map(HttpServer::actualPort);
--- a/router/src/main/java/org/redwinghook/router/generation/GenerationDelivery.java
+++ b/router/src/main/java/org/redwinghook/router/generation/GenerationDelivery.java
@@ -170,7 +170,7 @@
             return;
         }
         // The submit frame was written, so the engine may have started although no token came back.
-        outcomeUnknown("no token arrived within the timeout; the generation may have started and was cancelled");
+        outcomeUnknown("no token arrived within the timeout; the generation may have started");
     }
 
     private void tryEndpoints() {
--- a/router/src/test/java/org/redwinghook/router/RefusalTest.java
+++ b/router/src/test/java/org/redwinghook/router/RefusalTest.java
@@ -91,6 +91,9 @@
         assertError(router.get("/v1/completions"), 405, "method_not_allowed");
         assertError(router.post("/v1/completions", "x".repeat(3 * 1024 * 1024)), 413, "body_too_large");
         assertError(router.post("/v1/completions", "{}", "Authorization", "Bearer other"), 401, "unauthorized");
+        HttpResponse<String> largeHead = Answers.whole(router.get("/v2/other", "X-Large", "x".repeat(20_000)));
+        Assert.assertEquals(largeHead.statusCode(), 431);
+        Assert.assertEquals(Answers.outcome(largeHead), "not-run");
         assertError(router.get("/services/none/path"), 404, "unknown_service");
         assertError(router.complete(true), 503, "no_endpoint");
         String unknown = new JsonObject().put("model", "m").put("prompt", "p").encode();
