--- a/operator/src/main/java/org/redwinghook/operator/PublishCommand.java
+++ b/operator/src/main/java/org/redwinghook/operator/PublishCommand.java
@@ -7,6 +7,8 @@
 import java.util.List;
 
 import io.vavr.control.Either;
+import io.vertx.core.Context;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import org.redwinghook.core.config.ConfigurationDocument;
 import org.redwinghook.core.config.ConfigurationReader;
@@ -71,13 +73,17 @@
     private ExitCode publish(Address log, ConfigurationDocument document, String team) {
         ConfigurationPublisher publisher = new ConfigurationPublisher(
                 new PlatformConfigurationLog(new LogClient(vertx, log)), new VertxScheduler(vertx));
+        Context context = vertx.getOrCreateContext();
         String author = System.getProperty("user.name", "unknown");
         List<Section> sections = document.sections().values().stream()
                 .sorted(Comparator.comparing(Section::name))
                 .toList();
         for (Section section : sections) {
-            PublishResult result = publisher.publish(section, team, author).await();
-            ExitCode code = report(section.name(), result);
+            // The publisher and its client belong to one event loop.
+            Promise<PublishResult> result = Promise.promise();
+            context.runOnContext(
+                    ignored -> publisher.publish(section, team, author).onComplete(result));
+            ExitCode code = report(section.name(), result.future().await());
             if (code != ExitCode.DONE) {
                 return code;
             }
--- a/router/src/main/java/org/redwinghook/router/caller/Authenticator.java
+++ b/router/src/main/java/org/redwinghook/router/caller/Authenticator.java
@@ -48,9 +48,14 @@
         Map<String, Customer> index = new HashMap<>();
         for (Customer customer : configuration.customers().values()) {
             for (String hash : customer.credentialHashes()) {
-                index.put(hash, customer);
+                // The document may repeat a credential; all routers must then choose the same customer.
+                index.merge(hash, customer, Authenticator::firstByName);
             }
         }
         customersByHash = index;
     }
+
+    private static Customer firstByName(Customer one, Customer other) {
+        return one.name().compareTo(other.name()) <= 0 ? one : other;
+    }
 }
--- /dev/null
+++ b/system-tests/src/test/java/org/redwinghook/system/ConfigurationSystemTest.java
@@ -0,0 +1,248 @@
+package org.redwinghook.system;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.core.config.SectionChange;
+import org.redwinghook.core.config.ServiceKind;
+import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.router.RouterProcess;
+import org.redwinghook.router.RouterSettings;
+import org.redwinghook.runtime.config.ConfigurationPublisher;
+import org.redwinghook.runtime.config.Followers;
+import org.redwinghook.runtime.config.PlatformConfigurationLog;
+import org.redwinghook.runtime.config.PublishResult;
+import org.redwinghook.runtime.config.VertxScheduler;
+import org.redwinghook.runtime.platform.LogClient;
+import org.redwinghook.runtime.process.ManagedProcess;
+import org.redwinghook.runtime.process.ProcessVerticle;
+import org.redwinghook.runtime.settings.Address;
+import org.redwinghook.runtime.settings.ProcessSettings;
+import org.redwinghook.sidecar.SidecarProcess;
+import org.redwinghook.sidecar.SidecarSettings;
+import org.redwinghook.standins.log.LogStandIn;
+import org.redwinghook.standins.vmlist.VmListStandIn;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Real processes on loopback that follow one log. */
+public final class ConfigurationSystemTest {
+
+    private static final String HOST = "127.0.0.1";
+    private static final String DATA_CENTRE = "dc-1";
+    private static final long RETENTION_MILLIS = 3_600_000;
+    private static final long DEADLINE_MILLIS = 7_000;
+    private static final int OK = 200;
+    private static final int NOT_READY = 503;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final Context context = vertx.getOrCreateContext();
+    private final HttpClient client = vertx.createHttpClient();
+    private LogStandIn log = new LogStandIn(vertx, 0);
+    private VmListStandIn vmList = new VmListStandIn(vertx, 0, new JsonArray());
+    private int logPort;
+    private int vmListPort;
+    private List<Vm> vms = List.of();
+
+    @BeforeMethod
+    public void startDeployment() {
+        vms = List.of(
+                Vm.of("router-1", ProcessRole.ROUTER),
+                Vm.of("router-2", ProcessRole.ROUTER),
+                Vm.of("router-3", ProcessRole.ROUTER),
+                Vm.of("engine-1", ProcessRole.SIDECAR));
+        JsonArray list = new JsonArray();
+        vms.forEach(vm -> list.add(vm.json()));
+        log = new LogStandIn(vertx, 0);
+        vmList = new VmListStandIn(vertx, 0, list);
+        logPort = log.start().await();
+        vmListPort = vmList.start().await();
+        List<Future<?>> started = new ArrayList<>();
+        vms.forEach(vm -> started.add(vertx.deployVerticle(new ProcessVerticle(inner -> process(inner, vm)))));
+        Future.all(started).await();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopDeployment() {
+        List.copyOf(vertx.deploymentIDs()).forEach(id -> vertx.undeploy(id).await());
+        log.stop().await();
+        vmList.stop().await();
+    }
+
+    /** Guards against processes that serve without a configuration, or that do not hear of one in time. */
+    @Test
+    public void allProcessesFollowTheLog() {
+        assertEquals(readiness(), List.of(NOT_READY, NOT_READY, NOT_READY, NOT_READY));
+        publish("owners", 0, "a", "{}");
+        eventually("all are ready", () -> readiness().equals(List.of(OK, OK, OK, OK)));
+        long version = publish("owners", 1, "b", "{}");
+        eventually("all have the change", () -> vms.stream()
+                .allMatch(vm -> configuration(vm).getLong("offset") == version));
+        JsonObject owners = configuration(vms.get(3)).getJsonObject("sections").getJsonObject("owners");
+        assertEquals(owners.encode(), "{\"version\":" + version + ",\"team\":\"ops\"}");
+    }
+
+    /** Guards against new work in a data centre that is out, and against one that does not come back. */
+    @Test
+    public void sidecarLeavesAndReturnsWithItsDataCentre() {
+        Vm sidecar = vms.get(3);
+        String section = "availability." + DATA_CENTRE;
+        long in = publish(section, 0, "dataCentre", "\"in\"");
+        eventually("the sidecar is in", () -> status(sidecar) == OK);
+        long out = publish(section, in, "dataCentre", "\"out\"");
+        eventually("the sidecar is out", () -> status(sidecar) == NOT_READY);
+        publish(section, out, "dataCentre", "\"in\"");
+        eventually("the sidecar is back in", () -> status(sidecar) == OK);
+    }
+
+    /** Guards against a withdrawal that depends on the log, or that reaches only the process that was told. */
+    @Test
+    public void withdrawalSpreadsWhileTheLogIsDown() {
+        publish("owners", 0, "a", "{}");
+        eventually("all are ready", () -> readiness().equals(List.of(OK, OK, OK, OK)));
+        log.stop().await();
+        JsonObject withdrawal = new JsonObject()
+                .put("kind", "dataCentre")
+                .put("name", DATA_CENTRE)
+                .put("basedOn", 0);
+        assertEquals(request(vms.get(0), HttpMethod.POST, "/withdrawals", withdrawal.encode()), 202);
+        assertEquals(request(vms.get(0), HttpMethod.POST, "/withdrawals", "{\"kind\": \"planet\"}"), 400);
+        eventually("the sidecar is out", () -> status(vms.get(3)) == NOT_READY);
+        eventually("all routers know", () -> vms.stream()
+                .allMatch(vm -> configuration(vm).getJsonArray("withdrawals").size() == 1));
+        assertEquals(readiness().subList(0, 3), List.of(OK, OK, OK));
+    }
+
+    /** Guards against a process that cannot start while the log is down. */
+    @Test
+    public void routerStartsFromItsPeersWhileTheLogIsDown() {
+        long version = publish("owners", 0, "a", "{}");
+        eventually("all are ready", () -> readiness().equals(List.of(OK, OK, OK, OK)));
+        log.stop().await();
+        Vm late = Vm.of("router-4", ProcessRole.ROUTER);
+        vertx.deployVerticle(new ProcessVerticle(inner -> process(inner, late))).await();
+        eventually("the late router is ready", () -> status(late) == OK);
+        assertEquals((long) configuration(late).getLong("offset"), version);
+    }
+
+    private ManagedProcess process(Vertx inner, Vm vm) {
+        ProcessSettings shared = new ProcessSettings(
+                vm.name(),
+                DATA_CENTRE,
+                new Address(HOST, vm.peerPort()),
+                new Address(HOST, vm.adminPort()),
+                new Address(HOST, logPort),
+                new Address(HOST, vmListPort),
+                RETENTION_MILLIS,
+                0);
+        PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        var follower = Followers.of(inner, vm.role(), shared, metrics);
+        if (vm.role() == ProcessRole.ROUTER) {
+            RouterSettings settings = new RouterSettings(shared, new Address(HOST, 0), 1_000);
+            return new RouterProcess(inner, settings, follower, metrics);
+        }
+        SidecarSettings settings =
+                new SidecarSettings(shared, "copy", ServiceKind.ENGINE, new Address(HOST, vmListPort), 4);
+        return new SidecarProcess(inner, settings, follower, metrics);
+    }
+
+    // A client used outside an event loop may miss a body that arrives before its handler is set.
+    private <T> T onEventLoop(Supplier<Future<T>> action) {
+        Promise<T> promise = Promise.promise();
+        context.runOnContext(ignored -> action.get().onComplete(promise));
+        return promise.future().timeout(DEADLINE_MILLIS, TimeUnit.MILLISECONDS).await();
+    }
+
+    private long publish(String section, long replaces, String entry, String text) {
+        ConfigurationPublisher publisher = new ConfigurationPublisher(
+                new PlatformConfigurationLog(new LogClient(vertx, new Address(HOST, logPort))),
+                new VertxScheduler(vertx));
+        SectionChange change = new SectionChange(
+                section, "ops", replaces, section + replaces, "author", Map.of(entry, text), List.of());
+        PublishResult result = onEventLoop(() -> publisher.publish(change));
+        assertTrue(result instanceof PublishResult.Accepted, String.valueOf(result));
+        return ((PublishResult.Accepted) result).version();
+    }
+
+    private List<Integer> readiness() {
+        return vms.stream().map(this::status).toList();
+    }
+
+    private int status(Vm vm) {
+        return request(vm, HttpMethod.GET, "/ready", "");
+    }
+
+    private int request(Vm vm, HttpMethod method, String path, String body) {
+        return onEventLoop(() -> client.request(method, vm.adminPort(), HOST, path)
+                .compose(request -> request.send(body))
+                .compose(response -> response.body().map(ignored -> response.statusCode())));
+    }
+
+    private JsonObject configuration(Vm vm) {
+        return onEventLoop(() -> client.request(HttpMethod.GET, vm.adminPort(), HOST, "/configuration")
+                .compose(request -> request.send())
+                .compose(HttpClientResponse::body)
+                .map(JsonObject::new));
+    }
+
+    private static void eventually(String what, BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DEADLINE_MILLIS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "not within " + DEADLINE_MILLIS + " ms: " + what);
+            try {
+                Thread.sleep(20);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    private record Vm(String name, ProcessRole role, int peerPort, int adminPort) {
+
+        static Vm of(String name, ProcessRole role) {
+            return new Vm(name, role, freePort(), freePort());
+        }
+
+        JsonObject json() {
+            return new JsonObject()
+                    .put("vm", name)
+                    .put("dataCentre", DATA_CENTRE)
+                    .put("role", role == ProcessRole.ROUTER ? "router" : "sidecar")
+                    .put("host", HOST)
+                    .put("peerPort", peerPort)
+                    .put("adminPort", adminPort)
+                    .put("service", role == ProcessRole.SIDECAR ? "copy" : null);
+        }
+
+        private static int freePort() {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException exception) {
+                throw new UncheckedIOException(exception);
+            }
+        }
+    }
+}
