Give the router tests' fake sidecars an address of their own

ResumeTest.interruptsWhenSidecarRestarted failed once with 'Address already in use': the router's attempts to reconnect take ports on 127.0.0.1, and one of them held the port that the restarted fake wanted. On 127.0.1.1 no outgoing connection takes it.

--- a/router/src/test/java/org/redwinghook/router/FakeSidecar.java
+++ b/router/src/test/java/org/redwinghook/router/FakeSidecar.java
@@ -26,6 +26,12 @@
 /** A sidecar whose answers the test writes. */
 final class FakeSidecar {
 
+    /**
+     * Outgoing connections take their port on 127.0.0.1, among them attempts to reconnect to a stopped sidecar. On an
+     * address of its own, a sidecar that listens again on its old port finds it free.
+     */
+    private static final String HOST = "127.0.1.1";
+
     private static final long WAIT_SECONDS = 5;
 
     final String vm;
@@ -52,7 +58,7 @@
                 .put("vm", vm)
                 .put("dataCentre", "dc")
                 .put("role", "sidecar")
-                .put("host", "127.0.0.1")
+                .put("host", HOST)
                 .put("peerPort", port)
                 .put("adminPort", 1)
                 .put("service", service);
@@ -61,7 +67,7 @@
     void listen() {
         PeerServer created = new PeerServer(
                 vertx,
-                new Address("127.0.0.1", port),
+                new Address(HOST, port),
                 new FrameCodec(),
                 new WireMetrics(new SimpleMeterRegistry()),
                 this::accept);
