Tell streams apart from finished answers, and wait for quota owners' connections

The header of a streamed response said 'done' at its first token, although the stream could still be interrupted; it now says 'streaming', and [DONE] decides. A router without an open connection to a customer's quota owner used its local share at once; it now opens the connection within the 50 ms that it waits for the owner. RouterPeers no longer accepts connections, as the mesh does.

--- a/router/src/main/java/org/redwinghook/router/caller/Outcome.java
+++ b/router/src/main/java/org/redwinghook/router/caller/Outcome.java
@@ -2,11 +2,10 @@
 
 /** What a caller is told about its request in the header Redwinghook-Outcome. */
 public enum Outcome {
-    /**
-     * The request ran and the answer is its own. The header of a streamed answer precedes its end, so a stream is whole
-     * only with the final data line [DONE].
-     */
+    /** The request ran, and the response is its whole answer. */
     DONE("done"),
+    /** The request runs. Its events follow, and only the final data line [DONE] says that the answer is whole. */
+    STREAMING("streaming"),
     /** The request was not run and may be sent again. */
     NOT_RUN("not-run"),
     /** The request may or may not have run. */
--- a/router/src/main/java/org/redwinghook/router/caller/StreamedCompletion.java
+++ b/router/src/main/java/org/redwinghook/router/caller/StreamedCompletion.java
@@ -106,6 +106,6 @@
         http.setChunked(true)
                 .putHeader("content-type", "text/event-stream")
                 .putHeader("cache-control", "no-cache")
-                .putHeader(Outcome.HEADER, Outcome.DONE.headerValue());
+                .putHeader(Outcome.HEADER, Outcome.STREAMING.headerValue());
     }
 }
--- a/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
+++ b/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
@@ -162,13 +162,20 @@
         }
         updateRouters();
         String ownerName = QuotaOwner.of(account.customer, routers).orElse(process);
-        PeerConnection connection = peers.connection(ownerName).orElse(null);
         boolean isOwnerHere = ownerName.equals(process);
         boolean isSilent = silentUntilMillis.getOrDefault(ownerName, Long.MIN_VALUE) > nowMillis();
-        if (!isOwnerHere && (connection == null || isSilent)) {
+        if (!isOwnerHere && isSilent) {
             List.copyOf(account.waiting).forEach(waiter -> ownerSilent(account, waiter));
             return;
         }
+        PeerConnection connection =
+                isOwnerHere ? null : peers.connection(ownerName).orElse(null);
+        if (!isOwnerHere && connection == null) {
+            // The waiters' timers bound the wait for the connection.
+            peers.connect(ownerName).onSuccess(opened -> ask(account)).onFailure(failure -> List.copyOf(account.waiting)
+                    .forEach(waiter -> ownerSilent(account, waiter)));
+            return;
+        }
         lastExchange++;
         account.askedAtMillis = nowMillis();
         account.isAsking = true;
--- a/router/src/main/java/org/redwinghook/router/peer/RouterPeers.java
+++ b/router/src/main/java/org/redwinghook/router/peer/RouterPeers.java
@@ -2,13 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Supplier;
 
+import io.vertx.core.Future;
 import io.vertx.core.net.NetClient;
 import org.redwinghook.core.membership.Member;
 import org.redwinghook.core.message.Hello;
@@ -30,7 +29,7 @@
     private final Supplier<List<Member>> members;
     private final MessageDispatcher dispatcher;
     private final Map<String, PeerConnection> connections = new HashMap<>();
-    private final Set<String> opening = new HashSet<>();
+    private final Map<String, Future<PeerConnection>> opening = new HashMap<>();
 
     /**
      * Creates a directory without connections.
@@ -62,18 +61,22 @@
 
     @Override
     public Optional<PeerConnection> connection(String name) {
+        connect(name);
+        return Optional.ofNullable(connections.get(name));
+    }
+
+    @Override
+    public Future<PeerConnection> connect(String name) {
         PeerConnection open = connections.get(name);
         if (open != null) {
-            return Optional.of(open);
+            return Future.succeededFuture(open);
         }
-        if (!name.equals(process) && !opening.contains(name)) {
-            for (Member member : members.get()) {
-                if (member.vm().equals(name)) {
-                    open(member);
-                }
+        for (Member member : members.get()) {
+            if (member.vm().equals(name) && !name.equals(process)) {
+                return opening.computeIfAbsent(name, ignored -> open(member));
             }
         }
-        return Optional.empty();
+        return Future.failedFuture("no other router is called " + name);
     }
 
     @Override
@@ -88,35 +91,22 @@
         return all;
     }
 
-    /**
-     * Takes a connection that another router opened.
-     *
-     * @param connection the connection
-     */
-    public void accept(PeerConnection connection) {
-        connection.onMessage(message -> {
-            if (message instanceof Hello) {
-                connection.send(hello.get());
-            }
-            dispatcher.dispatch(connection, message);
-        });
-    }
-
     /** Closes all connections. */
     public void close() {
         new ArrayList<>(connections.values()).forEach(PeerConnection::close);
     }
 
-    private void open(Member member) {
-        opening.add(member.vm());
-        client.connect(member.peerPort(), member.host())
+    private Future<PeerConnection> open(Member member) {
+        return client.connect(member.peerPort(), member.host())
                 .onComplete(result -> opening.remove(member.vm()))
-                .onSuccess(socket -> {
-                    PeerConnection connection = new PeerConnection(socket, codec, metrics);
-                    connections.put(member.vm(), connection);
-                    connection.onMessage(message -> dispatcher.dispatch(connection, message));
-                    connection.onClose(() -> connections.remove(member.vm(), connection));
-                    connection.send(hello.get());
-                });
+                .map(socket -> opened(member, new PeerConnection(socket, codec, metrics)));
+    }
+
+    private PeerConnection opened(Member member, PeerConnection connection) {
+        connections.put(member.vm(), connection);
+        connection.onMessage(message -> dispatcher.dispatch(connection, message));
+        connection.onClose(() -> connections.remove(member.vm(), connection));
+        connection.send(hello.get());
+        return connection;
     }
 }
--- a/runtime/src/main/java/org/redwinghook/runtime/wire/PeerDirectory.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/PeerDirectory.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.vertx.core.Future;
 import org.redwinghook.core.membership.Member;
 
 /** Connections to other routers. */
@@ -22,4 +23,16 @@
      * @return members of the VM list
      */
     List<Member> routers();
+
+    /**
+     * Opens a connection to a process unless there is one.
+     *
+     * @param process name of the process
+     * @return the connection, or a failure if it cannot be opened
+     */
+    default Future<PeerConnection> connect(String process) {
+        return connection(process)
+                .map(Future::succeededFuture)
+                .orElseGet(() -> Future.failedFuture("there is no connection to " + process));
+    }
 }
