--- a/core/src/main/java/org/redwinghook/core/document/NodeText.java
+++ b/core/src/main/java/org/redwinghook/core/document/NodeText.java
@@ -15,11 +15,15 @@
 final class NodeText {
 
     private static final Set<Tag> BARE_TAGS = Set.of(Tag.INT, Tag.FLOAT, Tag.BOOL, Tag.NULL);
+    // Recursive aliases nest without end.
+    private static final int DEEPEST_NESTING = 32;
     private static final char FIRST_PRINTABLE = ' ';
     private static final char LAST_PRINTABLE_ASCII = '~';
 
     private final StringBuilder text = new StringBuilder();
     private final int mostCharacters;
+    private int depth;
+    private boolean isTooDeep;
 
     private NodeText(int mostCharacters) {
         this.mostCharacters = mostCharacters;
@@ -29,24 +33,30 @@
      * Writes a node.
      *
      * @param node the node
-     * @param mostCharacters longest text; also ends the expansion of nested and recursive aliases
-     * @return the text, empty if it would be longer
+     * @param mostCharacters longest text; also ends the expansion of nested aliases
+     * @return the text, empty if it would be longer or is nested too deeply
      */
     static Optional<String> json(Node node, int mostCharacters) {
         NodeText writer = new NodeText(mostCharacters);
         writer.write(node);
-        return writer.isFull() ? Optional.empty() : Optional.of(writer.text.toString());
+        return writer.isFull() || writer.isTooDeep ? Optional.empty() : Optional.of(writer.text.toString());
     }
 
     private boolean isFull() {
         return text.length() > mostCharacters;
     }
 
-    // The depth of the recursion is bounded, as each level adds a character before it descends.
     private void write(Node node) {
-        if (isFull()) {
+        if (isFull() || depth > DEEPEST_NESTING) {
+            isTooDeep |= depth > DEEPEST_NESTING;
             return;
         }
+        depth++;
+        writeValue(node);
+        depth--;
+    }
+
+    private void writeValue(Node node) {
         if (node instanceof MappingNode mapping) {
             writeMapping(mapping);
         } else if (node instanceof SequenceNode sequence) {
--- a/core/src/main/java/org/redwinghook/core/document/YamlMap.java
+++ b/core/src/main/java/org/redwinghook/core/document/YamlMap.java
@@ -13,7 +13,11 @@
 import org.jspecify.annotations.Nullable;
 import org.snakeyaml.engine.v2.api.LoadSettings;
 import org.snakeyaml.engine.v2.api.lowlevel.Compose;
+import org.snakeyaml.engine.v2.api.lowlevel.Parse;
 import org.snakeyaml.engine.v2.common.ScalarStyle;
+import org.snakeyaml.engine.v2.events.CollectionEndEvent;
+import org.snakeyaml.engine.v2.events.CollectionStartEvent;
+import org.snakeyaml.engine.v2.events.Event;
 import org.snakeyaml.engine.v2.exceptions.Mark;
 import org.snakeyaml.engine.v2.exceptions.MarkedYamlEngineException;
 import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
@@ -30,6 +34,9 @@
  */
 public final class YamlMap {
 
+    // The composer recurses. A fixed limit makes each process refuse the same texts, whatever the size of its stack.
+    private static final int DEEPEST_NESTING = 32;
+
     private final String file;
     private final String path;
     private final @Nullable Mark start;
@@ -55,23 +62,7 @@
      * @return the top mapping, empty if the document cannot be parsed
      */
     public static YamlMap parse(String file, String text, Findings findings) {
-        LoadSettings settings = LoadSettings.builder()
-                .setLabel(file)
-                .setAllowDuplicateKeys(true)
-                .build();
-        try {
-            Optional<Node> root = new Compose(settings).composeString(text);
-            return new YamlMap(file, "", root.orElse(null), findings);
-        } catch (MarkedYamlEngineException exception) {
-            int line =
-                    exception.getProblemMark().map(mark -> mark.getLine() + 1).orElse(0);
-            int column =
-                    exception.getProblemMark().map(mark -> mark.getColumn() + 1).orElse(0);
-            findings.add(new Finding(file, line, column, "", "not valid YAML: " + exception.getProblem()));
-        } catch (YamlEngineException exception) {
-            findings.add(new Finding(file, 0, 0, "", "not valid YAML: " + exception.getMessage()));
-        }
-        return new YamlMap(file, "", null, findings);
+        return new YamlMap(file, "", compose(file, "", text, findings).orElse(null), findings);
     }
 
     /**
@@ -84,24 +75,17 @@
      * @return the mapping
      */
     public static YamlMap ofTexts(String file, Map<String, String> values, Findings findings) {
-        LoadSettings settings = LoadSettings.builder()
-                .setLabel(file)
-                .setAllowDuplicateKeys(true)
-                .build();
         YamlMap map = new YamlMap(file, "", null, findings);
         for (Map.Entry<String, String> entry : values.entrySet()) {
             String key = entry.getKey();
-            try {
-                Optional<Node> value = new Compose(settings).composeString(entry.getValue());
-                if (value.isEmpty()) {
-                    findings.add(new Finding(file, 0, 0, key, "must not be empty"));
-                    continue;
-                }
+            int before = findings.toList().size();
+            Optional<Node> value = compose(file, key, entry.getValue(), findings);
+            if (value.isPresent()) {
                 Optional<Mark> mark = value.get().getStartMark();
                 ScalarNode keyNode = new ScalarNode(Tag.STR, true, key, ScalarStyle.PLAIN, mark, mark);
                 map.entries.put(key, new NodeTuple(keyNode, value.get()));
-            } catch (YamlEngineException exception) {
-                findings.add(new Finding(file, 0, 0, key, "not valid YAML: " + exception.getMessage()));
+            } else if (findings.toList().size() == before) {
+                findings.add(new Finding(file, 0, 0, key, "must not be empty"));
             }
         }
         return map;
@@ -407,6 +391,35 @@
         report(markOf(key), child(key), problem);
     }
 
+    private static Optional<Node> compose(String file, String key, String text, Findings findings) {
+        LoadSettings settings = LoadSettings.builder()
+                .setLabel(file)
+                .setAllowDuplicateKeys(true)
+                .build();
+        try {
+            int depth = 0;
+            for (Event event : new Parse(settings).parseString(text)) {
+                depth += event instanceof CollectionStartEvent ? 1 : event instanceof CollectionEndEvent ? -1 : 0;
+                if (depth > DEEPEST_NESTING) {
+                    problem(file, event.getStartMark(), key, "nested deeper than " + DEEPEST_NESTING, findings);
+                    return Optional.empty();
+                }
+            }
+            return new Compose(settings).composeString(text);
+        } catch (MarkedYamlEngineException exception) {
+            problem(file, exception.getProblemMark(), key, "not valid YAML: " + exception.getProblem(), findings);
+        } catch (YamlEngineException exception) {
+            problem(file, Optional.empty(), key, "not valid YAML: " + exception.getMessage(), findings);
+        }
+        return Optional.empty();
+    }
+
+    private static void problem(String file, Optional<Mark> mark, String key, String problem, Findings findings) {
+        int line = mark.map(place -> place.getLine() + 1).orElse(0);
+        int column = mark.map(place -> place.getColumn() + 1).orElse(0);
+        findings.add(new Finding(file, line, column, key, problem));
+    }
+
     private List<Node> items(String key) {
         Node node = take(key);
         if (node == null) {
--- a/core/src/test/java/org/redwinghook/core/config/ConfigurationFoldTest.java
+++ b/core/src/test/java/org/redwinghook/core/config/ConfigurationFoldTest.java
@@ -59,11 +59,12 @@
             assertEquals(fold.version("owners").version(), 1);
         }
 
-        /** Guards against an invalid entry, or one that smuggles in a second entry, taking effect. */
+        /** Guards against an invalid entry taking effect, and against one whose nesting exhausts the stack. */
         @Test
         public void invalidEntriesAreRejected() {
             ConfigurationFold fold = new ConfigurationFold();
-            for (String text : List.of("{\"weight\": 0}", "{", "", "1", "{a: 1}", "{weight: 1}, b: {weight: 2}")) {
+            for (String text : List.of(
+                    "{\"weight\": 0}", "{", "", "1", "{a: 1}", "{weight: 1}, b: {weight: 2}", "[".repeat(9_000))) {
                 SectionChange change =
                         new SectionChange("owners", "billing", 0, "change", "author", Map.of("a", text), List.of());
                 FoldOutcome outcome = fold.fold(fold.offset() + 1, 1, change);
--- a/core/src/test/java/org/redwinghook/core/config/ConfigurationReaderTest.java
+++ b/core/src/test/java/org/redwinghook/core/config/ConfigurationReaderTest.java
@@ -78,6 +78,10 @@
         @Test
         public void recursiveAliasIsAFinding() {
             assertTrue(!findings("owners: {a: &a {weight: 1, more: *a}}").isEmpty());
+            assertTrue(!findings("rules: {attempts: &a [*a]}").isEmpty());
+            assertEquals(
+                    findings("owners: " + "[".repeat(100) + "]".repeat(100)),
+                    List.of("c.yaml:1:40: nested deeper than 32"));
         }
     }
 
--- a/runtime/src/main/java/org/redwinghook/runtime/config/LogConfigurationFollower.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/LogConfigurationFollower.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import io.vertx.core.Future;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.config.Configuration;
 import org.redwinghook.core.config.SectionState;
@@ -179,14 +180,18 @@
         }
         metrics.polled();
         log.read(state.folded().offset() + 1, RECORDS_PER_READ)
-                .onSuccess(this::takePage)
+                // An exception of the fold becomes a failure here, so that it does not end the polling.
+                .compose(page -> {
+                    takePage(page);
+                    return Future.succeededFuture();
+                })
                 .onFailure(this::pollFailed);
     }
 
     private void takePage(LogPage page) {
         if (!isLogReachable) {
             isLogReachable = true;
-            LOGGER.info("the log is reachable again");
+            LOGGER.info("the log can be read again");
         }
         state.startAt(page.first());
         state.fold(page.records().stream()
@@ -209,7 +214,7 @@
         metrics.pollFailed();
         if (isLogReachable) {
             isLogReachable = false;
-            LOGGER.warn("the log is not reachable: {}", failure.getMessage());
+            LOGGER.warn("the log cannot be read: {}", failure.toString());
         }
         pullIfBehind();
         scheduler.after(Math.max(RETRY_MILLIS, nextPollMillis()), this::pollIfNeeded);
