--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -72,7 +72,7 @@
     private final AdminServer admin;
     private final UsageReporter usage;
     private boolean stopping;
-    private int peerPort;
+    private volatile int peerPort;
 
     /**
      * Creates a sidecar.
