Let the system choose the ports of processes under test

Probed ports come from the range of outgoing connections, so another connection may take one before its process listens. This is the likely cause of two failures in eleven repetitions of the test; their output was not kept, and nine further runs of the old test did not repeat them.

--- a/router/src/main/java/org/redwinghook/router/RouterProcess.java
+++ b/router/src/main/java/org/redwinghook/router/RouterProcess.java
@@ -36,6 +36,7 @@
     private final CallerServer callers;
     private final RouterMesh mesh;
     private final AdminServer admin;
+    private volatile int peerPort;
     private boolean accepting = true;
 
     /**
@@ -100,6 +101,7 @@
     @Override
     public Future<Void> start() {
         return mesh.start()
+                .onSuccess(port -> peerPort = port)
                 .compose(port -> callers.start())
                 .compose(port -> admin.start())
                 .onSuccess(ignored -> {
@@ -117,6 +119,24 @@
         });
     }
 
+    /**
+     * Port that other processes connect to.
+     *
+     * @return the port, 0 before the start
+     */
+    public int peerPort() {
+        return peerPort;
+    }
+
+    /**
+     * Port that operators connect to.
+     *
+     * @return the port, 0 before the start
+     */
+    public int adminPort() {
+        return admin.port();
+    }
+
     private Hello hello() {
         return new Hello(
                 PROTOCOL_VERSION,
--- a/runtime/src/main/java/org/redwinghook/runtime/admin/AdminServer.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/admin/AdminServer.java
@@ -29,7 +29,7 @@
     private final BooleanSupplier ready;
     private final ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
     private final Router routes;
-    private int port;
+    private volatile int port;
 
     /**
      * Creates the server.
--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -44,6 +44,7 @@
     private final CallService calls;
     private final PeerServer peers;
     private final AdminServer admin;
+    private volatile int peerPort;
     private boolean stopping;
 
     /**
@@ -94,7 +95,10 @@
 
     @Override
     public Future<Void> start() {
-        return peers.start().compose(port -> admin.start()).onSuccess(ignored -> configuration.start());
+        return peers.start()
+                .onSuccess(port -> peerPort = port)
+                .compose(port -> admin.start())
+                .onSuccess(ignored -> configuration.start());
     }
 
     @Override
@@ -123,6 +127,24 @@
                 connection, this::hello, gate, generations, calls, lastIdentifier::incrementAndGet, configuration);
     }
 
+    /**
+     * Port that other processes connect to.
+     *
+     * @return the port, 0 before the start
+     */
+    public int peerPort() {
+        return peerPort;
+    }
+
+    /**
+     * Port that operators connect to.
+     *
+     * @return the port, 0 before the start
+     */
+    public int adminPort() {
+        return admin.port();
+    }
+
     private Hello hello() {
         return new Hello(
                 PROTOCOL_VERSION,
--- a/system-tests/src/test/java/org/redwinghook/system/ConfigurationSystemTest.java
+++ b/system-tests/src/test/java/org/redwinghook/system/ConfigurationSystemTest.java
@@ -1,14 +1,11 @@
 package org.redwinghook.system;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -29,11 +26,11 @@
 import org.redwinghook.router.RouterSettings;
 import org.redwinghook.runtime.config.ConfigurationPublisher;
 import org.redwinghook.runtime.config.Followers;
+import org.redwinghook.runtime.config.LogConfigurationFollower;
 import org.redwinghook.runtime.config.PlatformConfigurationLog;
 import org.redwinghook.runtime.config.PublishResult;
 import org.redwinghook.runtime.config.VertxScheduler;
 import org.redwinghook.runtime.platform.LogClient;
-import org.redwinghook.runtime.process.ManagedProcess;
 import org.redwinghook.runtime.process.ProcessVerticle;
 import org.redwinghook.runtime.settings.Address;
 import org.redwinghook.runtime.settings.ProcessSettings;
@@ -69,20 +66,18 @@
 
     @BeforeMethod
     public void startDeployment() {
-        vms = List.of(
-                Vm.of("router-1", ProcessRole.ROUTER),
-                Vm.of("router-2", ProcessRole.ROUTER),
-                Vm.of("router-3", ProcessRole.ROUTER),
-                Vm.of("engine-1", ProcessRole.SIDECAR));
-        JsonArray list = new JsonArray();
-        vms.forEach(vm -> list.add(vm.json()));
         log = new LogStandIn(vertx, 0);
-        vmList = new VmListStandIn(vertx, 0, list);
+        vmList = new VmListStandIn(vertx, 0, new JsonArray());
         logPort = log.start().await();
         vmListPort = vmList.start().await();
-        List<Future<?>> started = new ArrayList<>();
-        vms.forEach(vm -> started.add(vertx.deployVerticle(new ProcessVerticle(inner -> process(inner, vm)))));
-        Future.all(started).await();
+        vms = List.of(
+                startVm("router-1", ProcessRole.ROUTER),
+                startVm("router-2", ProcessRole.ROUTER),
+                startVm("router-3", ProcessRole.ROUTER),
+                startVm("engine-1", ProcessRole.SIDECAR));
+        JsonArray list = new JsonArray();
+        vms.forEach(vm -> list.add(vm.json()));
+        assertEquals(request(vmListPort, HttpMethod.PUT, "/vms", list.encode()), OK);
     }
 
     @AfterMethod(alwaysRun = true)
@@ -142,31 +137,41 @@
         long version = publish("owners", 0, "a", "{}");
         eventually("all are ready", () -> readiness().equals(List.of(OK, OK, OK, OK)));
         log.stop().await();
-        Vm late = Vm.of("router-4", ProcessRole.ROUTER);
-        vertx.deployVerticle(new ProcessVerticle(inner -> process(inner, late))).await();
+        Vm late = startVm("router-4", ProcessRole.ROUTER);
         eventually("the late router is ready", () -> status(late) == OK);
         assertEquals((long) configuration(late).getLong("offset"), version);
     }
 
-    private ManagedProcess process(Vertx inner, Vm vm) {
+    /** Starts a process on ports that the system chooses. */
+    private Vm startVm(String name, ProcessRole role) {
+        Address any = new Address(HOST, 0);
         ProcessSettings shared = new ProcessSettings(
-                vm.name(),
+                name,
                 DATA_CENTRE,
-                new Address(HOST, vm.peerPort()),
-                new Address(HOST, vm.adminPort()),
+                any,
+                any,
                 new Address(HOST, logPort),
                 new Address(HOST, vmListPort),
                 RETENTION_MILLIS,
                 0);
-        PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-        var follower = Followers.of(inner, vm.role(), shared, metrics);
-        if (vm.role() == ProcessRole.ROUTER) {
-            RouterSettings settings = new RouterSettings(shared, new Address(HOST, 0), 1_000);
-            return new RouterProcess(inner, settings, follower, metrics);
-        }
-        SidecarSettings settings =
-                new SidecarSettings(shared, "copy", ServiceKind.ENGINE, new Address(HOST, vmListPort), 4);
-        return new SidecarProcess(inner, settings, follower, metrics);
+        AtomicReference<Vm> started = new AtomicReference<>();
+        vertx.deployVerticle(new ProcessVerticle(inner -> {
+                    PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+                    LogConfigurationFollower follower = Followers.of(inner, role, shared, metrics);
+                    if (role == ProcessRole.ROUTER) {
+                        RouterSettings settings = new RouterSettings(shared, any, 1_000);
+                        RouterProcess router = new RouterProcess(inner, settings, follower, metrics);
+                        started.set(new Vm(name, role, router::peerPort, router::adminPort));
+                        return router;
+                    }
+                    Address noEngine = new Address(HOST, vmListPort);
+                    SidecarSettings settings = new SidecarSettings(shared, "copy", ServiceKind.ENGINE, noEngine, 4);
+                    SidecarProcess sidecar = new SidecarProcess(inner, settings, follower, metrics);
+                    started.set(new Vm(name, role, sidecar::peerPort, sidecar::adminPort));
+                    return sidecar;
+                }))
+                .await();
+        return started.get();
     }
 
     // A client used outside an event loop may miss a body that arrives before its handler is set.
@@ -196,13 +201,17 @@
     }
 
     private int request(Vm vm, HttpMethod method, String path, String body) {
-        return onEventLoop(() -> client.request(method, vm.adminPort(), HOST, path)
+        return request(vm.adminPort().getAsInt(), method, path, body);
+    }
+
+    private int request(int port, HttpMethod method, String path, String body) {
+        return onEventLoop(() -> client.request(method, port, HOST, path)
                 .compose(request -> request.send(body))
                 .compose(response -> response.body().map(ignored -> response.statusCode())));
     }
 
     private JsonObject configuration(Vm vm) {
-        return onEventLoop(() -> client.request(HttpMethod.GET, vm.adminPort(), HOST, "/configuration")
+        return onEventLoop(() -> client.request(HttpMethod.GET, vm.adminPort().getAsInt(), HOST, "/configuration")
                 .compose(request -> request.send())
                 .compose(HttpClientResponse::body)
                 .map(JsonObject::new));
@@ -220,11 +229,7 @@
         }
     }
 
-    private record Vm(String name, ProcessRole role, int peerPort, int adminPort) {
-
-        static Vm of(String name, ProcessRole role) {
-            return new Vm(name, role, freePort(), freePort());
-        }
+    private record Vm(String name, ProcessRole role, IntSupplier peerPort, IntSupplier adminPort) {
 
         JsonObject json() {
             return new JsonObject()
@@ -232,17 +237,9 @@
                     .put("dataCentre", DATA_CENTRE)
                     .put("role", role == ProcessRole.ROUTER ? "router" : "sidecar")
                     .put("host", HOST)
-                    .put("peerPort", peerPort)
-                    .put("adminPort", adminPort)
+                    .put("peerPort", peerPort.getAsInt())
+                    .put("adminPort", adminPort.getAsInt())
                     .put("service", role == ProcessRole.SIDECAR ? "copy" : null);
         }
-
-        private static int freePort() {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                return socket.getLocalPort();
-            } catch (IOException exception) {
-                throw new UncheckedIOException(exception);
-            }
-        }
     }
 }
