--- a/router/src/main/java/org/redwinghook/router/RouterProcess.java
+++ b/router/src/main/java/org/redwinghook/router/RouterProcess.java
@@ -59,6 +59,7 @@
     private final UsageReporter usage;
     private final CallerServer callers;
     private final AdminServer admin;
+    private volatile int peerPort;
     private boolean accepting = true;
     private int callerPort;
     private int peerPort;
@@ -239,6 +240,24 @@
         return new RouterState(incarnation, accepting, callers.running(), running.size());
     }
 
+    /**
+     * Port that other processes connect to.
+     *
+     * @return the port, 0 before the start
+     */
+    public int peerPort() {
+        return peerPort;
+    }
+
+    /**
+     * Port that operators connect to.
+     *
+     * @return the port, 0 before the start
+     */
+    public int adminPort() {
+        return admin.port();
+    }
+
     private Hello hello() {
         return new Hello(
                 PROTOCOL_VERSION,
