--- a/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
@@ -1,12 +1,12 @@
 package org.redwinghook.core.admission;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
+import org.redwinghook.core.length.OutputLengths;
 import org.redwinghook.core.message.EndpointLoad;
 
 /**
@@ -18,17 +18,34 @@
     /** Waiting requests for each slot beyond which new ones are refused. */
     private static final int QUEUE_FACTOR = 4;
 
-    private final int concurrencyLimit;
-    private final Map<Long, WorkItem> running = new HashMap<>();
-    private final ArrayDeque<WorkItem> waiting = new ArrayDeque<>();
+    /** One slot of this many is kept free of long requests, so that a quick one finds a slot at once. */
+    private static final int SLOTS_PER_RESERVED = 8;
+
+    /** Wait after which a long request goes before quick ones. */
+    private static final long AGEING_MILLIS = 2_000;
+
+    private final AdmissionSettings settings;
+    private final OutputLengths lengths;
+    private final WarmUpLimit limit;
+    private final MemoryProjection memory;
+    private final FairQueue queue;
+    private final HoldTime holdTime = new HoldTime();
+    private final Map<Long, RunningWork> running = new LinkedHashMap<>();
+    private int runningLong;
 
     /**
-     * Creates a controller.
+     * Creates a controller for an endpoint that has just started.
      *
-     * @param concurrencyLimit requests that a warm endpoint runs at once
+     * @param settings properties of the endpoint
+     * @param lengths learned output lengths of the endpoint's service
+     * @param shares weights of owners and customers
      */
-    public AdmissionController(int concurrencyLimit) {
-        this.concurrencyLimit = concurrencyLimit;
+    public AdmissionController(AdmissionSettings settings, OutputLengths lengths, FairShares shares) {
+        this.settings = settings;
+        this.lengths = lengths;
+        this.limit = new WarmUpLimit(settings.maximumConcurrency());
+        this.memory = new MemoryProjection(settings.memoryTokens(), lengths);
+        this.queue = new FairQueue(shares);
     }
 
     /**
@@ -38,14 +55,19 @@
      * @return what happens with it
      */
     public AdmissionDecision offer(WorkItem item) {
-        if (running.size() < concurrencyLimit && waiting.isEmpty()) {
-            running.put(item.identifier(), item);
+        long nowMillis = item.arrivalMillis();
+        boolean quick = isQuick(item);
+        if (mayOvertake(quick, nowMillis) && mayRun(item, quick)) {
+            queue.enter(item);
+            run(item, quick, nowMillis);
             return AdmissionDecision.ADMITTED;
         }
-        if (waiting.size() >= concurrencyLimit * QUEUE_FACTOR) {
+        if (queue.size() >= limit.limit() * QUEUE_FACTOR
+                || nowMillis + expectedWaitMillis(quick) > item.deadlineMillis()) {
             return AdmissionDecision.REFUSED;
         }
-        waiting.add(item);
+        queue.enter(item);
+        queue.add(item, quick);
         return AdmissionDecision.QUEUED;
     }
 
@@ -57,9 +79,11 @@
      */
     public List<WorkItem> admitWaiting(long nowMillis) {
         List<WorkItem> admitted = new ArrayList<>();
-        while (running.size() < concurrencyLimit && !waiting.isEmpty()) {
-            WorkItem item = waiting.remove();
-            running.put(item.identifier(), item);
+        for (Optional<WorkItem> next = nextToRun(nowMillis); next.isPresent(); next = nextToRun(nowMillis)) {
+            WorkItem item = next.get();
+            boolean quick = queue.isQuick(item);
+            queue.take(item, quick);
+            run(item, quick, nowMillis);
             admitted.add(item);
         }
         return admitted;
@@ -72,14 +96,8 @@
      * @return the removed requests
      */
     public List<WorkItem> removeExpired(long nowMillis) {
-        List<WorkItem> expired = new ArrayList<>();
-        for (Iterator<WorkItem> items = waiting.iterator(); items.hasNext(); ) {
-            WorkItem item = items.next();
-            if (item.deadlineMillis() <= nowMillis) {
-                items.remove();
-                expired.add(item);
-            }
-        }
+        List<WorkItem> expired = queue.removeExpired(nowMillis);
+        expired.forEach(queue::leave);
         return expired;
     }
 
@@ -90,17 +108,31 @@
      * @return whether it was waiting
      */
     public boolean withdraw(long identifier) {
-        return waiting.removeIf(item -> item.identifier() == identifier);
+        Optional<WorkItem> withdrawn = queue.withdraw(identifier);
+        withdrawn.ifPresent(queue::leave);
+        return withdrawn.isPresent();
     }
 
     /**
-     * Notes tokens of a running generation.
+     * Notes tokens of a running generation; the first call for a request gives its first-token time.
      *
      * @param identifier number of the request
      * @param tokens tokens that arrived together
      * @param nowMillis time of arrival
      */
-    public void tokensArrived(long identifier, int tokens, long nowMillis) {}
+    public void tokensArrived(long identifier, int tokens, long nowMillis) {
+        RunningWork work = running.get(identifier);
+        if (work == null) {
+            return;
+        }
+        if (work.lastTokenMillis() == RunningWork.NONE) {
+            limit.firstToken(nowMillis - work.startMillis());
+        } else {
+            limit.gap(nowMillis - work.lastTokenMillis());
+        }
+        work.addTokens(tokens, nowMillis);
+        queue.charge(work.item(), tokens);
+    }
 
     /**
      * Notes the end of a running request.
@@ -110,7 +142,22 @@
      * @param nowMillis time of the end
      */
     public void finished(long identifier, boolean whole, long nowMillis) {
-        running.remove(identifier);
+        RunningWork work = running.remove(identifier);
+        if (work == null) {
+            return;
+        }
+        runningLong -= work.quick() ? 0 : 1;
+        queue.leave(work.item());
+        if (!whole) {
+            return;
+        }
+        holdTime.ended(work.quick(), nowMillis - work.startMillis());
+        if (work.generated() == 0) {
+            limit.firstToken(nowMillis - work.startMillis());
+        } else {
+            lengths.record(work.output(), work.generated());
+        }
+        limit.response();
     }
 
     /**
@@ -118,16 +165,87 @@
      *
      * @param nowMillis time of the observation
      */
-    public void endpointRestarted(long nowMillis) {}
+    public void endpointRestarted(long nowMillis) {
+        limit.turnedCold();
+    }
 
     /**
      * Load of the endpoint for routers.
      *
      * @param accepting whether new work is taken at all
      * @param nowMillis time now
-     * @return the load
+     * @return the load; its expected wait is that of a long request
      */
     public EndpointLoad load(boolean accepting, long nowMillis) {
-        return new EndpointLoad(running.size(), waiting.size(), concurrencyLimit, 0, 0, accepting);
+        return new EndpointLoad(
+                running.size(),
+                queue.size(),
+                limit.limit(),
+                memory.share(running.values()),
+                expectedWaitMillis(false),
+                accepting);
+    }
+
+    private Optional<WorkItem> nextToRun(long nowMillis) {
+        if (queue.size() == 0 || running.size() >= limit.limit()) {
+            return Optional.empty();
+        }
+        Optional<WorkItem> aged = aged(nowMillis);
+        if (aged.isPresent() && mayRun(aged.get(), false)) {
+            return aged;
+        }
+        if (aged.isEmpty() || quickSlotReserved()) {
+            Optional<WorkItem> quick = queue.next(true).filter(item -> mayRun(item, true));
+            if (quick.isPresent()) {
+                return quick;
+            }
+        }
+        return aged.isPresent() ? Optional.empty() : queue.next(false).filter(item -> mayRun(item, false));
+    }
+
+    /** Whether a new request may start although others wait. */
+    private boolean mayOvertake(boolean quick, long nowMillis) {
+        if (queue.size() == 0) {
+            return true;
+        }
+        return quick && queue.size(true) == 0 && (aged(nowMillis).isEmpty() || quickSlotReserved());
+    }
+
+    private Optional<WorkItem> aged(long nowMillis) {
+        return queue.oldest(false).filter(item -> nowMillis - item.arrivalMillis() >= AGEING_MILLIS);
+    }
+
+    /** While an aged request waits for memory, quick ones use reserved slots only, so that they do not keep it full. */
+    private boolean quickSlotReserved() {
+        return running.size() - runningLong < reservedSlots();
+    }
+
+    private boolean mayRun(WorkItem item, boolean quick) {
+        int slots = quick ? limit.limit() : limit.limit() - reservedSlots();
+        return running.size() < limit.limit() && (quick || runningLong < slots) && memory.fits(running.values(), item);
+    }
+
+    private int reservedSlots() {
+        return limit.limit() / SLOTS_PER_RESERVED;
+    }
+
+    private void run(WorkItem item, boolean quick, long nowMillis) {
+        running.put(item.identifier(), new RunningWork(item, quick, nowMillis));
+        runningLong += quick ? 0 : 1;
+        queue.charge(item, Math.max(1, item.promptTokens()));
+    }
+
+    private boolean isQuick(WorkItem item) {
+        return lengths.expectedRemaining(item.output(), 0) <= settings.quickTokens();
+    }
+
+    private long expectedWaitMillis(boolean quick) {
+        boolean slotFree = running.size() < limit.limit() && (quick || runningLong < limit.limit() - reservedSlots());
+        if (queue.size(quick) == 0 && slotFree) {
+            return 0;
+        }
+        int longAhead = quick ? 0 : queue.size(false) + 1;
+        int quickAhead = queue.size(true) + (quick ? 1 : 0);
+        return holdTime.waitMillis(quickAhead, longAhead, Math.min(limit.limit(), running.size()));
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/admission/CustomerQueue.java
@@ -0,0 +1,35 @@
+package org.redwinghook.core.admission;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** Waiting requests of one customer and the service that it received. */
+final class CustomerQueue {
+
+    private final String owner;
+    private final String customer;
+    private final Share share = new Share();
+    private final Deque<WorkItem> quick = new ArrayDeque<>();
+    private final Deque<WorkItem> longer = new ArrayDeque<>();
+
+    CustomerQueue(String owner, String customer) {
+        this.owner = owner;
+        this.customer = customer;
+    }
+
+    String owner() {
+        return owner;
+    }
+
+    String customer() {
+        return customer;
+    }
+
+    Share share() {
+        return share;
+    }
+
+    Deque<WorkItem> items(boolean isQuick) {
+        return isQuick ? quick : longer;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/admission/FairQueue.java
@@ -0,0 +1,184 @@
+package org.redwinghook.core.admission;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Weighted fair queue by owner, then by customer, on tokens served. Inside one owner, customers with a lower priority
+ * number go first; a priority never acts across owners, since an owner could raise its own.
+ */
+final class FairQueue {
+
+    /** Idle customers above this number are forgotten. */
+    private static final int MOST_CUSTOMERS = 4_096;
+
+    private final FairShares shares;
+    private final Map<String, Share> owners = new HashMap<>();
+    private final Map<CustomerKey, CustomerQueue> customers = new LinkedHashMap<>();
+    private double ownerTime;
+    private int quickSize;
+    private int longSize;
+
+    FairQueue(FairShares shares) {
+        this.shares = shares;
+    }
+
+    int size(boolean quick) {
+        return quick ? quickSize : longSize;
+    }
+
+    int size() {
+        return quickSize + longSize;
+    }
+
+    /** Counts a request in; it stays present until {@link #leave}, also while it runs. */
+    void enter(WorkItem item) {
+        CustomerQueue queue =
+                customers.computeIfAbsent(key(item), ignored -> new CustomerQueue(item.owner(), item.customer()));
+        Share owner = owners.computeIfAbsent(item.owner(), ignored -> new Share());
+        owner.enter(ownerTime);
+        queue.share().enter(owner.innerTime());
+    }
+
+    void leave(WorkItem item) {
+        queueOf(item).share().leave();
+        owners.get(item.owner()).leave();
+        if (customers.size() > MOST_CUSTOMERS) {
+            customers.values().removeIf(queue -> queue.share().idle());
+        }
+    }
+
+    void add(WorkItem item, boolean quick) {
+        queueOf(item).items(quick).add(item);
+        count(quick, 1);
+    }
+
+    void charge(WorkItem item, double tokens) {
+        queueOf(item).share().charge(tokens, shares.customerWeight(item.customer()));
+        owners.get(item.owner()).charge(tokens, shares.ownerWeight(item.owner()));
+    }
+
+    /** The request that is next by fairness. */
+    Optional<WorkItem> next(boolean quick) {
+        CustomerQueue best = null;
+        for (CustomerQueue queue : customers.values()) {
+            if (!queue.items(quick).isEmpty() && (best == null || order(quick).compare(queue, best) < 0)) {
+                best = queue;
+            }
+        }
+        return best == null ? Optional.empty() : Optional.of(best.items(quick).element());
+    }
+
+    /** The request that waits longest. */
+    Optional<WorkItem> oldest(boolean quick) {
+        return customers.values().stream()
+                .filter(queue -> !queue.items(quick).isEmpty())
+                .map(queue -> queue.items(quick).element())
+                .min(Comparator.comparingLong(WorkItem::arrivalMillis).thenComparingLong(WorkItem::identifier));
+    }
+
+    /** Whether a waiting request was added as quick; what is learned since then does not move it. */
+    boolean isQuick(WorkItem item) {
+        return queueOf(item).items(true).contains(item);
+    }
+
+    /** Takes a request out to run it. */
+    void take(WorkItem item, boolean quick) {
+        CustomerQueue queue = queueOf(item);
+        if (queue.items(quick).remove(item)) {
+            count(quick, -1);
+        }
+        Share owner = owners.get(item.owner());
+        ownerTime = Math.max(ownerTime, owner.servedPerWeight());
+        owner.innerServed(queue.share().servedPerWeight());
+    }
+
+    Optional<WorkItem> withdraw(long identifier) {
+        for (boolean quick : new boolean[] {true, false}) {
+            List<WorkItem> removed = removeFrom(quick, identifier);
+            if (!removed.isEmpty()) {
+                return Optional.of(removed.get(0));
+            }
+        }
+        return Optional.empty();
+    }
+
+    List<WorkItem> removeExpired(long nowMillis) {
+        List<WorkItem> expired = new ArrayList<>();
+        for (boolean quick : new boolean[] {true, false}) {
+            for (CustomerQueue queue : customers.values()) {
+                expired.addAll(removeExpired(queue.items(quick), nowMillis));
+            }
+        }
+        quickSize = count(true);
+        longSize = count(false);
+        return expired;
+    }
+
+    private List<WorkItem> removeFrom(boolean quick, long identifier) {
+        List<WorkItem> removed = new ArrayList<>();
+        for (CustomerQueue queue : customers.values()) {
+            for (Iterator<WorkItem> items = queue.items(quick).iterator(); items.hasNext(); ) {
+                WorkItem item = items.next();
+                if (item.identifier() == identifier) {
+                    items.remove();
+                    count(quick, -1);
+                    removed.add(item);
+                }
+            }
+        }
+        return removed;
+    }
+
+    private static List<WorkItem> removeExpired(Collection<WorkItem> items, long nowMillis) {
+        List<WorkItem> expired = new ArrayList<>();
+        for (Iterator<WorkItem> iterator = items.iterator(); iterator.hasNext(); ) {
+            WorkItem item = iterator.next();
+            if (item.deadlineMillis() <= nowMillis) {
+                iterator.remove();
+                expired.add(item);
+            }
+        }
+        return expired;
+    }
+
+    private Comparator<CustomerQueue> order(boolean quick) {
+        return Comparator.comparingDouble(
+                        (CustomerQueue queue) -> owners.get(queue.owner()).servedPerWeight())
+                .thenComparing(CustomerQueue::owner)
+                .thenComparingInt(queue -> queue.items(quick).element().priority())
+                .thenComparingDouble(queue -> queue.share().servedPerWeight())
+                .thenComparing(CustomerQueue::customer);
+    }
+
+    private CustomerQueue queueOf(WorkItem item) {
+        return customers.get(key(item));
+    }
+
+    private void count(boolean quick, int difference) {
+        if (quick) {
+            quickSize += difference;
+        } else {
+            longSize += difference;
+        }
+    }
+
+    private int count(boolean quick) {
+        return customers.values().stream()
+                .mapToInt(queue -> queue.items(quick).size())
+                .sum();
+    }
+
+    private static CustomerKey key(WorkItem item) {
+        return new CustomerKey(item.owner(), item.customer());
+    }
+
+    private record CustomerKey(String owner, String customer) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/admission/MemoryProjection.java
@@ -0,0 +1,69 @@
+package org.redwinghook.core.admission;
+
+import java.util.Collection;
+
+import org.redwinghook.core.length.OutputLengths;
+import org.redwinghook.core.length.OutputQuery;
+
+/** Expected memory of an engine over the next decoding steps. */
+final class MemoryProjection {
+
+    /** Decoding steps that are projected. */
+    private static final int HORIZON_STEPS = 512;
+
+    /** Distance of the steps at which memory is computed; the sum is smooth between them. */
+    private static final int STRIDE_STEPS = 64;
+
+    private static final int SAMPLES = HORIZON_STEPS / STRIDE_STEPS + 1;
+
+    /** Share of the memory that the projected peak stays under; the rest covers the spread around the expectation. */
+    private static final double MEMORY_BOUND = 0.92;
+
+    private final int memoryTokens;
+    private final OutputLengths lengths;
+
+    MemoryProjection(int memoryTokens, OutputLengths lengths) {
+        this.memoryTokens = memoryTokens;
+        this.lengths = lengths;
+    }
+
+    boolean fits(Collection<RunningWork> running, WorkItem candidate) {
+        if (memoryTokens == 0 || running.isEmpty()) {
+            return true;
+        }
+        double[] memory = memory(running);
+        add(memory, candidate.output(), candidate.promptTokens(), 0);
+        return peak(memory) <= MEMORY_BOUND * memoryTokens;
+    }
+
+    double share(Collection<RunningWork> running) {
+        return memoryTokens == 0 ? 0 : Math.min(1, peak(memory(running)) / memoryTokens);
+    }
+
+    private double[] memory(Collection<RunningWork> running) {
+        double[] memory = new double[SAMPLES];
+        for (RunningWork work : running) {
+            add(memory, work.output(), work.item().promptTokens(), work.generated());
+        }
+        return memory;
+    }
+
+    private void add(double[] memory, OutputQuery output, int promptTokens, int generated) {
+        for (int sample = 0; sample < SAMPLES; sample++) {
+            int steps = sample * STRIDE_STEPS;
+            double survival = steps == 0 ? 1 : lengths.survival(output, generated, steps);
+            if (survival <= 0) {
+                return;
+            }
+            memory[sample] += survival * (promptTokens + generated + steps);
+        }
+    }
+
+    private static double peak(double[] memory) {
+        double peak = 0;
+        for (double tokens : memory) {
+            peak = Math.max(peak, tokens);
+        }
+        return peak;
+    }
+}
--- a/core/src/main/java/org/redwinghook/core/admission/WorkItem.java
+++ b/core/src/main/java/org/redwinghook/core/admission/WorkItem.java
@@ -1,5 +1,7 @@
 package org.redwinghook.core.admission;
 
+import org.redwinghook.core.length.OutputQuery;
+
 /**
  * A request that asks to run at an endpoint.
  *
@@ -20,4 +22,14 @@
         int promptTokens,
         int maximumOutputTokens,
         long arrivalMillis,
-        long deadlineMillis) {}
+        long deadlineMillis) {
+
+    /**
+     * What the request's output length depends on.
+     *
+     * @return the query for the learned lengths
+     */
+    public OutputQuery output() {
+        return new OutputQuery(identifier, customer, maximumOutputTokens);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/length/LengthHistogram.java
@@ -0,0 +1,134 @@
+package org.redwinghook.core.length;
+
+/**
+ * Histogram of output lengths with exponential decay. Buckets are exact below 8 tokens and a quarter of an octave wide
+ * above, which bounds the relative error of a length at 25%.
+ */
+public final class LengthHistogram {
+
+    /** Outputs after which an older output's weight has fallen to 1/e. */
+    private static final double MEMORY_OUTPUTS = 500;
+
+    private static final double GROWTH = 1 + 1 / MEMORY_OUTPUTS;
+
+    /** Weights are scaled down before the newest exceeds this value, so that no sum overflows. */
+    private static final double LARGEST_INCREMENT = 1e6;
+
+    private static final int EXACT = 8;
+    private static final int EXACT_BITS = 3;
+    private static final int BUCKETS_PER_OCTAVE = 4;
+    private static final int LARGEST_BITS = 17;
+    private static final int BUCKETS = EXACT + (LARGEST_BITS - EXACT_BITS) * BUCKETS_PER_OCTAVE;
+
+    private final double[] weights = new double[BUCKETS];
+    private double sum;
+    private double increment = 1;
+
+    /**
+     * Adds an output.
+     *
+     * @param tokens its length
+     */
+    public void record(int tokens) {
+        weights[bucket(tokens)] += increment;
+        sum += increment;
+        increment *= GROWTH;
+        if (increment > LARGEST_INCREMENT) {
+            scaleDown();
+        }
+    }
+
+    /**
+     * Number of outputs with decay.
+     *
+     * @return the effective number, at most 500 in the long run
+     */
+    public double size() {
+        return sum / increment;
+    }
+
+    /**
+     * Share of outputs that are longer than a length.
+     *
+     * @param tokens the length
+     * @return the share, 0 if there are no outputs
+     */
+    public double shareAbove(int tokens) {
+        if (sum == 0) {
+            return 0;
+        }
+        int bucket = bucket(tokens);
+        double above = 0;
+        for (int higher = bucket + 1; higher < BUCKETS; higher++) {
+            above += weights[higher];
+        }
+        double width = (double) lowerBound(bucket + 1) - lowerBound(bucket);
+        double inside = Math.max(0, (lowerBound(bucket + 1) - 1 - tokens) / width);
+        return (above + weights[bucket] * inside) / sum;
+    }
+
+    /**
+     * Mean of the part of the outputs above a length, cut at another length.
+     *
+     * @param from the length above which tokens count
+     * @param through the length at which outputs are cut
+     * @return mean number of tokens above {@code from} over the outputs longer than it, 0 if there are none
+     */
+    public double meanAbove(int from, int through) {
+        double share = shareAbove(from);
+        if (share <= 0) {
+            return 0;
+        }
+        double area = 0;
+        int position = from;
+        for (int bucket = bucket(from); bucket < BUCKETS && position < through; bucket++) {
+            int end = Math.min(through, lowerBound(bucket + 1));
+            area += (end - position) * (shareAbove(position) + shareAbove(end)) / 2;
+            position = end;
+        }
+        return area / share;
+    }
+
+    /**
+     * Length that a share of the outputs does not exceed.
+     *
+     * @param share share of the outputs, 0 to 1
+     * @return upper bound of the bucket that holds the quantile, 0 if there are no outputs
+     */
+    public int quantile(double share) {
+        double below = 0;
+        for (int bucket = 0; bucket < BUCKETS; bucket++) {
+            below += weights[bucket];
+            if (sum > 0 && below >= share * sum) {
+                return lowerBound(bucket + 1) - 1;
+            }
+        }
+        return 0;
+    }
+
+    private void scaleDown() {
+        for (int bucket = 0; bucket < BUCKETS; bucket++) {
+            weights[bucket] /= increment;
+        }
+        sum /= increment;
+        increment = 1;
+    }
+
+    private static int bucket(int tokens) {
+        if (tokens < EXACT) {
+            return Math.max(0, tokens);
+        }
+        int bits = Integer.SIZE - 1 - Integer.numberOfLeadingZeros(tokens);
+        int quarter = (tokens >> (bits - 2)) - BUCKETS_PER_OCTAVE;
+        return Math.min(BUCKETS - 1, EXACT + (bits - EXACT_BITS) * BUCKETS_PER_OCTAVE + quarter);
+    }
+
+    private static int lowerBound(int bucket) {
+        if (bucket < EXACT) {
+            return bucket;
+        }
+        int octave = (bucket - EXACT) / BUCKETS_PER_OCTAVE;
+        int quarter = (bucket - EXACT) % BUCKETS_PER_OCTAVE;
+        return (BUCKETS_PER_OCTAVE + quarter) << (octave + 1);
+    }
+}
--- a/core/src/main/java/org/redwinghook/core/routing/EndpointSelector.java
+++ b/core/src/main/java/org/redwinghook/core/routing/EndpointSelector.java
@@ -9,6 +9,18 @@
 /** Selects an endpoint for a request from a router's views. */
 public final class EndpointSelector {
 
+    /** Candidates of the own region below which other regions are used. */
+    private static final int FEWEST_CANDIDATES = 2;
+
+    /** Expected wait from which an endpoint counts as unable to take work: the target for the first token. */
+    private static final long LONGEST_WAIT_MILLIS = 870;
+
+    /** Cost of a fully used endpoint; of two endpoints without a queue the emptier one decodes faster. */
+    private static final double FULL_COST_MILLIS = 400;
+
+    /** Prefill time that a cached prefix saves for each prompt token. */
+    private static final double PREFILL_MILLIS_PER_TOKEN = 0.1;
+
     private final IntUnaryOperator randomBelow;
 
     /**
@@ -28,18 +40,32 @@
      * @return the endpoint, empty if there is none left
      */
     public Optional<EndpointView> select(List<EndpointView> endpoints, RoutingQuery query) {
-        List<EndpointView> candidates = new ArrayList<>();
-        for (EndpointView endpoint : endpoints) {
-            if (endpoint.load().accepting() && !query.excluded().contains(endpoint.vm())) {
-                candidates.add(endpoint);
-            }
-        }
+        List<EndpointView> candidates = candidates(endpoints, query);
         if (query.pinned()) {
-            return candidates.stream()
-                    .max(Comparator.comparingLong(
-                            endpoint -> RendezvousHash.score(query.affinityHash(), endpoint.vm())));
+            return candidates.stream().max(byAffinity(query));
         }
-        return twoAtRandom(candidates).stream().min(Comparator.comparingDouble(EndpointSelector::utilisation));
+        List<EndpointView> reachable = spillOver(candidates);
+        Optional<EndpointView> affine =
+                query.promptTokens() > 0 ? reachable.stream().max(byAffinity(query)) : Optional.empty();
+        List<EndpointView> drawn = new ArrayList<>(twoAtRandom(reachable));
+        affine.filter(endpoint -> !drawn.contains(endpoint)).ifPresent(drawn::add);
+        return drawn.stream()
+                .min(Comparator.comparingDouble(endpoint -> cost(endpoint)
+                        - (affine.isPresent() && affine.get().equals(endpoint) ? savedMillis(query) : 0)));
+    }
+
+    private static List<EndpointView> candidates(List<EndpointView> endpoints, RoutingQuery query) {
+        return endpoints.stream()
+                .filter(endpoint -> endpoint.load().accepting())
+                .filter(endpoint -> !query.excluded().contains(endpoint.vm()))
+                .toList();
+    }
+
+    private static List<EndpointView> spillOver(List<EndpointView> candidates) {
+        List<EndpointView> own =
+                candidates.stream().filter(EndpointView::sameRegion).toList();
+        long able = own.stream().filter(EndpointSelector::canTakeWork).count();
+        return able >= FEWEST_CANDIDATES ? own : candidates;
     }
 
     private List<EndpointView> twoAtRandom(List<EndpointView> candidates) {
@@ -54,6 +80,23 @@
         return List.of(candidates.get(first), candidates.get(second));
     }
 
+    private static boolean canTakeWork(EndpointView endpoint) {
+        return endpoint.load().expectedWaitMillis() <= LONGEST_WAIT_MILLIS && utilisation(endpoint) < 1;
+    }
+
+    private static double cost(EndpointView endpoint) {
+        double full = Math.max(utilisation(endpoint), endpoint.load().memoryShare());
+        return endpoint.load().expectedWaitMillis() + FULL_COST_MILLIS * full;
+    }
+
+    private static double savedMillis(RoutingQuery query) {
+        return PREFILL_MILLIS_PER_TOKEN * query.promptTokens();
+    }
+
+    private static Comparator<EndpointView> byAffinity(RoutingQuery query) {
+        return Comparator.comparingLong(endpoint -> RendezvousHash.score(query.affinityHash(), endpoint.vm()));
+    }
+
     private static double utilisation(EndpointView endpoint) {
         int known = Math.max(
                 endpoint.outstanding(),
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/routing/RetryBudget.java
@@ -0,0 +1,77 @@
+package org.redwinghook.core.routing;
+
+/** Limits retries to a share of the requests over the last ten seconds. Times are milliseconds of a monotonic clock. */
+public final class RetryBudget {
+
+    private static final int WINDOW_SECONDS = 10;
+    private static final long SECOND_MILLIS = 1_000;
+
+    /** Retries that the window always allows; at a few requests a second a share alone would forbid every retry. */
+    private static final int LEAST_RETRIES = 3;
+
+    private final int mostAttempts;
+    private final double retryShare;
+    private final int[] requests = new int[WINDOW_SECONDS];
+    private final int[] retries = new int[WINDOW_SECONDS];
+    private long currentSecond;
+
+    /**
+     * Creates a budget.
+     *
+     * @param mostAttempts attempts that one request may make
+     * @param retryShare retries as a share of requests over ten seconds
+     */
+    public RetryBudget(int mostAttempts, double retryShare) {
+        this.mostAttempts = mostAttempts;
+        this.retryShare = retryShare;
+    }
+
+    /**
+     * Counts a new request.
+     *
+     * @param nowMillis time now
+     */
+    public void requestStarted(long nowMillis) {
+        advance(nowMillis);
+        requests[slot(currentSecond)]++;
+    }
+
+    /**
+     * Takes a retry from the budget.
+     *
+     * @param attempts attempts that the request has made
+     * @param nowMillis time now
+     * @return whether the request may be tried once more
+     */
+    public boolean tryRetry(int attempts, long nowMillis) {
+        advance(nowMillis);
+        double allowed = Math.max(LEAST_RETRIES, retryShare * sum(requests));
+        if (attempts >= mostAttempts || sum(retries) + 1 > allowed) {
+            return false;
+        }
+        retries[slot(currentSecond)]++;
+        return true;
+    }
+
+    private void advance(long nowMillis) {
+        long second = Math.floorDiv(nowMillis, SECOND_MILLIS);
+        long first = Math.max(currentSecond + 1, second - WINDOW_SECONDS + 1);
+        for (long passed = first; passed <= second; passed++) {
+            requests[slot(passed)] = 0;
+            retries[slot(passed)] = 0;
+        }
+        currentSecond = Math.max(currentSecond, second);
+    }
+
+    private static int slot(long second) {
+        return (int) Math.floorMod(second, (long) WINDOW_SECONDS);
+    }
+
+    private static int sum(int[] counts) {
+        int total = 0;
+        for (int count : counts) {
+            total += count;
+        }
+        return total;
+    }
+}
--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -8,7 +8,9 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import org.redwinghook.core.admission.AdmissionController;
+import org.redwinghook.core.admission.AdmissionSettings;
 import org.redwinghook.core.kernel.ServiceRegistry;
+import org.redwinghook.core.length.LearnedLengths;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.runtime.admin.AdminServer;
@@ -22,6 +24,7 @@
 import org.redwinghook.sidecar.engine.EngineClient;
 import org.redwinghook.sidecar.generation.GenerationService;
 import org.redwinghook.sidecar.generation.GenerationStore;
+import org.redwinghook.sidecar.peer.ConfiguredShares;
 import org.redwinghook.sidecar.peer.EndpointGate;
 import org.redwinghook.sidecar.peer.RouterSession;
 
@@ -52,7 +55,7 @@
         this.configuration = configuration;
         PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         ServiceRegistry services = new ServiceRegistry();
-        gate = new EndpointGate(vertx, new AdmissionController(settings.concurrency()));
+        gate = new EndpointGate(vertx, admission(settings, configuration));
         generations = new GenerationService(
                 vertx,
                 new EngineClient(vertx, settings.endpoint()),
@@ -84,6 +87,14 @@
                 connection, this::hello, settings.service(), gate, generations, calls, lastIdentifier::incrementAndGet);
     }
 
+    private static AdmissionController admission(SidecarSettings settings, ConfigurationSource configuration) {
+        int quickTokens = configuration.current().rules().quickTokens();
+        return new AdmissionController(
+                new AdmissionSettings(settings.concurrency(), settings.memoryTokens(), quickTokens),
+                new LearnedLengths(quickTokens),
+                new ConfiguredShares(configuration));
+    }
+
     private Hello hello() {
         return new Hello(
                 PROTOCOL_VERSION,
--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarSettings.java
@@ -18,11 +18,13 @@
  * @param kind what the endpoint is
  * @param endpoint where the endpoint listens
  * @param concurrency requests that the warm endpoint runs at once
+ * @param memoryTokens tokens that fit into the engine's memory; 0 for no limit
  */
 public record SidecarSettings(
-        ProcessSettings shared, String service, ServiceKind kind, Address endpoint, int concurrency) {
+        ProcessSettings shared, String service, ServiceKind kind, Address endpoint, int concurrency, int memoryTokens) {
 
     private static final int LARGEST_CONCURRENCY = 10_000;
+    private static final int LARGEST_MEMORY_TOKENS = 100_000_000;
     private static final int USUAL_CONCURRENCY = 32;
 
     /**
@@ -40,7 +42,8 @@
                 top.text("service"),
                 top.choice("kind", ServiceKind.class, ServiceKind.ENGINE),
                 Address.read(top.requiredMap("endpoint")),
-                (int) top.number("concurrency", 1, LARGEST_CONCURRENCY, USUAL_CONCURRENCY));
+                (int) top.number("concurrency", 1, LARGEST_CONCURRENCY, USUAL_CONCURRENCY),
+                (int) top.number("memoryTokens", 0, LARGEST_MEMORY_TOKENS, 0));
         top.rejectUnknownKeys();
         return findings.resultOf(settings);
     }
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/ConfiguredShares.java
@@ -0,0 +1,33 @@
+package org.redwinghook.sidecar.peer;
+
+import org.redwinghook.core.admission.FairShares;
+import org.redwinghook.core.config.Customer;
+import org.redwinghook.core.config.Owner;
+import org.redwinghook.runtime.config.ConfigurationSource;
+
+/** Weights of owners and customers in the configuration in force; parties that it does not name weigh 1. */
+public final class ConfiguredShares implements FairShares {
+
+    private final ConfigurationSource configuration;
+
+    /**
+     * Creates the weights.
+     *
+     * @param configuration the configuration in force
+     */
+    public ConfiguredShares(ConfigurationSource configuration) {
+        this.configuration = configuration;
+    }
+
+    @Override
+    public double ownerWeight(String owner) {
+        Owner known = configuration.current().owners().get(owner);
+        return known == null ? 1 : known.weight();
+    }
+
+    @Override
+    public double customerWeight(String customer) {
+        Customer known = configuration.current().customers().get(customer);
+        return known == null ? 1 : known.weight();
+    }
+}
