--- a/core/src/main/java/org/redwinghook/core/length/LengthHistogram.java
+++ b/core/src/main/java/org/redwinghook/core/length/LengthHistogram.java
@@ -21,6 +21,8 @@
     private static final int BUCKETS = EXACT + (LARGEST_BITS - EXACT_BITS) * BUCKETS_PER_OCTAVE;
 
     private final double[] weights = new double[BUCKETS];
+    private final double[] above = new double[BUCKETS];
+    private boolean aboveIsStale;
     private double sum;
     private double increment = 1;
 
@@ -32,6 +34,7 @@
     public void record(int tokens) {
         weights[bucket(tokens)] += increment;
         sum += increment;
+        aboveIsStale = true;
         increment *= GROWTH;
         if (increment > LARGEST_INCREMENT) {
             scaleDown();
@@ -58,13 +61,10 @@
             return 0;
         }
         int bucket = bucket(tokens);
-        double above = 0;
-        for (int higher = bucket + 1; higher < BUCKETS; higher++) {
-            above += weights[higher];
-        }
+        sumAbove();
         double width = (double) lowerBound(bucket + 1) - lowerBound(bucket);
         double inside = Math.max(0, (lowerBound(bucket + 1) - 1 - tokens) / width);
-        return (above + weights[bucket] * inside) / sum;
+        return (above[bucket] + weights[bucket] * inside) / sum;
     }
 
     /**
@@ -106,6 +106,18 @@
         return 0;
     }
 
+    /** Many shares are asked for between two outputs, so that the sums are kept. */
+    private void sumAbove() {
+        if (!aboveIsStale) {
+            return;
+        }
+        above[BUCKETS - 1] = 0;
+        for (int bucket = BUCKETS - 2; bucket >= 0; bucket--) {
+            above[bucket] = above[bucket + 1] + weights[bucket + 1];
+        }
+        aboveIsStale = false;
+    }
+
     private void scaleDown() {
         for (int bucket = 0; bucket < BUCKETS; bucket++) {
             weights[bucket] /= increment;
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/ExperimentOptions.java
@@ -0,0 +1,57 @@
+package org.redwinghook.experiments;
+
+import org.jspecify.annotations.Nullable;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Command line of the binary redwinghook-experiment. */
+public final class ExperimentOptions {
+
+    @Argument(index = 0, metaVar = "EXPERIMENT", required = true, usage = "experiment to run: policy")
+    private String experiment = "";
+
+    @Option(name = "--seed", metaVar = "N", usage = "seed of the traces")
+    private long seed = 1;
+
+    @Option(name = "--plots", metaVar = "DIR", usage = "directory for plots as PNG")
+    private @Nullable String plots;
+
+    @Option(name = "--help", help = true, usage = "print this text")
+    private boolean help;
+
+    /**
+     * Experiment to run.
+     *
+     * @return its name
+     */
+    public String experiment() {
+        return experiment;
+    }
+
+    /**
+     * Seed of the traces.
+     *
+     * @return the seed
+     */
+    public long seed() {
+        return seed;
+    }
+
+    /**
+     * Directory for plots.
+     *
+     * @return the directory, null for no plots
+     */
+    public @Nullable String plots() {
+        return plots;
+    }
+
+    /**
+     * Whether only the usage is wanted.
+     *
+     * @return true for help
+     */
+    public boolean help() {
+        return help;
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/BaselineSelection.java
@@ -0,0 +1,61 @@
+package org.redwinghook.experiments.policy;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.ToIntFunction;
+
+import org.apache.commons.math3.random.RandomGenerator;
+import org.redwinghook.core.routing.EndpointView;
+import org.redwinghook.core.routing.RoutingQuery;
+
+/** Selections to compare with. They use all endpoints of all regions. */
+final class BaselineSelection {
+
+    private BaselineSelection() {}
+
+    static Selection roundRobin() {
+        int[] last = {0};
+        return (endpoints, query) -> {
+            List<EndpointView> candidates = untried(endpoints, query);
+            last[0]++;
+            return candidates.isEmpty() ? Optional.empty() : Optional.of(candidates.get(last[0] % candidates.size()));
+        };
+    }
+
+    static Selection leastOutstanding(RandomGenerator random) {
+        return (endpoints, query) -> least(untried(endpoints, query), EndpointView::outstanding, random);
+    }
+
+    static Selection bestOfTwo(RandomGenerator random) {
+        return (endpoints, query) -> {
+            List<EndpointView> candidates = untried(endpoints, query);
+            if (candidates.size() > 2) {
+                int first = random.nextInt(candidates.size());
+                int second = (first + 1 + random.nextInt(candidates.size() - 1)) % candidates.size();
+                candidates = List.of(candidates.get(first), candidates.get(second));
+            }
+            return least(
+                    candidates,
+                    endpoint -> endpoint.load().running() + endpoint.load().queued(),
+                    random);
+        };
+    }
+
+    private static Optional<EndpointView> least(
+            List<EndpointView> candidates, ToIntFunction<EndpointView> load, RandomGenerator random) {
+        int least = candidates.stream().mapToInt(load).min().orElse(0);
+        List<EndpointView> best = candidates.stream()
+                .filter(endpoint -> load.applyAsInt(endpoint) == least)
+                .sorted(Comparator.comparing(EndpointView::vm))
+                .toList();
+        return best.isEmpty() ? Optional.empty() : Optional.of(best.get(random.nextInt(best.size())));
+    }
+
+    private static List<EndpointView> untried(List<EndpointView> endpoints, RoutingQuery query) {
+        return endpoints.stream()
+                .filter(endpoint -> endpoint.load().accepting())
+                .filter(endpoint -> !query.excluded().contains(endpoint.vm()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/ControlledAdmission.java
@@ -0,0 +1,58 @@
+package org.redwinghook.experiments.policy;
+
+import java.util.List;
+
+import org.redwinghook.core.admission.AdmissionController;
+import org.redwinghook.core.admission.AdmissionDecision;
+import org.redwinghook.core.admission.WorkItem;
+import org.redwinghook.core.message.EndpointLoad;
+
+/** The admission controller of the sidecars. */
+final class ControlledAdmission implements EndpointAdmission {
+
+    private final AdmissionController controller;
+
+    ControlledAdmission(AdmissionController controller) {
+        this.controller = controller;
+    }
+
+    @Override
+    public AdmissionDecision offer(WorkItem item) {
+        return controller.offer(item);
+    }
+
+    @Override
+    public List<WorkItem> admitWaiting(long nowMillis) {
+        return controller.admitWaiting(nowMillis);
+    }
+
+    @Override
+    public List<WorkItem> removeExpired(long nowMillis) {
+        return controller.removeExpired(nowMillis);
+    }
+
+    @Override
+    public boolean withdraw(long identifier) {
+        return controller.withdraw(identifier);
+    }
+
+    @Override
+    public void tokenArrived(long identifier, long nowMillis) {
+        controller.tokensArrived(identifier, 1, nowMillis);
+    }
+
+    @Override
+    public void finished(long identifier, boolean whole, long nowMillis) {
+        controller.finished(identifier, whole, nowMillis);
+    }
+
+    @Override
+    public void restarted(long nowMillis) {
+        controller.endpointRestarted(nowMillis);
+    }
+
+    @Override
+    public EndpointLoad load(boolean accepting, long nowMillis) {
+        return controller.load(accepting, nowMillis);
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/EndpointAdmission.java
@@ -0,0 +1,27 @@
+package org.redwinghook.experiments.policy;
+
+import java.util.List;
+
+import org.redwinghook.core.admission.AdmissionDecision;
+import org.redwinghook.core.admission.WorkItem;
+import org.redwinghook.core.message.EndpointLoad;
+
+/** Admission at one endpoint, as a sidecar uses it. Times are milliseconds. */
+interface EndpointAdmission {
+
+    AdmissionDecision offer(WorkItem item);
+
+    List<WorkItem> admitWaiting(long nowMillis);
+
+    List<WorkItem> removeExpired(long nowMillis);
+
+    boolean withdraw(long identifier);
+
+    void tokenArrived(long identifier, long nowMillis);
+
+    void finished(long identifier, boolean whole, long nowMillis);
+
+    void restarted(long nowMillis);
+
+    EndpointLoad load(boolean accepting, long nowMillis);
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/PartyCounts.java
@@ -0,0 +1,74 @@
+package org.redwinghook.experiments.policy;
+
+import org.HdrHistogram.Histogram;
+
+/** Counts of one group of requests. */
+final class PartyCounts {
+
+    private static final double HUNDRED = 100;
+
+    private final Histogram firstTokens = new Histogram(3_600 * Timeline.SECOND, 2);
+    private long arrived;
+    private long onTime;
+    private long late;
+    private long refused;
+    private long tokens;
+    private long loadedTokens;
+
+    void arrived() {
+        arrived++;
+    }
+
+    void started(long firstTokenMicros) {
+        firstTokens.recordValue(firstTokenMicros);
+        if (firstTokenMicros <= Measurements.FIRST_TOKEN_TARGET_MICROS) {
+            onTime++;
+        } else {
+            late++;
+        }
+    }
+
+    void refused() {
+        refused++;
+    }
+
+    void token(long nowMicros) {
+        tokens++;
+        // Shares are compared while requests arrive; what runs later meets no competition.
+        if (nowMicros < Timeline.LAST_ARRIVAL) {
+            loadedTokens++;
+        }
+    }
+
+    long count() {
+        return arrived;
+    }
+
+    long tokens() {
+        return tokens;
+    }
+
+    long loadedTokens() {
+        return loadedTokens;
+    }
+
+    double onTimePercent() {
+        return percent(onTime);
+    }
+
+    double latePercent() {
+        return percent(late);
+    }
+
+    double refusedPercent() {
+        return percent(refused);
+    }
+
+    double firstTokenMillis(double percentile) {
+        return firstTokens.getValueAtPercentile(percentile) / 1_000.0;
+    }
+
+    private double percent(long part) {
+        return arrived == 0 ? 0 : HUNDRED * part / arrived;
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/Selection.java
@@ -0,0 +1,13 @@
+package org.redwinghook.experiments.policy;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.redwinghook.core.routing.EndpointView;
+import org.redwinghook.core.routing.RoutingQuery;
+
+/** A router's choice of an endpoint. */
+interface Selection {
+
+    Optional<EndpointView> select(List<EndpointView> endpoints, RoutingQuery query);
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/TrueLengths.java
@@ -0,0 +1,31 @@
+package org.redwinghook.experiments.policy;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.redwinghook.core.length.OutputLengths;
+import org.redwinghook.core.length.OutputQuery;
+
+/** Knows each output's length beforehand. */
+final class TrueLengths implements OutputLengths {
+
+    private final Map<Long, Integer> lengths = new HashMap<>();
+
+    TrueLengths(List<TracedRequest> trace) {
+        trace.forEach(request -> lengths.put(request.identifier(), request.outputTokens()));
+    }
+
+    @Override
+    public double survival(OutputQuery output, int generated, int steps) {
+        return generated + steps < lengths.get(output.identifier()) ? 1 : 0;
+    }
+
+    @Override
+    public double expectedRemaining(OutputQuery output, int generated) {
+        return Math.max(0, lengths.get(output.identifier()) - generated);
+    }
+
+    @Override
+    public void record(OutputQuery output, int generated) {}
+}
