Count a cut generation as not served, and fail a fake engine only when new work arrives

A warm engine that turned cold failed in the fake at once, whatever any policy did. It now fails when it is given new work beyond four times what it bears. Requests that were cut after a first token counted as served in time.

--- a/experiments/src/main/java/org/redwinghook/experiments/policy/FakeEngine.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/FakeEngine.java
@@ -25,7 +25,7 @@
 
     private static final double PRESSURE_FACTOR = 6;
 
-    /** Sequences that a cold engine bears; more slow it down, and four times as many make it fail. */
+    /** Sequences that a cold engine bears; more slow it down, and a new one beyond four times as many fails it. */
     private static final double COLD_SEQUENCES = 4;
 
     private static final double FAILURE_FACTOR = 4;
@@ -40,6 +40,7 @@
     private final Deque<Long> prefixes = new ArrayDeque<>();
     private int usedTokens;
     private double tokensSinceStart;
+    private int starts;
     private boolean stepping;
     private boolean restarting;
 
@@ -55,6 +56,10 @@
             return;
         }
         waiting.add(run);
+        if (running.size() > FAILURE_FACTOR * bearable()) {
+            crash();
+            return;
+        }
         wake();
     }
 
@@ -77,14 +82,15 @@
             stepping = false;
             return;
         }
-        if (running.size() > FAILURE_FACTOR * bearable()) {
-            crash();
-            return;
-        }
         int prefilled = prefill();
         List<RequestRun> decoding =
                 running.stream().filter(run -> run.prefillTokens() == 0).toList();
-        events.after(stepMicros(decoding.size(), prefilled), () -> endStep(decoding));
+        int current = starts;
+        events.after(stepMicros(decoding.size(), prefilled), () -> {
+            if (current == starts) {
+                endStep(decoding);
+            }
+        });
     }
 
     private long stepMicros(int decoding, int prefilled) {
@@ -181,6 +187,7 @@
         usedTokens = 0;
         tokensSinceStart = 0;
         stepping = false;
+        starts++;
         restarting = true;
         events.after(RESTART_MICROS, () -> restarting = false);
         observer.crashed();
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/Measurements.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/Measurements.java
@@ -54,8 +54,12 @@
         each(request, PartyCounts::refused);
     }
 
-    void interrupted(TracedRequest request) {
+    /** A request that a failure cut is not served, however early its first token came. */
+    void interrupted(RequestRun run) {
+        TracedRequest request = run.request();
         interrupted += measured(request) ? 1 : 0;
+        boolean onTime = run.firstTokenMicros() - request.arrivalMicros() <= FIRST_TOKEN_TARGET_MICROS;
+        each(request, counts -> counts.interrupted(onTime));
     }
 
     void preempted(TracedRequest request) {
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/PartyCounts.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/PartyCounts.java
@@ -28,6 +28,14 @@
         }
     }
 
+    void interrupted(boolean wasOnTime) {
+        if (wasOnTime) {
+            onTime--;
+        } else {
+            late--;
+        }
+    }
+
     void refused() {
         refused++;
     }
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/PolicyExperiment.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/PolicyExperiment.java
@@ -1,8 +1,10 @@
 package org.redwinghook.experiments.policy;
 
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /** Compares the policies on one trace of each deployment. */
 public final class PolicyExperiment {
@@ -34,10 +36,11 @@
     Map<Policy, Measurements> run(Deployment deployment) {
         List<TracedRequest> trace =
                 new TraceGenerator(deployment, seed).generate(TraceGenerator.usualCustomers(deployment), 1);
-        Map<Policy, Measurements> results = new EnumMap<>(Policy.class);
-        for (Policy policy : Policy.values()) {
-            results.put(policy, Replay.withMove(deployment, policy, trace, seed));
-        }
-        return results;
+        // The replays share nothing but the immutable trace, so that the order in which they end changes no figure.
+        Map<Policy, Measurements> results = Arrays.stream(Policy.values())
+                .parallel()
+                .collect(
+                        Collectors.toMap(policy -> policy, policy -> Replay.withMove(deployment, policy, trace, seed)));
+        return new EnumMap<>(results);
     }
 }
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/Replay.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/Replay.java
@@ -140,7 +140,7 @@
     public void failed(SimulatedEndpoint endpoint, RequestRun run) {
         if (run.generated() > 0) {
             run.end();
-            measurements.interrupted(run.request());
+            measurements.interrupted(run);
             report(endpoint, run, () -> {});
             return;
         }
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/SimulatedEndpoint.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/SimulatedEndpoint.java
@@ -69,6 +69,7 @@
             case ADMITTED -> endpoint.start(run);
             case QUEUED -> waiting.put(run.request().identifier(), run);
             case REFUSED -> listener.refused(this, run);
+            default -> throw new IllegalStateException("unknown admission decision");
         }
     }
 
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/TraceGenerator.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/TraceGenerator.java
@@ -67,7 +67,7 @@
 
     private void generate(
             RequestKind kind, List<TraceCustomer> customers, double rateFactor, List<TracedRequest> trace) {
-        double perSecond = deployment.perSecond(kind) * rateFactor;
+        double perSecond = deployment.workload().perSecond(kind) * rateFactor;
         double highest = perSecond * BURST_RATE;
         double seconds = 0;
         while (true) {
@@ -124,8 +124,11 @@
         if (kind == RequestKind.QUICK) {
             return 1 + (int) quickOutputs.sample();
         }
-        double median = deployment.medianDraftTokens() * customer.lengthFactor();
-        return 4 + (int) new LogNormalDistribution(random, Math.log(median), deployment.draftSpread()).sample();
+        double median = deployment.workload().medianDraftTokens() * customer.lengthFactor();
+        return 4
+                + (int) new LogNormalDistribution(
+                                random, Math.log(median), deployment.workload().draftSpread())
+                        .sample();
     }
 
     private TraceCustomer draw(List<TraceCustomer> customers) {
