Judge warm-up by load that was really there

Cause: limits printed every 20 s showed warm engines reset to 2 with 26 running and held there by long drafts. First- token times included the prefill of other requests, so that a burst of admissions looked like a cold engine; eight whole responses take minutes at limit 2; and quick calls at low concurrency raised the limit faster than a returned engine warmed up. Change: a first-token time counts when no other request awaited its own; 64 tokens count as a response; responses under half of the limit's load do not count; samples are cleared when the limit rises.

--- a/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
@@ -24,6 +24,12 @@
     /** Wait after which a long request goes before quick ones. */
     private static final long AGEING_MILLIS = 2_000;
 
+    /**
+     * Tokens of one generation that count as a response in the warm-up. Otherwise two long drafts would hold a cold
+     * endpoint at its lowest limit for minutes.
+     */
+    private static final int RESPONSE_TOKENS = 64;
+
     private final AdmissionSettings settings;
     private final OutputLengths lengths;
     private final WarmUpLimit limit;
@@ -32,6 +38,7 @@
     private final HoldTime holdTime = new HoldTime();
     private final Map<Long, RunningWork> running = new LinkedHashMap<>();
     private int runningLong;
+    private int awaitingFirstToken;
 
     /**
      * Creates a controller for an endpoint that has just started.
@@ -125,13 +132,13 @@
         if (work == null) {
             return;
         }
-        if (work.lastTokenMillis() == RunningWork.NONE) {
-            limit.firstToken(nowMillis - work.startMillis());
-        } else {
-            limit.gap(nowMillis - work.lastTokenMillis());
-        }
+        noteTimes(work, nowMillis);
+        int responses = (work.generated() + tokens) / RESPONSE_TOKENS - work.generated() / RESPONSE_TOKENS;
         work.addTokens(tokens, nowMillis);
         queue.charge(work.item(), tokens);
+        for (int response = 0; response < responses; response++) {
+            limit.response(running.size());
+        }
     }
 
     /**
@@ -147,6 +154,7 @@
             return;
         }
         runningLong -= work.quick() ? 0 : 1;
+        awaitingFirstToken -= work.awaitsFirstToken() ? 1 : 0;
         queue.leave(work.item());
         if (!whole) {
             return;
@@ -157,7 +165,7 @@
         } else {
             lengths.record(work.output(), work.generated());
         }
-        limit.response();
+        limit.response(running.size() + 1);
     }
 
     /**
@@ -186,6 +194,18 @@
                 accepting);
     }
 
+    /** A first-token time that includes the prefill of others says little about the endpoint and is left out. */
+    private void noteTimes(RunningWork work, long nowMillis) {
+        if (!work.awaitsFirstToken()) {
+            limit.gap(nowMillis - work.lastTokenMillis());
+            return;
+        }
+        awaitingFirstToken--;
+        if (work.startedAlone()) {
+            limit.firstToken(nowMillis - work.startMillis());
+        }
+    }
+
     private Optional<WorkItem> nextToRun(long nowMillis) {
         if (queue.size() == 0 || running.size() >= limit.limit()) {
             return Optional.empty();
@@ -230,7 +250,8 @@
     }
 
     private void run(WorkItem item, boolean quick, long nowMillis) {
-        running.put(item.identifier(), new RunningWork(item, quick, nowMillis));
+        running.put(item.identifier(), new RunningWork(item, quick, awaitingFirstToken == 0, nowMillis));
+        awaitingFirstToken++;
         runningLong += quick ? 0 : 1;
         queue.charge(item, Math.max(1, item.promptTokens()));
     }
--- a/core/src/main/java/org/redwinghook/core/admission/RunningWork.java
+++ b/core/src/main/java/org/redwinghook/core/admission/RunningWork.java
@@ -11,14 +11,16 @@
     private final WorkItem item;
     private final OutputQuery output;
     private final boolean quick;
+    private final boolean alone;
     private final long startMillis;
     private int generated;
     private long lastTokenMillis = NONE;
 
-    RunningWork(WorkItem item, boolean quick, long startMillis) {
+    RunningWork(WorkItem item, boolean quick, boolean alone, long startMillis) {
         this.item = item;
         this.output = item.output();
         this.quick = quick;
+        this.alone = alone;
         this.startMillis = startMillis;
     }
 
@@ -34,6 +36,15 @@
         return quick;
     }
 
+    /** Whether no other generation waited for its first token when this one started. */
+    boolean startedAlone() {
+        return alone;
+    }
+
+    boolean awaitsFirstToken() {
+        return lastTokenMillis == NONE;
+    }
+
     long startMillis() {
         return startMillis;
     }
--- a/core/src/main/java/org/redwinghook/core/admission/WarmUpLimit.java
+++ b/core/src/main/java/org/redwinghook/core/admission/WarmUpLimit.java
@@ -55,7 +55,14 @@
         }
     }
 
-    void response() {
+    /**
+     * Counts a response. One that met less than half of the limit's load does not show that the endpoint bears the
+     * limit.
+     */
+    void response(int running) {
+        if (2 * running <= limit) {
+            return;
+        }
         responses++;
         if (responses < Math.max(SMALLEST_WINDOW, limit)) {
             return;
@@ -66,12 +73,19 @@
         }
         gapBaseline = learn(gapBaseline, gaps.median());
         firstTokenBaseline = learn(firstTokenBaseline, firstTokens.median());
-        limit = Math.min(maximum, limit * 2);
+        if (limit < maximum) {
+            limit = Math.min(maximum, limit * 2);
+            clear();
+        }
     }
 
     /** The baselines are kept: a restarted endpoint becomes as fast again as it was. */
     void turnedCold() {
         limit = Math.min(COLD_LIMIT, maximum);
+        clear();
+    }
+
+    private void clear() {
         responses = 0;
         gaps.clear();
         firstTokens.clear();
@@ -83,6 +97,8 @@
     }
 
     private static double learn(double baseline, long median) {
-        return baseline == 0 ? median : baseline + BASELINE_WEIGHT * (median - baseline);
+        return baseline == 0 || median == 0
+                ? Math.max(baseline, median)
+                : baseline + BASELINE_WEIGHT * (median - baseline);
     }
 }
