Keep memory and a queue of their own for quick requests

Cause: two thirds of the requests during the move are quick or lookups, yet less than that was in time. Drafts filled the projected memory up to its bound, so that quick ones found slots but no memory, and a queue full of drafts refused them. Ruled out: slots, since the reserve was mostly free. The expected wait ignored full memory. Change: long requests stay 3% below the memory bound, quick and long requests have queue bounds of their own, a full memory shows in the expected wait, and a customer's own lengths count from 8 outputs on instead of 20.

--- a/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
@@ -15,7 +15,7 @@
  */
 public final class AdmissionController {
 
-    /** Waiting requests for each slot beyond which new ones are refused. */
+    /** Waiting requests of a class, quick or long, for each slot beyond which new ones are refused. */
     private static final int QUEUE_FACTOR = 4;
 
     /** One slot of this many is kept free of long requests, so that a quick one finds a slot at once. */
@@ -69,7 +69,7 @@
             run(item, quick, nowMillis);
             return AdmissionDecision.ADMITTED;
         }
-        if (queue.size() >= limit.limit() * QUEUE_FACTOR
+        if (queue.size(quick) >= limit.limit() * QUEUE_FACTOR
                 || nowMillis + expectedWaitMillis(quick) > item.deadlineMillis()) {
             return AdmissionDecision.REFUSED;
         }
@@ -242,7 +242,9 @@
 
     private boolean mayRun(WorkItem item, boolean quick) {
         int slots = quick ? limit.limit() : limit.limit() - reservedSlots();
-        return running.size() < limit.limit() && (quick || runningLong < slots) && memory.fits(running.values(), item);
+        return running.size() < limit.limit()
+                && (quick || runningLong < slots)
+                && memory.fits(running.values(), item, quick);
     }
 
     private int reservedSlots() {
@@ -262,7 +264,7 @@
 
     private long expectedWaitMillis(boolean quick) {
         boolean slotFree = running.size() < limit.limit() && (quick || runningLong < limit.limit() - reservedSlots());
-        if (queue.size(quick) == 0 && slotFree) {
+        if (queue.size(quick) == 0 && slotFree && (quick || !memory.isFull(running.values()))) {
             return 0;
         }
         int longAhead = quick ? 0 : queue.size(false) + 1;
--- a/core/src/main/java/org/redwinghook/core/admission/MemoryProjection.java
+++ b/core/src/main/java/org/redwinghook/core/admission/MemoryProjection.java
@@ -19,6 +19,9 @@
     /** Share of the memory that the projected peak stays under; the rest covers the spread around the expectation. */
     private static final double MEMORY_BOUND = 0.92;
 
+    /** Share that is kept free of long requests, so that a quick one does not wait for a long one's end. */
+    private static final double QUICK_RESERVE = 0.03;
+
     private final int memoryTokens;
     private final OutputLengths lengths;
 
@@ -27,13 +30,22 @@
         this.lengths = lengths;
     }
 
-    boolean fits(Collection<RunningWork> running, WorkItem candidate) {
+    boolean fits(Collection<RunningWork> running, WorkItem candidate, boolean quick) {
         if (memoryTokens == 0 || running.isEmpty()) {
             return true;
         }
         double[] memory = memory(running);
         add(memory, candidate.output(), candidate.promptTokens(), 0);
-        return peak(memory) <= MEMORY_BOUND * memoryTokens;
+        return peak(memory) <= bound(quick) * memoryTokens;
+    }
+
+    /** Whether the memory is full for long requests of any size. */
+    boolean isFull(Collection<RunningWork> running) {
+        return share(running) >= bound(false);
+    }
+
+    private static double bound(boolean quick) {
+        return quick ? MEMORY_BOUND : MEMORY_BOUND - QUICK_RESERVE;
     }
 
     double share(Collection<RunningWork> running) {
--- a/core/src/main/java/org/redwinghook/core/length/LearnedLengths.java
+++ b/core/src/main/java/org/redwinghook/core/length/LearnedLengths.java
@@ -10,7 +10,7 @@
     private static final int MOST_CUSTOMERS = 1_000;
 
     /** Below this number of outputs a customer's own histogram says less than the service's. */
-    private static final double ENOUGH_OUTPUTS = 20;
+    private static final double ENOUGH_OUTPUTS = 8;
 
     private final int quickTokens;
     private final LengthHistogram service = new LengthHistogram();
