Hold new work while an engine is silent, and age by class instead of by request

Cause: an engine that turned cold was given new work in the second before the median of 64 gaps showed it, and failed (O Briain, 22 generations cut). Ageing took the oldest request first whatever its owner, so that under overload, when all requests are aged, the queue was first come, first served. Change: no admission while the running gap exceeds what counts as cold; the median is over 32 gaps; ageing lets the class of long requests go first and lifts priorities, and fair queueing selects inside the class.

--- a/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
@@ -21,9 +21,6 @@
     /** One slot of this many is kept free of long requests, so that a quick one finds a slot at once. */
     private static final int SLOTS_PER_RESERVED = 8;
 
-    /** Wait after which a long request goes before quick ones. */
-    private static final long AGEING_MILLIS = 2_000;
-
     /**
      * Tokens of one generation that count as a response in the warm-up. Otherwise two long drafts would hold a cold
      * endpoint at its lowest limit for minutes.
@@ -39,6 +36,7 @@
     private final Map<Long, RunningWork> running = new LinkedHashMap<>();
     private int runningLong;
     private int awaitingFirstToken;
+    private long lastTokenMillis;
 
     /**
      * Creates a controller for an endpoint that has just started.
@@ -64,7 +62,7 @@
     public AdmissionDecision offer(WorkItem item) {
         long nowMillis = item.arrivalMillis();
         boolean quick = isQuick(item);
-        if (mayOvertake(quick, nowMillis) && mayRun(item, quick)) {
+        if (!isSilent(nowMillis) && mayOvertake(quick, nowMillis) && mayRun(item, quick)) {
             queue.enter(item);
             run(item, quick, nowMillis);
             return AdmissionDecision.ADMITTED;
@@ -133,6 +131,7 @@
             return;
         }
         noteTimes(work, nowMillis);
+        lastTokenMillis = nowMillis;
         int responses = (work.generated() + tokens) / RESPONSE_TOKENS - work.generated() / RESPONSE_TOKENS;
         work.addTokens(tokens, nowMillis);
         queue.charge(work.item(), tokens);
@@ -207,20 +206,26 @@
     }
 
     private Optional<WorkItem> nextToRun(long nowMillis) {
-        if (queue.size() == 0 || running.size() >= limit.limit()) {
+        if (queue.size() == 0 || running.size() >= limit.limit() || isSilent(nowMillis)) {
             return Optional.empty();
         }
-        Optional<WorkItem> aged = aged(nowMillis);
-        if (aged.isPresent() && mayRun(aged.get(), false)) {
-            return aged;
+        Optional<WorkItem> longer = queue.next(false, nowMillis);
+        boolean aged = queue.isAged(false, nowMillis);
+        if (aged && longer.filter(item -> mayRun(item, false)).isPresent()) {
+            return longer;
         }
-        if (aged.isEmpty() || quickSlotReserved()) {
-            Optional<WorkItem> quick = queue.next(true).filter(item -> mayRun(item, true));
+        if (!aged || quickSlotReserved()) {
+            Optional<WorkItem> quick = queue.next(true, nowMillis).filter(item -> mayRun(item, true));
             if (quick.isPresent()) {
                 return quick;
             }
         }
-        return aged.isPresent() ? Optional.empty() : queue.next(false).filter(item -> mayRun(item, false));
+        return aged ? Optional.empty() : longer.filter(item -> mayRun(item, false));
+    }
+
+    /** Whether generations decode but no token came for too long; new work would meet an endpoint that turned cold. */
+    private boolean isSilent(long nowMillis) {
+        return running.size() > awaitingFirstToken && limit.isSilent(nowMillis - lastTokenMillis);
     }
 
     /** Whether a new request may start although others wait. */
@@ -228,11 +233,7 @@
         if (queue.size() == 0) {
             return true;
         }
-        return quick && queue.size(true) == 0 && (aged(nowMillis).isEmpty() || quickSlotReserved());
-    }
-
-    private Optional<WorkItem> aged(long nowMillis) {
-        return queue.oldest(false).filter(item -> nowMillis - item.arrivalMillis() >= AGEING_MILLIS);
+        return quick && queue.size(true) == 0 && (!queue.isAged(false, nowMillis) || quickSlotReserved());
     }
 
     /** While an aged request waits for memory, quick ones use reserved slots only, so that they do not keep it full. */
--- a/core/src/main/java/org/redwinghook/core/admission/FairQueue.java
+++ b/core/src/main/java/org/redwinghook/core/admission/FairQueue.java
@@ -19,6 +19,9 @@
     /** Idle customers above this number are forgotten. */
     private static final int MOST_CUSTOMERS = 4_096;
 
+    /** Wait after which a long request goes before quick ones and its customer's priority no longer counts. */
+    private static final long AGEING_MILLIS = 2_000;
+
     private final FairShares shares;
     private final Map<String, Share> owners = new HashMap<>();
     private final Map<CustomerKey, CustomerQueue> customers = new LinkedHashMap<>();
@@ -66,22 +69,22 @@
     }
 
     /** The request that is next by fairness. */
-    Optional<WorkItem> next(boolean quick) {
+    Optional<WorkItem> next(boolean quick, long nowMillis) {
+        Comparator<CustomerQueue> order = order(quick, nowMillis);
         CustomerQueue best = null;
         for (CustomerQueue queue : customers.values()) {
-            if (!queue.items(quick).isEmpty() && (best == null || order(quick).compare(queue, best) < 0)) {
+            if (!queue.items(quick).isEmpty() && (best == null || order.compare(queue, best) < 0)) {
                 best = queue;
             }
         }
         return best == null ? Optional.empty() : Optional.of(best.items(quick).element());
     }
 
-    /** The request that waits longest. */
-    Optional<WorkItem> oldest(boolean quick) {
+    /** Whether a request of the class has waited so long that the class goes first. */
+    boolean isAged(boolean quick, long nowMillis) {
         return customers.values().stream()
-                .filter(queue -> !queue.items(quick).isEmpty())
-                .map(queue -> queue.items(quick).element())
-                .min(Comparator.comparingLong(WorkItem::arrivalMillis).thenComparingLong(WorkItem::identifier));
+                .map(queue -> queue.items(quick).peek())
+                .anyMatch(item -> item != null && isAged(item, nowMillis));
     }
 
     /** Whether a waiting request was added as quick; what is learned since then does not move it. */
@@ -149,15 +152,23 @@
         return expired;
     }
 
-    private Comparator<CustomerQueue> order(boolean quick) {
+    private Comparator<CustomerQueue> order(boolean quick, long nowMillis) {
         return Comparator.comparingDouble(
                         (CustomerQueue queue) -> owners.get(queue.owner()).servedPerWeight())
                 .thenComparing(CustomerQueue::owner)
-                .thenComparingInt(queue -> queue.items(quick).element().priority())
+                .thenComparingInt(queue -> priority(queue.items(quick).element(), nowMillis))
                 .thenComparingDouble(queue -> queue.share().servedPerWeight())
                 .thenComparing(CustomerQueue::customer);
     }
 
+    private static int priority(WorkItem item, long nowMillis) {
+        return isAged(item, nowMillis) ? Integer.MIN_VALUE : item.priority();
+    }
+
+    private static boolean isAged(WorkItem item, long nowMillis) {
+        return nowMillis - item.arrivalMillis() >= AGEING_MILLIS;
+    }
+
     private CustomerQueue queueOf(WorkItem item) {
         return customers.get(key(item));
     }
--- a/core/src/main/java/org/redwinghook/core/admission/WarmUpLimit.java
+++ b/core/src/main/java/org/redwinghook/core/admission/WarmUpLimit.java
@@ -21,7 +21,7 @@
     /** Weight of the newest window in the baseline. */
     private static final double BASELINE_WEIGHT = 0.3;
 
-    private static final int GAP_SAMPLES = 64;
+    private static final int GAP_SAMPLES = 32;
     private static final int FIRST_TOKEN_SAMPLES = 8;
 
     private final int maximum;
@@ -55,6 +55,11 @@
         }
     }
 
+    /** Whether a gap that has not ended is already too long for a warm endpoint. */
+    boolean isSilent(long gapMillis) {
+        return isCold(gapMillis, gapBaseline, GAP_BOUND_MILLIS);
+    }
+
     /**
      * Counts a response. One that met less than half of the limit's load does not show that the endpoint bears the
      * limit.
@@ -92,8 +97,8 @@
     }
 
     /** An endpoint within its bounds is not cold, however fast it was before under less load. */
-    private static boolean isCold(long median, double baseline, long bound) {
-        return baseline > 0 && median > bound && median > COLD_FACTOR * baseline;
+    private static boolean isCold(long millis, double baseline, long bound) {
+        return baseline > 0 && millis > bound && millis > COLD_FACTOR * baseline;
     }
 
     private static double learn(double baseline, long median) {
