--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/FairnessExperiment.java
@@ -0,0 +1,62 @@
+package org.redwinghook.experiments.policy;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** Measures what a party that asks for too much does to the others. Drafts only; all endpoints stay in service. */
+final class FairnessExperiment {
+
+    private static final Deployment DEPLOYMENT = Deployment.PARNA_MUHELY;
+    private static final List<Policy> POLICIES = List.of(Policy.LEAST_OUTSTANDING, Policy.REDWINGHOOK);
+
+    private final long seed;
+
+    FairnessExperiment(long seed) {
+        this.seed = seed;
+    }
+
+    String markdown() {
+        String header = "### Limits and fairness\n\n"
+                + "| scenario | policy | group | requests | in time % | late % | refused % | first token p95 ms |"
+                + " tokens per customer |\n|---|---|---|---:|---:|---:|---:|---:|---:|\n";
+        return Arrays.stream(FairnessScenario.values())
+                .parallel()
+                .map(this::rows)
+                .collect(Collectors.joining("", header, "\n"));
+    }
+
+    Measurements run(FairnessScenario scenario, Policy policy) {
+        List<TracedRequest> trace = new TraceGenerator(DEPLOYMENT, seed)
+                .generate(List.of(RequestKind.DRAFT), scenario.customers(), scenario.rateFactor());
+        return Replay.undisturbed(DEPLOYMENT, policy, trace, seed);
+    }
+
+    private String rows(FairnessScenario scenario) {
+        StringBuilder rows = new StringBuilder();
+        for (Policy policy : POLICIES) {
+            Measurements result = run(scenario, policy);
+            scenario.groups()
+                    .forEach((group, customers) ->
+                            rows.append(row(scenario, policy, group, customers.size(), result.group(customers))));
+        }
+        return rows.toString();
+    }
+
+    private static String row(
+            FairnessScenario scenario, Policy policy, String group, int customers, PartyCounts counts) {
+        return String.format(
+                Locale.ROOT,
+                "| %s | %s | %s | %d | %.1f | %.1f | %.1f | %.0f | %d |\n",
+                scenario.title(),
+                policy.title(),
+                group,
+                counts.count(),
+                counts.onTimePercent(),
+                counts.latePercent(),
+                counts.refusedPercent(),
+                counts.firstTokenMillis(95),
+                counts.loadedTokens() / customers);
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/FairnessScenario.java
@@ -0,0 +1,91 @@
+package org.redwinghook.experiments.policy;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Situations in which one party asks for more than its share. Each compares groups of customers by name. */
+enum FairnessScenario {
+    /** Ten customers within their share. */
+    CALM("ten customers, no runaway", 0.6) {
+        @Override
+        List<TraceCustomer> customers() {
+            return equal(OWNER, "usual", 10, 1);
+        }
+    },
+    /** The same ten customers beside one that asks for ten times as much as each of them. */
+    RUNAWAY("the same and a runaway customer", 1.2) {
+        @Override
+        List<TraceCustomer> customers() {
+            return joined(equal(OWNER, "usual", 10, 1), equal(OWNER, "runaway", 1, 10));
+        }
+    },
+    /** One large customer that asks for as much as ten small ones together, at twice the capacity. */
+    LARGE_AND_SMALL("one large customer against ten small", 2) {
+        @Override
+        List<TraceCustomer> customers() {
+            return joined(equal(OWNER, "small", 10, 1), equal(OWNER, "large", 1, 10));
+        }
+    },
+    /** The smallest owner's customers alone. */
+    SMALL_OWNER_ALONE("smallest owner alone", 0.1) {
+        @Override
+        List<TraceCustomer> customers() {
+            return equal(SMALL_OWNER, "small-owner", 2, 1);
+        }
+    },
+    /** The smallest owner beside an owner that asks for twice the capacity. */
+    SMALL_OWNER_CROWDED("smallest owner, the other overloads", 2.1) {
+        @Override
+        List<TraceCustomer> customers() {
+            return joined(equal(SMALL_OWNER, "small-owner", 2, 1), equal(OWNER, "crowd", 10, 4));
+        }
+    };
+
+    private static final String OWNER = "owner-large";
+    private static final String SMALL_OWNER = "owner-small";
+
+    private final String title;
+    private final double rateFactor;
+
+    FairnessScenario(String title, double rateFactor) {
+        this.title = title;
+        this.rateFactor = rateFactor;
+    }
+
+    String title() {
+        return title;
+    }
+
+    /** Rate of drafts as a factor on the deployment's usual rate. */
+    double rateFactor() {
+        return rateFactor;
+    }
+
+    abstract List<TraceCustomer> customers();
+
+    /** Names of customers by group. */
+    Map<String, List<String>> groups() {
+        Map<String, List<String>> groups = new LinkedHashMap<>();
+        for (TraceCustomer customer : customers()) {
+            String group = customer.name().substring(0, customer.name().lastIndexOf('/'));
+            groups.computeIfAbsent(group, ignored -> new ArrayList<>()).add(customer.name());
+        }
+        return groups;
+    }
+
+    private static List<TraceCustomer> equal(String owner, String group, int count, double weight) {
+        List<TraceCustomer> customers = new ArrayList<>();
+        for (int number = 1; number <= count; number++) {
+            customers.add(new TraceCustomer(group + "/" + number, owner, weight, 1));
+        }
+        return customers;
+    }
+
+    private static List<TraceCustomer> joined(List<TraceCustomer> some, List<TraceCustomer> others) {
+        List<TraceCustomer> all = new ArrayList<>(some);
+        all.addAll(others);
+        return all;
+    }
+}
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/Measurements.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/Measurements.java
@@ -1,6 +1,7 @@
 package org.redwinghook.experiments.policy;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -18,7 +19,6 @@
     private final Histogram gaps = new Histogram(HIGHEST_MICROS, DIGITS);
     private final Histogram firstTokens = new Histogram(HIGHEST_MICROS, DIGITS);
     private final Map<String, PartyCounts> customers = new HashMap<>();
-    private final Map<String, PartyCounts> owners = new HashMap<>();
     private final PartyCounts all = new PartyCounts();
     private final PartyCounts move = new PartyCounts();
     private double stallMicros;
@@ -106,12 +106,15 @@
         return move;
     }
 
-    PartyCounts customer(String name) {
-        return customers.computeIfAbsent(name, ignored -> new PartyCounts());
+    /** Sum over customers. */
+    PartyCounts group(List<String> names) {
+        PartyCounts sum = new PartyCounts();
+        names.forEach(name -> sum.add(customer(name)));
+        return sum;
     }
 
-    PartyCounts owner(String name) {
-        return owners.computeIfAbsent(name, ignored -> new PartyCounts());
+    private PartyCounts customer(String name) {
+        return customers.computeIfAbsent(name, ignored -> new PartyCounts());
     }
 
     private void each(TracedRequest request, Consumer<PartyCounts> action) {
@@ -120,7 +123,6 @@
         }
         action.accept(all);
         action.accept(customer(request.customer()));
-        action.accept(owner(request.owner()));
         if (Timeline.duringMove(request.arrivalMicros())) {
             action.accept(move);
         }
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/PartyCounts.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/PartyCounts.java
@@ -48,6 +48,16 @@
         }
     }
 
+    void add(PartyCounts other) {
+        firstTokens.add(other.firstTokens);
+        arrived += other.arrived;
+        onTime += other.onTime;
+        late += other.late;
+        refused += other.refused;
+        tokens += other.tokens;
+        loadedTokens += other.loadedTokens;
+    }
+
     long count() {
         return arrived;
     }
@@ -56,6 +66,7 @@
         return tokens;
     }
 
+    /** Tokens that were served while requests arrived. */
     long loadedTokens() {
         return loadedTokens;
     }
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/PolicyExperiment.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/PolicyExperiment.java
@@ -30,12 +30,12 @@
         for (Deployment deployment : Deployment.values()) {
             report.append(new PolicyTable(deployment, run(deployment)).markdown());
         }
-        return report.toString();
+        return report.append(new FairnessExperiment(seed).markdown()).toString();
     }
 
     Map<Policy, Measurements> run(Deployment deployment) {
-        List<TracedRequest> trace =
-                new TraceGenerator(deployment, seed).generate(TraceGenerator.usualCustomers(deployment), 1);
+        List<TracedRequest> trace = new TraceGenerator(deployment, seed)
+                .generate(List.of(RequestKind.values()), TraceGenerator.usualCustomers(deployment), 1);
         // The replays share nothing but the immutable trace, so that the order in which they end changes no figure.
         Map<Policy, Measurements> results = Arrays.stream(Policy.values())
                 .parallel()
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/TraceGenerator.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/TraceGenerator.java
@@ -55,10 +55,10 @@
         return customers;
     }
 
-    /** A trace of all kinds. */
-    List<TracedRequest> generate(List<TraceCustomer> customers, double rateFactor) {
+    /** A trace of some kinds; the rate factor applies to the deployment's rates. */
+    List<TracedRequest> generate(List<RequestKind> kinds, List<TraceCustomer> customers, double rateFactor) {
         List<TracedRequest> trace = new ArrayList<>();
-        for (RequestKind kind : RequestKind.values()) {
+        for (RequestKind kind : kinds) {
             generate(kind, customers, rateFactor, trace);
         }
         trace.sort(Comparator.comparingLong(TracedRequest::arrivalMicros).thenComparingLong(TracedRequest::identifier));
