Give a crowded-out owner the reserves and refuse by the customer's part of the queue

Cause: under the other owner's overload the smallest owner was served in time for 31.4% of its requests and refused 22.0%. A full queue refused everybody, the expected wait counted all waiting requests though fair queueing puts most of them behind, and its next request waited until enough memory was free below the long requests' bound. Ruled out: the order of the queue, which put that owner first. Change: an owner that runs less than half of its weighted share may use the reserves; a customer with less than its part of a full queue may still enter, up to twice the bound; the expected wait is that of the request's place in fair order.

--- a/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
@@ -67,8 +67,8 @@
             run(item, quick, nowMillis);
             return AdmissionDecision.ADMITTED;
         }
-        if (queue.size(quick) >= limit.limit() * QUEUE_FACTOR
-                || nowMillis + expectedWaitMillis(quick) > item.deadlineMillis()) {
+        if (!hasPlace(item, quick)
+                || nowMillis + expectedWaitMillis(quick, queue.position(item, quick)) > item.deadlineMillis()) {
             return AdmissionDecision.REFUSED;
         }
         queue.enter(item);
@@ -154,7 +154,7 @@
         }
         runningLong -= work.quick() ? 0 : 1;
         awaitingFirstToken -= work.awaitsFirstToken() ? 1 : 0;
-        queue.leave(work.item());
+        queue.ended(work.item());
         if (!whole) {
             return;
         }
@@ -189,7 +189,7 @@
                 queue.size(),
                 limit.limit(),
                 memory.share(running.values()),
-                expectedWaitMillis(false),
+                expectedWaitMillis(false, queue.size(false) + 1),
                 accepting);
     }
 
@@ -241,11 +241,20 @@
         return running.size() - runningLong < reservedSlots();
     }
 
+    /** A full queue still takes requests of customers that have less than their part of it. */
+    private boolean hasPlace(WorkItem item, boolean quick) {
+        int places = limit.limit() * QUEUE_FACTOR;
+        int waiting = queue.size(quick);
+        return waiting < places || waiting < 2 * places && queue.hasPlace(item, quick, places);
+    }
+
+    /** Quick requests and those of an owner that is crowded out may use the reserves of slots and memory. */
     private boolean mayRun(WorkItem item, boolean quick) {
-        int slots = quick ? limit.limit() : limit.limit() - reservedSlots();
+        boolean reserve = quick || queue.isBelowShare(item);
+        int slots = reserve ? limit.limit() : limit.limit() - reservedSlots();
         return running.size() < limit.limit()
                 && (quick || runningLong < slots)
-                && memory.fits(running.values(), item, quick);
+                && memory.fits(running.values(), item, reserve);
     }
 
     private int reservedSlots() {
@@ -256,6 +265,7 @@
         running.put(item.identifier(), new RunningWork(item, quick, awaitingFirstToken == 0, nowMillis));
         awaitingFirstToken++;
         runningLong += quick ? 0 : 1;
+        queue.started(item);
         queue.charge(item, Math.max(1, item.promptTokens()));
     }
 
@@ -263,13 +273,12 @@
         return lengths.expectedRemaining(item.output(), 0) <= settings.quickTokens();
     }
 
-    private long expectedWaitMillis(boolean quick) {
+    private long expectedWaitMillis(boolean quick, int position) {
         boolean slotFree = running.size() < limit.limit() && (quick || runningLong < limit.limit() - reservedSlots());
         if (queue.size(quick) == 0 && slotFree && (quick || !memory.isFull(running.values()))) {
             return 0;
         }
-        int longAhead = quick ? 0 : queue.size(false) + 1;
-        int quickAhead = queue.size(true) + (quick ? 1 : 0);
-        return holdTime.waitMillis(quickAhead, longAhead, Math.min(limit.limit(), running.size()));
+        int slots = Math.min(limit.limit(), running.size());
+        return quick ? holdTime.waitMillis(position, 0, slots) : holdTime.waitMillis(queue.size(true), position, slots);
     }
 }
--- a/core/src/main/java/org/redwinghook/core/admission/FairQueue.java
+++ b/core/src/main/java/org/redwinghook/core/admission/FairQueue.java
@@ -4,11 +4,13 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Weighted fair queue by owner, then by customer, on tokens served. Inside one owner, customers with a lower priority
@@ -22,10 +24,14 @@
     /** Wait after which a long request goes before quick ones and its customer's priority no longer counts. */
     private static final long AGEING_MILLIS = 2_000;
 
+    /** Part of its share below which an owner counts as crowded out. */
+    private static final double LOW_SHARE = 0.5;
+
     private final FairShares shares;
     private final Map<String, Share> owners = new HashMap<>();
     private final Map<CustomerKey, CustomerQueue> customers = new LinkedHashMap<>();
     private double ownerTime;
+    private int running;
     private int quickSize;
     private int longSize;
 
@@ -80,6 +86,62 @@
         return best == null ? Optional.empty() : Optional.of(best.items(quick).element());
     }
 
+    /** Counts a request in as running. */
+    void started(WorkItem item) {
+        owners.get(item.owner()).countRunning(1);
+        running++;
+    }
+
+    /** Counts a running request out. */
+    void ended(WorkItem item) {
+        owners.get(item.owner()).countRunning(-1);
+        running--;
+        leave(item);
+    }
+
+    /** Whether the request's owner runs less than half of what its weight entitles it to. */
+    boolean isBelowShare(WorkItem item) {
+        double weights = 0;
+        int ownRunning = 0;
+        for (Map.Entry<String, Share> owner : owners.entrySet()) {
+            boolean own = owner.getKey().equals(item.owner());
+            weights += own || !owner.getValue().idle() ? shares.ownerWeight(owner.getKey()) : 0;
+            ownRunning += own ? owner.getValue().running() : 0;
+        }
+        return ownRunning < LOW_SHARE * running * shares.ownerWeight(item.owner()) / weights;
+    }
+
+    /** Requests that are served up to and including a new one, if parties alternate. */
+    int position(WorkItem item, boolean quick) {
+        return Math.min(size(quick) + 1, (waitingOf(item, quick) + 1) * parties(item, quick));
+    }
+
+    /** Whether the request's customer has less than its part of a number of places. */
+    boolean hasPlace(WorkItem item, boolean quick, int places) {
+        return waitingOf(item, quick) < places / parties(item, quick);
+    }
+
+    private int waitingOf(WorkItem item, boolean quick) {
+        CustomerQueue queue = customers.get(key(item));
+        return queue == null ? 0 : queue.items(quick).size();
+    }
+
+    /** Customers that an equal share is divided by: those of the owner times the owners. */
+    private int parties(WorkItem item, boolean quick) {
+        Set<String> waitingOwners = new HashSet<>(Set.of(item.owner()));
+        Set<String> ownersCustomers = new HashSet<>(Set.of(item.customer()));
+        for (CustomerQueue queue : customers.values()) {
+            if (queue.items(quick).isEmpty()) {
+                continue;
+            }
+            waitingOwners.add(queue.owner());
+            if (queue.owner().equals(item.owner())) {
+                ownersCustomers.add(queue.customer());
+            }
+        }
+        return waitingOwners.size() * ownersCustomers.size();
+    }
+
     /** Whether a request of the class has waited so long that the class goes first. */
     boolean isAged(boolean quick, long nowMillis) {
         return customers.values().stream()
--- a/core/src/main/java/org/redwinghook/core/admission/MemoryProjection.java
+++ b/core/src/main/java/org/redwinghook/core/admission/MemoryProjection.java
@@ -20,7 +20,7 @@
     private static final double MEMORY_BOUND = 0.92;
 
     /** Share that is kept free of long requests, so that a quick one does not wait for a long one's end. */
-    private static final double QUICK_RESERVE = 0.03;
+    private static final double RESERVE = 0.03;
 
     private final int memoryTokens;
     private final OutputLengths lengths;
@@ -30,13 +30,13 @@
         this.lengths = lengths;
     }
 
-    boolean fits(Collection<RunningWork> running, WorkItem candidate, boolean quick) {
+    boolean fits(Collection<RunningWork> running, WorkItem candidate, boolean reserve) {
         if (memoryTokens == 0 || running.isEmpty()) {
             return true;
         }
         double[] memory = memory(running);
         add(memory, candidate.output(), candidate.promptTokens(), 0);
-        return peak(memory) <= bound(quick) * memoryTokens;
+        return peak(memory) <= bound(reserve) * memoryTokens;
     }
 
     /** Whether the memory is full for long requests of any size. */
@@ -44,8 +44,8 @@
         return share(running) >= bound(false);
     }
 
-    private static double bound(boolean quick) {
-        return quick ? MEMORY_BOUND : MEMORY_BOUND - QUICK_RESERVE;
+    private static double bound(boolean reserve) {
+        return reserve ? MEMORY_BOUND : MEMORY_BOUND - RESERVE;
     }
 
     double share(Collection<RunningWork> running) {
--- a/core/src/main/java/org/redwinghook/core/admission/Share.java
+++ b/core/src/main/java/org/redwinghook/core/admission/Share.java
@@ -6,6 +6,7 @@
     private double servedPerWeight;
     private double innerTime;
     private int present;
+    private int running;
 
     double servedPerWeight() {
         return servedPerWeight;
@@ -36,6 +37,14 @@
         present--;
     }
 
+    int running() {
+        return running;
+    }
+
+    void countRunning(int difference) {
+        running += difference;
+    }
+
     void charge(double tokens, double weight) {
         servedPerWeight += tokens / weight;
     }
