--- a/core/src/main/java/org/redwinghook/core/admission/MemoryProjection.java
+++ b/core/src/main/java/org/redwinghook/core/admission/MemoryProjection.java
@@ -11,10 +11,10 @@
     /** Decoding steps that are projected. */
     private static final int HORIZON_STEPS = 512;
 
-    /** Distance of the steps at which memory is computed; the sum is smooth between them. */
-    private static final int STRIDE_STEPS = 64;
+    /** Steps that are projected together. */
+    private static final int STRIDE_STEPS = 32;
 
-    private static final int SAMPLES = HORIZON_STEPS / STRIDE_STEPS + 1;
+    private static final int INTERVALS = HORIZON_STEPS / STRIDE_STEPS;
 
     /** Share of the memory that the projected peak stays under; the rest covers the spread around the expectation. */
     private static final double MEMORY_BOUND = 0.92;
@@ -53,21 +53,23 @@
     }
 
     private double[] memory(Collection<RunningWork> running) {
-        double[] memory = new double[SAMPLES];
+        double[] memory = new double[INTERVALS];
         for (RunningWork work : running) {
             add(memory, work.output(), work.item().promptTokens(), work.generated());
         }
         return memory;
     }
 
+    /** A generation counts in an interval as alive at its start and as long as at its end, so that no peak is missed. */
     private void add(double[] memory, OutputQuery output, int promptTokens, int generated) {
-        for (int sample = 0; sample < SAMPLES; sample++) {
-            int steps = sample * STRIDE_STEPS;
+        for (int interval = 0; interval < INTERVALS; interval++) {
+            int steps = interval * STRIDE_STEPS;
             double survival = steps == 0 ? 1 : lengths.survival(output, generated, steps);
             if (survival <= 0) {
                 return;
             }
-            memory[sample] += survival * (promptTokens + generated + steps);
+            int tokens = Math.min(generated + steps + STRIDE_STEPS, output.maximumOutputTokens());
+            memory[interval] += survival * (promptTokens + tokens);
         }
     }
 
--- a/core/src/main/java/org/redwinghook/core/length/LengthHistogram.java
+++ b/core/src/main/java/org/redwinghook/core/length/LengthHistogram.java
@@ -97,13 +97,18 @@
      */
     public int quantile(double share) {
         double below = 0;
+        int last = 0;
         for (int bucket = 0; bucket < BUCKETS; bucket++) {
+            if (weights[bucket] == 0) {
+                continue;
+            }
             below += weights[bucket];
-            if (sum > 0 && below >= share * sum) {
-                return lowerBound(bucket + 1) - 1;
+            last = lowerBound(bucket + 1) - 1;
+            if (below >= share * sum) {
+                break;
             }
         }
-        return 0;
+        return last;
     }
 
     /** Many shares are asked for between two outputs, so that the sums are kept. */
--- /dev/null
+++ b/experiments/src/test/java/org/redwinghook/experiments/policy/ReplayTest.java
@@ -0,0 +1,63 @@
+package org.redwinghook.experiments.policy;
+
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards against results that differ between runs, and against requests that a replay loses. */
+public class ReplayTest {
+
+    private static final long SEED = 5;
+    private static final double LIGHT = 0.08;
+
+    @Test
+    public void twoRunsGiveTheSameTable() {
+        Assert.assertEquals(table(SEED), table(SEED));
+    }
+
+    @Test
+    public void anotherSeedGivesAnotherTable() {
+        Assert.assertNotEquals(table(SEED), table(SEED + 1));
+    }
+
+    @Test
+    public void everyRequestIsServedOrRefused() {
+        for (Policy policy : Policy.values()) {
+            PartyCounts all = replay(policy, SEED).all();
+            double sum = all.onTimePercent() + all.latePercent() + all.refusedPercent();
+            Assert.assertEquals(sum, 100, 0.001, policy.title());
+        }
+    }
+
+    @Test
+    public void traceHasLongTailAndQuickCalls() {
+        List<TracedRequest> trace = trace(SEED, 1);
+        Assert.assertTrue(trace.stream().anyMatch(request -> request.outputTokens() > 10_000));
+        Assert.assertTrue(trace.stream()
+                .filter(request -> request.kind() == RequestKind.QUICK)
+                .allMatch(request -> request.outputTokens() < 512));
+    }
+
+    private static String table(long seed) {
+        Map<Policy, Measurements> results = new EnumMap<>(Policy.class);
+        for (Policy policy : List.of(Policy.LEAST_OUTSTANDING, Policy.REDWINGHOOK)) {
+            results.put(policy, replay(policy, seed));
+        }
+        return new PolicyTable(Deployment.PARNA_MUHELY, results).markdown();
+    }
+
+    private static Measurements replay(Policy policy, long seed) {
+        return Replay.withMove(Deployment.PARNA_MUHELY, policy, trace(seed, LIGHT), seed);
+    }
+
+    private static List<TracedRequest> trace(long seed, double rateFactor) {
+        return new TraceGenerator(Deployment.PARNA_MUHELY, seed)
+                .generate(
+                        List.of(RequestKind.values()),
+                        TraceGenerator.usualCustomers(Deployment.PARNA_MUHELY),
+                        rateFactor);
+    }
+}
