--- a/core/src/main/java/org/redwinghook/core/admission/MemoryProjection.java
+++ b/core/src/main/java/org/redwinghook/core/admission/MemoryProjection.java
@@ -9,10 +9,10 @@
 final class MemoryProjection {
 
     /** Decoding steps that are projected. */
-    private static final int HORIZON_STEPS = 2048;
+    private static final int HORIZON_STEPS = 512;
 
     /** Steps that are projected together. */
-    private static final int STRIDE_STEPS = 64;
+    private static final int STRIDE_STEPS = 32;
 
     private static final int INTERVALS = HORIZON_STEPS / STRIDE_STEPS;
 
