--- a/experiments/src/main/java/org/redwinghook/experiments/ExperimentMain.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/ExperimentMain.java
@@ -1,5 +1,12 @@
 package org.redwinghook.experiments;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.redwinghook.experiments.policy.PolicyExperiment;
@@ -16,8 +23,9 @@
      * Runs an experiment and prints its report.
      *
      * @param arguments the command line
+     * @throws IOException if a plot cannot be written
      */
-    public static void main(String[] arguments) {
+    public static void main(String[] arguments) throws IOException {
         ExperimentOptions options = new ExperimentOptions();
         CmdLineParser parser = new CmdLineParser(options);
         try {
@@ -32,7 +40,9 @@
         if (!POLICY.equals(options.experiment())) {
             fail(parser, "unknown experiment '" + options.experiment() + "'");
         }
-        System.out.print(new PolicyExperiment(options.seed()).report());
+        Path plots = options.plots() == null ? null : Path.of(options.plots());
+        new PrintStream(new FileOutputStream(FileDescriptor.out), true, StandardCharsets.UTF_8)
+                .print(new PolicyExperiment(options.seed()).report(plots));
     }
 
     private static void fail(CmdLineParser parser, String problem) {
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/PolicyExperiment.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/PolicyExperiment.java
@@ -1,11 +1,15 @@
 package org.redwinghook.experiments.policy;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
 
+import org.jspecify.annotations.Nullable;
+
 /** Compares the policies on one trace of each deployment. */
 public final class PolicyExperiment {
 
@@ -23,12 +27,21 @@
     /**
      * Runs the comparison.
      *
+     * @param plots directory for plots as PNG, null for none
      * @return the report as Markdown
+     * @throws IOException if a plot cannot be written
      */
-    public String report() {
+    public String report(@Nullable Path plots) throws IOException {
+        Map<Deployment, Map<Policy, Measurements>> results = new EnumMap<>(Deployment.class);
         StringBuilder report = new StringBuilder();
         for (Deployment deployment : Deployment.values()) {
-            report.append(new PolicyTable(deployment, run(deployment)).markdown());
+            Map<Policy, Measurements> measured = run(deployment);
+            results.put(deployment, measured);
+            report.append(new PolicyTable(deployment, measured).markdown())
+                    .append(new TargetTable(measured).markdown());
+        }
+        if (plots != null) {
+            new PolicyPlots(plots).write(results);
         }
         return report.append(new FairnessExperiment(seed).markdown()).toString();
     }
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/TargetTable.java
@@ -0,0 +1,51 @@
+package org.redwinghook.experiments.policy;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** Table that says where the target is met: ahead of each baseline, and near the oracle. */
+final class TargetTable {
+
+    private static final List<Policy> BASELINES =
+            List.of(Policy.ROUND_ROBIN, Policy.LEAST_OUTSTANDING, Policy.BEST_OF_TWO, Policy.RESERVATION);
+
+    private final Map<Policy, Measurements> results;
+
+    TargetTable(Map<Policy, Measurements> results) {
+        this.results = results;
+    }
+
+    String markdown() {
+        StringBuilder table = new StringBuilder("| measure | redwinghook | oracle | within 1.25 of the oracle |");
+        BASELINES.forEach(
+                policy -> table.append(" ahead of ").append(policy.title()).append(" |"));
+        table.append("\n|---|---:|---:|---|---|---|---|---|\n");
+        for (Measure measure : Measure.values()) {
+            table.append(row(measure));
+        }
+        return table.append('\n').toString();
+    }
+
+    private String row(Measure measure) {
+        Measurements ours = results.get(Policy.REDWINGHOOK);
+        Measurements oracle = results.get(Policy.ORACLE);
+        StringBuilder row = new StringBuilder(String.format(
+                Locale.ROOT,
+                "| %s | %.1f | %.1f | %s |",
+                measure.title(),
+                measure.value(ours),
+                measure.value(oracle),
+                answer(measure.isNearOracle(ours, oracle))));
+        for (Policy baseline : BASELINES) {
+            row.append(' ')
+                    .append(answer(measure.isAhead(ours, results.get(baseline))))
+                    .append(" |");
+        }
+        return row.append('\n').toString();
+    }
+
+    private static String answer(boolean met) {
+        return met ? "yes" : "no";
+    }
+}
