Admit against the projected memory's mean plus one standard deviation

The sum of many short drafts is close to its mean, but one draft of 15,000 tokens that goes on instead of ending moves it by several percent of the memory. Change: the projection adds one standard deviation of independent generations.

--- a/core/src/main/java/org/redwinghook/core/admission/MemoryProjection.java
+++ b/core/src/main/java/org/redwinghook/core/admission/MemoryProjection.java
@@ -34,9 +34,9 @@
         if (memoryTokens == 0 || running.isEmpty()) {
             return true;
         }
-        double[] memory = memory(running);
+        ProjectedMemory memory = memory(running);
         add(memory, candidate.output(), candidate.promptTokens(), 0);
-        return peak(memory) <= bound(reserve) * memoryTokens;
+        return memory.peak() <= bound(reserve) * memoryTokens;
     }
 
     /** Whether the memory is full for long requests of any size. */
@@ -49,11 +49,11 @@
     }
 
     double share(Collection<RunningWork> running) {
-        return memoryTokens == 0 ? 0 : Math.min(1, peak(memory(running)) / memoryTokens);
+        return memoryTokens == 0 ? 0 : Math.min(1, memory(running).peak() / memoryTokens);
     }
 
-    private double[] memory(Collection<RunningWork> running) {
-        double[] memory = new double[INTERVALS];
+    private ProjectedMemory memory(Collection<RunningWork> running) {
+        ProjectedMemory memory = new ProjectedMemory(INTERVALS);
         for (RunningWork work : running) {
             add(memory, work.output(), work.item().promptTokens(), work.generated());
         }
@@ -61,7 +61,7 @@
     }
 
     /** A generation counts in an interval as alive at its start and as long as at its end, so that no peak is missed. */
-    private void add(double[] memory, OutputQuery output, int promptTokens, int generated) {
+    private void add(ProjectedMemory memory, OutputQuery output, int promptTokens, int generated) {
         for (int interval = 0; interval < INTERVALS; interval++) {
             int steps = interval * STRIDE_STEPS;
             double survival = steps == 0 ? 1 : lengths.survival(output, generated, steps);
@@ -69,15 +69,7 @@
                 return;
             }
             int tokens = Math.min(generated + steps + STRIDE_STEPS, output.maximumOutputTokens());
-            memory[interval] += survival * (promptTokens + tokens);
+            memory.add(interval, survival, promptTokens + tokens);
         }
     }
-
-    private static double peak(double[] memory) {
-        double peak = 0;
-        for (double tokens : memory) {
-            peak = Math.max(peak, tokens);
-        }
-        return peak;
-    }
 }
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/admission/ProjectedMemory.java
@@ -0,0 +1,29 @@
+package org.redwinghook.core.admission;
+
+/** Memory in tokens over the intervals of a projection, as mean and variance of independent generations. */
+final class ProjectedMemory {
+
+    /** Standard deviations above the mean; one very long draft that goes on moves the sum by more than many short ones. */
+    private static final double DEVIATIONS = 1;
+
+    private final double[] means;
+    private final double[] variances;
+
+    ProjectedMemory(int intervals) {
+        means = new double[intervals];
+        variances = new double[intervals];
+    }
+
+    void add(int interval, double survival, double tokens) {
+        means[interval] += survival * tokens;
+        variances[interval] += survival * (1 - survival) * tokens * tokens;
+    }
+
+    double peak() {
+        double peak = 0;
+        for (int interval = 0; interval < means.length; interval++) {
+            peak = Math.max(peak, means[interval] + DEVIATIONS * Math.sqrt(variances[interval]));
+        }
+        return peak;
+    }
+}
