--- a/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
@@ -1,12 +1,12 @@
 package org.redwinghook.core.admission;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
+import org.redwinghook.core.length.OutputLengths;
 import org.redwinghook.core.message.EndpointLoad;
 
 /**
@@ -15,20 +15,42 @@
  */
 public final class AdmissionController {
 
-    /** Waiting requests for each slot beyond which new ones are refused. */
+    /** Waiting requests of a class, quick or long, for each slot beyond which new ones are refused. */
     private static final int QUEUE_FACTOR = 4;
 
-    private final int concurrencyLimit;
-    private final Map<Long, WorkItem> running = new HashMap<>();
-    private final ArrayDeque<WorkItem> waiting = new ArrayDeque<>();
+    /** One slot of this many is kept free of long requests, so that a quick one finds a slot at once. */
+    private static final int SLOTS_PER_RESERVED = 8;
 
     /**
-     * Creates a controller.
+     * Tokens of one generation that count as a response in the warm-up. Otherwise two long drafts would hold a cold
+     * endpoint at its lowest limit for minutes.
+     */
+    private static final int RESPONSE_TOKENS = 64;
+
+    private final AdmissionSettings settings;
+    private final OutputLengths lengths;
+    private final WarmUpLimit limit;
+    private final MemoryProjection memory;
+    private final FairQueue queue;
+    private final HoldTime holdTime = new HoldTime();
+    private final Map<Long, RunningWork> running = new LinkedHashMap<>();
+    private int runningLong;
+    private int awaitingFirstToken;
+    private long lastTokenMillis;
+
+    /**
+     * Creates a controller for an endpoint that has just started.
      *
-     * @param concurrencyLimit requests that a warm endpoint runs at once
+     * @param settings properties of the endpoint
+     * @param lengths learned output lengths of the endpoint's service
+     * @param shares weights of owners and customers
      */
-    public AdmissionController(int concurrencyLimit) {
-        this.concurrencyLimit = concurrencyLimit;
+    public AdmissionController(AdmissionSettings settings, OutputLengths lengths, FairShares shares) {
+        this.settings = settings;
+        this.lengths = lengths;
+        this.limit = new WarmUpLimit(settings.maximumConcurrency());
+        this.memory = new MemoryProjection(settings.memoryTokens(), lengths);
+        this.queue = new FairQueue(shares);
     }
 
     /**
@@ -38,14 +60,19 @@
      * @return what happens with it
      */
     public AdmissionDecision offer(WorkItem item) {
-        if (running.size() < concurrencyLimit && waiting.isEmpty()) {
-            running.put(item.identifier(), item);
+        long nowMillis = item.arrivalMillis();
+        boolean quick = isQuick(item);
+        if (!isSilent(nowMillis) && mayOvertake(quick, nowMillis) && mayRun(item, quick)) {
+            queue.enter(item);
+            run(item, quick, nowMillis);
             return AdmissionDecision.ADMITTED;
         }
-        if (waiting.size() >= concurrencyLimit * QUEUE_FACTOR) {
+        if (!hasPlace(item, quick)
+                || nowMillis + expectedWaitMillis(quick, queue.position(item, quick)) > item.deadlineMillis()) {
             return AdmissionDecision.REFUSED;
         }
-        waiting.add(item);
+        queue.enter(item);
+        queue.add(item, quick);
         return AdmissionDecision.QUEUED;
     }
 
@@ -57,9 +84,11 @@
      */
     public List<WorkItem> admitWaiting(long nowMillis) {
         List<WorkItem> admitted = new ArrayList<>();
-        while (running.size() < concurrencyLimit && !waiting.isEmpty()) {
-            WorkItem item = waiting.remove();
-            running.put(item.identifier(), item);
+        for (Optional<WorkItem> next = nextToRun(nowMillis); next.isPresent(); next = nextToRun(nowMillis)) {
+            WorkItem item = next.get();
+            boolean quick = queue.isQuick(item);
+            queue.take(item, quick);
+            run(item, quick, nowMillis);
             admitted.add(item);
         }
         return admitted;
@@ -72,14 +101,8 @@
      * @return the removed requests
      */
     public List<WorkItem> removeExpired(long nowMillis) {
-        List<WorkItem> expired = new ArrayList<>();
-        for (Iterator<WorkItem> items = waiting.iterator(); items.hasNext(); ) {
-            WorkItem item = items.next();
-            if (item.deadlineMillis() <= nowMillis) {
-                items.remove();
-                expired.add(item);
-            }
-        }
+        List<WorkItem> expired = queue.removeExpired(nowMillis);
+        expired.forEach(queue::leave);
         return expired;
     }
 
@@ -90,17 +113,32 @@
      * @return whether it was waiting
      */
     public boolean withdraw(long identifier) {
-        return waiting.removeIf(item -> item.identifier() == identifier);
+        Optional<WorkItem> withdrawn = queue.withdraw(identifier);
+        withdrawn.ifPresent(queue::leave);
+        return withdrawn.isPresent();
     }
 
     /**
-     * Notes tokens of a running generation.
+     * Notes tokens of a running generation; the first call for a request gives its first-token time.
      *
      * @param identifier number of the request
      * @param tokens tokens that arrived together
      * @param nowMillis time of arrival
      */
-    public void tokensArrived(long identifier, int tokens, long nowMillis) {}
+    public void tokensArrived(long identifier, int tokens, long nowMillis) {
+        RunningWork work = running.get(identifier);
+        if (work == null) {
+            return;
+        }
+        noteTimes(work, nowMillis);
+        lastTokenMillis = nowMillis;
+        int responses = (work.generated() + tokens) / RESPONSE_TOKENS - work.generated() / RESPONSE_TOKENS;
+        work.addTokens(tokens, nowMillis);
+        queue.charge(work.item(), tokens);
+        for (int response = 0; response < responses; response++) {
+            limit.response(running.size());
+        }
+    }
 
     /**
      * Notes the end of a running request.
@@ -110,7 +148,23 @@
      * @param nowMillis time of the end
      */
     public void finished(long identifier, boolean whole, long nowMillis) {
-        running.remove(identifier);
+        RunningWork work = running.remove(identifier);
+        if (work == null) {
+            return;
+        }
+        runningLong -= work.quick() ? 0 : 1;
+        awaitingFirstToken -= work.awaitsFirstToken() ? 1 : 0;
+        queue.ended(work.item());
+        if (!whole) {
+            return;
+        }
+        holdTime.ended(work.quick(), nowMillis - work.startMillis());
+        if (work.generated() == 0) {
+            limit.firstToken(nowMillis - work.startMillis());
+        } else {
+            lengths.record(work.output(), work.generated());
+        }
+        limit.response(running.size() + 1);
     }
 
     /**
@@ -118,16 +172,113 @@
      *
      * @param nowMillis time of the observation
      */
-    public void endpointRestarted(long nowMillis) {}
+    public void endpointRestarted(long nowMillis) {
+        limit.turnedCold();
+    }
 
     /**
      * Load of the endpoint for routers.
      *
      * @param accepting whether new work is taken at all
      * @param nowMillis time now
-     * @return the load
+     * @return the load; its expected wait is that of a long request
      */
     public EndpointLoad load(boolean accepting, long nowMillis) {
-        return new EndpointLoad(running.size(), waiting.size(), concurrencyLimit, 0, 0, accepting);
+        return new EndpointLoad(
+                running.size(),
+                queue.size(),
+                limit.limit(),
+                memory.share(running.values()),
+                expectedWaitMillis(false, queue.size(false) + 1),
+                accepting);
+    }
+
+    /** A first-token time that includes the prefill of others says little about the endpoint and is left out. */
+    private void noteTimes(RunningWork work, long nowMillis) {
+        if (!work.awaitsFirstToken()) {
+            limit.gap(nowMillis - work.lastTokenMillis());
+            return;
+        }
+        awaitingFirstToken--;
+        if (work.startedAlone()) {
+            limit.firstToken(nowMillis - work.startMillis());
+        }
+    }
+
+    private Optional<WorkItem> nextToRun(long nowMillis) {
+        if (queue.size() == 0 || running.size() >= limit.limit() || isSilent(nowMillis)) {
+            return Optional.empty();
+        }
+        Optional<WorkItem> longer = queue.next(false, nowMillis);
+        boolean aged = queue.isAged(false, nowMillis);
+        if (aged && longer.filter(item -> mayRun(item, false)).isPresent()) {
+            return longer;
+        }
+        if (!aged || quickSlotReserved()) {
+            Optional<WorkItem> quick = queue.next(true, nowMillis).filter(item -> mayRun(item, true));
+            if (quick.isPresent()) {
+                return quick;
+            }
+        }
+        return aged ? Optional.empty() : longer.filter(item -> mayRun(item, false));
+    }
+
+    /** Whether generations decode but no token came for too long; new work would meet an endpoint that turned cold. */
+    private boolean isSilent(long nowMillis) {
+        return running.size() > awaitingFirstToken && limit.isSilent(nowMillis - lastTokenMillis);
+    }
+
+    /** Whether a new request may start although others wait. */
+    private boolean mayOvertake(boolean quick, long nowMillis) {
+        if (queue.size() == 0) {
+            return true;
+        }
+        return quick && queue.size(true) == 0 && (!queue.isAged(false, nowMillis) || quickSlotReserved());
+    }
+
+    /** While an aged request waits for memory, quick ones use reserved slots only, so that they do not keep it full. */
+    private boolean quickSlotReserved() {
+        return running.size() - runningLong < reservedSlots();
+    }
+
+    /** A full queue still takes requests of customers that have less than their part of it. */
+    private boolean hasPlace(WorkItem item, boolean quick) {
+        int places = limit.limit() * QUEUE_FACTOR;
+        int waiting = queue.size(quick);
+        return waiting < places || waiting < 2 * places && queue.hasPlace(item, quick, places);
+    }
+
+    /** Quick requests and those of an owner that is crowded out may use the reserves of slots and memory. */
+    private boolean mayRun(WorkItem item, boolean quick) {
+        boolean reserve = quick || queue.isBelowShare(item);
+        int slots = reserve ? limit.limit() : limit.limit() - reservedSlots();
+        return running.size() < limit.limit()
+                && (quick || runningLong < slots)
+                && memory.fits(running.values(), item, reserve);
+    }
+
+    private int reservedSlots() {
+        return limit.limit() / SLOTS_PER_RESERVED;
+    }
+
+    private void run(WorkItem item, boolean quick, long nowMillis) {
+        running.put(item.identifier(), new RunningWork(item, quick, awaitingFirstToken == 0, nowMillis));
+        awaitingFirstToken++;
+        runningLong += quick ? 0 : 1;
+        queue.started(item);
+        queue.charge(item, Math.max(1, item.promptTokens()));
+    }
+
+    private boolean isQuick(WorkItem item) {
+        return lengths.expectedRemaining(item.output(), 0) <= settings.quickTokens();
+    }
+
+    private long expectedWaitMillis(boolean quick, int position) {
+        boolean slotFree = running.size() < limit.limit() && (quick || runningLong < limit.limit() - reservedSlots());
+        if (queue.size(quick) == 0 && slotFree && (quick || !memory.isFull(running.values()))) {
+            return 0;
+        }
+        int slots = Math.min(limit.limit(), running.size());
+        return quick ? holdTime.waitMillis(position, 0, slots) : holdTime.waitMillis(queue.size(true), position, slots);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/admission/FairQueue.java
@@ -0,0 +1,257 @@
+package org.redwinghook.core.admission;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Weighted fair queue by owner, then by customer, on tokens served. Inside one owner, customers with a lower priority
+ * number go first; a priority never acts across owners, since an owner could raise its own.
+ */
+final class FairQueue {
+
+    /** Idle customers above this number are forgotten. */
+    private static final int MOST_CUSTOMERS = 4_096;
+
+    /** Wait after which a long request goes before quick ones and its customer's priority no longer counts. */
+    private static final long AGEING_MILLIS = 2_000;
+
+    /** Part of its share below which an owner counts as crowded out. */
+    private static final double LOW_SHARE = 0.5;
+
+    private final FairShares shares;
+    private final Map<String, Share> owners = new HashMap<>();
+    private final Map<CustomerKey, CustomerQueue> customers = new LinkedHashMap<>();
+    private double ownerTime;
+    private int running;
+    private int quickSize;
+    private int longSize;
+
+    FairQueue(FairShares shares) {
+        this.shares = shares;
+    }
+
+    int size(boolean quick) {
+        return quick ? quickSize : longSize;
+    }
+
+    int size() {
+        return quickSize + longSize;
+    }
+
+    /** Counts a request in; it stays present until {@link #leave}, also while it runs. */
+    void enter(WorkItem item) {
+        CustomerQueue queue =
+                customers.computeIfAbsent(key(item), ignored -> new CustomerQueue(item.owner(), item.customer()));
+        Share owner = owners.computeIfAbsent(item.owner(), ignored -> new Share());
+        owner.enter(ownerTime);
+        queue.share().enter(owner.innerTime());
+    }
+
+    void leave(WorkItem item) {
+        queueOf(item).share().leave();
+        owners.get(item.owner()).leave();
+        if (customers.size() > MOST_CUSTOMERS) {
+            customers.values().removeIf(queue -> queue.share().idle());
+        }
+    }
+
+    void add(WorkItem item, boolean quick) {
+        queueOf(item).items(quick).add(item);
+        count(quick, 1);
+    }
+
+    void charge(WorkItem item, double tokens) {
+        queueOf(item).share().charge(tokens, shares.customerWeight(item.customer()));
+        owners.get(item.owner()).charge(tokens, shares.ownerWeight(item.owner()));
+    }
+
+    /** The request that is next by fairness. */
+    Optional<WorkItem> next(boolean quick, long nowMillis) {
+        Comparator<CustomerQueue> order = order(quick, nowMillis);
+        CustomerQueue best = null;
+        for (CustomerQueue queue : customers.values()) {
+            if (!queue.items(quick).isEmpty() && (best == null || order.compare(queue, best) < 0)) {
+                best = queue;
+            }
+        }
+        return best == null ? Optional.empty() : Optional.of(best.items(quick).element());
+    }
+
+    /** Counts a request in as running. */
+    void started(WorkItem item) {
+        owners.get(item.owner()).countRunning(1);
+        running++;
+    }
+
+    /** Counts a running request out. */
+    void ended(WorkItem item) {
+        owners.get(item.owner()).countRunning(-1);
+        running--;
+        leave(item);
+    }
+
+    /** Whether the request's owner runs less than half of what its weight entitles it to. */
+    boolean isBelowShare(WorkItem item) {
+        double weights = 0;
+        int ownRunning = 0;
+        for (Map.Entry<String, Share> owner : owners.entrySet()) {
+            boolean own = owner.getKey().equals(item.owner());
+            weights += own || !owner.getValue().idle() ? shares.ownerWeight(owner.getKey()) : 0;
+            ownRunning += own ? owner.getValue().running() : 0;
+        }
+        return ownRunning < LOW_SHARE * running * shares.ownerWeight(item.owner()) / weights;
+    }
+
+    /** Requests that are served up to and including a new one, if parties alternate. */
+    int position(WorkItem item, boolean quick) {
+        return Math.min(size(quick) + 1, (waitingOf(item, quick) + 1) * parties(item, quick));
+    }
+
+    /** Whether the request's customer has less than its part of a number of places. */
+    boolean hasPlace(WorkItem item, boolean quick, int places) {
+        return waitingOf(item, quick) < places / parties(item, quick);
+    }
+
+    private int waitingOf(WorkItem item, boolean quick) {
+        CustomerQueue queue = customers.get(key(item));
+        return queue == null ? 0 : queue.items(quick).size();
+    }
+
+    /** Customers that an equal share is divided by: those of the owner times the owners. */
+    private int parties(WorkItem item, boolean quick) {
+        Set<String> waitingOwners = new HashSet<>(Set.of(item.owner()));
+        Set<String> ownersCustomers = new HashSet<>(Set.of(item.customer()));
+        for (CustomerQueue queue : customers.values()) {
+            if (queue.items(quick).isEmpty()) {
+                continue;
+            }
+            waitingOwners.add(queue.owner());
+            if (queue.owner().equals(item.owner())) {
+                ownersCustomers.add(queue.customer());
+            }
+        }
+        return waitingOwners.size() * ownersCustomers.size();
+    }
+
+    /** Whether a request of the class has waited so long that the class goes first. */
+    boolean isAged(boolean quick, long nowMillis) {
+        return customers.values().stream()
+                .map(queue -> queue.items(quick).peek())
+                .anyMatch(item -> item != null && isAged(item, nowMillis));
+    }
+
+    /** Whether a waiting request was added as quick; what is learned since then does not move it. */
+    boolean isQuick(WorkItem item) {
+        return queueOf(item).items(true).contains(item);
+    }
+
+    /** Takes a request out to run it. */
+    void take(WorkItem item, boolean quick) {
+        CustomerQueue queue = queueOf(item);
+        if (queue.items(quick).remove(item)) {
+            count(quick, -1);
+        }
+        Share owner = owners.get(item.owner());
+        ownerTime = Math.max(ownerTime, owner.servedPerWeight());
+        owner.innerServed(queue.share().servedPerWeight());
+    }
+
+    Optional<WorkItem> withdraw(long identifier) {
+        for (boolean quick : new boolean[] {true, false}) {
+            List<WorkItem> removed = removeFrom(quick, identifier);
+            if (!removed.isEmpty()) {
+                return Optional.of(removed.get(0));
+            }
+        }
+        return Optional.empty();
+    }
+
+    List<WorkItem> removeExpired(long nowMillis) {
+        List<WorkItem> expired = new ArrayList<>();
+        for (boolean quick : new boolean[] {true, false}) {
+            for (CustomerQueue queue : customers.values()) {
+                expired.addAll(removeExpired(queue.items(quick), nowMillis));
+            }
+        }
+        quickSize = count(true);
+        longSize = count(false);
+        return expired;
+    }
+
+    private List<WorkItem> removeFrom(boolean quick, long identifier) {
+        List<WorkItem> removed = new ArrayList<>();
+        for (CustomerQueue queue : customers.values()) {
+            for (Iterator<WorkItem> items = queue.items(quick).iterator(); items.hasNext(); ) {
+                WorkItem item = items.next();
+                if (item.identifier() == identifier) {
+                    items.remove();
+                    count(quick, -1);
+                    removed.add(item);
+                }
+            }
+        }
+        return removed;
+    }
+
+    private static List<WorkItem> removeExpired(Collection<WorkItem> items, long nowMillis) {
+        List<WorkItem> expired = new ArrayList<>();
+        for (Iterator<WorkItem> iterator = items.iterator(); iterator.hasNext(); ) {
+            WorkItem item = iterator.next();
+            if (item.deadlineMillis() <= nowMillis) {
+                iterator.remove();
+                expired.add(item);
+            }
+        }
+        return expired;
+    }
+
+    private Comparator<CustomerQueue> order(boolean quick, long nowMillis) {
+        return Comparator.comparingDouble(
+                        (CustomerQueue queue) -> owners.get(queue.owner()).servedPerWeight())
+                .thenComparing(CustomerQueue::owner)
+                .thenComparingInt(queue -> priority(queue.items(quick).element(), nowMillis))
+                .thenComparingDouble(queue -> queue.share().servedPerWeight())
+                .thenComparing(CustomerQueue::customer);
+    }
+
+    private static int priority(WorkItem item, long nowMillis) {
+        return isAged(item, nowMillis) ? Integer.MIN_VALUE : item.priority();
+    }
+
+    private static boolean isAged(WorkItem item, long nowMillis) {
+        return nowMillis - item.arrivalMillis() >= AGEING_MILLIS;
+    }
+
+    private CustomerQueue queueOf(WorkItem item) {
+        return customers.get(key(item));
+    }
+
+    private void count(boolean quick, int difference) {
+        if (quick) {
+            quickSize += difference;
+        } else {
+            longSize += difference;
+        }
+    }
+
+    private int count(boolean quick) {
+        return customers.values().stream()
+                .mapToInt(queue -> queue.items(quick).size())
+                .sum();
+    }
+
+    private static CustomerKey key(WorkItem item) {
+        return new CustomerKey(item.owner(), item.customer());
+    }
+
+    private record CustomerKey(String owner, String customer) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/admission/RunningWork.java
@@ -0,0 +1,64 @@
+package org.redwinghook.core.admission;
+
+import org.redwinghook.core.length.OutputQuery;
+
+/** A request at the endpoint with its progress. */
+final class RunningWork {
+
+    /** Time of a token that has not arrived. */
+    static final long NONE = Long.MIN_VALUE;
+
+    private final WorkItem item;
+    private final OutputQuery output;
+    private final boolean quick;
+    private final boolean alone;
+    private final long startMillis;
+    private int generated;
+    private long lastTokenMillis = NONE;
+
+    RunningWork(WorkItem item, boolean quick, boolean alone, long startMillis) {
+        this.item = item;
+        this.output = item.output();
+        this.quick = quick;
+        this.alone = alone;
+        this.startMillis = startMillis;
+    }
+
+    WorkItem item() {
+        return item;
+    }
+
+    OutputQuery output() {
+        return output;
+    }
+
+    boolean quick() {
+        return quick;
+    }
+
+    /** Whether no other generation waited for its first token when this one started. */
+    boolean startedAlone() {
+        return alone;
+    }
+
+    boolean awaitsFirstToken() {
+        return lastTokenMillis == NONE;
+    }
+
+    long startMillis() {
+        return startMillis;
+    }
+
+    int generated() {
+        return generated;
+    }
+
+    long lastTokenMillis() {
+        return lastTokenMillis;
+    }
+
+    void addTokens(int tokens, long nowMillis) {
+        generated += tokens;
+        lastTokenMillis = nowMillis;
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/PolicyExperiment.java
@@ -0,0 +1,59 @@
+package org.redwinghook.experiments.policy;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+import org.jspecify.annotations.Nullable;
+
+/** Compares the policies on one trace of each deployment. */
+public final class PolicyExperiment {
+
+    private final long seed;
+
+    /**
+     * Creates an experiment.
+     *
+     * @param seed seed of all traces
+     */
+    public PolicyExperiment(long seed) {
+        this.seed = seed;
+    }
+
+    /**
+     * Runs the comparison.
+     *
+     * @param plots directory for plots as PNG, null for none
+     * @return the report as Markdown
+     * @throws IOException if a plot cannot be written
+     */
+    public String report(@Nullable Path plots) throws IOException {
+        Map<Deployment, Map<Policy, Measurements>> results = new EnumMap<>(Deployment.class);
+        StringBuilder report = new StringBuilder();
+        for (Deployment deployment : Deployment.values()) {
+            Map<Policy, Measurements> measured = run(deployment);
+            results.put(deployment, measured);
+            report.append(new PolicyTable(deployment, measured).markdown())
+                    .append(new TargetTable(measured).markdown());
+        }
+        if (plots != null) {
+            new PolicyPlots(plots).write(results);
+        }
+        return report.append(new FairnessExperiment(seed).markdown()).toString();
+    }
+
+    Map<Policy, Measurements> run(Deployment deployment) {
+        List<TracedRequest> trace = new TraceGenerator(deployment, seed)
+                .generate(List.of(RequestKind.values()), TraceGenerator.usualCustomers(deployment), 1);
+        // The replays share nothing but the immutable trace, so that the order in which they end changes no figure.
+        Map<Policy, Measurements> results = Arrays.stream(Policy.values())
+                .parallel()
+                .collect(
+                        Collectors.toMap(policy -> policy, policy -> Replay.withMove(deployment, policy, trace, seed)));
+        return new EnumMap<>(results);
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/RouterProcess.java
+++ b/router/src/main/java/org/redwinghook/router/RouterProcess.java
@@ -19,10 +19,10 @@
 import org.redwinghook.router.caller.CallerServer;
 import org.redwinghook.router.caller.CompletionHandler;
 import org.redwinghook.router.caller.ServiceCallHandler;
+import org.redwinghook.router.endpoint.BudgetedRetries;
 import org.redwinghook.router.endpoint.ConnectionSetup;
 import org.redwinghook.router.endpoint.DeliveryContext;
 import org.redwinghook.router.endpoint.EndpointDirectory;
-import org.redwinghook.router.endpoint.RetryPermission;
 import org.redwinghook.router.endpoint.RunningDeliveries;
 import org.redwinghook.router.limit.QuotaClient;
 import org.redwinghook.router.limit.RequestLimits;
@@ -62,7 +62,6 @@
     private volatile int peerPort;
     private boolean accepting = true;
     private int callerPort;
-    private int peerPort;
 
     /**
      * Creates a router.
@@ -99,7 +98,7 @@
                 vertx,
                 new VmListClient(vertx, settings.shared().vmList()),
                 configuration,
-                settings.shared().dataCentre(),
+                settings.shared(),
                 new ConnectionSetup(codec, wireMetrics, this::hello, settings.timing(), metrics, configuration));
         MessageDispatcher dispatcher = new MessageDispatcher();
         peers = new RouterPeers(
@@ -124,7 +123,7 @@
                 vertx,
                 directory,
                 new EndpointSelector(bound -> ThreadLocalRandom.current().nextInt(bound)),
-                RetryPermission.UNLIMITED,
+                new BudgetedRetries(configuration),
                 settings.timing(),
                 metrics,
                 running);
@@ -240,24 +239,6 @@
         return new RouterState(incarnation, accepting, callers.running(), running.size());
     }
 
-    /**
-     * Port that other processes connect to.
-     *
-     * @return the port, 0 before the start
-     */
-    public int peerPort() {
-        return peerPort;
-    }
-
-    /**
-     * Port that operators connect to.
-     *
-     * @return the port, 0 before the start
-     */
-    public int adminPort() {
-        return admin.port();
-    }
-
     private Hello hello() {
         return new Hello(
                 PROTOCOL_VERSION,
--- a/router/src/main/java/org/redwinghook/router/call/CallDelivery.java
+++ b/router/src/main/java/org/redwinghook/router/call/CallDelivery.java
@@ -103,7 +103,7 @@
             RoutingQuery next = new RoutingQuery(query.affinityHash(), query.pinned(), 0, tried);
             Optional<EndpointView> chosen =
                     context.selector().select(context.directory().views(template.service()), next);
-            if (chosen.isEmpty() || (attempts > 0 && !context.retries().tryRetry())) {
+            if (chosen.isEmpty() || (attempts > 0 && !context.retries().tryRetry(attempts))) {
                 break;
             }
             if (attempts > 0) {
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/endpoint/BudgetedRetries.java
@@ -0,0 +1,51 @@
+package org.redwinghook.router.endpoint;
+
+import java.util.concurrent.TimeUnit;
+
+import org.redwinghook.core.config.Configuration;
+import org.redwinghook.core.config.Rules;
+import org.redwinghook.core.routing.RetryBudget;
+import org.redwinghook.runtime.config.ConfigurationSource;
+
+/** Limits retries to the share of requests that the configuration allows. */
+public final class BudgetedRetries implements RetryPermission {
+
+    private Rules rules;
+    private RetryBudget budget;
+
+    /**
+     * Creates a permission that follows the configuration.
+     *
+     * @param configuration the configuration in force
+     */
+    public BudgetedRetries(ConfigurationSource configuration) {
+        rules = configuration.current().rules();
+        budget = budgetOf(rules);
+        configuration.onChange(this::changed);
+    }
+
+    @Override
+    public void requestStarted() {
+        budget.requestStarted(nowMillis());
+    }
+
+    @Override
+    public boolean tryRetry(int attempts) {
+        return budget.tryRetry(attempts, nowMillis());
+    }
+
+    private void changed(Configuration configuration) {
+        if (!configuration.rules().equals(rules)) {
+            rules = configuration.rules();
+            budget = budgetOf(rules);
+        }
+    }
+
+    private static RetryBudget budgetOf(Rules rules) {
+        return new RetryBudget(rules.attempts(), rules.retryShare());
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
@@ -15,10 +15,12 @@
 import org.redwinghook.core.config.Configuration;
 import org.redwinghook.core.membership.Member;
 import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.routing.EndpointSubset;
 import org.redwinghook.core.routing.EndpointView;
 import org.redwinghook.runtime.admin.StateSource;
 import org.redwinghook.runtime.config.ConfigurationSource;
 import org.redwinghook.runtime.platform.VmListClient;
+import org.redwinghook.runtime.settings.ProcessSettings;
 
 /** Keeps connections to the sidecars that the VM list names. */
 public final class EndpointDirectory implements StateSource {
@@ -30,7 +32,7 @@
     private final Vertx vertx;
     private final VmListClient vmList;
     private final ConfigurationSource configuration;
-    private final String ownDataCentre;
+    private final ProcessSettings self;
     private final ConnectionSetup setup;
     private final NetClient client;
     private final Map<String, EndpointConnection> connections = new HashMap<>();
@@ -45,19 +47,19 @@
      * @param vertx runs timers
      * @param vmList the platform's list
      * @param configuration the configuration in force
-     * @param ownDataCentre data centre of this router
+     * @param self name and data centre of this router
      * @param setup what all connections share
      */
     public EndpointDirectory(
             Vertx vertx,
             VmListClient vmList,
             ConfigurationSource configuration,
-            String ownDataCentre,
+            ProcessSettings self,
             ConnectionSetup setup) {
         this.vertx = vertx;
         this.vmList = vmList;
         this.configuration = configuration;
-        this.ownDataCentre = ownDataCentre;
+        this.self = self;
         this.setup = setup;
         this.client = vertx.createNetClient(
                 new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setTcpNoDelay(true));
@@ -89,7 +91,7 @@
      */
     public List<EndpointView> views(String service) {
         Configuration current = configuration.current();
-        String ownRegion = current.regionOf(ownDataCentre);
+        String ownRegion = current.regionOf(self.dataCentre());
         List<EndpointView> views = new ArrayList<>();
         for (EndpointConnection connection : connections.values()) {
             Member member = connection.member();
@@ -111,12 +113,18 @@
     }
 
     /**
-     * Connection to an endpoint.
+     * Connection to an endpoint. One outside this router's subset is opened now, for a caller that resumes a generation
+     * there, and closed again when nothing uses it.
      *
      * @param vm name of the endpoint's VM
      * @return the connection, empty if the VM is not known
      */
     public Optional<EndpointConnection> connection(String vm) {
+        for (Member member : members) {
+            if (!connections.containsKey(vm) && member.vm().equals(vm) && member.role() == ProcessRole.SIDECAR) {
+                keep(member);
+            }
+        }
         return Optional.ofNullable(connections.get(vm));
     }
 
@@ -163,21 +171,51 @@
         listRead = true;
         members = current;
         listeners.forEach(listener -> listener.accept(current));
-        Set<String> present = new HashSet<>();
+        Set<String> wanted = wanted();
         for (Member member : current) {
-            if (member.role() != ProcessRole.SIDECAR) {
-                continue;
+            if (wanted.contains(member.vm()) || connections.containsKey(member.vm())) {
+                keep(member);
             }
-            present.add(member.vm());
-            keep(member);
         }
         for (String vm : Set.copyOf(connections.keySet())) {
-            if (!present.contains(vm) && connections.get(vm).outstanding() == 0) {
+            if (!wanted.contains(vm) && connections.get(vm).outstanding() == 0) {
                 connections.remove(vm).close();
             }
         }
     }
 
+    /**
+     * VMs of this router's subset of each service's endpoints in each region. The subset of all endpoints hears the
+     * configuration, even where operators have taken everything out; the subset of those that take new work serves.
+     */
+    private Set<String> wanted() {
+        Configuration current = configuration.current();
+        Set<String> wanted = new HashSet<>(subset(current, members));
+        wanted.addAll(subset(
+                current,
+                members.stream()
+                        .filter(member -> !member.leaving() && current.takesNewWork(member.dataCentre(), member.vm()))
+                        .toList()));
+        return wanted;
+    }
+
+    private Set<String> subset(Configuration current, List<Member> candidates) {
+        String ownRegion = current.regionOf(self.dataCentre());
+        Map<ServiceRegion, List<String>> endpoints = new HashMap<>();
+        for (Member member : candidates) {
+            if (member.role() == ProcessRole.SIDECAR && member.service() != null) {
+                ServiceRegion place = new ServiceRegion(member.service(), current.regionOf(member.dataCentre()));
+                endpoints.computeIfAbsent(place, ignored -> new ArrayList<>()).add(member.vm());
+            }
+        }
+        Set<String> chosen = new HashSet<>();
+        endpoints.forEach((place, vms) -> {
+            int size = place.region().equals(ownRegion) ? EndpointSubset.SIZE : EndpointSubset.REMOTE_SIZE;
+            chosen.addAll(EndpointSubset.choose(self.process(), vms, size));
+        });
+        return chosen;
+    }
+
     private void keep(Member member) {
         EndpointConnection known = connections.get(member.vm());
         if (known != null
@@ -195,4 +233,6 @@
     }
 
     private record EndpointState(String vm, int outstanding, boolean connected) {}
+
+    private record ServiceRegion(String service, String region) {}
 }
--- a/router/src/main/java/org/redwinghook/router/generation/GenerationDelivery.java
+++ b/router/src/main/java/org/redwinghook/router/generation/GenerationDelivery.java
@@ -179,7 +179,7 @@
             RoutingQuery query = new RoutingQuery(affinityHash, false, promptTokens(request), tried);
             Optional<EndpointView> chosen =
                     context.selector().select(context.directory().views(request.service()), query);
-            if (chosen.isEmpty() || (attempts > 0 && !context.retries().tryRetry())) {
+            if (chosen.isEmpty() || (attempts > 0 && !context.retries().tryRetry(attempts))) {
                 break;
             }
             if (attempts > 0) {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -10,9 +10,11 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import org.redwinghook.core.admission.AdmissionController;
+import org.redwinghook.core.admission.AdmissionSettings;
 import org.redwinghook.core.config.Configuration;
 import org.redwinghook.core.config.ServiceKind;
 import org.redwinghook.core.kernel.ServiceRegistry;
+import org.redwinghook.core.length.LearnedLengths;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.once.ExecutorIdentity;
@@ -40,6 +42,7 @@
 import org.redwinghook.sidecar.once.OnceContext;
 import org.redwinghook.sidecar.once.OnceMetrics;
 import org.redwinghook.sidecar.once.OnceService;
+import org.redwinghook.sidecar.peer.ConfiguredShares;
 import org.redwinghook.sidecar.peer.EndpointGate;
 import org.redwinghook.sidecar.peer.EndpointServices;
 import org.redwinghook.sidecar.peer.RouterSession;
@@ -102,7 +105,7 @@
         this.settings = settings;
         this.configuration = configuration;
         ServiceRegistry services = new ServiceRegistry();
-        gate = new EndpointGate(vertx, new AdmissionController(settings.concurrency()));
+        gate = new EndpointGate(vertx, admission(settings, configuration));
         EngineClient engine = new EngineClient(vertx, settings.endpoint());
         UsageLedger ledger = new UsageLedger(settings.shared().process(), incarnation);
         EndpointUsage counts = new EndpointUsage(ledger, settings.service());
@@ -217,6 +220,14 @@
         new RouterSession(vertx, connection, this::hello, endpoint);
     }
 
+    private static AdmissionController admission(SidecarSettings settings, ConfigurationService configuration) {
+        int quickTokens = configuration.current().rules().quickTokens();
+        return new AdmissionController(
+                new AdmissionSettings(settings.concurrency(), settings.memoryTokens(), quickTokens),
+                new LearnedLengths(quickTokens),
+                new ConfiguredShares(configuration));
+    }
+
     private Hello hello() {
         return new Hello(
                 PROTOCOL_VERSION,
--- a/sidecar/src/test/java/org/redwinghook/sidecar/SidecarUnderTest.java
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/SidecarUnderTest.java
@@ -28,7 +28,7 @@
             String name, ServiceKind kind, int endpoint, int log, int vmList, long resumeWindow, long drainTimeout) {
         ProcessSettings shared = new ProcessSettings(
                 name, "dc", ANY, ANY, address(log), address(vmList), LOG_RETENTION_MILLIS, drainTimeout);
-        SidecarSettings settings = new SidecarSettings(shared, SERVICE, kind, address(endpoint), 32);
+        SidecarSettings settings = new SidecarSettings(shared, SERVICE, kind, address(endpoint), 32, 0);
         Rules usual = Rules.DEFAULT;
         Rules rules = new Rules(
                 usual.retryShare(),
--- a/system-tests/src/test/java/org/redwinghook/systemtests/ConfigurationSystemTest.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/ConfigurationSystemTest.java
@@ -166,7 +166,7 @@
                         return router;
                     }
                     Address noEngine = new Address(HOST, vmListPort);
-                    SidecarSettings settings = new SidecarSettings(shared, "copy", ServiceKind.ENGINE, noEngine, 4);
+                    SidecarSettings settings = new SidecarSettings(shared, "copy", ServiceKind.ENGINE, noEngine, 4, 0);
                     SidecarProcess sidecar = new SidecarProcess(inner, settings, follower, metrics);
                     started.set(new Vm(name, role, sidecar::peerPort, sidecar::adminPort));
                     return sidecar;
