Select endpoints for calls and generations in one place

CallDelivery and GenerationDelivery each had the same loop over endpoints, attempts and the retry budget; EndpointCandidates now holds it. Keyed calls are routed by their partition, as the design says, and no longer by the key alone: by the key, each sidecar appended to all 16 partitions of a service.

--- a/router/src/main/java/org/redwinghook/router/call/CallDelivery.java
+++ b/router/src/main/java/org/redwinghook/router/call/CallDelivery.java
@@ -1,8 +1,6 @@
 package org.redwinghook.router.call;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
@@ -13,9 +11,8 @@
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.core.message.Refused;
 import org.redwinghook.core.message.Submit;
-import org.redwinghook.core.routing.EndpointView;
-import org.redwinghook.core.routing.RoutingQuery;
 import org.redwinghook.router.endpoint.DeliveryContext;
+import org.redwinghook.router.endpoint.EndpointCandidates;
 import org.redwinghook.router.endpoint.EndpointConnection;
 import org.redwinghook.router.endpoint.ExchangeListener;
 
@@ -31,13 +28,10 @@
     private final DeliveryContext context;
     private final Submit template;
     private final CallRequest call;
-    private final RoutingQuery query;
-    private final int mostAttempts;
+    private final EndpointCandidates candidates;
     private final CallSink sink;
-    private final Set<String> tried = new HashSet<>();
     private final long startedNanos = System.nanoTime();
     private long timeoutTimer;
-    private int attempts;
     private boolean mayHaveRun;
     private boolean ended;
     private @Nullable Attempt current;
@@ -49,22 +43,15 @@
      * @param context what all deliveries share
      * @param template request; its exchange number and timeout are set at each attempt
      * @param call the call
-     * @param query how to select the first endpoint
-     * @param mostAttempts attempts allowed
+     * @param candidates endpoints that the call may try
      * @param sink the caller
      */
     public CallDelivery(
-            DeliveryContext context,
-            Submit template,
-            CallRequest call,
-            RoutingQuery query,
-            int mostAttempts,
-            CallSink sink) {
+            DeliveryContext context, Submit template, CallRequest call, EndpointCandidates candidates, CallSink sink) {
         this.context = context;
         this.template = template;
         this.call = call;
-        this.query = query;
-        this.mostAttempts = mostAttempts;
+        this.candidates = candidates;
         this.sink = sink;
     }
 
@@ -72,7 +59,6 @@
     public void start() {
         context.metrics().callRequested();
         context.running().add(this, this::abort);
-        context.retries().requestStarted();
         long timeoutMillis = template.timeoutMillis() + context.timing().graceMillis();
         timeoutTimer = context.vertx().setTimer(timeoutMillis, ignored -> abort("no answer arrived in time"));
         tryEndpoints();
@@ -99,19 +85,8 @@
     }
 
     private void tryEndpoints() {
-        while (attempts < mostAttempts) {
-            RoutingQuery next = new RoutingQuery(query.affinityHash(), query.pinned(), 0, tried);
-            Optional<EndpointView> chosen =
-                    context.selector().select(context.directory().views(template.service()), next);
-            if (chosen.isEmpty() || (attempts > 0 && !context.retries().tryRetry(attempts))) {
-                break;
-            }
-            if (attempts > 0) {
-                context.metrics().retried();
-            }
-            tried.add(chosen.get().vm());
-            attempts++;
-            if (submitTo(chosen.get().vm())) {
+        for (var next = candidates.next(); next.isPresent(); next = candidates.next()) {
+            if (submitTo(next.get())) {
                 return;
             }
         }
@@ -122,11 +97,7 @@
         }
     }
 
-    private boolean submitTo(String vm) {
-        EndpointConnection connection = context.directory().connection(vm).orElse(null);
-        if (connection == null) {
-            return false;
-        }
+    private boolean submitTo(EndpointConnection connection) {
         Attempt attempt = new Attempt(connection);
         Optional<Long> exchange = connection.start(attempt, this::submit);
         if (exchange.isEmpty()) {
--- a/router/src/main/java/org/redwinghook/router/caller/CompletionHandler.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CompletionHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import io.vavr.control.Either;
 import io.vertx.ext.web.RoutingContext;
@@ -13,8 +14,10 @@
 import org.redwinghook.core.message.GenerationRequest;
 import org.redwinghook.core.message.Submit;
 import org.redwinghook.core.routing.RendezvousHash;
+import org.redwinghook.core.routing.RoutingQuery;
 import org.redwinghook.core.stream.EventId;
 import org.redwinghook.router.endpoint.DeliveryContext;
+import org.redwinghook.router.endpoint.EndpointCandidates;
 import org.redwinghook.router.endpoint.EndpointConnection;
 import org.redwinghook.router.generation.GenerationDelivery;
 import org.redwinghook.router.generation.GenerationSink;
@@ -165,10 +168,16 @@
         streamed.onSocketTook(delivery::socketTook);
         whole.onCollected(delivery::socketTook);
         response.http().closeHandler(ignored -> delivery.callerGone());
+        GenerationRequest generation = submit.generation();
+        RoutingQuery query = new RoutingQuery(
+                RendezvousHash.hash(prefix), false, generation == null ? 0 : generation.promptTokens(), Set.of());
         delivery.start(
                 submit,
-                RendezvousHash.hash(prefix),
-                configuration.current().rules().attempts());
+                new EndpointCandidates(
+                        deliveries,
+                        submit.service(),
+                        query,
+                        configuration.current().rules().attempts()));
     }
 
     private void resume(
--- a/router/src/main/java/org/redwinghook/router/caller/ServiceCallHandler.java
+++ b/router/src/main/java/org/redwinghook/router/caller/ServiceCallHandler.java
@@ -16,11 +16,13 @@
 import org.redwinghook.core.message.CallRequest;
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.core.message.Submit;
+import org.redwinghook.core.once.OperationKey;
 import org.redwinghook.core.routing.RendezvousHash;
 import org.redwinghook.core.routing.RoutingQuery;
 import org.redwinghook.router.call.CallDelivery;
 import org.redwinghook.router.call.CallSink;
 import org.redwinghook.router.endpoint.DeliveryContext;
+import org.redwinghook.router.endpoint.EndpointCandidates;
 import org.redwinghook.router.limit.RequestLimits;
 import org.redwinghook.runtime.config.ConfigurationSource;
 
@@ -121,9 +123,13 @@
             CallRequest call,
             RoutingQuery query,
             RequestLimits.Admission admission) {
-        int attempts = configuration.current().rules().attempts();
+        EndpointCandidates candidates = new EndpointCandidates(
+                deliveries,
+                submit.service(),
+                query,
+                configuration.current().rules().attempts());
         CallDelivery delivery =
-                new CallDelivery(deliveries, submit, call, query, attempts, admission.metered(new Sink(response)));
+                new CallDelivery(deliveries, submit, call, candidates, admission.metered(new Sink(response)));
         response.http().closeHandler(ignored -> delivery.callerGone());
         delivery.start();
     }
@@ -133,7 +139,9 @@
         if (key == null || call.idempotent()) {
             return new RoutingQuery(0, false, 0, Set.of());
         }
-        return new RoutingQuery(RendezvousHash.hash(customer.name() + "\n" + key), true, 0, Set.of());
+        // Keys of one partition go to one sidecar, so that it commits them in groups; safety does not depend on it.
+        int partition = new OperationKey(customer.name(), key).partition();
+        return new RoutingQuery(RendezvousHash.hash("partition " + partition), true, 0, Set.of());
     }
 
     private static CallRequest call(HttpServerRequest request, String path, Service service, @Nullable Buffer body) {
--- a/router/src/main/java/org/redwinghook/router/generation/GenerationDelivery.java
+++ b/router/src/main/java/org/redwinghook/router/generation/GenerationDelivery.java
@@ -1,9 +1,7 @@
 package org.redwinghook.router.generation;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.vavr.control.Either;
@@ -18,11 +16,10 @@
 import org.redwinghook.core.message.Resume;
 import org.redwinghook.core.message.Submit;
 import org.redwinghook.core.message.Tokens;
-import org.redwinghook.core.routing.EndpointView;
-import org.redwinghook.core.routing.RoutingQuery;
 import org.redwinghook.core.stream.DeliveryCursor;
 import org.redwinghook.core.stream.EventId;
 import org.redwinghook.router.endpoint.DeliveryContext;
+import org.redwinghook.router.endpoint.EndpointCandidates;
 import org.redwinghook.router.endpoint.EndpointConnection;
 import org.redwinghook.router.endpoint.ExchangeListener;
 
@@ -44,14 +41,11 @@
     private final DeliveryContext context;
     private final String customer;
     private final GenerationSink sink;
-    private final Set<String> tried = new HashSet<>();
     private final long startedNanos = System.nanoTime();
     private @Nullable Submit template;
-    private long affinityHash;
-    private int mostAttempts;
+    private @Nullable EndpointCandidates candidates;
     private DeliveryCursor cursor = new DeliveryCursor(0);
     private String generation = "";
-    private int attempts;
     private int resumesWithoutToken;
     private long taken;
     private long creditedThrough;
@@ -83,15 +77,12 @@
      * Starts a generation at the best endpoint.
      *
      * @param submit request; its exchange number, timeout and credit are set at each attempt
-     * @param affinity hash of the prompt's prefix
-     * @param attemptLimit attempts allowed
+     * @param endpoints endpoints that the request may try
      */
-    public void start(Submit submit, long affinity, int attemptLimit) {
+    public void start(Submit submit, EndpointCandidates endpoints) {
         template = submit;
-        affinityHash = affinity;
-        mostAttempts = attemptLimit;
+        candidates = endpoints;
         begin();
-        context.retries().requestStarted();
         long timeoutMillis = submit.timeoutMillis() + context.timing().graceMillis();
         timeoutTimer = context.vertx().setTimer(timeoutMillis, ignored -> timedOut());
         tryEndpoints();
@@ -175,19 +166,13 @@
 
     private void tryEndpoints() {
         Submit request = template;
-        while (request != null && attempts < mostAttempts) {
-            RoutingQuery query = new RoutingQuery(affinityHash, false, promptTokens(request), tried);
-            Optional<EndpointView> chosen =
-                    context.selector().select(context.directory().views(request.service()), query);
-            if (chosen.isEmpty() || (attempts > 0 && !context.retries().tryRetry(attempts))) {
-                break;
-            }
-            if (attempts > 0) {
-                context.metrics().retried();
-            }
-            tried.add(chosen.get().vm());
-            attempts++;
-            if (submitTo(chosen.get().vm(), request)) {
+        EndpointCandidates endpoints = candidates;
+        if (request == null || endpoints == null) {
+            noEndpointLeft();
+            return;
+        }
+        for (var next = endpoints.next(); next.isPresent(); next = endpoints.next()) {
+            if (submitTo(next.get(), request)) {
                 return;
             }
         }
@@ -205,11 +190,7 @@
         }
     }
 
-    private boolean submitTo(String vm, Submit request) {
-        EndpointConnection connection = context.directory().connection(vm).orElse(null);
-        if (connection == null) {
-            return false;
-        }
+    private boolean submitTo(EndpointConnection connection, Submit request) {
         Attempt attempt = new Attempt(connection, connection.incarnation());
         Optional<Long> exchange = connection.start(attempt, number -> submit(number, request));
         if (exchange.isEmpty()) {
@@ -485,10 +466,6 @@
         }
     }
 
-    private static int promptTokens(Submit request) {
-        return request.generation() == null ? 0 : request.generation().promptTokens();
-    }
-
     /** One exchange with one sidecar. */
     private final class Attempt implements ExchangeListener {
 
