--- a/system-tests/src/test/java/org/redwinghook/system/ConfigurationSystemTest.java
+++ b/system-tests/src/test/java/org/redwinghook/system/ConfigurationSystemTest.java
@@ -27,6 +27,7 @@
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.router.RouterProcess;
 import org.redwinghook.router.RouterSettings;
+import org.redwinghook.router.endpoint.DeliveryTiming;
 import org.redwinghook.runtime.config.ConfigurationPublisher;
 import org.redwinghook.runtime.config.Followers;
 import org.redwinghook.runtime.config.PlatformConfigurationLog;
@@ -161,7 +162,8 @@
         PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         var follower = Followers.of(inner, vm.role(), shared, metrics);
         if (vm.role() == ProcessRole.ROUTER) {
-            RouterSettings settings = new RouterSettings(shared, new Address(HOST, 0), 1_000);
+            RouterSettings settings =
+                    new RouterSettings(shared, new Address(HOST, 0), 1_000, 0, DeliveryTiming.DEFAULT);
             return new RouterProcess(inner, settings, follower, metrics);
         }
         SidecarSettings settings =
