Check histories of seeded schedules on in-JVM deployments

A deployment runs real router and sidecar processes, each in its own Vert.x instance, with the stand-ins and a TCP relay on each link. A schedule draws requests and faults from a seed and checks all guarantees. The engine stand-in lists its runs and the plain service the time of each effect.

The checkers now also reject an effect under a key whose attempts were all refused, and processes that never apply a change; the start and end of a process bound what it must apply. Each has a planted violation.

--- a/standins/src/main/java/org/redwinghook/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/redwinghook/standins/engine/EngineStandIn.java
@@ -1,5 +1,6 @@
 package org.redwinghook.standins.engine;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +39,7 @@
     private final StandInServer server;
     private final FaultSwitches<EngineFaults> faults = new FaultSwitches<>(EngineFaults.class, EngineFaults.NONE);
     private final Map<String, Generation> generations = new HashMap<>();
+    private final List<EngineRun> runs = new ArrayList<>();
     private final Lagged<EngineLoad> load;
     private final EngineCommands commands;
     private CacheEvents cacheEvents;
@@ -126,6 +128,15 @@
         return commands.state();
     }
 
+    /**
+     * All requests that reached the engine, across its deaths.
+     *
+     * @return the requests in order
+     */
+    public synchronized List<EngineRun> runs() {
+        return List.copyOf(runs);
+    }
+
     /** Closes the connections of all streams; the generations go on for the grace time. */
     public synchronized void closeStreams() {
         List.copyOf(generations.values()).forEach(Generation::cut);
@@ -208,7 +219,11 @@
             StandInServer.refuse(context, HTTP_BAD_REQUEST, "the prompt does not fit in memory");
             return;
         }
-        if (!bears(context)) {
+        boolean isCold = coldSteps > 0;
+        int requests = batch.running() + batch.waiting() + 1;
+        boolean isBorne = bears(context);
+        runs.add(new EngineRun(System.currentTimeMillis(), identifier, prompt, isCold, requests, isBorne));
+        if (!isBorne) {
             return;
         }
         generations.put(identifier, generation);
--- a/standins/src/main/java/org/redwinghook/standins/plain/Effect.java
+++ b/standins/src/main/java/org/redwinghook/standins/plain/Effect.java
@@ -8,5 +8,6 @@
  * @param path path of the call
  * @param key value of Idempotency-Key, empty if the call had none
  * @param request identity of the request, empty if the call had none
+ * @param atMillis time of the effect in milliseconds since 1970
  */
-public record Effect(int number, String method, String path, String key, String request) {}
+public record Effect(int number, String method, String path, String key, String request, long atMillis) {}
--- a/standins/src/main/java/org/redwinghook/standins/plain/PlainServiceStandIn.java
+++ b/standins/src/main/java/org/redwinghook/standins/plain/PlainServiceStandIn.java
@@ -152,7 +152,7 @@
             return answer;
         }
         String key = orEmpty(context.request().getHeader("idempotency-key"));
-        effects.add(new Effect(effects.size() + 1, method, path, key, request));
+        effects.add(new Effect(effects.size() + 1, method, path, key, request, System.currentTimeMillis()));
         return answer.put("effect", effects.size());
     }
 
--- /dev/null
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/ScheduleTest.java
@@ -0,0 +1,58 @@
+package org.redwinghook.systemtests.deployment;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.LongStream;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Checks all guarantees on histories of seeded schedules of requests and faults. */
+public final class ScheduleTest {
+
+    private static final int USUAL_SCHEDULES = 100;
+    private static final int AT_A_TIME = 8;
+
+    /** Answers that a schedule must bring in at least; guards against runs that check nothing. */
+    private static final int LEAST_WHOLE_ANSWERS = 3;
+
+    /** Guards against violations that need a certain interleaving of requests and faults. */
+    @Test
+    public void guaranteesHoldInSeededSchedules() throws InterruptedException, ExecutionException {
+        Long seed = Long.getLong("seed");
+        int schedules = Integer.getInteger("schedules", USUAL_SCHEDULES);
+        List<Long> seeds = seed != null
+                ? List.of(seed)
+                : LongStream.rangeClosed(1, schedules).boxed().toList();
+        List<String> problems = new ArrayList<>();
+        ConcurrentHashMap<Long, Integer> answers = new ConcurrentHashMap<>();
+        ExecutorService executor = Executors.newFixedThreadPool(AT_A_TIME);
+        try {
+            List<Future<List<String>>> runs = new ArrayList<>();
+            for (long current : seeds) {
+                runs.add(executor.submit(() -> {
+                    Schedule schedule = new Schedule(current);
+                    List<String> found = schedule.run();
+                    answers.put(current, schedule.wholeAnswers());
+                    return found;
+                }));
+            }
+            for (Future<List<String>> run : runs) {
+                problems.addAll(run.get());
+            }
+        } finally {
+            executor.shutdownNow();
+        }
+        answers.forEach((current, count) -> {
+            if (count < LEAST_WHOLE_ANSWERS) {
+                problems.add("seed " + current + " brought only " + count + " whole answers");
+            }
+        });
+        Assert.assertEquals(problems, List.of(), String.join("\n", problems));
+    }
+}
--- /dev/null
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Vm.java
@@ -0,0 +1,69 @@
+package org.redwinghook.systemtests.deployment;
+
+import io.vertx.core.json.JsonObject;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.config.ServiceKind;
+import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.runtime.settings.Address;
+
+/**
+ * A VM with an address of its own, so that its process comes back on the same ports.
+ *
+ * @param name name of the VM and its process
+ * @param dataCentre its data centre
+ * @param host its loopback address
+ * @param kind kind of its endpoint, null for an entry VM
+ */
+public record Vm(
+        String name,
+        String dataCentre,
+        String host,
+        @Nullable ServiceKind kind) {
+
+    private static final int PEER_PORT = 7100;
+    private static final int RELAYED_PEER_PORT = 7101;
+    private static final int ADMIN_PORT = 7200;
+    private static final int CALLER_PORT = 7080;
+    private static final int ENDPOINT_PORT = 7300;
+
+    ProcessRole role() {
+        return kind == null ? ProcessRole.ROUTER : ProcessRole.SIDECAR;
+    }
+
+    String service() {
+        return kind == ServiceKind.PLAIN ? Deployment.PLAIN_SERVICE : Deployment.MODEL;
+    }
+
+    Address peer() {
+        return new Address(host, PEER_PORT);
+    }
+
+    /** Where other processes connect; a relay leads from here to {@link #peer()}. */
+    Address relayedPeer() {
+        return new Address(host, RELAYED_PEER_PORT);
+    }
+
+    Address admin() {
+        return new Address(host, ADMIN_PORT);
+    }
+
+    Address caller() {
+        return new Address(host, CALLER_PORT);
+    }
+
+    /** Where the sidecar reaches its endpoint; a relay leads from here to the stand-in. */
+    Address endpoint() {
+        return new Address(host, ENDPOINT_PORT);
+    }
+
+    JsonObject listEntry() {
+        return new JsonObject()
+                .put("vm", name)
+                .put("dataCentre", dataCentre)
+                .put("role", kind == null ? "router" : "sidecar")
+                .put("host", host)
+                .put("peerPort", RELAYED_PEER_PORT)
+                .put("adminPort", ADMIN_PORT)
+                .put("service", kind == null ? null : service());
+    }
+}
--- a/system-tests/src/test/java/org/redwinghook/systemtests/history/Event.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/history/Event.java
@@ -158,4 +158,22 @@
      */
     record VersionInForce(long atMillis, String process, long incarnation, String section, long version)
             implements Event {}
+
+    /**
+     * A process started.
+     *
+     * @param atMillis time of the observation in milliseconds
+     * @param process name of the process
+     * @param incarnation number of this start of the process
+     */
+    record ProcessStarted(long atMillis, String process, long incarnation) implements Event {}
+
+    /**
+     * A process ended, by a kill or by a planned stop.
+     *
+     * @param atMillis time of the observation in milliseconds
+     * @param process name of the process
+     * @param incarnation number of this start of the process
+     */
+    record ProcessEnded(long atMillis, String process, long incarnation) implements Event {}
 }
--- a/system-tests/src/test/java/org/redwinghook/systemtests/history/Guarantee.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/history/Guarantee.java
@@ -132,6 +132,25 @@
                     reporter.report(work.request() + " was refused as not run and started at " + work.endpoint());
                 }
             }
+            checkKeys(history, refused, reporter);
+        }
+
+        /** An effect under a key needs an attempt under this key that was sent before and was not refused. */
+        private void checkKeys(History history, Set<String> refused, Reporter reporter) {
+            for (Event.EffectApplied effect : history.of(Event.EffectApplied.class)) {
+                boolean isKnown = false;
+                boolean isExplained = effect.key() == null;
+                for (Event.RequestSent sent : history.of(Event.RequestSent.class)) {
+                    boolean isAttempt = sent.key() != null && sent.key().equals(effect.key());
+                    isKnown |= isAttempt;
+                    isExplained |=
+                            isAttempt && sent.atMillis() <= effect.atMillis() && !refused.contains(sent.request());
+                }
+                if (isKnown && !isExplained) {
+                    reporter.report("key " + effect.key() + " took effect at " + effect.endpoint()
+                            + " though each attempt before was refused as not run");
+                }
+            }
         }
     },
     /** A non-idempotent request runs at most once. */
@@ -184,6 +203,15 @@
         void check(History history, Bounds bounds, Reporter reporter) {
             Map<String, Long> highest = new HashMap<>();
             Set<String> processes = new HashSet<>();
+            Map<String, Long> started = new HashMap<>();
+            Map<String, Long> ended = new HashMap<>();
+            for (Event.ProcessStarted start : history.of(Event.ProcessStarted.class)) {
+                processes.add(start.process() + "#" + start.incarnation());
+                started.put(start.process() + "#" + start.incarnation(), start.atMillis());
+            }
+            for (Event.ProcessEnded end : history.of(Event.ProcessEnded.class)) {
+                ended.put(end.process() + "#" + end.incarnation(), end.atMillis());
+            }
             for (Event.VersionInForce version : history.of(Event.VersionInForce.class)) {
                 processes.add(version.process() + "#" + version.incarnation());
                 String place = version.process() + "#" + version.incarnation() + " " + version.section();
@@ -195,7 +223,10 @@
             }
             for (Event.ChangeAccepted accepted : history.of(Event.ChangeAccepted.class)) {
                 for (String process : processes) {
-                    if (!inForceInTime(history, process, accepted, bounds)) {
+                    long due =
+                            Math.max(accepted.atMillis(), started.getOrDefault(process, 0L)) + bounds.inForceMillis();
+                    boolean isGone = ended.getOrDefault(process, Long.MAX_VALUE) < due;
+                    if (!isGone && !inForceInTime(history, process, accepted, due)) {
                         reporter.report("version " + accepted.version() + " of " + accepted.section()
                                 + " was not in force at " + process + " in time");
                     }
@@ -203,13 +234,11 @@
             }
         }
 
-        private boolean inForceInTime(History history, String process, Event.ChangeAccepted accepted, Bounds bounds) {
+        private boolean inForceInTime(History history, String process, Event.ChangeAccepted accepted, long due) {
             for (Event.VersionInForce version : history.of(Event.VersionInForce.class)) {
                 boolean same = process.equals(version.process() + "#" + version.incarnation())
                         && version.section().equals(accepted.section());
-                if (same
-                        && version.version() >= accepted.version()
-                        && version.atMillis() <= accepted.atMillis() + bounds.inForceMillis()) {
+                if (same && version.version() >= accepted.version() && version.atMillis() <= due) {
                     return true;
                 }
             }
--- a/system-tests/src/test/java/org/redwinghook/systemtests/history/GuaranteeTest.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/history/GuaranteeTest.java
@@ -54,6 +54,13 @@
                     "a start before a refusal",
                     new Event.WorkStarted(1, "e1", "d1", "r1"),
                     new Event.RefusedNotRun(2, "r1")),
+            planted(
+                    Guarantee.TRUE_REFUSALS,
+                    "an effect under a key whose attempts were refused, before the next attempt",
+                    SENT,
+                    new Event.RefusedNotRun(1, "r1"),
+                    new Event.EffectApplied(2, "e1", "order", "k1"),
+                    new Event.RequestSent(3, "r2", "k1", false)),
             planted(
                     Guarantee.AT_MOST_ONCE,
                     "a second run under one key",
@@ -102,6 +109,23 @@
                     inForce(1, "p1", 6),
                     inForce(1, "p2", 7),
                     new Event.ChangeAccepted(2, "rules", 7)),
+            planted(
+                    Guarantee.CONFIGURATION_IN_FORCE,
+                    "a process without any version",
+                    new Event.ProcessStarted(0, "p1", 1),
+                    new Event.ChangeAccepted(2, "rules", 7)),
+            planted(
+                    Guarantee.CONFIGURATION_IN_FORCE,
+                    "a restarted process that applies a change too late",
+                    new Event.ChangeAccepted(0, "rules", 7),
+                    new Event.ProcessStarted(20_000, "p1", 2),
+                    inForce(27_001, "p1", 2, 7)),
+            planted(
+                    Guarantee.CONFIGURATION_IN_FORCE,
+                    "a process that ends after a change was due",
+                    new Event.ProcessStarted(0, "p1", 1),
+                    new Event.ChangeAccepted(0, "rules", 7),
+                    new Event.ProcessEnded(7_001, "p1", 1)),
             planted(
                     Guarantee.CONFIGURATION_IN_FORCE,
                     "a change in force too late",
@@ -133,6 +157,14 @@
                 new Event.WorkStarted(20_000, "e1", "d1", "r5"),
                 new Event.ChangeAccepted(0, "rules", 7),
                 inForce(6_999, "p1", 7),
+                new Event.ProcessStarted(0, "p2", 1),
+                new Event.ProcessEnded(6_000, "p2", 1),
+                new Event.ProcessStarted(20_000, "p2", 2),
+                inForce(26_999, "p2", 2, 7),
+                new Event.RequestSent(1, "r7", "k7", false),
+                new Event.RefusedNotRun(2, "r7"),
+                new Event.RequestSent(3, "r8", "k7", false),
+                new Event.EffectApplied(4, "e1", "order", "k7"),
                 new Event.PlannedStop(1, "router-1", List.of("r2")),
                 new Event.AnswerCut(6, "r6"));
         Assert.assertEquals(Guarantee.allViolations(history(events), Bounds.TARGET), List.of());
@@ -156,7 +188,11 @@
     }
 
     private static Event inForce(long atMillis, String process, long version) {
-        return new Event.VersionInForce(atMillis, process, 1, "rules", version);
+        return inForce(atMillis, process, 1, version);
+    }
+
+    private static Event inForce(long atMillis, String process, long incarnation, long version) {
+        return new Event.VersionInForce(atMillis, process, incarnation, "rules", version);
     }
 
     private static History history(List<Event> events) {
