--- a/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Deployment.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Deployment.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -283,6 +284,22 @@
         }
     }
 
+    /**
+     * Settings file for the process of a VM, for a start outside this JVM.
+     *
+     * @param vm the VM
+     * @return the document
+     */
+    public String settings(Vm vm) {
+        String shared = "process: " + vm.name() + "\ndataCentre: " + vm.dataCentre() + "\npeer: " + yaml(vm.peer())
+                + "\nadmin: " + yaml(vm.admin()) + "\nplatform:\n  log: {port: " + logPort + "}\n  vmList: {port: "
+                + vmListPort + "}\n";
+        return vm.kind() == null
+                ? shared + "caller: " + yaml(vm.caller()) + "\nsettleMillis: 0\n"
+                : shared + "service: " + vm.service() + "\nkind: "
+                        + vm.kind().name().toLowerCase(Locale.ROOT) + "\nendpoint: " + yaml(vm.endpoint()) + "\n";
+    }
+
     /**
      * Publishes entries of a section as an operator does.
      *
@@ -395,6 +412,10 @@
                 new VertxScheduler(vertx));
     }
 
+    private static String yaml(Address address) {
+        return "{host: " + address.host() + ", port: " + address.port() + "}";
+    }
+
     private void startEndpoint(Vm vm, StandIn endpoint) {
         int port = endpoint.start().await();
         Relay relay = new Relay(vertx, vm.endpoint(), new Address("127.0.0.1", port));
