--- a/system-tests/src/test/java/org/redwinghook/systemtests/deployment/GuaranteesUnderFailureTest.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/GuaranteesUnderFailureTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.config.ServiceKind;
 import org.redwinghook.standins.engine.ColdOverload;
 import org.redwinghook.standins.engine.ColdStart;
@@ -157,6 +158,18 @@
         assertGuarantees();
     }
 
+    /** Guards against a refusal as "not run" of an order that took effect before its endpoint died. */
+    @Test
+    public void orderWithLostAnswerIsUnknown() {
+        assertLostAnswerIsUnknown(null);
+    }
+
+    /** Guards against the same for an order with a key. */
+    @Test
+    public void keyedOrderWithLostAnswerIsUnknown() {
+        assertLostAnswerIsUnknown("key");
+    }
+
     /** Guards against a second run of a keyed order when appends are lost, a router dies and another one retries. */
     @Test
     public void keyedOrderRunsOnceThroughKillsAndRetries() {
@@ -246,6 +259,15 @@
         assertTrue(Deployment.await(Bounds.TARGET.inForceMillis(), this::lastChangeIsInForce));
     }
 
+    private void assertLostAnswerIsUnknown(@Nullable String key) {
+        deployment
+                .vms(ServiceKind.PLAIN)
+                .forEach(vm -> deployment.plainService(vm).faults().update(faults -> faults.withDieAfterEffectNext(1)));
+        assertEquals(caller.order("order", "order", key, 0), Ending.UNKNOWN);
+        assertEquals(effects(), 1);
+        assertGuarantees();
+    }
+
     private void assertGuarantees() {
         deployment.recordWork();
         assertEquals(Guarantee.allViolations(history, Bounds.TARGET), List.of());
