--- a/core/src/main/java/org/redwinghook/core/config/ConfigurationReader.java
+++ b/core/src/main/java/org/redwinghook/core/config/ConfigurationReader.java
@@ -1,9 +1,13 @@
 package org.redwinghook.core.config;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
 import org.redwinghook.core.document.Finding;
@@ -55,6 +59,69 @@
         return findings.resultOf(new ConfigurationDocument(sections, configuration(sections)));
     }
 
+    /**
+     * Reads one section of a document that has only this section, and checks its references against other sections.
+     *
+     * @param file name of the document for findings
+     * @param text the document
+     * @param name name of the section
+     * @param present the sections in force, among them perhaps this one's present version
+     * @return the section, or all findings; references of other sections count only if this section breaks them
+     */
+    public static Either<List<Finding>, Section> readSection(
+            String file, String text, String name, Collection<Section> present) {
+        Findings findings = new Findings();
+        YamlMap top = YamlMap.parse(file, text, findings);
+        Optional<SectionKind> kind = SectionKind.of(name);
+        if (kind.isEmpty() || !top.has(name)) {
+            String problem = kind.isEmpty() ? "is not a known section" : "the file does not have this section";
+            findings.add(new Finding(file, 0, 0, name, problem));
+            return Either.left(findings.toList());
+        }
+        for (String key : top.keys()) {
+            if (!key.equals(name)) {
+                top.reportAt(key, "is not the section '" + name + "'");
+            }
+        }
+        YamlMap map = top.map(name);
+        List<Section> others =
+                present.stream().filter(other -> !other.name().equals(name)).toList();
+        Findings ofOthers = new Findings();
+        ReferenceCheck references = references(others, ofOthers);
+        references.add(name, map, SectionReader.read(kind.get(), map));
+        references.report();
+        Optional<Section> section = section(top, name, map, findings);
+        Set<Finding> known = danglingReferences(others, present, name);
+        ofOthers.toList().stream()
+                .map(ConfigurationReader::withoutPlace)
+                .filter(finding -> !known.contains(finding))
+                .forEach(findings::add);
+        return section.isPresent() ? findings.resultOf(section.get()) : Either.left(findings.toList());
+    }
+
+    private static ReferenceCheck references(List<Section> sections, Findings findings) {
+        ReferenceCheck references = new ReferenceCheck();
+        for (Section section : sections) {
+            references.add(
+                    section.name(), YamlMap.ofTexts(section.name(), section.texts(), findings), section.entries());
+        }
+        return references;
+    }
+
+    /** The references of other sections that are broken already, whatever becomes of the section. */
+    private static Set<Finding> danglingReferences(List<Section> others, Collection<Section> present, String name) {
+        List<Section> ordered = new ArrayList<>(others);
+        present.stream().filter(section -> section.name().equals(name)).forEach(ordered::add);
+        Findings findings = new Findings();
+        references(ordered, findings).report();
+        return findings.toList().stream().map(ConfigurationReader::withoutPlace).collect(Collectors.toSet());
+    }
+
+    // The texts of a section on the log have no lines of a file.
+    private static Finding withoutPlace(Finding finding) {
+        return new Finding(finding.file(), 0, 0, finding.key(), finding.problem());
+    }
+
     // Section.read repeats findings of the entries without their places; only those on sizes are new.
     private static Optional<Section> section(YamlMap top, String name, YamlMap map, Findings findings) {
         Map<String, String> texts = new LinkedHashMap<>();
--- /dev/null
+++ b/operator/src/main/java/org/redwinghook/operator/AvailabilityCommand.java
@@ -0,0 +1,149 @@
+package org.redwinghook.operator;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.vavr.control.Either;
+import org.kohsuke.args4j.Argument;
+import org.redwinghook.core.config.Availability;
+import org.redwinghook.core.config.Configuration;
+import org.redwinghook.core.config.ConfigurationFold;
+import org.redwinghook.core.config.PlaceKind;
+import org.redwinghook.core.config.Section;
+import org.redwinghook.core.config.SectionChange;
+import org.redwinghook.core.config.SectionKind;
+import org.redwinghook.runtime.config.ConfigurationPublisher;
+import org.redwinghook.runtime.process.ExitCode;
+
+/** Takes a data centre or a VM out of service or brings it back. */
+public abstract class AvailabilityCommand extends ChangeCommand {
+
+    /** What the command line calls the kinds of places. */
+    public enum Place {
+        /** A data centre. */
+        DATA_CENTRE(PlaceKind.DATA_CENTRE),
+        /** A VM. */
+        VM(PlaceKind.VM);
+
+        private final PlaceKind kind;
+
+        Place(PlaceKind kind) {
+            this.kind = kind;
+        }
+
+        // The parser matches operands with these names, in any case.
+        @Override
+        public String toString() {
+            return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        }
+    }
+
+    @Argument(index = 0, metaVar = "KIND", required = true, usage = "data-centre or vm")
+    private Place place = Place.DATA_CENTRE;
+
+    @Argument(index = 1, metaVar = "NAME", required = true, usage = "name of the data centre or VM")
+    private String name = "";
+
+    /**
+     * What the place becomes.
+     *
+     * @return in or out
+     */
+    protected abstract Availability wanted();
+
+    /**
+     * Acts on the result before processes are asked to confirm it.
+     *
+     * @param session runs the clients
+     * @param result what became of the section
+     * @param report the report so far
+     * @return the report with what was done
+     */
+    protected abstract ChangeReport after(OperatorSession session, SectionResult result, ChangeReport report);
+
+    /**
+     * Kind of the place.
+     *
+     * @return the kind
+     */
+    protected final PlaceKind kind() {
+        return place.kind;
+    }
+
+    /**
+     * Name of the place.
+     *
+     * @return the name
+     */
+    protected final String name() {
+        return name;
+    }
+
+    @Override
+    protected final Either<CommandResult, ChangeReport> change(
+            OperatorSession session, ConfigurationPublisher publisher) {
+        Either<CommandResult, ConfigurationFold> fold = present(session, publisher);
+        if (fold.isLeft()) {
+            SectionResult unknown = new SectionResult(
+                    section(),
+                    SectionResult.Outcome.UNKNOWN,
+                    0,
+                    "",
+                    List.of(),
+                    "the log cannot be read, so nothing was appended");
+            return Either.right(after(session, unknown, ChangeReport.of(List.of(unknown))));
+        }
+        if (isUnknown(fold.get().configuration())) {
+            return Either.left(CommandResult.problem(
+                    ExitCode.FINDINGS,
+                    "redwinghook: section places has no data centre " + name + "; nothing was changed"));
+        }
+        SectionResult result = move(session, publisher, fold.get());
+        ChangeReport report = ChangeReport.of(List.of(result));
+        if (result.outcome() == SectionResult.Outcome.CONFLICT) {
+            report = report.withNote(place + " " + name + " is now " + inForce(session, publisher));
+        }
+        return Either.right(after(session, result, report));
+    }
+
+    private SectionResult move(OperatorSession session, ConfigurationPublisher publisher, ConfigurationFold fold) {
+        Section before = fold.section(section());
+        String text = "\"" + word(wanted()) + "\"";
+        Map<String, String> texts = new HashMap<>(before == null ? Map.of() : before.texts());
+        texts.put(kind().key(), text);
+        Section after = Section.read(section(), texts).get();
+        long version = fold.version(section()).version();
+        if (isSame(before, after)) {
+            return SectionResult.unchanged(section(), version);
+        }
+        SectionChange change = delta(before, version, after);
+        return publish(session, publisher, change);
+    }
+
+    private String section() {
+        return SectionKind.AVAILABILITY.section(name);
+    }
+
+    private boolean isUnknown(Configuration configuration) {
+        return kind() == PlaceKind.DATA_CENTRE && !configuration.dataCentres().containsKey(name);
+    }
+
+    private String inForce(OperatorSession session, ConfigurationPublisher publisher) {
+        return session.await(publisher::read)
+                .map(fold -> availability(fold.configuration()))
+                .map(AvailabilityCommand::word)
+                .getOrElse("in an unknown state");
+    }
+
+    private Availability availability(Configuration configuration) {
+        Map<String, Availability> set = kind() == PlaceKind.DATA_CENTRE
+                ? configuration.dataCentreAvailability()
+                : configuration.vmAvailability();
+        return set.getOrDefault(name, Availability.IN);
+    }
+
+    private static String word(Availability availability) {
+        return availability.name().toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/redwinghook/operator/CheckCommand.java
@@ -0,0 +1,27 @@
+package org.redwinghook.operator;
+
+import java.nio.file.Path;
+import java.util.List;
+
+import org.kohsuke.args4j.Argument;
+import org.redwinghook.core.config.ConfigurationReader;
+
+/** Checks a whole document without publishing it. */
+public final class CheckCommand extends Command {
+
+    @Argument(metaVar = "FILE", required = true, usage = "YAML document with all sections")
+    private Path file = Path.of("");
+
+    @Override
+    public String synopsis() {
+        return "check FILE [--json]";
+    }
+
+    @Override
+    public CommandResult run(OperatorSession session) {
+        return PlatformCommand.read(file)
+                .flatMap(text ->
+                        ConfigurationReader.readDocument(file.toString(), text).mapLeft(CommandResult::findings))
+                .fold(problem -> problem, document -> CommandResult.done(List.of(), List.of(file + ": no findings")));
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/redwinghook/operator/Confirmation.java
@@ -0,0 +1,62 @@
+package org.redwinghook.operator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import org.redwinghook.core.membership.Member;
+import org.redwinghook.runtime.settings.Address;
+
+/** Waits until all processes of the VM list have folded the configuration through an offset. */
+final class Confirmation {
+
+    private static final long POLL_MILLIS = 200;
+
+    private final Vertx vertx;
+    private final AdminClient client;
+    private final long offset;
+    private final long deadlineNanos;
+
+    Confirmation(Vertx vertx, long offset, long waitMillis) {
+        this.vertx = vertx;
+        this.client = new AdminClient(vertx);
+        this.offset = offset;
+        this.deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
+    }
+
+    /** Completes with the processes that have not confirmed in time; each process is asked at least once. */
+    Future<List<Unconfirmed>> await(List<Member> members) {
+        List<Future<List<Unconfirmed>>> questions =
+                members.stream().map(this::await).toList();
+        return Future.join(questions).map(ignored -> questions.stream()
+                .flatMap(question -> question.result().stream())
+                .toList());
+    }
+
+    private Future<List<Unconfirmed>> await(Member member) {
+        Address admin = new Address(member.host(), member.adminPort());
+        return client.configuration(admin)
+                .map(summary -> summary.getLong("offset"))
+                .map(at -> at >= offset ? "" : "is at offset " + at)
+                .otherwise(failure -> "did not answer: " + failure.getMessage())
+                .compose(problem -> {
+                    if (problem.isEmpty()) {
+                        return Future.succeededFuture(new ArrayList<>());
+                    }
+                    if (System.nanoTime() - deadlineNanos >= 0) {
+                        return Future.succeededFuture(
+                                List.of(new Unconfirmed(member.vm(), member.dataCentre(), admin.toString(), problem)));
+                    }
+                    return later(member);
+                });
+    }
+
+    private Future<List<Unconfirmed>> later(Member member) {
+        Promise<List<Unconfirmed>> promise = Promise.promise();
+        vertx.setTimer(POLL_MILLIS, ignored -> await(member).onComplete(promise));
+        return promise.future();
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/redwinghook/operator/EditCommand.java
@@ -0,0 +1,58 @@
+package org.redwinghook.operator;
+
+import java.nio.file.Path;
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.kohsuke.args4j.Option;
+import org.redwinghook.core.config.ConfigurationFold;
+import org.redwinghook.core.config.ConfigurationReader;
+import org.redwinghook.core.config.Section;
+import org.redwinghook.core.config.SectionVersion;
+import org.redwinghook.runtime.config.ConfigurationPublisher;
+
+/** Publishes one section over a version of it. */
+public final class EditCommand extends ChangeCommand {
+
+    @Option(name = "--section", metaVar = "NAME", required = true, usage = "section to change")
+    private String section = "";
+
+    @Option(name = "--file", metaVar = "FILE", required = true, usage = "YAML document with only this section")
+    private Path file = Path.of("");
+
+    @Option(
+            name = "--replaces",
+            metaVar = "VERSION",
+            required = true,
+            usage = "version that was edited, as show tells it; 0 for a new section")
+    private long replaces;
+
+    @Override
+    public String synopsis() {
+        return "edit --section NAME --file FILE --replaces VERSION --team TEAM --log HOST:PORT"
+                + " [--vm-list HOST:PORT] [--wait SECONDS] [--json]";
+    }
+
+    @Override
+    protected Either<CommandResult, ChangeReport> change(OperatorSession session, ConfigurationPublisher publisher) {
+        return read(file).flatMap(text -> present(session, publisher)
+                .flatMap(fold -> ConfigurationReader.readSection(file.toString(), text, section, sections(fold))
+                        .mapLeft(CommandResult::findings)
+                        .map(wanted -> ChangeReport.of(List.of(edit(session, publisher, fold, wanted))))));
+    }
+
+    private SectionResult edit(
+            OperatorSession session, ConfigurationPublisher publisher, ConfigurationFold fold, Section wanted) {
+        SectionVersion version = fold.version(section);
+        Section before = fold.section(section);
+        // A repeated edit finds its own effect here when the first attempt could not tell that it was accepted.
+        if (isSame(before, wanted) && version.team().equals(team())) {
+            return SectionResult.unchanged(section, version.version());
+        }
+        if (version.version() != replaces) {
+            return new SectionResult(
+                    section, SectionResult.Outcome.CONFLICT, version.version(), version.team(), List.of(), "");
+        }
+        return publish(session, publisher, delta(before, replaces, wanted));
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/redwinghook/operator/OperatorCommandLine.java
@@ -0,0 +1,94 @@
+package org.redwinghook.operator;
+
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.List;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import io.vertx.core.Vertx;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.redwinghook.runtime.process.ExitCode;
+
+/** Reads a command line, runs its sub-command and prints the result. */
+public final class OperatorCommandLine {
+
+    private static final String BINARY = "redwinghook";
+    private static final String JSON = "--json";
+
+    private final Vertx vertx;
+    private final PrintStream output;
+    private final PrintStream errors;
+    private final ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+
+    /**
+     * Creates a command line.
+     *
+     * @param vertx runs the clients
+     * @param output receives results, help and JSON
+     * @param errors receives problems unless they are part of the JSON
+     */
+    public OperatorCommandLine(Vertx vertx, PrintStream output, PrintStream errors) {
+        this.vertx = vertx;
+        this.output = output;
+        this.errors = errors;
+    }
+
+    /**
+     * Runs one command.
+     *
+     * @param arguments the command line
+     * @return its exit code
+     */
+    public ExitCode run(String... arguments) {
+        OperatorOptions options = new OperatorOptions();
+        CmdLineParser parser = new CmdLineParser(options);
+        try {
+            parser.parseArgument(arguments);
+        } catch (CmdLineException exception) {
+            return wrongUsage(exception, Arrays.asList(arguments).contains(JSON));
+        }
+        Command command = options.command();
+        if (command == null) {
+            help(BINARY + " COMMAND [OPTION...]", parser);
+            return ExitCode.DONE;
+        }
+        if (command.help()) {
+            help(BINARY + " " + command.synopsis(), new CmdLineParser(command));
+            return ExitCode.DONE;
+        }
+        return print(command.run(new OperatorSession(vertx)), command.json());
+    }
+
+    private ExitCode wrongUsage(CmdLineException exception, boolean json) {
+        CommandResult result = CommandResult.problem(ExitCode.USAGE, BINARY + ": " + exception.getMessage());
+        ExitCode code = print(result, json);
+        if (!json) {
+            exception.getParser().printUsage(errors);
+        }
+        return code;
+    }
+
+    private void help(String usage, CmdLineParser parser) {
+        output.println("usage: " + usage);
+        parser.printUsage(output);
+    }
+
+    private ExitCode print(CommandResult result, boolean json) {
+        if (!json) {
+            result.lines().forEach(output::println);
+            result.problems().forEach(errors::println);
+            return result.code();
+        }
+        try {
+            output.println(mapper.writeValueAsString(new Answer(result.code(), result.result(), result.problems())));
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException("cannot write the result as JSON", exception);
+        }
+        return result.code();
+    }
+
+    private record Answer(ExitCode code, Object result, List<String> problems) {}
+}
--- /dev/null
+++ b/operator/src/main/java/org/redwinghook/operator/OperatorSession.java
@@ -0,0 +1,70 @@
+package org.redwinghook.operator;
+
+import java.util.function.Supplier;
+
+import io.vavr.control.Either;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import org.redwinghook.runtime.config.ConfigurationPublisher;
+import org.redwinghook.runtime.config.PlatformConfigurationLog;
+import org.redwinghook.runtime.config.VertxScheduler;
+import org.redwinghook.runtime.platform.LogClient;
+import org.redwinghook.runtime.settings.Address;
+
+/** The event loop on which one command's clients run. */
+public final class OperatorSession {
+
+    private final Vertx vertx;
+    private final Context context;
+
+    /**
+     * Creates a session.
+     *
+     * @param vertx runs the clients
+     */
+    public OperatorSession(Vertx vertx) {
+        this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+    }
+
+    /**
+     * Runs an action on the event loop and waits for its end.
+     *
+     * @param action the action
+     * @param <T> type of its result
+     * @return the result, or what went wrong
+     */
+    public <T> Either<String, T> await(Supplier<Future<T>> action) {
+        Promise<T> promise = Promise.promise();
+        context.runOnContext(ignored -> action.get().onComplete(promise));
+        return promise.future()
+                .transform(result -> Future.succeededFuture(
+                        result.succeeded()
+                                ? Either.<String, T>right(result.result())
+                                : Either.<String, T>left(
+                                        String.valueOf(result.cause().getMessage()))))
+                .await();
+    }
+
+    /**
+     * Creates a publisher for one command.
+     *
+     * @param log address of the log service
+     * @return the publisher, to be used on the event loop only
+     */
+    public ConfigurationPublisher publisher(Address log) {
+        return new ConfigurationPublisher(
+                new PlatformConfigurationLog(new LogClient(vertx, log)), new VertxScheduler(vertx));
+    }
+
+    /**
+     * Vert.x of this session.
+     *
+     * @return the instance
+     */
+    public Vertx vertx() {
+        return vertx;
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/redwinghook/operator/PlatformCommand.java
@@ -0,0 +1,74 @@
+package org.redwinghook.operator;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+import org.kohsuke.args4j.Option;
+import org.redwinghook.runtime.process.ExitCode;
+import org.redwinghook.runtime.settings.Address;
+
+/** A command that uses the platform's services. */
+public abstract class PlatformCommand extends Command {
+
+    @Option(name = "--log", handler = AddressOptionHandler.class, usage = "log service")
+    private @Nullable Address log;
+
+    @Option(name = "--vm-list", handler = AddressOptionHandler.class, usage = "VM list")
+    private @Nullable Address vmList;
+
+    @Option(name = "--settings", metaVar = "FILE", usage = "YAML file with the addresses log and vmList")
+    private @Nullable Path settings;
+
+    @Override
+    public final CommandResult run(OperatorSession session) {
+        return addresses().fold(problem -> problem, found -> {
+            Address address = found.log();
+            return address == null
+                    ? CommandResult.problem(
+                            ExitCode.USAGE, "redwinghook: the log's address is needed: --log or --settings")
+                    : run(session, address, found.vmList());
+        });
+    }
+
+    /**
+     * Runs the command.
+     *
+     * @param session runs the clients
+     * @param logAddress log service
+     * @param vmListAddress VM list, null if not set
+     * @return how it ended
+     */
+    protected abstract CommandResult run(OperatorSession session, Address logAddress, @Nullable Address vmListAddress);
+
+    /** The addresses of the command line go before those of the settings file. */
+    private Either<CommandResult, OperatorSettings> addresses() {
+        Path file = settings;
+        if (file == null) {
+            return Either.right(new OperatorSettings(log, vmList));
+        }
+        return read(file)
+                .flatMap(text -> OperatorSettings.read(file.toString(), text).mapLeft(CommandResult::findings))
+                .map(found -> new OperatorSettings(
+                        log == null ? found.log() : log, vmList == null ? found.vmList() : vmList));
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @param file the file
+     * @return its text, or the command's result if it cannot be read
+     */
+    static Either<CommandResult, String> read(Path file) {
+        try {
+            return Either.right(Files.readString(file));
+        } catch (IOException exception) {
+            return Either.left(CommandResult.problem(
+                    ExitCode.FINDINGS,
+                    "redwinghook: cannot read " + file + ": "
+                            + exception.getClass().getSimpleName()));
+        }
+    }
+}
--- a/operator/src/main/java/org/redwinghook/operator/PublishCommand.java
+++ b/operator/src/main/java/org/redwinghook/operator/PublishCommand.java
@@ -1,114 +1,85 @@
 package org.redwinghook.operator;
 
-import java.io.IOException;
-import java.io.PrintStream;
-import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 
 import io.vavr.control.Either;
-import io.vertx.core.Context;
-import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
+import org.kohsuke.args4j.Option;
 import org.redwinghook.core.config.ConfigurationDocument;
+import org.redwinghook.core.config.ConfigurationFold;
 import org.redwinghook.core.config.ConfigurationReader;
 import org.redwinghook.core.config.Section;
-import org.redwinghook.core.document.Finding;
+import org.redwinghook.core.config.SectionChange;
+import org.redwinghook.core.config.SectionVersion;
 import org.redwinghook.runtime.config.ConfigurationPublisher;
-import org.redwinghook.runtime.config.PlatformConfigurationLog;
-import org.redwinghook.runtime.config.PublishResult;
-import org.redwinghook.runtime.config.VertxScheduler;
-import org.redwinghook.runtime.platform.LogClient;
-import org.redwinghook.runtime.process.ExitCode;
-import org.redwinghook.runtime.settings.Address;
 
-/** Publishes the sections of a document that differ from the log. */
-public final class PublishCommand {
+/** Publishes the sections of a document that differ from the log. Sections that the document does not name stay. */
+public final class PublishCommand extends ChangeCommand {
 
-    private final Vertx vertx;
-    private final PrintStream output;
-    private final PrintStream errors;
+    @Option(name = "--file", metaVar = "FILE", required = true, usage = "YAML document with the sections to publish")
+    private Path file = Path.of("");
 
-    /**
-     * Creates the command.
-     *
-     * @param vertx runs the log client
-     * @param output receives one line for each section
-     * @param errors receives findings and problems
-     */
-    public PublishCommand(Vertx vertx, PrintStream output, PrintStream errors) {
-        this.vertx = vertx;
-        this.output = output;
-        this.errors = errors;
+    @Override
+    public String synopsis() {
+        return "publish --log HOST:PORT --file FILE --team TEAM [--vm-list HOST:PORT] [--wait SECONDS] [--json]";
     }
 
-    /**
-     * Runs the command.
-     *
-     * @param options the command line
-     * @return how it ended; stops at the first section that is not accepted
-     */
-    public ExitCode run(PublishOptions options) {
-        Address log = options.log();
-        if (log == null || options.team().isBlank()) {
-            errors.println("redwinghook: --log and --team are needed");
-            return ExitCode.USAGE;
-        }
-        String text;
-        try {
-            text = Files.readString(options.file());
-        } catch (IOException exception) {
-            errors.println("redwinghook: cannot read " + options.file() + ": " + exception.getMessage());
-            return ExitCode.FINDINGS;
+    @Override
+    protected Either<CommandResult, ChangeReport> change(OperatorSession session, ConfigurationPublisher publisher) {
+        return read(file)
+                .flatMap(text ->
+                        ConfigurationReader.readDocument(file.toString(), text).mapLeft(CommandResult::findings))
+                .flatMap(document ->
+                        present(session, publisher).map(fold -> publish(session, publisher, document, fold)));
+    }
+
+    private ChangeReport publish(
+            OperatorSession session,
+            ConfigurationPublisher publisher,
+            ConfigurationDocument document,
+            ConfigurationFold fold) {
+        List<SectionChange> changes = new ArrayList<>();
+        List<SectionResult> results = new ArrayList<>();
+        boolean isRefused = false;
+        for (Section section : sorted(document)) {
+            SectionVersion version = fold.version(section.name());
+            if (isSame(fold.section(section.name()), section)) {
+                results.add(SectionResult.unchanged(section.name(), version.version()));
+                continue;
+            }
+            changes.add(delta(fold.section(section.name()), version.version(), section));
+            isRefused |= isOtherTeams(version);
         }
-        Either<List<Finding>, ConfigurationDocument> document =
-                ConfigurationReader.readDocument(options.file().toString(), text);
-        if (document.isLeft()) {
-            document.getLeft().forEach(errors::println);
-            return ExitCode.FINDINGS;
+        for (SectionChange change : changes) {
+            SectionResult result = isRefused ? refused(change, fold) : publish(session, publisher, change);
+            results.add(result);
+            isRefused |= result.outcome() != SectionResult.Outcome.ACCEPTED;
         }
-        return publish(log, document.get(), options.team());
+        return ChangeReport.of(results);
     }
 
-    private ExitCode publish(Address log, ConfigurationDocument document, String team) {
-        ConfigurationPublisher publisher = new ConfigurationPublisher(
-                new PlatformConfigurationLog(new LogClient(vertx, log)), new VertxScheduler(vertx));
-        Context context = vertx.getOrCreateContext();
-        String author = System.getProperty("user.name", "unknown");
-        List<Section> sections = document.sections().values().stream()
+    private static List<Section> sorted(ConfigurationDocument document) {
+        return document.sections().values().stream()
                 .sorted(Comparator.comparing(Section::name))
                 .toList();
-        for (Section section : sections) {
-            // The publisher and its client belong to one event loop.
-            Promise<PublishResult> result = Promise.promise();
-            context.runOnContext(
-                    ignored -> publisher.publish(section, team, author).onComplete(result));
-            ExitCode code = report(section.name(), result.future().await());
-            if (code != ExitCode.DONE) {
-                return code;
-            }
-        }
-        return ExitCode.DONE;
     }
 
-    private ExitCode report(String section, PublishResult result) {
-        if (result instanceof PublishResult.Accepted accepted) {
-            output.println(section + ": accepted as version " + accepted.version());
-            return ExitCode.DONE;
-        }
-        if (result instanceof PublishResult.Unchanged) {
-            output.println(section + ": unchanged");
-            return ExitCode.DONE;
-        }
-        if (result instanceof PublishResult.Conflict conflict) {
-            errors.println(section + ": conflict with version " + conflict.version() + " of team " + conflict.team());
-            return ExitCode.CONFLICT;
-        }
-        if (result instanceof PublishResult.Invalid invalid) {
-            invalid.findings().forEach(errors::println);
-            return ExitCode.FINDINGS;
-        }
-        errors.println(section + ": unknown whether it was accepted; " + result);
-        return ExitCode.FAILED;
+    private boolean isOtherTeams(SectionVersion version) {
+        return version.version() > 0 && !version.team().equals(team());
+    }
+
+    private SectionResult refused(SectionChange change, ConfigurationFold fold) {
+        SectionVersion version = fold.version(change.section());
+        return isOtherTeams(version)
+                ? new SectionResult(
+                        change.section(),
+                        SectionResult.Outcome.CONFLICT,
+                        version.version(),
+                        version.team(),
+                        List.of(),
+                        "")
+                : SectionResult.notTried(change.section());
     }
 }
--- /dev/null
+++ b/operator/src/main/java/org/redwinghook/operator/ReconcileCommand.java
@@ -0,0 +1,36 @@
+package org.redwinghook.operator;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.redwinghook.core.usage.UsageDifference;
+import org.redwinghook.core.usage.UsageFold;
+
+/** Prints where the counts of routers and endpoints differ. */
+public final class ReconcileCommand extends UsageCommand {
+
+    @Override
+    public String synopsis() {
+        return "reconcile --log HOST:PORT [--json]";
+    }
+
+    @Override
+    protected CommandResult report(UsageFold folded, long firstOffset) {
+        List<UsageDifference> differences = new ArrayList<>(folded.reconcile());
+        differences.sort(Comparator.comparing(UsageDifference::owner)
+                .thenComparing(UsageDifference::customer)
+                .thenComparing(UsageDifference::service));
+        List<String> lines = new ArrayList<>();
+        lines.add(differences.size() + " differences, records from offset " + firstOffset);
+        for (UsageDifference difference : differences) {
+            lines.add(difference.owner() + " " + difference.customer() + " at " + difference.service() + ": "
+                    + difference.undeliveredTokens() + " tokens not delivered");
+            lines.add("  routers:   " + UseCommand.text(difference.router()));
+            lines.add("  endpoints: " + UseCommand.text(difference.endpoint()));
+        }
+        return CommandResult.done(new Reconciliation(firstOffset, differences), lines);
+    }
+
+    private record Reconciliation(long firstOffset, List<UsageDifference> differences) {}
+}
--- /dev/null
+++ b/operator/src/main/java/org/redwinghook/operator/Unconfirmed.java
@@ -0,0 +1,18 @@
+package org.redwinghook.operator;
+
+/**
+ * A process that has not confirmed a configuration.
+ *
+ * @param vm name of the process
+ * @param dataCentre data centre of its VM, empty if not known
+ * @param admin its admin port
+ * @param problem what it answered, or why it did not
+ */
+public record Unconfirmed(String vm, String dataCentre, String admin, String problem) {
+
+    @Override
+    public String toString() {
+        String place = dataCentre.isEmpty() ? "" : " in " + dataCentre;
+        return "not confirmed by " + vm + place + " (" + admin + "): " + problem;
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/redwinghook/operator/UsageCommand.java
@@ -0,0 +1,76 @@
+package org.redwinghook.operator;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.vertx.core.Future;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.usage.UsageFold;
+import org.redwinghook.core.usage.UsageRecord;
+import org.redwinghook.runtime.platform.LogClient;
+import org.redwinghook.runtime.platform.LogPage;
+import org.redwinghook.runtime.platform.LogRecord;
+import org.redwinghook.runtime.process.ExitCode;
+import org.redwinghook.runtime.settings.Address;
+import org.redwinghook.runtime.usage.UsageReporter;
+
+/** A command on the stream of usage records. */
+public abstract class UsageCommand extends PlatformCommand {
+
+    private static final int RECORDS_PER_READ = 500;
+
+    private final ObjectMapper mapper = JsonMapper.builder()
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .build();
+    private final UsageFold usage = new UsageFold();
+    private long first = 1;
+
+    @Override
+    protected final CommandResult run(OperatorSession session, Address log, @Nullable Address vmList) {
+        LogClient client = new LogClient(session.vertx(), log);
+        return session.await(() -> readFrom(client, 1))
+                .fold(
+                        problem -> CommandResult.problem(
+                                ExitCode.FAILED, "redwinghook: the log cannot be read: " + problem),
+                        ignored -> report(usage, first));
+    }
+
+    /**
+     * Makes the result.
+     *
+     * @param folded all records that the log keeps
+     * @param firstOffset first retained offset; above 1, records of earlier processes are missing
+     * @return the result
+     */
+    protected abstract CommandResult report(UsageFold folded, long firstOffset);
+
+    private Future<Void> readFrom(LogClient client, long from) {
+        return client.read(UsageReporter.STREAM, from, RECORDS_PER_READ).compose(page -> {
+            if (from < page.first()) {
+                first = page.first();
+                return readFrom(client, first);
+            }
+            page.records().forEach(this::take);
+            long next = next(page, from);
+            return next < page.next() ? readFrom(client, next) : Future.succeededFuture();
+        });
+    }
+
+    private static long next(LogPage page, long from) {
+        int count = page.records().size();
+        return count == 0
+                ? Math.max(from, page.next())
+                : page.records().get(count - 1).offset() + 1;
+    }
+
+    // Records that are no usage records are skipped, as in each other reader.
+    private void take(LogRecord entry) {
+        try {
+            usage.add(mapper.readValue(entry.data(), UsageRecord.class));
+        } catch (IOException exception) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/test/java/org/redwinghook/operator/OperatorFixture.java
@@ -0,0 +1,143 @@
+package org.redwinghook.operator;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.runtime.config.ConfigurationLog;
+import org.redwinghook.runtime.platform.LogClient;
+import org.redwinghook.runtime.process.ExitCode;
+import org.redwinghook.runtime.settings.Address;
+import org.redwinghook.standins.log.LogStandIn;
+import org.redwinghook.standins.vmlist.VmListStandIn;
+
+/** The command against a stand-in log, a stand-in VM list and processes with a fixed offset. */
+final class OperatorFixture implements AutoCloseable {
+
+    static final String DOCUMENT = """
+            owners:
+              parna: {weight: 1.5}
+            places:
+              hu-1: {region: hu}
+            customers:
+              retail: {owner: parna, credentialHashes: [], requestsPerSecond: 20}
+            """;
+
+    final Vertx vertx = Vertx.vertx();
+    final LogStandIn log = new LogStandIn(vertx, 0);
+    final VmListStandIn vmList = new VmListStandIn(vertx, 0, new JsonArray());
+    final List<JsonObject> withdrawals = new CopyOnWriteArrayList<>();
+    final int logPort = log.start().await();
+    private final int vmListPort = vmList.start().await();
+
+    record Run(ExitCode code, String output, String errors) {
+        JsonObject json() {
+            return new JsonObject(output);
+        }
+    }
+
+    /** Runs a command without the addresses of the platform. */
+    Run plain(String... arguments) {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        ByteArrayOutputStream errors = new ByteArrayOutputStream();
+        ExitCode code = new OperatorCommandLine(
+                        vertx,
+                        new PrintStream(output, true, StandardCharsets.UTF_8),
+                        new PrintStream(errors, true, StandardCharsets.UTF_8))
+                .run(arguments);
+        return new Run(code, output.toString(StandardCharsets.UTF_8), errors.toString(StandardCharsets.UTF_8));
+    }
+
+    /** Runs a command with the addresses of the platform. */
+    Run run(String... arguments) {
+        List<String> all = new ArrayList<>(List.of(arguments));
+        all.addAll(List.of("--log", "127.0.0.1:" + logPort, "--vm-list", "127.0.0.1:" + vmListPort));
+        return plain(all.toArray(String[]::new));
+    }
+
+    Run publish(String document) {
+        return run("publish", "--team", "platform", "--file", file(document), "--wait", "0");
+    }
+
+    Run edit(String section, long replaces, String team, String text) {
+        String replaced = String.valueOf(replaces);
+        return run("edit", "--section", section, "--replaces", replaced, "--team", team, "--file", file(text));
+    }
+
+    String file(String text) {
+        try {
+            Path file = Files.createTempFile("operator", ".yaml");
+            file.toFile().deleteOnExit();
+            return Files.writeString(file, text).toString();
+        } catch (IOException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    /** Starts the admin port of a process that has folded through an offset, and lists its VM. */
+    int process(String vm, long offset) {
+        HttpServer server = vertx.createHttpServer().requestHandler(request -> {
+            if (request.path().equals("/withdrawals")) {
+                request.body().onSuccess(body -> {
+                    withdrawals.add(body.toJsonObject());
+                    request.response().setStatusCode(202).end("{}");
+                });
+                return;
+            }
+            JsonObject sections = new JsonObject().put("availability.hu-1", new JsonObject().put("version", 2));
+            request.response()
+                    .end(new JsonObject()
+                            .put("offset", offset)
+                            .put("sections", sections)
+                            .toBuffer());
+        });
+        int port = server.listen(0, "127.0.0.1").await().actualPort();
+        list(vm, port);
+        return port;
+    }
+
+    void list(String vm, int adminPort) {
+        vmList.add(new JsonObject()
+                .put("vm", vm)
+                .put("dataCentre", "hu-1")
+                .put("role", "router")
+                .put("host", "127.0.0.1")
+                .put("peerPort", 1)
+                .put("adminPort", adminPort));
+    }
+
+    long records() {
+        return client().read(ConfigurationLog.STREAM, 1, 1_000)
+                .await()
+                .records()
+                .size();
+    }
+
+    JsonObject record(int index) {
+        return new JsonObject(Buffer.buffer(client().read(ConfigurationLog.STREAM, 1, 1_000)
+                .await()
+                .records()
+                .get(index)
+                .data()));
+    }
+
+    LogClient client() {
+        return new LogClient(vertx, new Address("127.0.0.1", logPort));
+    }
+
+    @Override
+    public void close() {
+        vertx.close().await();
+    }
+}
