--- a/operator/src/main/java/org/redwinghook/operator/SectionYaml.java
+++ b/operator/src/main/java/org/redwinghook/operator/SectionYaml.java
@@ -28,7 +28,7 @@
 
     static String write(Section section) {
         DumpSettings settings = DumpSettings.builder()
-                .setDefaultFlowStyle(FlowStyle.AUTO)
+                .setDefaultFlowStyle(FlowStyle.BLOCK)
                 .setWidth(WIDTH_CHARACTERS)
                 .build();
         return new Dump(settings).dumpToString(Map.of(section.name(), values(section)));
--- a/runtime/src/main/java/org/redwinghook/runtime/admin/AdminServer.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/admin/AdminServer.java
@@ -14,6 +14,7 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import org.redwinghook.core.kernel.ServiceRegistry;
+import org.redwinghook.runtime.process.Listening;
 import org.redwinghook.runtime.settings.Address;
 
 /**
@@ -64,9 +65,8 @@
         routes.get("/health").handler(context -> context.response().end("alive\n"));
         routes.get("/ready").handler(this::ready);
         routes.get("/state").handler(this::state);
-        return vertx.createHttpServer()
-                .requestHandler(routes)
-                .listen(address.port(), address.host())
+        return Listening.on(
+                        address, vertx.createHttpServer().requestHandler(routes).listen(address.port(), address.host()))
                 .map(HttpServer::actualPort)
                 .onSuccess(actual -> port = actual)
                 .mapEmpty();
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/Listening.java
@@ -0,0 +1,25 @@
+package org.redwinghook.runtime.process;
+
+import java.io.IOException;
+
+import io.vertx.core.Future;
+import org.redwinghook.runtime.settings.Address;
+
+/** Names the address in the failure to listen on it; the failure of Vert.x does not. */
+public final class Listening {
+
+    private Listening() {}
+
+    /**
+     * Adds the address to a failure.
+     *
+     * @param address the address
+     * @param listening completes when a server listens
+     * @param <T> type of the server
+     * @return the same, with the address in the message of a failure
+     */
+    public static <T> Future<T> on(Address address, Future<T> listening) {
+        return listening.recover(failure -> Future.failedFuture(
+                new IOException("cannot listen on " + address + ": " + failure.getMessage(), failure)));
+    }
+}
--- a/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
@@ -107,7 +107,8 @@
         ProcessVerticle verticle = new ProcessVerticle(inner -> factory.apply(inner, settings));
         try {
             vertx.deployVerticle(verticle).await();
-        } catch (RuntimeException exception) {
+        } catch (Exception exception) {
+            // Vert.x rethrows checked exceptions, such as a failure to bind, without declaring them.
             LOGGER.error("{} could not start: {}", binary, exception.getMessage());
             vertx.close().await();
             return ExitCode.FAILED;
@@ -124,7 +125,7 @@
         Future<Void> drained = verticle.stopGracefully();
         try {
             drained.await();
-        } catch (RuntimeException exception) {
+        } catch (Exception exception) {
             LOGGER.error("{} did not drain: {}", binary, exception.getMessage());
         }
         LOGGER.info("{} stopped", binary);
--- a/runtime/src/main/java/org/redwinghook/runtime/wire/PeerServer.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/PeerServer.java
@@ -11,6 +11,7 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.runtime.process.Listening;
 import org.redwinghook.runtime.settings.Address;
 
 /** Accepts connections of other processes. */
@@ -57,8 +58,7 @@
     public Future<Integer> start() {
         NetServer created = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
         server = created;
-        return created.connectHandler(this::accept)
-                .listen(address.port(), address.host())
+        return Listening.on(address, created.connectHandler(this::accept).listen(address.port(), address.host()))
                 .map(NetServer::actualPort);
     }
 
--- /dev/null
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
@@ -0,0 +1,49 @@
+package org.redwinghook.runtime.process;
+
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
+import org.redwinghook.runtime.settings.Address;
+
+/** A process that listens on the port that its settings file holds; a test's subprocess runs its main method. */
+public final class LaunchedProcess implements ManagedProcess {
+
+    private static final long DRAIN_MILLIS = 500;
+
+    private final Vertx vertx;
+    private final int port;
+
+    private LaunchedProcess(Vertx vertx, int port) {
+        this.vertx = vertx;
+        this.port = port;
+    }
+
+    /**
+     * Runs the process.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        System.exit(launcher().run(arguments).number());
+    }
+
+    static ProcessLauncher<Integer> launcher() {
+        return new ProcessLauncher<>(
+                "launched", (file, text) -> Either.right(Integer.valueOf(text.strip())), LaunchedProcess::new);
+    }
+
+    @Override
+    public Future<Void> start() {
+        Address address = new Address("127.0.0.1", port);
+        NetServer server = vertx.createNetServer().connectHandler(socket -> socket.close());
+        return Listening.on(address, server.listen(port, address.host())).mapEmpty();
+    }
+
+    @Override
+    public Future<Void> stopGracefully() {
+        return vertx.timer(DRAIN_MILLIS, TimeUnit.MILLISECONDS).mapEmpty();
+    }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/ProcessLauncherTest.java
@@ -0,0 +1,87 @@
+package org.redwinghook.runtime.process;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public final class ProcessLauncherTest {
+
+    private static final long LONGEST_SECONDS = 20;
+
+    private static Process launch(String log, int port) throws IOException {
+        Path settings = Files.createTempFile("launched", ".txt");
+        settings.toFile().deleteOnExit();
+        Files.writeString(settings, String.valueOf(port));
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx64m",
+                "-cp",
+                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                LaunchedProcess.class.getName(),
+                "--settings",
+                settings.toString());
+        builder.environment().put("REDWINGHOOK_LOG", log);
+        return builder.redirectErrorStream(true).start();
+    }
+
+    private static List<String> restOf(BufferedReader output) {
+        return output.lines().toList();
+    }
+
+    /**
+     * Guards against a taken port that ends in a stack trace or a process that stays up without its port.
+     *
+     * @throws Exception if the subprocess cannot be run
+     */
+    @Test(timeOut = 30_000)
+    public void takenPortFailsWithItsAddress() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            Process process = launch("text", taken.getLocalPort());
+            List<String> lines = restOf(process.inputReader());
+            assertTrue(process.waitFor(LONGEST_SECONDS, TimeUnit.SECONDS));
+            assertEquals(process.exitValue(), ExitCode.FAILED.number());
+            assertEquals(lines.size(), 1, lines.toString());
+            assertTrue(lines.get(0).contains("could not start: "), lines.get(0));
+            assertTrue(lines.get(0).contains("cannot listen on 127.0.0.1:" + taken.getLocalPort()), lines.get(0));
+        }
+    }
+
+    @DataProvider
+    public Object[][] logs() {
+        return new Object[][] {{"text", "20"}, {"json", "{"}};
+    }
+
+    /**
+     * Guards against a second SIGTERM that hangs or cuts the graceful stop, and against status lines of Logback.
+     *
+     * @param log form of the log
+     * @param start what each line starts with
+     * @throws Exception if the subprocess cannot be run
+     */
+    @Test(timeOut = 30_000, dataProvider = "logs")
+    public void secondSignalNeitherHangsNorCutsTheStop(String log, String start) throws Exception {
+        Process process = launch(log, 0);
+        BufferedReader output = process.inputReader();
+        String started = output.readLine();
+        process.toHandle().destroy();
+        String draining = output.readLine();
+        process.toHandle().destroy();
+        List<String> rest = restOf(output);
+        assertTrue(process.waitFor(LONGEST_SECONDS, TimeUnit.SECONDS));
+        assertTrue(started.startsWith(start) && started.contains("started"), started);
+        assertTrue(draining.startsWith(start) && draining.contains("draining"), draining);
+        assertEquals(rest.size(), 1, rest.toString());
+        assertTrue(rest.get(0).startsWith(start) && rest.get(0).contains("stopped"), rest.get(0));
+    }
+}
