Plan engine commands from desired and reported state

A service's entry says what its engines are to be. The planner orders commands by their effects, requires a fresh configuration and engine state, and spreads weight loads by rendezvous order. The follower reports when the log or a peer confirms that its configuration is the newest.

--- a/core/src/main/java/org/redwinghook/core/config/SectionReader.java
+++ b/core/src/main/java/org/redwinghook/core/config/SectionReader.java
@@ -97,16 +97,39 @@
                     operation.text("method"), operation.text("path"), operation.flag("idempotent", false)));
             operation.rejectUnknownKeys();
         }
+        ServiceKind kind = entry.choice("kind", ServiceKind.class, ServiceKind.PLAIN);
         return new Service(
                 name,
-                entry.choice("kind", ServiceKind.class, ServiceKind.PLAIN),
+                kind,
                 entry.text("owner"),
                 (int) entry.number("maximumOutputTokens", 1, LARGEST_OUTPUT, 32_768),
                 entry.flag("checksFencing", false),
                 (int) entry.number("maximumConcurrency", 1, 10_000, 32),
+                desiredEngine(entry, kind),
                 operations);
     }
 
+    private static DesiredEngine desiredEngine(YamlMap entry, ServiceKind kind) {
+        if (!entry.has("engine")) {
+            return DesiredEngine.NO_WISH;
+        }
+        if (kind != ServiceKind.ENGINE) {
+            entry.reportAt("engine", "is for services of kind engine only");
+        }
+        YamlMap engine = entry.map("engine");
+        DesiredEngine desired = new DesiredEngine(
+                engine.text("model", ""),
+                engine.text("version", ""),
+                engine.texts("adapters"),
+                engine.text("role", ""),
+                engine.flag("drainBeforeChange", false));
+        engine.rejectUnknownKeys();
+        if (desired.adapters().contains("")) {
+            engine.reportAt("adapters", "must not contain an empty name");
+        }
+        return desired;
+    }
+
     private static SectionEntry customer(String name, YamlMap entry) {
         List<String> hashes = entry.texts("credentialHashes");
         for (String hash : hashes) {
--- a/core/src/main/java/org/redwinghook/core/config/Service.java
+++ b/core/src/main/java/org/redwinghook/core/config/Service.java
@@ -11,6 +11,7 @@
  * @param maximumOutputTokens largest output of one generation in tokens; engines only
  * @param checksFencing whether the engines refuse orders with an old fencing number; engines only
  * @param maximumConcurrency requests that one warm endpoint may run at once
+ * @param engine what the engines are to be; engines only
  * @param operations operations of a plain service; a call that matches none is not idempotent unless it is a GET or HEAD
  */
 public record Service(
@@ -20,6 +21,7 @@
         int maximumOutputTokens,
         boolean checksFencing,
         int maximumConcurrency,
+        DesiredEngine engine,
         List<Operation> operations)
         implements SectionEntry {
 
--- a/core/src/test/java/org/redwinghook/core/config/ConfigurationReaderTest.java
+++ b/core/src/test/java/org/redwinghook/core/config/ConfigurationReaderTest.java
@@ -85,6 +85,29 @@
         }
     }
 
+    public static final class Engines {
+
+        /** Guards against a wish that is read wrongly, or a wrong one that is accepted. */
+        @Test
+        public void desiredStateIsReadWithFindings() {
+            String text = "owners: {a: {}}\nservices: {s: {kind: engine, owner: a, engine: "
+                    + "{version: v2, adapters: [x, y], role: decode, drainBeforeChange: true}}, t: {owner: a}}";
+            Configuration read = ConfigurationReader.read("c.yaml", text).get();
+            assertEquals(
+                    read.services().get("s").engine(), new DesiredEngine("", "v2", List.of("x", "y"), "decode", true));
+            assertEquals(read.services().get("t").engine(), DesiredEngine.NO_WISH);
+            String wrong = "owners: {a: {}}\nservices:\n  s:\n    owner: a\n    engine:\n"
+                    + "      version: [1]\n      speed: 2\n      adapters: ['']\n";
+            assertEquals(
+                    findings(wrong),
+                    List.of(
+                            "c.yaml:5:5: services.s.engine: is for services of kind engine only",
+                            "c.yaml:6:7: services.s.engine.version: must be a text",
+                            "c.yaml:7:7: services.s.engine.speed: is not a known key",
+                            "c.yaml:8:7: services.s.engine.adapters: must not contain an empty name"));
+        }
+    }
+
     public static final class References {
 
         /** Guards against a document that names things which do not exist. */
--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/engine/InterleavingTest.java
@@ -0,0 +1,129 @@
+package org.redwinghook.core.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Random;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public final class InterleavingTest {
+
+    private static final int SEEDS = 500;
+    private static final int FAULTY_STEPS = 400;
+    private static final int QUIET_STEPS = 200;
+    private static final int LATE_MILLIS = 20_000;
+    private static final LoadConditions FREE = new LoadConditions(ignored -> OptionalInt.of(0), 1, true);
+
+    @DataProvider
+    public Object[][] engines() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /**
+     * Guards against an engine that ends in another state than the newest desired one, or that checks numbers and goes
+     * back to an older one, under lost answers, late effects, restarts, pauses and late configuration.
+     *
+     * @param checksFencing whether the engine refuses old numbers
+     */
+    @Test(dataProvider = "engines")
+    public void engineEndsInTheNewestDesiredState(boolean checksFencing) {
+        int reversals = 0;
+        for (long seed = 0; seed < SEEDS; seed++) {
+            Run run = new Run(seed, checksFencing);
+            for (int step = 0; step < FAULTY_STEPS; step++) {
+                run.step(true);
+            }
+            for (int step = 0; step < QUIET_STEPS; step++) {
+                run.step(false);
+            }
+            assertEquals(run.engine.version(), "v" + run.newest, "seed " + seed);
+            reversals += run.reversals;
+        }
+        // The run must be harsh enough to show the window of engines that ignore numbers, and only of those.
+        assertTrue(checksFencing ? reversals == 0 : reversals > 0, "reversals: " + reversals);
+    }
+
+    private record Effect(long atMillis, EngineCommand command, int incarnation) {}
+
+    private static final class Run {
+
+        private final Random random;
+        private final boolean checksFencing;
+        private final EngineCommandPlanner planner = new EngineCommandPlanner(EngineCommandPlanner.LOAD_SLOT_MILLIS);
+        private final List<Effect> effects = new ArrayList<>();
+        private ReportedState engine = new ReportedState("", "", List.of(), "", 0);
+        private int incarnation;
+        private long now;
+        private long newest = 1;
+        private long known = 1;
+        private long highestApplied;
+        private int reversals;
+
+        Run(long seed, boolean checksFencing) {
+            random = new Random(seed);
+            this.checksFencing = checksFencing;
+        }
+
+        void step(boolean faulty) {
+            now += faulty && random.nextInt(20) == 0 ? random.nextInt(60_000) : 1_000;
+            if (faulty && random.nextInt(10) == 0) {
+                newest++;
+            }
+            if (faulty && random.nextInt(50) == 0) {
+                incarnation++;
+                engine = new ReportedState("", "", List.of(), "", 0);
+                highestApplied = 0;
+            }
+            applyEffects();
+            if (!faulty || random.nextInt(3) > 0) {
+                known = faulty ? Math.max(known, newest - random.nextInt(3)) : newest;
+                planner.configurationConfirmed(EngineCommandPlannerTest.version(known, "v" + known), now);
+            }
+            if (!faulty || random.nextInt(4) > 0) {
+                planner.stateRead(engine, now, now);
+            }
+            planner.next(FREE, now).forEach(command -> issue(command, faulty));
+        }
+
+        private void issue(EngineCommand command, boolean faulty) {
+            assertEquals(command.fencing(), known, "an older desired state was commanded");
+            boolean refused = checksFencing && command.fencing() < engine.fencing();
+            int fault = faulty ? random.nextInt(4) : 0;
+            if (fault == 0) {
+                apply(command);
+            } else if (fault < 3) {
+                // The answer is lost, and the effect comes late or has come.
+                effects.add(new Effect(now + random.nextInt(LATE_MILLIS), command, incarnation));
+            }
+            CommandResult end = refused ? CommandResult.REFUSED : CommandResult.FAILED;
+            planner.commandEnded(fault == 0 && !refused ? CommandResult.APPLIED : end, now);
+        }
+
+        private void applyEffects() {
+            List<Effect> due =
+                    effects.stream().filter(effect -> effect.atMillis() <= now).toList();
+            effects.removeAll(due);
+            due.stream()
+                    .filter(effect -> effect.incarnation() == incarnation)
+                    .forEach(effect -> apply(effect.command()));
+        }
+
+        private void apply(EngineCommand command) {
+            if (checksFencing && command.fencing() < engine.fencing()) {
+                return;
+            }
+            if (command.fencing() < highestApplied) {
+                reversals++;
+            }
+            highestApplied = Math.max(highestApplied, command.fencing());
+            // An engine that ignores numbers reports none.
+            long reported = checksFencing ? command.fencing() : 0;
+            engine = new ReportedState("", command.name(), List.of(), "", reported);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/engine/LoadTurnTest.java
@@ -0,0 +1,62 @@
+package org.redwinghook.core.engine;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.redwinghook.core.config.DesiredEngine;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public final class LoadTurnTest {
+
+    private static final int ENDPOINTS = 40;
+    private static final int LIMIT = 2;
+    private static final DesiredEngine DESIRED = new DesiredEngine("", "2", List.of(), "", false);
+
+    /**
+     * Guards against all endpoints of a region loading at once while VMs come and go: each slot starts at most the limit,
+     * and those that ranks shifted by departed VMs bring forward.
+     */
+    @Test
+    public void changingListsNeverStartAllAtOnce() {
+        for (long seed = 0; seed < 300; seed++) {
+            Random random = new Random(seed);
+            List<String> live = new ArrayList<>(
+                    IntStream.range(0, ENDPOINTS).mapToObj(vm -> "vm" + vm).toList());
+            Set<String> loaded = new HashSet<>();
+            int departed = 0;
+            for (int slot = 0; slot < ENDPOINTS; slot++) {
+                if (random.nextBoolean()) {
+                    loaded.remove(live.remove(random.nextInt(live.size())));
+                    departed++;
+                }
+                if (random.nextInt(4) == 0) {
+                    live.add("new" + slot);
+                }
+                int now = slot;
+                List<String> starting = live.stream()
+                        .filter(vm -> !loaded.contains(vm))
+                        .filter(vm -> LoadTurn.hasCome(
+                                LoadTurn.rank("s", DESIRED, live, vm).getAsInt(), LIMIT, now, 1))
+                        .toList();
+                loaded.addAll(starting);
+                assertTrue(starting.size() <= LIMIT + 1, "seed " + seed + " slot " + slot + ": " + starting);
+            }
+            assertTrue(loaded.containsAll(live), "seed " + seed + " after " + departed + " departures");
+        }
+    }
+
+    /** Guards against an endpoint that the lagging list does not name taking the first place. */
+    @Test
+    public void unlistedEndpointWaits() {
+        assertEquals(LoadTurn.rank("s", DESIRED, List.of("a", "b"), "c"), OptionalInt.empty());
+        assertEquals(LoadTurn.rank("s", DESIRED, List.of(), "c"), OptionalInt.empty());
+    }
+}
--- a/router/src/test/java/org/redwinghook/router/RouterFixture.java
+++ b/router/src/test/java/org/redwinghook/router/RouterFixture.java
@@ -20,6 +20,7 @@
 import org.redwinghook.core.config.Configuration;
 import org.redwinghook.core.config.Customer;
 import org.redwinghook.core.config.DataCentre;
+import org.redwinghook.core.config.DesiredEngine;
 import org.redwinghook.core.config.Owner;
 import org.redwinghook.core.config.Rules;
 import org.redwinghook.core.config.Service;
@@ -165,8 +166,26 @@
                 Map.of("owner", new Owner("owner", 1)),
                 Map.of("retail", customer("retail"), "press", customer("press")),
                 Map.of(
-                        MODEL, new Service(MODEL, ServiceKind.ENGINE, "owner", 100_000, true, 10, List.of()),
-                        DESK, new Service(DESK, ServiceKind.PLAIN, "owner", 0, true, 10, List.of())),
+                        MODEL,
+                                new Service(
+                                        MODEL,
+                                        ServiceKind.ENGINE,
+                                        "owner",
+                                        100_000,
+                                        true,
+                                        10,
+                                        DesiredEngine.NO_WISH,
+                                        List.of()),
+                        DESK,
+                                new Service(
+                                        DESK,
+                                        ServiceKind.PLAIN,
+                                        "owner",
+                                        0,
+                                        true,
+                                        10,
+                                        DesiredEngine.NO_WISH,
+                                        List.of())),
                 Map.of("dc", new DataCentre("dc", "region")),
                 Map.of(),
                 Map.of(),
--- a/runtime/src/main/java/org/redwinghook/runtime/config/ConfigurationSource.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/ConfigurationSource.java
@@ -20,4 +20,12 @@
      * @param listener called on the event loop of the process
      */
     void onChange(Consumer<Configuration> listener);
+
+    /**
+     * Adds a listener that is called whenever the log or another process shows that the configuration in force is the
+     * newest one known there, also without a change.
+     *
+     * @param listener called on the event loop of the process
+     */
+    void onConfirmed(Runnable listener);
 }
--- a/runtime/src/main/java/org/redwinghook/runtime/config/FixedConfigurationSource.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/FixedConfigurationSource.java
@@ -31,6 +31,11 @@
         // A fixed configuration has no changes to report.
     }
 
+    @Override
+    public void onConfirmed(Runnable listener) {
+        // Nothing confirms a fixed configuration.
+    }
+
     @Override
     public void start() {
         // Nothing to follow.
--- a/runtime/src/main/java/org/redwinghook/runtime/config/LogConfigurationFollower.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/LogConfigurationFollower.java
@@ -57,6 +57,7 @@
     private long startedMillis;
     private int liveRouters = 1;
     private int knownPeers;
+    private final List<Runnable> confirmationListeners = new ArrayList<>();
     private boolean hasReachedLogEnd;
     private boolean isLogReachable = true;
     private boolean ready;
@@ -112,6 +113,11 @@
         listeners.add(listener);
     }
 
+    @Override
+    public void onConfirmed(Runnable listener) {
+        confirmationListeners.add(listener);
+    }
+
     @Override
     public boolean isReady() {
         return ready;
@@ -203,6 +209,9 @@
             hasReachedLogEnd = true;
         }
         publish();
+        if (isAtEnd) {
+            confirm(page.next() - 1);
+        }
         if (!isAtEnd && !page.records().isEmpty()) {
             poll();
             return;
@@ -255,6 +264,13 @@
         peers.heard(peer, offset);
         pullIfBehind();
         updateReady();
+        confirm(offset);
+    }
+
+    private void confirm(long offset) {
+        if (ready && folded.offset() >= offset) {
+            List.copyOf(confirmationListeners).forEach(Runnable::run);
+        }
     }
 
     private void pullIfBehind() {
