Send engine commands from the sidecar

The commander reads the engine's state, sends the planned command and reads again. The gate refuses new work while the version differs, if the change says so.

--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -31,7 +31,11 @@
 import org.redwinghook.runtime.wire.PeerServer;
 import org.redwinghook.runtime.wire.WireMetrics;
 import org.redwinghook.sidecar.call.CallService;
+import org.redwinghook.sidecar.engine.CommandMetrics;
+import org.redwinghook.sidecar.engine.CommanderTimes;
+import org.redwinghook.sidecar.engine.EndpointRank;
 import org.redwinghook.sidecar.engine.EngineClient;
+import org.redwinghook.sidecar.engine.EngineCommander;
 import org.redwinghook.sidecar.engine.LoadMonitor;
 import org.redwinghook.sidecar.generation.GenerationMetrics;
 import org.redwinghook.sidecar.generation.GenerationService;
@@ -144,6 +148,9 @@
         if (settings.kind() == ServiceKind.ENGINE) {
             services.register(
                     "engine", new LoadMonitor(vertx, engine, LoadMonitor.INTERVAL_MILLIS, gate::endpointRestarted));
+            EngineCommander commander = commander(engine, vmList, metrics);
+            commander.start(vertx);
+            services.register("commands", commander);
         }
         admin = new AdminServer(
                 vertx, settings.shared().admin(), services, metrics, () -> gate.accepting() && configuration.isReady());
@@ -197,6 +204,23 @@
         return admin.port();
     }
 
+    private EngineCommander commander(EngineClient engine, VmListClient vmList, PrometheusMeterRegistry metrics) {
+        EndpointRank rank = new EndpointRank(
+                vmList::read,
+                configuration,
+                settings.service(),
+                settings.shared().dataCentre(),
+                settings.shared().process());
+        return new EngineCommander(
+                engine,
+                settings.service(),
+                configuration,
+                gate,
+                rank,
+                CommanderTimes.USUAL,
+                new CommandMetrics(metrics));
+    }
+
     private static Future<Void> limited(Future<Void> work, long limitMillis) {
         if (limitMillis == 0) {
             return work;
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/CommanderTimes.java
@@ -0,0 +1,17 @@
+package org.redwinghook.sidecar.engine;
+
+import org.redwinghook.core.engine.EngineCommandPlanner;
+
+/**
+ * Intervals and timeouts of engine commands.
+ *
+ * @param intervalMillis interval of reads of the engine's state; also the longest wait for one
+ * @param commandTimeoutMillis longest wait for the answer to a command
+ * @param slotMillis time given to the weight loads of a group of endpoints
+ */
+public record CommanderTimes(long intervalMillis, long commandTimeoutMillis, long slotMillis) {
+
+    /** Usual times. A load takes minutes on a slow link, so that its answer may be late. */
+    public static final CommanderTimes USUAL =
+            new CommanderTimes(1_000, 600_000, EngineCommandPlanner.LOAD_SLOT_MILLIS);
+}
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineClient.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineClient.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
@@ -96,6 +97,31 @@
                 });
     }
 
+    /**
+     * Reads what commands have made of the engine.
+     *
+     * @return the answer
+     */
+    Future<HttpClientResponse> state() {
+        return client.request(HttpMethod.GET, address.port(), address.host(), "/state")
+                .compose(request -> {
+                    request.idleTimeout(LOAD_TIMEOUT_MILLIS);
+                    return request.send();
+                });
+    }
+
+    /**
+     * Sends a command to the engine.
+     *
+     * @param body the command
+     * @return the answer
+     */
+    Future<HttpClientResponse> command(Buffer body) {
+        return client.request(HttpMethod.POST, address.port(), address.host(), "/commands")
+                .compose(request ->
+                        request.putHeader("content-type", "application/json").send(body));
+    }
+
     /**
      * Opens the stream of a running generation again.
      *
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineCommander.java
@@ -0,0 +1,160 @@
+package org.redwinghook.sidecar.engine;
+
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientResponse;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.config.DesiredEngine;
+import org.redwinghook.core.engine.CommandHold;
+import org.redwinghook.core.engine.CommandResult;
+import org.redwinghook.core.engine.DesiredState;
+import org.redwinghook.core.engine.EngineCommand;
+import org.redwinghook.core.engine.EngineCommandPlanner;
+import org.redwinghook.core.engine.LoadConditions;
+import org.redwinghook.core.engine.ReportedState;
+import org.redwinghook.runtime.admin.StateSource;
+import org.redwinghook.runtime.config.ConfigurationSource;
+import org.redwinghook.sidecar.peer.EndpointGate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Brings the engine to the desired state of the configuration, one command at a time. */
+public final class EngineCommander implements StateSource {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(EngineCommander.class);
+    private static final int HTTP_OK = 200;
+    private static final int HTTP_CONFLICT = 409;
+
+    private final EngineClient engine;
+    private final String service;
+    private final ConfigurationSource configuration;
+    private final EndpointGate gate;
+    private final Function<DesiredEngine, OptionalInt> rank;
+    private final CommanderTimes times;
+    private final CommandMetrics metrics;
+    private final EngineCommandPlanner planner;
+    private @Nullable CommandHold hold;
+    private @Nullable EngineCommand lastCommand;
+    private boolean isReading;
+
+    /**
+     * Creates a commander that has not started.
+     *
+     * @param engine the engine
+     * @param service service of the endpoint
+     * @param configuration gives the desired state
+     * @param gate told whether the engine may get new work
+     * @param rank rank of this endpoint in the region for a desired state
+     * @param times intervals and timeouts
+     * @param metrics counters
+     */
+    public EngineCommander(
+            EngineClient engine,
+            String service,
+            ConfigurationSource configuration,
+            EndpointGate gate,
+            Function<DesiredEngine, OptionalInt> rank,
+            CommanderTimes times,
+            CommandMetrics metrics) {
+        this.engine = engine;
+        this.service = service;
+        this.configuration = configuration;
+        this.gate = gate;
+        this.rank = rank;
+        this.times = times;
+        this.metrics = metrics;
+        this.planner = new EngineCommandPlanner(times.slotMillis());
+    }
+
+    /**
+     * Starts to read the engine's state and to command it.
+     *
+     * @param vertx runs the timer
+     */
+    public void start(Vertx vertx) {
+        configuration.onConfirmed(this::confirmed);
+        vertx.setPeriodic(times.intervalMillis(), ignored -> read());
+    }
+
+    @Override
+    public Object state() {
+        return new CommanderState(planner.desired(), planner.reported(), hold, lastCommand, planner.refusesWork());
+    }
+
+    private void confirmed() {
+        planner.configurationConfirmed(DesiredState.of(configuration.current(), service), EndpointGate.nowMillis());
+        gate.setEngineChanging(planner.refusesWork());
+    }
+
+    private void read() {
+        long requested = EndpointGate.nowMillis();
+        planner.tick(requested);
+        if (isReading || planner.desired().engine().equals(DesiredEngine.NO_WISH)) {
+            return;
+        }
+        isReading = true;
+        engine.state()
+                .timeout(times.intervalMillis(), TimeUnit.MILLISECONDS)
+                .compose(EngineCommander::stateOf)
+                .onComplete(ignored -> isReading = false)
+                .onFailure(failure -> metrics.readFailed())
+                .onSuccess(state -> {
+                    planner.stateRead(state, requested, EndpointGate.nowMillis());
+                    gate.setEngineChanging(planner.refusesWork());
+                    plan();
+                });
+    }
+
+    private static Future<ReportedState> stateOf(HttpClientResponse response) {
+        if (response.statusCode() != HTTP_OK) {
+            return Future.failedFuture("the engine answered with status " + response.statusCode());
+        }
+        return response.body().map(EngineStateCodec::decode);
+    }
+
+    private void plan() {
+        int limit = configuration.current().rules().concurrentWeightLoads();
+        LoadConditions conditions = new LoadConditions(rank, limit, gate.isIdle());
+        Either<CommandHold, EngineCommand> next = planner.next(conditions, EndpointGate.nowMillis());
+        hold = next.isLeft() ? next.getLeft() : null;
+        next.forEach(this::send);
+    }
+
+    private void send(EngineCommand command) {
+        if (!command.equals(lastCommand)) {
+            LOGGER.info("the engine gets the command {}", command);
+        }
+        lastCommand = command;
+        metrics.sent();
+        engine.command(EngineStateCodec.encode(command))
+                .timeout(times.commandTimeoutMillis(), TimeUnit.MILLISECONDS)
+                .onSuccess(response -> ended(result(response.statusCode())))
+                .onFailure(failure -> ended(CommandResult.FAILED));
+    }
+
+    private void ended(CommandResult result) {
+        metrics.ended(result);
+        planner.commandEnded(result, EndpointGate.nowMillis());
+        read();
+    }
+
+    private static CommandResult result(int status) {
+        return switch (status) {
+            case HTTP_OK -> CommandResult.APPLIED;
+            case HTTP_CONFLICT -> CommandResult.REFUSED;
+            default -> CommandResult.FAILED;
+        };
+    }
+
+    private record CommanderState(
+            DesiredState desired,
+            @Nullable ReportedState reported,
+            @Nullable CommandHold hold,
+            @Nullable EngineCommand lastCommand,
+            boolean refusesWork) {}
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineStateCodec.java
@@ -0,0 +1,36 @@
+package org.redwinghook.sidecar.engine;
+
+import java.util.List;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.core.engine.EngineCommand;
+import org.redwinghook.core.engine.ReportedState;
+
+/** Converts states and commands of the engine's protocol. */
+final class EngineStateCodec {
+
+    private EngineStateCodec() {}
+
+    static ReportedState decode(Buffer body) {
+        JsonObject state = new JsonObject(body);
+        List<String> adapters = state.getJsonArray("adapters", new JsonArray()).stream()
+                .map(String::valueOf)
+                .toList();
+        return new ReportedState(
+                state.getString("model", ""),
+                state.getString("version", ""),
+                adapters,
+                state.getString("role", ""),
+                state.getLong("fencing", 0L));
+    }
+
+    static Buffer encode(EngineCommand command) {
+        return new JsonObject()
+                .put("kind", command.kind().wireName())
+                .put("name", command.name())
+                .put("fencing", command.fencing())
+                .toBuffer();
+    }
+}
--- a/sidecar/src/main/java/org/redwinghook/sidecar/peer/EndpointGate.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/EndpointGate.java
@@ -15,10 +15,12 @@
 public final class EndpointGate implements StateSource {
 
     private static final long EXPIRY_CHECK_MILLIS = 50;
+    private static final String OTHER_VERSION = "the engine has another model version than desired";
 
     private final AdmissionController admission;
     private final Map<Long, PendingWork> pending = new HashMap<>();
     private boolean accepting = true;
+    private boolean engineChanging;
     private @Nullable Runnable idleListener;
     private int running;
 
@@ -41,6 +43,10 @@
      * @param refuse tells its router that it is not run; called at once or later, never after start
      */
     public void offer(WorkItem item, Consumer<WorkItem> start, Consumer<String> refuse) {
+        if (engineChanging) {
+            refuse.accept(OTHER_VERSION);
+            return;
+        }
         switch (admission.offer(item)) {
             case ADMITTED -> run(item, start);
             case QUEUED -> pending.put(item.identifier(), new PendingWork(start, refuse));
@@ -94,7 +100,7 @@
      * @return the load
      */
     public EndpointLoad load() {
-        return admission.load(accepting, nowMillis());
+        return admission.load(accepting && !engineChanging, nowMillis());
     }
 
     /**
@@ -116,13 +122,33 @@
         if (accepting) {
             return;
         }
-        for (Map.Entry<Long, PendingWork> entry : Map.copyOf(pending).entrySet()) {
-            if (withdraw(entry.getKey())) {
-                entry.getValue().refuse().accept("the endpoint is leaving");
-            }
+        refuseWaiting("the endpoint is leaving");
+    }
+
+    /**
+     * Sets whether the engine must not get new work before it has another model version. Waiting requests are refused.
+     *
+     * @param value whether new work is refused
+     */
+    public void setEngineChanging(boolean value) {
+        if (value == engineChanging) {
+            return;
+        }
+        engineChanging = value;
+        if (engineChanging) {
+            refuseWaiting(OTHER_VERSION);
         }
     }
 
+    /**
+     * Whether nothing runs.
+     *
+     * @return true without running requests
+     */
+    public boolean isIdle() {
+        return running == 0;
+    }
+
     /**
      * Calls a listener when nothing runs.
      *
@@ -154,6 +180,14 @@
         start.accept(item);
     }
 
+    private void refuseWaiting(String detail) {
+        for (Map.Entry<Long, PendingWork> entry : Map.copyOf(pending).entrySet()) {
+            if (withdraw(entry.getKey())) {
+                entry.getValue().refuse().accept(detail);
+            }
+        }
+    }
+
     private void admitWaiting() {
         for (WorkItem item : admission.admitWaiting(nowMillis())) {
             PendingWork work = pending.remove(item.identifier());
--- /dev/null
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/ChangingConfiguration.java
@@ -0,0 +1,28 @@
+package org.redwinghook.sidecar;
+
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.vertx.core.Vertx;
+import org.redwinghook.core.config.Configuration;
+import org.redwinghook.runtime.config.ConfigurationSource;
+
+/** A configuration that a test changes and that is confirmed all the time. */
+record ChangingConfiguration(Vertx vertx, long confirmMillis, Supplier<Configuration> newest)
+        implements ConfigurationSource {
+
+    @Override
+    public Configuration current() {
+        return newest.get();
+    }
+
+    @Override
+    public void onChange(Consumer<Configuration> listener) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void onConfirmed(Runnable listener) {
+        vertx.setPeriodic(confirmMillis, ignored -> listener.run());
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/EngineCommanderTest.java
@@ -0,0 +1,232 @@
+package org.redwinghook.sidecar;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.core.admission.AdmissionController;
+import org.redwinghook.core.admission.AdmissionSettings;
+import org.redwinghook.core.config.Configuration;
+import org.redwinghook.core.config.DesiredEngine;
+import org.redwinghook.core.config.Rules;
+import org.redwinghook.core.config.SectionVersion;
+import org.redwinghook.core.config.Service;
+import org.redwinghook.core.config.ServiceKind;
+import org.redwinghook.core.length.LearnedLengths;
+import org.redwinghook.runtime.config.FixedConfigurationSource;
+import org.redwinghook.runtime.settings.Address;
+import org.redwinghook.sidecar.engine.CommandMetrics;
+import org.redwinghook.sidecar.engine.CommanderTimes;
+import org.redwinghook.sidecar.engine.EngineClient;
+import org.redwinghook.sidecar.engine.EngineCommander;
+import org.redwinghook.sidecar.peer.ConfiguredShares;
+import org.redwinghook.sidecar.peer.EndpointGate;
+import org.redwinghook.standins.engine.ColdStart;
+import org.redwinghook.standins.engine.EngineMemory;
+import org.redwinghook.standins.engine.EnginePace;
+import org.redwinghook.standins.engine.EngineReporting;
+import org.redwinghook.standins.engine.EngineSettings;
+import org.redwinghook.standins.engine.EngineStandIn;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public final class EngineCommanderTest {
+
+    private static final long CONFIRM_MILLIS = 10;
+    private static final long PATIENT = 5_000;
+
+    private Vertx vertx;
+    private SimpleMeterRegistry counters;
+    private EngineStandIn engine;
+    private EndpointGate gate;
+    private EngineCommander commander;
+    private HttpClient direct;
+    private int port;
+    private volatile Configuration configuration;
+
+    @BeforeMethod
+    public void open() {
+        vertx = Vertx.vertx();
+        direct = vertx.createHttpClient();
+        counters = new SimpleMeterRegistry();
+    }
+
+    @AfterMethod
+    public void close() {
+        vertx.close().await();
+    }
+
+    @DataProvider
+    public Object[][] engines() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /** Guards against lost answers: the effect comes after the timeout and must be noticed without a repeat in between. */
+    @Test
+    public void effectsOfLostAnswersAreNoticed() {
+        startEngine(150, true);
+        desire(3, new DesiredEngine("", "v2", List.of("a"), "", false));
+        startCommander(50);
+        Await.until("both loads", () -> engine.state().adapters().contains("a"));
+        assertEquals(engine.state().version(), "v2");
+        Await.until("as desired", () -> commander.state().toString().contains("AS_DESIRED"));
+        assertEquals(count("sent"), 2);
+        assertEquals(count("failed"), 2);
+    }
+
+    /**
+     * Guards against an old command that overtakes a newer one deciding the engine's state.
+     *
+     * @param checksFencing whether the engine refuses old numbers
+     */
+    @Test(dataProvider = "engines")
+    public void lateOldCommandDoesNotLast(boolean checksFencing) {
+        startEngine(1, checksFencing);
+        desire(5, version("new"));
+        startCommander(PATIENT);
+        Await.until("new version", () -> "new".equals(engine.state().version()));
+        assertEquals(post("old", 4), checksFencing ? 409 : 200);
+        Await.until("new version again", () -> "new".equals(engine.state().version()));
+        Await.until("repeat", () -> count("sent") == (checksFencing ? 1 : 2));
+    }
+
+    /**
+     * Guards against a sidecar with an old desired state, as after a pause, changing an engine that has a newer one.
+     *
+     * @param checksFencing whether the engine refuses old numbers
+     */
+    @Test(dataProvider = "engines")
+    public void oldDesiredStateIsHeldBack(boolean checksFencing) {
+        startEngine(1, checksFencing);
+        post("new", 9);
+        desire(5, version("old"));
+        startCommander(PATIENT);
+        Await.until("hold", () -> commander.state().toString().contains("NEWER_COMMAND_APPLIED"));
+        assertEquals(count("sent"), 0);
+        desire(10, version("newest"));
+        Await.until("newest version", () -> "newest".equals(engine.state().version()));
+    }
+
+    /** Guards against a refused old number being taken for success when a newer command was already loading. */
+    @Test
+    public void refusalIsCountedAndNotRepeated() {
+        startEngine(400, true);
+        desire(5, version("old"));
+        vertx.runOnContext(ignored -> send("new", 9));
+        Await.pause(100);
+        startCommander(PATIENT);
+        Await.until("refusal", () -> count("refused") == 1);
+        Await.until("hold", () -> commander.state().toString().contains("NEWER_COMMAND_APPLIED"));
+        assertEquals(engine.state().version(), "new");
+        assertEquals(count("sent"), 1);
+    }
+
+    /** Guards against an engine that was started anew staying without its version, also in the middle of a command. */
+    @Test
+    public void restartedEngineGetsItsStateAgain() {
+        startEngine(100, true);
+        desire(5, version("v"));
+        startCommander(500);
+        Await.until("first command", () -> count("sent") == 1);
+        engine.crash(50).await();
+        Await.until("version after a crash in a command", () -> "v"
+                .equals(engine.state().version()));
+        engine.crash(50).await();
+        assertEquals(engine.state().version(), "");
+        Await.until("version after a crash", () -> "v".equals(engine.state().version()));
+    }
+
+    /** Guards against new work on the old version if the change says so, and against refusals that never end. */
+    @Test
+    public void newWorkIsRefusedWhileTheVersionDiffers() {
+        startEngine(300, true);
+        desire(5, new DesiredEngine("", "v", List.of(), "", true));
+        startCommander(PATIENT);
+        Await.until("refusal", () -> !gate.load().accepting());
+        Await.until("version", () -> "v".equals(engine.state().version()));
+        Await.until("new work", () -> gate.load().accepting());
+    }
+
+    private static DesiredEngine version(String version) {
+        return new DesiredEngine("", version, List.of(), "", false);
+    }
+
+    private void startEngine(long commandMillis, boolean checksFencing) {
+        engine = new EngineStandIn(
+                vertx,
+                0,
+                new EngineSettings(
+                        1,
+                        10,
+                        EnginePace.FAST,
+                        EngineMemory.USUAL,
+                        ColdStart.NONE,
+                        EngineReporting.IMMEDIATE,
+                        1_000,
+                        50,
+                        commandMillis,
+                        checksFencing));
+        port = engine.start().await();
+    }
+
+    private void desire(long offset, DesiredEngine desired) {
+        Service service = new Service("s", ServiceKind.ENGINE, "o", 100, true, 4, desired, List.of());
+        configuration = new Configuration(
+                offset,
+                Map.of(),
+                Map.of(),
+                Map.of("s", service),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Rules.DEFAULT,
+                Map.of("services", new SectionVersion(offset, "team")));
+    }
+
+    private void startCommander(long timeoutMillis) {
+        ChangingConfiguration source = new ChangingConfiguration(vertx, CONFIRM_MILLIS, () -> configuration);
+        AdmissionController admission = new AdmissionController(
+                new AdmissionSettings(4, 0, 64),
+                new LearnedLengths(64),
+                new ConfiguredShares(new FixedConfigurationSource(Configuration.EMPTY)));
+        gate = new EndpointGate(vertx, admission);
+        commander = new EngineCommander(
+                new EngineClient(vertx, new Address("127.0.0.1", port)),
+                "s",
+                source,
+                gate,
+                ignored -> OptionalInt.of(0),
+                new CommanderTimes(20, timeoutMillis, 1_000),
+                new CommandMetrics(counters));
+        vertx.runOnContext(ignored -> commander.start(vertx));
+    }
+
+    private int post(String version, long fencing) {
+        return send(version, fencing).await().statusCode();
+    }
+
+    private Future<HttpClientResponse> send(String version, long fencing) {
+        JsonObject command = new JsonObject()
+                .put("kind", "load-version")
+                .put("name", version)
+                .put("fencing", fencing);
+        return direct.request(HttpMethod.POST, port, "127.0.0.1", "/commands")
+                .compose(request -> request.send(command.toBuffer()));
+    }
+
+    private int count(String name) {
+        return (int) counters.counter("redwinghook.engine.commands." + name).count();
+    }
+}
