--- a/core/src/test/java/org/redwinghook/core/engine/EngineCommandPlannerTest.java
+++ b/core/src/test/java/org/redwinghook/core/engine/EngineCommandPlannerTest.java
@@ -1,10 +1,15 @@
 package org.redwinghook.core.engine;
 
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalInt;
 
 import io.vavr.control.Either;
+import org.redwinghook.core.config.Configuration;
 import org.redwinghook.core.config.DesiredEngine;
+import org.redwinghook.core.config.Rules;
+import org.redwinghook.core.config.SectionVersion;
+import org.redwinghook.core.config.Service;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -50,6 +55,19 @@
                 .isEmpty());
     }
 
+    /** Guards against a fencing number that goes back when a service's entry moves to a section with a lower version. */
+    @Test
+    public void numberIsTheHighestOfTheSectionsOfServices() {
+        Map<String, SectionVersion> sections = Map.of(
+                "services.a", new SectionVersion(5, "t"),
+                "services.b", new SectionVersion(11, "t"),
+                "owners", new SectionVersion(20, "t"));
+        Map<String, Service> none = Map.of();
+        Configuration configuration = new Configuration(
+                20, Map.of(), Map.of(), none, Map.of(), Map.of(), Map.of(), Map.of(), Rules.DEFAULT, sections);
+        assertEquals(DesiredState.of(configuration, "s"), new DesiredState(11, DesiredEngine.NO_WISH));
+    }
+
     /** Guards against a process that slept commanding what it knew before, also by data buffered during the pause. */
     @Test
     public void afterAPauseBothSidesAreRefreshedFirst() {
--- a/runtime/src/test/java/org/redwinghook/runtime/config/LogConfigurationFollowerTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/config/LogConfigurationFollowerTest.java
@@ -13,6 +13,7 @@
 import org.redwinghook.core.config.Withdrawal;
 import org.redwinghook.core.membership.MeshPositions;
 import org.redwinghook.core.message.ConfigurationAnnouncement;
+import org.redwinghook.core.message.ConfigurationRecords;
 import org.redwinghook.core.message.ProcessRole;
 import org.testng.annotations.Test;
 
@@ -53,6 +54,33 @@
         }
     }
 
+    public static final class Confirmation {
+
+        /** Guards against a configuration counting as confirmed by a peer that knows a newer one. */
+        @Test
+        public void onlyPeersThatAreNotAheadConfirm() {
+            Deployment deployment = new Deployment();
+            deployment.putOwner("a");
+            LogConfigurationFollower router = deployment.started(ProcessRole.ROUTER);
+            LogConfigurationFollower sidecar = deployment.started(ProcessRole.SIDECAR);
+            deployment.time.advance(5_000);
+            List<Long> confirmed = new ArrayList<>();
+            sidecar.onConfirmed(() -> confirmed.add(sidecar.current().offset()));
+            deployment.network.connect(router, sidecar);
+            deployment.network.heartbeat();
+            deployment.time.advance(1_000);
+            assertTrue(confirmed.contains(1L), "heartbeats of a router with the same offset confirm");
+            deployment.network.deliverOnly(message -> !(message instanceof ConfigurationRecords));
+            deployment.putOwner("b");
+            deployment.time.advance(10_000);
+            confirmed.clear();
+            deployment.network.heartbeat();
+            deployment.time.advance(1_000);
+            assertEquals(router.current().offset(), 2);
+            assertEquals(confirmed, List.of());
+        }
+    }
+
     public static final class Distribution {
 
         /** Guards against changes that do not reach each process within the seven seconds of the design. */
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineCommander.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineCommander.java
@@ -94,7 +94,11 @@
     private void read() {
         long requested = EndpointGate.nowMillis();
         planner.tick(requested);
-        if (isReading || planner.desired().engine().equals(DesiredEngine.NO_WISH)) {
+        if (planner.desired().engine().equals(DesiredEngine.NO_WISH)) {
+            hold = CommandHold.AS_DESIRED;
+            return;
+        }
+        if (isReading) {
             return;
         }
         isReading = true;
@@ -132,8 +136,9 @@
         lastCommand = command;
         metrics.sent();
         engine.command(EngineStateCodec.encode(command))
+                .compose(response -> response.body().map(ignored -> result(response.statusCode())))
                 .timeout(times.commandTimeoutMillis(), TimeUnit.MILLISECONDS)
-                .onSuccess(response -> ended(result(response.statusCode())))
+                .onSuccess(this::ended)
                 .onFailure(failure -> ended(CommandResult.FAILED));
     }
 
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineStateCodec.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineStateCodec.java
@@ -18,12 +18,14 @@
         List<String> adapters = state.getJsonArray("adapters", new JsonArray()).stream()
                 .map(String::valueOf)
                 .toList();
+        // An engine that ignores the number may report none.
+        Long fencing = state.getLong("fencing");
         return new ReportedState(
-                state.getString("model", ""),
-                state.getString("version", ""),
+                text(state, "model"),
+                text(state, "version"),
                 adapters,
-                state.getString("role", ""),
-                state.getLong("fencing", 0L));
+                text(state, "role"),
+                fencing == null ? 0 : fencing);
     }
 
     static Buffer encode(EngineCommand command) {
@@ -33,4 +35,9 @@
                 .put("fencing", command.fencing())
                 .toBuffer();
     }
+
+    private static String text(JsonObject state, String key) {
+        String value = state.getString(key);
+        return value == null ? "" : value;
+    }
 }
--- a/sidecar/src/test/java/org/redwinghook/sidecar/EngineCommanderTest.java
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/EngineCommanderTest.java
@@ -3,9 +3,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
@@ -13,6 +16,7 @@
 import io.vertx.core.json.JsonObject;
 import org.redwinghook.core.admission.AdmissionController;
 import org.redwinghook.core.admission.AdmissionSettings;
+import org.redwinghook.core.admission.WorkItem;
 import org.redwinghook.core.config.Configuration;
 import org.redwinghook.core.config.DesiredEngine;
 import org.redwinghook.core.config.Rules;
@@ -34,6 +38,7 @@
 import org.redwinghook.standins.engine.EngineReporting;
 import org.redwinghook.standins.engine.EngineSettings;
 import org.redwinghook.standins.engine.EngineStandIn;
+import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -47,6 +52,7 @@
     private static final long PATIENT = 5_000;
 
     private Vertx vertx;
+    private Context loop;
     private SimpleMeterRegistry counters;
     private EngineStandIn engine;
     private EndpointGate gate;
@@ -151,10 +157,20 @@
     @Test
     public void newWorkIsRefusedWhileTheVersionDiffers() {
         startEngine(300, true);
-        desire(5, new DesiredEngine("", "v", List.of(), "", true));
+        desire(5, version("v"));
         startCommander(PATIENT);
+        Await.until("first version, without a refusal", () -> "v"
+                .equals(engine.state().version()));
+        onLoop(() -> gate.offer(item(1), started -> {}, detail -> Assert.fail(detail)));
+        desire(6, new DesiredEngine("", "w", List.of(), "", true));
         Await.until("refusal", () -> !gate.load().accepting());
-        Await.until("version", () -> "v".equals(engine.state().version()));
+        List<String> refused = new CopyOnWriteArrayList<>();
+        onLoop(() -> gate.offer(item(2), started -> Assert.fail("started"), refused::add));
+        assertEquals(refused, List.of("the engine has another model version than desired"));
+        Await.until("drain", () -> commander.state().toString().contains("DRAINING"));
+        assertEquals(count("sent"), 1);
+        onLoop(() -> gate.finished(1, true));
+        Await.until("version", () -> "w".equals(engine.state().version()));
         Await.until("new work", () -> gate.load().accepting());
     }
 
@@ -210,7 +226,22 @@
                 ignored -> OptionalInt.of(0),
                 new CommanderTimes(20, timeoutMillis, 1_000),
                 new CommandMetrics(counters));
-        vertx.runOnContext(ignored -> commander.start(vertx));
+        loop = vertx.getOrCreateContext();
+        onLoop(() -> commander.start(vertx));
+    }
+
+    private static WorkItem item(long identifier) {
+        long now = EndpointGate.nowMillis();
+        return new WorkItem(identifier, "o", "c", 1, 1, 1, now, now + PATIENT);
+    }
+
+    private void onLoop(Runnable action) {
+        Promise<Void> done = Promise.promise();
+        loop.runOnContext(ignored -> {
+            action.run();
+            done.complete();
+        });
+        done.future().await();
     }
 
     private int post(String version, long fencing) {
