--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -78,6 +78,7 @@
     private final PeerServer peers;
     private final AdminServer admin;
     private final UsageReporter usage;
+    private Runnable commanderStop = () -> {};
     private boolean stopping;
     private volatile int peerPort;
 
@@ -150,6 +151,7 @@
                     "engine", new LoadMonitor(vertx, engine, LoadMonitor.INTERVAL_MILLIS, gate::endpointRestarted));
             EngineCommander commander = commander(engine, vmList, metrics);
             commander.start(vertx);
+            commanderStop = commander::stop;
             services.register("commands", commander);
         }
         admin = new AdminServer(
@@ -171,6 +173,7 @@
     @Override
     public Future<Void> stopGracefully() {
         stopping = true;
+        commanderStop.run();
         gate.setAccepting(false);
         Promise<Void> idle = Promise.promise();
         gate.whenIdle(() -> idle.tryComplete());
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineCommander.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineCommander.java
@@ -41,6 +41,7 @@
     private @Nullable CommandHold hold;
     private @Nullable EngineCommand lastCommand;
     private boolean isReading;
+    private boolean isStopped;
 
     /**
      * Creates a commander that has not started.
@@ -81,6 +82,11 @@
         vertx.setPeriodic(times.intervalMillis(), ignored -> read());
     }
 
+    /** Sends no further command, so that a leaving sidecar starts no load under its last generations. */
+    public void stop() {
+        isStopped = true;
+    }
+
     @Override
     public Object state() {
         return new CommanderState(planner.desired(), planner.reported(), hold, lastCommand, planner.refusesWork());
@@ -92,6 +98,9 @@
     }
 
     private void read() {
+        if (isStopped) {
+            return;
+        }
         long requested = EndpointGate.nowMillis();
         planner.tick(requested);
         if (planner.desired().engine().equals(DesiredEngine.NO_WISH)) {
@@ -122,6 +131,9 @@
     }
 
     private void plan() {
+        if (isStopped) {
+            return;
+        }
         int limit = configuration.current().rules().concurrentWeightLoads();
         LoadConditions conditions = new LoadConditions(rank, limit, gate.isIdle());
         Either<CommandHold, EngineCommand> next = planner.next(conditions, EndpointGate.nowMillis());
--- a/sidecar/src/test/java/org/redwinghook/sidecar/EngineCommanderTest.java
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/EngineCommanderTest.java
@@ -70,6 +70,7 @@
 
     @AfterMethod
     public void close() {
+        onLoop(commander::stop);
         vertx.close().await();
     }
 
