--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/CapacityMain.java
@@ -0,0 +1,54 @@
+package org.redwinghook.experiments.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.redwinghook.runtime.process.ExitCode;
+
+/** Entry point of the measurement of capacity. */
+public final class CapacityMain {
+
+    private static final String BINARY = "redwinghook-capacity";
+
+    private CapacityMain() {}
+
+    /**
+     * Measures and rewrites the tables of the page.
+     *
+     * @param arguments the command line
+     * @throws IOException if a process cannot be started or the page cannot be written
+     * @throws InterruptedException if this thread is interrupted
+     */
+    public static void main(String[] arguments) throws IOException, InterruptedException {
+        CapacityOptions options = new CapacityOptions();
+        CmdLineParser parser = new CmdLineParser(options);
+        try {
+            parser.parseArgument(arguments);
+        } catch (CmdLineException exception) {
+            System.err.println(BINARY + ": " + exception.getMessage());
+            parser.printUsage(System.err);
+            System.exit(ExitCode.USAGE.number());
+        }
+        if (options.help()) {
+            System.out.println("usage: " + BINARY + " [OPTION...]");
+            parser.printUsage(System.out);
+            return;
+        }
+        run(options);
+    }
+
+    private static void run(CapacityOptions options) throws IOException, InterruptedException {
+        String page = Files.readString(options.page());
+        Files.createDirectories(options.directory());
+        Map<String, String> tables = new LinkedHashMap<>();
+        tables.putAll(new ControlReport(new ControlCosts(options.directory()).run()).tables());
+        for (Map.Entry<String, String> table : tables.entrySet()) {
+            page = MarkedTables.replace(page, table.getKey(), table.getValue());
+        }
+        Files.writeString(options.page(), page);
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/CapacityOptions.java
@@ -0,0 +1,45 @@
+package org.redwinghook.experiments.capacity;
+
+import java.nio.file.Path;
+
+import org.kohsuke.args4j.Option;
+
+/** Command line of the measurement. */
+public final class CapacityOptions {
+
+    @Option(name = "--page", metaVar = "FILE", usage = "page whose tables are rewritten")
+    private Path page = Path.of("docs", "CAPACITY.md");
+
+    @Option(name = "--directory", metaVar = "DIRECTORY", usage = "receives settings and output of the processes")
+    private Path directory = Path.of("distribution", "target", "capacity");
+
+    @Option(name = "--help", help = true, usage = "print this help and exit")
+    private boolean help;
+
+    /**
+     * Page whose tables are rewritten.
+     *
+     * @return the file
+     */
+    public Path page() {
+        return page;
+    }
+
+    /**
+     * Place for settings and output of the processes.
+     *
+     * @return the directory
+     */
+    public Path directory() {
+        return directory;
+    }
+
+    /**
+     * Whether to print help.
+     *
+     * @return true to print help and exit
+     */
+    public boolean help() {
+        return help;
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/ControlReport.java
@@ -0,0 +1,170 @@
+package org.redwinghook.experiments.capacity;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import org.redwinghook.core.message.ProcessRole;
+
+/** Tables of the control costs: idle processes, measured points, fitted slopes and the target size. */
+public final class ControlReport {
+
+    private static final int FEWEST_POINTS = 3;
+
+    /** 17 models with 8 endpoints each; 600 endpoints of 17 models in 3 regions are enough for a full subset. */
+    private static final double SUBSET_ENDPOINTS = 17 * 8;
+
+    /** 120 routers of the region choose 8 of the 600 / 17 / 3 endpoints of a service. */
+    private static final double SUBSET_ROUTERS = 120 * 8 / (600 / 17.0 / 3);
+
+    private static final double ENDPOINTS = 600;
+
+    private final ControlCosts.Result result;
+
+    /**
+     * Creates a report.
+     *
+     * @param result what was measured
+     */
+    public ControlReport(ControlCosts.Result result) {
+        this.result = result;
+    }
+
+    /**
+     * All tables.
+     *
+     * @return tables by the name of their marker
+     */
+    public Map<String, String> tables() {
+        Map<String, String> tables = new LinkedHashMap<>();
+        tables.put("idle", idle().toString());
+        tables.put("points", points().toString());
+        tables.put("slopes", slopes().toString());
+        tables.put("target", target().toString());
+        return tables;
+    }
+
+    private MarkdownTable idle() {
+        MarkdownTable table = new MarkdownTable(headings("role"));
+        result.bases().forEach((role, cost) -> table.row(cells(cost, role.name().toLowerCase(java.util.Locale.ROOT))));
+        return table;
+    }
+
+    private MarkdownTable points() {
+        MarkdownTable table = new MarkdownTable(headings("role", "size"));
+        result.growth()
+                .forEach((series, points) -> points.forEach((size, cost) ->
+                        table.row(cells(cost, role(series), "%,d %s".formatted(size, series.label())))));
+        return table;
+    }
+
+    private MarkdownTable slopes() {
+        MarkdownTable table = new MarkdownTable(
+                List.of("role", "for each", "metric", "slope", "R²", "points", "target size", "growth at target"));
+        for (Series series : Series.values()) {
+            for (Map.Entry<Metric, LinearFit> entry : fits(series).entrySet()) {
+                LinearFit fit = entry.getValue();
+                table.row(List.of(
+                        role(series),
+                        "1 of " + series.label(),
+                        entry.getKey().label(),
+                        MarkdownTable.number(fit.slope()),
+                        "%.3f".formatted(fit.determination()),
+                        Integer.toString(series.sizes().size()),
+                        MarkdownTable.number(series.target()),
+                        MarkdownTable.number(fit.growth(series.target()))));
+            }
+        }
+        return table;
+    }
+
+    private MarkdownTable target() {
+        MarkdownTable table = new MarkdownTable(List.of(
+                "role",
+                "metric",
+                "growth at target",
+                "budget",
+                "verdict",
+                "with a subset of 8, calculated",
+                "verdict"));
+        for (ProcessRole role : ProcessRole.values()) {
+            for (Metric metric : Metric.values()) {
+                double now = growth(role, metric);
+                double subset = now - savedBySubset(role, metric);
+                table.row(List.of(
+                        role.name().toLowerCase(java.util.Locale.ROOT),
+                        metric.label(),
+                        MarkdownTable.number(now),
+                        Double.isInfinite(metric.budget()) ? "" : MarkdownTable.number(metric.budget()),
+                        metric.verdict(now),
+                        MarkdownTable.number(subset),
+                        metric.verdict(subset)));
+            }
+        }
+        return table;
+    }
+
+    private double growth(ProcessRole role, Metric metric) {
+        double sum = 0;
+        for (Series series : Series.values()) {
+            LinearFit fit = fits(series).get(metric);
+            if (series.role() == role && fit != null) {
+                sum += fit.growth(series.target());
+            }
+        }
+        return sum;
+    }
+
+    private double savedBySubset(ProcessRole role, Metric metric) {
+        if (role == ProcessRole.SIDECAR) {
+            LinearFit routers = fits(Series.SIDECAR_ROUTERS).get(metric);
+            return routers == null ? 0 : routers.growth(Series.SIDECAR_ROUTERS.target() - SUBSET_ROUTERS);
+        }
+        LinearFit endpoints = fits(Series.ROUTER_ENDPOINTS).get(metric);
+        LinearFit listed = fits(Series.ROUTER_PEERS).get(metric);
+        if (endpoints == null || listed == null) {
+            return 0;
+        }
+        // A listed router costs its entry in the VM list and hardly any connection; the rest of an endpoint's cost is
+        // its connection.
+        return (endpoints.slope() - listed.slope()) * (ENDPOINTS - SUBSET_ENDPOINTS);
+    }
+
+    private Map<Metric, LinearFit> fits(Series series) {
+        Map<Metric, LinearFit> fits = new EnumMap<>(Metric.class);
+        SortedMap<Integer, Cost> points = result.growth().get(series);
+        if (points == null || points.size() < FEWEST_POINTS) {
+            return fits;
+        }
+        for (Metric metric : Metric.values()) {
+            SortedMap<Double, Double> values = new TreeMap<>();
+            points.forEach((size, cost) -> values.put((double) size, metric.of(cost)));
+            fits.put(metric, LinearFit.of(values));
+        }
+        return fits;
+    }
+
+    private static String role(Series series) {
+        return series.role().name().toLowerCase(java.util.Locale.ROOT);
+    }
+
+    private static List<String> headings(String... first) {
+        List<String> headings = new ArrayList<>(List.of(first));
+        for (Metric metric : Metric.values()) {
+            headings.add(metric.label());
+        }
+        return headings;
+    }
+
+    private static List<String> cells(Cost cost, String... first) {
+        List<String> cells = new ArrayList<>(List.of(first));
+        for (Metric metric : Metric.values()) {
+            cells.add(MarkdownTable.number(metric.of(cost)));
+        }
+        return cells;
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/FakePeers.java
@@ -0,0 +1,153 @@
+package org.redwinghook.experiments.capacity;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import org.redwinghook.core.message.ConfigurationAnnouncement;
+import org.redwinghook.core.message.EndpointLoad;
+import org.redwinghook.core.message.Heartbeat;
+import org.redwinghook.core.message.Hello;
+import org.redwinghook.core.message.Message;
+import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.message.QuotaRequest;
+import org.redwinghook.runtime.settings.Address;
+import org.redwinghook.runtime.wire.FrameCodec;
+import org.redwinghook.runtime.wire.PeerConnection;
+import org.redwinghook.runtime.wire.PeerServer;
+import org.redwinghook.runtime.wire.WireMetrics;
+
+/** Idle sidecars and routers in this JVM that greet and send heartbeats in real frames, as idle peers do. */
+public final class FakePeers {
+
+    /** Data centre of all processes of a measurement. */
+    public static final String DATA_CENTRE = "hu-central-1";
+
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int PROTOCOL_VERSION = 1;
+    private static final long HEARTBEAT_MILLIS = 5_000;
+    private static final long MILLIS_PER_SECOND = 1_000;
+    private static final long QUOTA_TOKENS = 256;
+    private static final EndpointLoad IDLE_LOAD = new EndpointLoad(0, 0, 32, 0.25, 0, true);
+
+    private final Vertx vertx;
+    private final FrameCodec codec = new FrameCodec();
+    private final WireMetrics metrics = new WireMetrics(new SimpleMeterRegistry());
+    private final NetClient client;
+    private final PeerServer sidecars;
+    private final PeerServer routers;
+    private final Set<FakePeer> open = new HashSet<>();
+    private int lastName;
+    private long lastExchange;
+
+    /**
+     * Creates peers that do not listen yet.
+     *
+     * @param vertx runs them, with one event loop
+     */
+    public FakePeers(Vertx vertx) {
+        this.vertx = vertx;
+        client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true));
+        Address any = new Address(LOOPBACK, 0);
+        sidecars = new PeerServer(
+                vertx, any, codec, metrics, connection -> new FakePeer(connection, ProcessRole.SIDECAR).listen());
+        routers = new PeerServer(
+                vertx, any, codec, metrics, connection -> new FakePeer(connection, ProcessRole.ROUTER).listen());
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return port of the sidecars and port of the routers
+     */
+    public Future<List<Integer>> start() {
+        vertx.setPeriodic(HEARTBEAT_MILLIS, ignored -> Set.copyOf(open).forEach(FakePeer::beat));
+        return sidecars.start().compose(first -> routers.start().map(second -> List.of(first, second)));
+    }
+
+    /**
+     * Connects routers to a process.
+     *
+     * @param port peer port of the process
+     * @param count number of routers
+     * @param quotaRequestsPerSecond quota requests that the first router sends
+     * @return completes when all are connected
+     */
+    public Future<Void> connect(int port, int count, int quotaRequestsPerSecond) {
+        List<Future<Void>> opening = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            int rate = index == 0 ? quotaRequestsPerSecond : 0;
+            opening.add(client.connect(port, LOOPBACK)
+                    .map(socket -> new FakePeer(new PeerConnection(socket, codec, metrics), ProcessRole.ROUTER))
+                    .onSuccess(peer -> peer.greet(rate))
+                    .mapEmpty());
+        }
+        return Future.all(opening).mapEmpty();
+    }
+
+    private final class FakePeer {
+
+        private final PeerConnection connection;
+        private final ProcessRole role;
+        private final String name = "fake-" + ++lastName;
+        private long offset;
+
+        FakePeer(PeerConnection connection, ProcessRole role) {
+            this.connection = connection;
+            this.role = role;
+            open.add(this);
+            connection.onClose(() -> open.remove(this));
+        }
+
+        void listen() {
+            connection.onMessage(this::answer);
+        }
+
+        void greet(int quotaRequestsPerSecond) {
+            connection.onMessage(this::note);
+            connection.send(hello());
+            if (quotaRequestsPerSecond == 0) {
+                return;
+            }
+            long timer = vertx.setPeriodic(MILLIS_PER_SECOND / quotaRequestsPerSecond, ignored -> askForQuota());
+            connection.onClose(() -> {
+                open.remove(this);
+                vertx.cancelTimer(timer);
+            });
+        }
+
+        void beat() {
+            connection.send(new Heartbeat(offset, role == ProcessRole.SIDECAR ? IDLE_LOAD : null));
+        }
+
+        private void answer(Message message) {
+            if (message instanceof Hello) {
+                connection.send(hello());
+                beat();
+            }
+            note(message);
+        }
+
+        private void note(Message message) {
+            if (message instanceof ConfigurationAnnouncement announcement) {
+                offset = announcement.offset();
+            }
+        }
+
+        private void askForQuota() {
+            connection.send(new QuotaRequest(
+                    ++lastExchange, FakePlatform.CUSTOMER + lastExchange % 10, 1, 0, QUOTA_TOKENS, 0, 0, 0));
+        }
+
+        private Hello hello() {
+            String service = role == ProcessRole.SIDECAR ? FakePlatform.SERVICE : null;
+            return new Hello(PROTOCOL_VERSION, name, 1, role, service, DATA_CENTRE, offset);
+        }
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/FakePlatform.java
@@ -0,0 +1,151 @@
+package org.redwinghook.experiments.capacity;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+
+import com.google.common.hash.Hashing;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.core.config.SectionChange;
+import org.redwinghook.runtime.config.ConfigurationCodec;
+import org.redwinghook.runtime.platform.LogClient;
+import org.redwinghook.runtime.settings.Address;
+import org.redwinghook.standins.log.LogSettings;
+import org.redwinghook.standins.log.LogStandIn;
+import org.redwinghook.standins.vmlist.VmListStandIn;
+
+/** Log and VM list of one measured process. */
+public final class FakePlatform {
+
+    /** Service of all endpoints. */
+    public static final String SERVICE = "model-0";
+
+    /** Customers have this name and a number from 0. */
+    public static final String CUSTOMER = "customer-";
+
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final String STREAM = "configuration";
+    private static final String TEAM = "platform";
+    private static final String OWNER = "parna-muhely";
+    private static final int MODELS = 17;
+
+    /** A section may have 64 KiB, and an entry of this page has some 170 bytes. */
+    private static final int CUSTOMERS_PER_SECTION = 300;
+
+    private static final LogSettings LOG_LIMITS = new LogSettings(10_000, 100_000, 3_600_000);
+    private static final long MILLIS_PER_MINUTE = 60_000;
+
+    private final Vertx vertx;
+    private final LogStandIn log;
+    private final VmListStandIn vmList;
+    private final ConfigurationCodec codec = new ConfigurationCodec();
+    private int logPort;
+    private int vmListPort;
+    private long version;
+
+    /**
+     * Creates a platform that does not listen yet.
+     *
+     * @param vertx runs it
+     * @param vms entries of the VM list
+     */
+    public FakePlatform(Vertx vertx, JsonArray vms) {
+        this.vertx = vertx;
+        log = new LogStandIn(vertx, 0, LOG_LIMITS);
+        vmList = new VmListStandIn(vertx, 0, vms);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return completes when both ports are open
+     */
+    public Future<Void> start() {
+        return log.start()
+                .onSuccess(port -> logPort = port)
+                .compose(port -> vmList.start())
+                .onSuccess(port -> vmListPort = port)
+                .mapEmpty();
+    }
+
+    /**
+     * Port of the log.
+     *
+     * @return the port, 0 before the start
+     */
+    public int logPort() {
+        return logPort;
+    }
+
+    /**
+     * Port of the VM list.
+     *
+     * @return the port, 0 before the start
+     */
+    public int vmListPort() {
+        return vmListPort;
+    }
+
+    /**
+     * Writes a configuration with 17 models, and keeps changing one customer.
+     *
+     * @param customers number of customers; 0 writes nothing
+     * @param changesPerMinute changes a minute, 0 for none
+     * @return completes when the configuration is on the log
+     */
+    public Future<Void> configure(int customers, int changesPerMinute) {
+        if (customers == 0) {
+            return Future.succeededFuture();
+        }
+        LogClient client = new LogClient(vertx, new Address(LOOPBACK, logPort));
+        Map<String, String> models = new HashMap<>();
+        for (int model = 0; model < MODELS; model++) {
+            models.put(
+                    "model-" + model, "{\"kind\":\"engine\",\"owner\":\"parna-muhely\",\"maximumOutputTokens\":4096}");
+        }
+        Future<Long> written = append(client, "owners", 0, Map.of(OWNER, "{\"weight\":1}"))
+                .compose(ignored ->
+                        append(client, "places", 0, Map.of(FakePeers.DATA_CENTRE, "{\"region\":\"hu-central\"}")))
+                .compose(ignored -> append(client, "services", 0, models));
+        for (int from = 0; from < customers; from += CUSTOMERS_PER_SECTION) {
+            Map<String, String> entries = new HashMap<>();
+            for (int index = from; index < Math.min(customers, from + CUSTOMERS_PER_SECTION); index++) {
+                entries.put(CUSTOMER + index, customer(index, 0));
+            }
+            String section = "customers.team-" + from / CUSTOMERS_PER_SECTION;
+            written = written.compose(ignored -> append(client, section, 0, entries))
+                    .onSuccess(offset -> version = section.endsWith("-0") ? offset : version);
+        }
+        return written.onSuccess(ignored -> keepChanging(client, changesPerMinute))
+                .mapEmpty();
+    }
+
+    private void keepChanging(LogClient client, int changesPerMinute) {
+        if (changesPerMinute == 0) {
+            return;
+        }
+        vertx.setPeriodic(MILLIS_PER_MINUTE / changesPerMinute, ignored -> append(
+                        client, "customers.team-0", version, Map.of(CUSTOMER + 0, customer(0, version)))
+                .onSuccess(offset -> version = offset));
+    }
+
+    private Future<Long> append(LogClient client, String section, long replaces, Map<String, String> put) {
+        SectionChange change =
+                new SectionChange(section, TEAM, replaces, UUID.randomUUID().toString(), "capacity", put, List.of());
+        return client.append(STREAM, Buffer.buffer(codec.encode(change)));
+    }
+
+    private static String customer(int index, long revision) {
+        return new JsonObject()
+                .put("owner", OWNER)
+                .put("credentialHashes", List.of(Hashing.sha256().hashInt(index).toString()))
+                .put("requestsPerSecond", 200)
+                .put("tokensPerMinute", 200_000_000 + revision)
+                .encode();
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/MeasuredProcess.java
@@ -0,0 +1,247 @@
+package org.redwinghook.experiments.capacity;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.redwinghook.core.message.ProcessRole;
+
+/** A router or sidecar in a JVM of its own, with a heap of 64 MB and the serial collector. */
+public final class MeasuredProcess {
+
+    private static final String HEAP = "-Xmx64m";
+    private static final Duration HTTP_TIMEOUT = Duration.ofSeconds(5);
+    private static final long START_MILLIS = 60_000;
+    private static final long CHECK_MILLIS = 200;
+    private static final long STOP_SECONDS = 10;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double KILOBYTES_PER_MEGABYTE = 1_000;
+    private static final double KIBIBYTE_IN_KILOBYTES = 1.024;
+    private static final Pattern HEAP_USED = Pattern.compile("generation.* used (\\d+)K");
+    private static final Pattern RESIDENT = Pattern.compile("VmRSS:\\s+(\\d+) kB");
+    private static final Pattern IO = Pattern.compile("[rw]char: (\\d+)");
+    private static final Pattern WIRE_BYTES = wire("bytes");
+    private static final Pattern WIRE_MESSAGES = wire("messages");
+
+    private final Process process;
+    private final int peerPort;
+    private final int adminPort;
+    private final HttpClient http = HttpClient.newHttpClient();
+
+    private MeasuredProcess(Process process, int peerPort, int adminPort) {
+        this.process = process;
+        this.peerPort = peerPort;
+        this.adminPort = adminPort;
+    }
+
+    /**
+     * Starts a process.
+     *
+     * @param role router or sidecar
+     * @param platform its log and VM list
+     * @param enginePort endpoint of a sidecar
+     * @param directory receives settings and output
+     * @param name name of the process
+     * @return the process, not ready yet
+     * @throws IOException if it cannot be started
+     */
+    public static MeasuredProcess start(
+            ProcessRole role, FakePlatform platform, int enginePort, Path directory, String name) throws IOException {
+        int peerPort = freePort();
+        int adminPort = freePort();
+        String settings = """
+                process: %s
+                dataCentre: %s
+                peer: {port: %d}
+                admin: {port: %d}
+                platform:
+                  log: {port: %d}
+                  vmList: {port: %d}
+                %s
+                """.formatted(
+                name,
+                FakePeers.DATA_CENTRE,
+                peerPort,
+                adminPort,
+                platform.logPort(),
+                platform.vmListPort(),
+                role == ProcessRole.ROUTER
+                        ? "caller: {port: 0}\nsettleMillis: 0"
+                        : "service: " + FakePlatform.SERVICE + "\nkind: engine\nendpoint: {port: " + enginePort + "}");
+        Path file = directory.resolve(name + ".yaml");
+        Files.writeString(file, settings);
+        String binary = role == ProcessRole.ROUTER ? "bin/redwinghook-router" : "bin/redwinghook-sidecar";
+        ProcessBuilder builder = new ProcessBuilder(binary, "--settings", file.toString());
+        builder.environment().put("JAVA_OPTIONS", HEAP);
+        builder.redirectErrorStream(true)
+                .redirectOutput(directory.resolve(name + ".log").toFile());
+        return new MeasuredProcess(builder.start(), peerPort, adminPort);
+    }
+
+    /**
+     * Waits until the process listens.
+     *
+     * @throws IOException if it does not within a minute
+     * @throws InterruptedException if this thread is interrupted
+     */
+    public void awaitStart() throws IOException, InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS);
+        while (System.nanoTime() < end && process.isAlive()) {
+            try {
+                get("/health");
+                return;
+            } catch (IOException notYet) {
+                Thread.sleep(CHECK_MILLIS);
+            }
+        }
+        throw new IOException("the process " + process.pid() + " did not start");
+    }
+
+    /**
+     * Port for other processes.
+     *
+     * @return the port
+     */
+    public int peerPort() {
+        return peerPort;
+    }
+
+    /**
+     * Whether the configuration is in force in this process.
+     *
+     * @return answer of the admin port's /ready
+     * @throws IOException if the process does not answer
+     * @throws InterruptedException if this thread is interrupted
+     */
+    public boolean isReady() throws IOException, InterruptedException {
+        return get("/ready").startsWith("ready");
+    }
+
+    /**
+     * Asks the process for a page of its admin port.
+     *
+     * @param path path of the page
+     * @return the body
+     * @throws IOException if the process does not answer
+     * @throws InterruptedException if this thread is interrupted
+     */
+    public String get(String path) throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + adminPort + path))
+                .timeout(HTTP_TIMEOUT)
+                .build();
+        return http.send(request, HttpResponse.BodyHandlers.ofString()).body();
+    }
+
+    /**
+     * Reads counters at the start of a measurement.
+     *
+     * @return counters since the start of the process
+     * @throws IOException if the process does not answer
+     * @throws InterruptedException if this thread is interrupted
+     */
+    public Counters before() throws IOException, InterruptedException {
+        // The page of metrics is itself read over a connection, so it is read outside the counted time.
+        String metrics = get("/metrics");
+        return counters(metrics);
+    }
+
+    /**
+     * Reads counters at the end of a measurement, then collects the heap.
+     *
+     * @param before counters at the start
+     * @return cost between both
+     * @throws IOException if the process does not answer
+     * @throws InterruptedException if this thread is interrupted
+     */
+    public Cost cost(Counters before) throws IOException, InterruptedException {
+        Counters end = counters("");
+        String metrics = get("/metrics");
+        double seconds = (end.nanos - before.nanos) / NANOS_PER_SECOND;
+        command("GC.run");
+        double heap = sum(HEAP_USED, command("GC.heap_info")) * KIBIBYTE_IN_KILOBYTES / KILOBYTES_PER_MEGABYTE;
+        double resident = sum(RESIDENT, read("status")) * KIBIBYTE_IN_KILOBYTES / KILOBYTES_PER_MEGABYTE;
+        return new Cost(
+                (end.processorNanos - before.processorNanos) / NANOS_PER_MILLI / seconds,
+                heap,
+                resident,
+                (end.ioBytes - before.ioBytes) / seconds,
+                (sum(WIRE_BYTES, metrics) - before.wireBytes) / seconds,
+                (sum(WIRE_MESSAGES, metrics) - before.messages) / seconds);
+    }
+
+    /**
+     * Ends the process.
+     *
+     * @throws InterruptedException if this thread is interrupted
+     */
+    public void stop() throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+            process.destroyForcibly();
+        }
+    }
+
+    private Counters counters(String metrics) throws IOException {
+        long processor =
+                process.info().totalCpuDuration().map(Duration::toNanos).orElse(0L);
+        return new Counters(
+                System.nanoTime(),
+                processor,
+                sum(IO, read("io")),
+                sum(WIRE_BYTES, metrics),
+                sum(WIRE_MESSAGES, metrics));
+    }
+
+    private String read(String file) throws IOException {
+        return Files.readString(Path.of("/proc", Long.toString(process.pid()), file));
+    }
+
+    private String command(String name) throws IOException, InterruptedException {
+        Process tool = new ProcessBuilder(List.of("jcmd", Long.toString(process.pid()), name)).start();
+        String output = new String(tool.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        tool.waitFor();
+        return output;
+    }
+
+    private static double sum(Pattern pattern, String text) {
+        double sum = 0;
+        Matcher matcher = pattern.matcher(text);
+        while (matcher.find()) {
+            sum += Double.parseDouble(matcher.group(1));
+        }
+        return sum;
+    }
+
+    private static Pattern wire(String unit) {
+        return Pattern.compile("(?m)^redwinghook_wire_(?:sent|received)_" + unit + "_total(?:\\{[^}]*\\})? (\\S+)");
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /**
+     * Counters since the start of a process.
+     *
+     * @param nanos when they were read
+     * @param processorNanos processor time
+     * @param ioBytes bytes read and written
+     * @param wireBytes bytes of frames
+     * @param messages frames
+     */
+    public record Counters(long nanos, long processorNanos, double ioBytes, double wireBytes, double messages) {}
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/Series.java
@@ -0,0 +1,129 @@
+package org.redwinghook.experiments.capacity;
+
+import java.util.List;
+import java.util.function.IntFunction;
+
+import org.redwinghook.core.message.ProcessRole;
+
+/** A series of measurements in which one size of the load varies. */
+public enum Series {
+    /** Sidecars that a router connects to. */
+    ROUTER_ENDPOINTS(ProcessRole.ROUTER, "endpoints", List.of(20, 60, 150, 300, 600), 600, Series::endpoints),
+    /** Other routers in the VM list of a router. */
+    ROUTER_PEERS(ProcessRole.ROUTER, "peer routers", List.of(10, 40, 120, 360), 360, Series::routers),
+    /** Customers in a router's configuration. */
+    ROUTER_CUSTOMERS(ProcessRole.ROUTER, "customers", Sizes.CUSTOMER_SIZES, Sizes.CUSTOMERS, Series::customers),
+    /** Changes of a router's configuration. */
+    ROUTER_CHANGES(
+            ProcessRole.ROUTER, "changes a minute", Sizes.CHANGE_RATES, Sizes.CHANGES_PER_MINUTE, Series::changes),
+    /** Quota requests that a router answers as owner; at the target, one for each of its callers' requests. */
+    ROUTER_QUOTA(
+            ProcessRole.ROUTER,
+            "quota requests a second",
+            List.of(10, 50, 200),
+            Sizes.REQUESTS_PER_ROUTER,
+            Series::quota),
+    /** Routers that are connected to a sidecar. */
+    SIDECAR_ROUTERS(ProcessRole.SIDECAR, "routers", List.of(10, 40, 120, 360), 360, Series::routers),
+    /** Customers in a sidecar's configuration. */
+    SIDECAR_CUSTOMERS(ProcessRole.SIDECAR, "customers", Sizes.CUSTOMER_SIZES, Sizes.CUSTOMERS, Series::customers),
+    /** Changes of a sidecar's configuration. */
+    SIDECAR_CHANGES(
+            ProcessRole.SIDECAR, "changes a minute", Sizes.CHANGE_RATES, Sizes.CHANGES_PER_MINUTE, Series::changes);
+
+    private final ProcessRole role;
+    private final String label;
+    private final List<Integer> sizes;
+    private final double target;
+    private final IntFunction<ProcessLoad> load;
+
+    Series(ProcessRole role, String label, List<Integer> sizes, double target, IntFunction<ProcessLoad> load) {
+        this.role = role;
+        this.label = label;
+        this.sizes = sizes;
+        this.target = target;
+        this.load = load;
+    }
+
+    /**
+     * Role of the measured processes.
+     *
+     * @return the role
+     */
+    public ProcessRole role() {
+        return role;
+    }
+
+    /**
+     * What varies.
+     *
+     * @return plural words for tables
+     */
+    public String label() {
+        return label;
+    }
+
+    /**
+     * Sizes to measure.
+     *
+     * @return sizes in rising order
+     */
+    public List<Integer> sizes() {
+        return sizes;
+    }
+
+    /**
+     * Size in the target deployment of docs/design.md section 1.
+     *
+     * @return the size
+     */
+    public double target() {
+        return target;
+    }
+
+    /**
+     * Load of one measured process.
+     *
+     * @param size the size that varies
+     * @return the load
+     */
+    public ProcessLoad load(int size) {
+        return load.apply(size);
+    }
+
+    private static ProcessLoad endpoints(int size) {
+        return new ProcessLoad(size, 0, 0, 0, 0);
+    }
+
+    private static ProcessLoad routers(int size) {
+        return new ProcessLoad(0, size, 0, 0, 0);
+    }
+
+    private static ProcessLoad customers(int size) {
+        return new ProcessLoad(0, 0, size, 0, 0);
+    }
+
+    private static ProcessLoad changes(int size) {
+        return new ProcessLoad(0, 1, Sizes.CUSTOMERS, size, 0);
+    }
+
+    private static ProcessLoad quota(int size) {
+        return new ProcessLoad(0, 1, Sizes.CUSTOMERS_OF_QUOTA, 0, size);
+    }
+
+    /** Static fields of an enum are not set yet when its constants are made. */
+    private static final class Sizes {
+
+        static final int CUSTOMERS = 21_000;
+        static final List<Integer> CUSTOMER_SIZES = List.of(500, 2_000, 8_000, CUSTOMERS);
+
+        /** The rate 0 is the part of the cost that customers have without changes. */
+        static final List<Integer> CHANGE_RATES = List.of(0, 20, 60, 120);
+
+        static final double CHANGES_PER_MINUTE = 2_100 / (24 * 60.0);
+        static final double REQUESTS_PER_ROUTER = 3_500 / 360.0;
+        static final int CUSTOMERS_OF_QUOTA = 500;
+
+        private Sizes() {}
+    }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/package-info.java
@@ -0,0 +1,5 @@
+/** Measures what routers and sidecars cost, and writes the tables of docs/CAPACITY.md. */
+@NullMarked
+package org.redwinghook.experiments.capacity;
+
+import org.jspecify.annotations.NullMarked;
