--- a/experiments/src/main/java/org/redwinghook/experiments/capacity/CapacityMain.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/CapacityMain.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.file.Files;
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 import org.kohsuke.args4j.CmdLineException;
@@ -42,10 +41,9 @@
     }
 
     private static void run(CapacityOptions options) throws IOException, InterruptedException {
-        String page = Files.readString(options.page());
         Files.createDirectories(options.directory());
-        Map<String, String> tables = new LinkedHashMap<>();
-        tables.putAll(new ControlReport(new ControlCosts(options.directory()).run()).tables());
+        Map<String, String> tables = options.part().tables(options.directory());
+        String page = Files.readString(options.page());
         for (Map.Entry<String, String> table : tables.entrySet()) {
             page = MarkedTables.replace(page, table.getKey(), table.getValue());
         }
--- a/experiments/src/main/java/org/redwinghook/experiments/capacity/CapacityOptions.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/CapacityOptions.java
@@ -13,6 +13,9 @@
     @Option(name = "--directory", metaVar = "DIRECTORY", usage = "receives settings and output of the processes")
     private Path directory = Path.of("distribution", "target", "capacity");
 
+    @Option(name = "--part", metaVar = "PART", usage = "control, spread or streams; each takes up to three minutes")
+    private CapacityPart part = CapacityPart.CONTROL;
+
     @Option(name = "--help", help = true, usage = "print this help and exit")
     private boolean help;
 
@@ -34,6 +37,15 @@
         return directory;
     }
 
+    /**
+     * What is measured.
+     *
+     * @return the part
+     */
+    public CapacityPart part() {
+        return part;
+    }
+
     /**
      * Whether to print help.
      *
--- /dev/null
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/ChangeSpread.java
@@ -0,0 +1,128 @@
+package org.redwinghook.experiments.capacity;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.HdrHistogram.Histogram;
+import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.standins.engine.EngineSettings;
+import org.redwinghook.standins.engine.EngineStandIn;
+
+/** Measures the time from the append of a configuration change until real processes have it in force. */
+public final class ChangeSpread {
+
+    /** Routers and sidecars of each deployment that is measured. */
+    private static final List<List<Integer>> SIZES = List.of(List.of(4, 4), List.of(10, 10), List.of(18, 12));
+
+    private static final int CUSTOMERS = 500;
+    private static final int CHANGES = 8;
+    private static final long SETTLE_MILLIS = 6_000;
+    private static final long PAUSE_MILLIS = 700;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final int STARTS_AT_ONCE = 10;
+
+    private final Path directory;
+    private final MarkdownTable table = new MarkdownTable(List.of(
+            "routers", "sidecars", "changes", "time in force at a process, p50, ms", "p99, ms", "at the last one, ms"));
+
+    /**
+     * Creates a measurement.
+     *
+     * @param directory receives settings and output of the processes
+     */
+    public ChangeSpread(Path directory) {
+        this.directory = directory;
+    }
+
+    /**
+     * Runs the measurement.
+     *
+     * @return a table with a row for each deployment
+     * @throws IOException if a process cannot be started or read
+     * @throws InterruptedException if this thread is interrupted
+     */
+    public String run() throws IOException, InterruptedException {
+        for (List<Integer> size : SIZES) {
+            Vertx vertx = Vertx.vertx();
+            List<MeasuredProcess> processes = new ArrayList<>();
+            try {
+                measure(vertx, processes, size.get(0), size.get(1));
+            } finally {
+                for (MeasuredProcess process : processes) {
+                    process.stop();
+                }
+                vertx.close().await();
+            }
+        }
+        return table.toString();
+    }
+
+    private void measure(Vertx vertx, List<MeasuredProcess> processes, int routers, int sidecars)
+            throws IOException, InterruptedException {
+        FakePlatform platform = new FakePlatform(vertx, new JsonArray());
+        platform.start().await();
+        platform.configure(CUSTOMERS, 0).await();
+        int enginePort =
+                new EngineStandIn(vertx, 0, EngineSettings.USUAL).start().await();
+        start(processes, platform, enginePort, ProcessRole.ROUTER, routers);
+        start(processes, platform, enginePort, ProcessRole.SIDECAR, sidecars);
+        Thread.sleep(SETTLE_MILLIS);
+        Histogram times = new Histogram(2);
+        for (int change = 0; change < CHANGES; change++) {
+            record(times, processes, platform.change().await());
+            Thread.sleep(PAUSE_MILLIS);
+        }
+        table.row(List.of(
+                Integer.toString(routers),
+                Integer.toString(sidecars),
+                Integer.toString(CHANGES),
+                Long.toString(times.getValueAtPercentile(50)),
+                Long.toString(times.getValueAtPercentile(99)),
+                Long.toString(times.getMaxValue())));
+    }
+
+    private void start(
+            List<MeasuredProcess> processes, FakePlatform platform, int enginePort, ProcessRole role, int count)
+            throws IOException, InterruptedException {
+        String kind = role.name().toLowerCase(Locale.ROOT);
+        for (int index = 0; index < count; index++) {
+            String name = "spread-" + kind + "-" + index;
+            MeasuredProcess process = MeasuredProcess.start(role, platform, enginePort, directory, name);
+            processes.add(process);
+            JsonObject entry = new JsonObject()
+                    .put("vm", name)
+                    .put("dataCentre", FakePeers.DATA_CENTRE)
+                    .put("role", kind)
+                    .put("host", "127.0.0.1")
+                    .put("peerPort", process.peerPort())
+                    .put("adminPort", process.peerPort());
+            platform.add(role == ProcessRole.SIDECAR ? entry.put("service", FakePlatform.SERVICE) : entry);
+            if (index % STARTS_AT_ONCE == STARTS_AT_ONCE - 1) {
+                process.awaitStart();
+            }
+        }
+        for (MeasuredProcess process : processes) {
+            process.awaitStart();
+        }
+    }
+
+    private static void record(Histogram times, List<MeasuredProcess> processes, long offset)
+            throws IOException, InterruptedException {
+        long start = System.nanoTime();
+        List<MeasuredProcess> waiting = new ArrayList<>(processes);
+        while (!waiting.isEmpty()) {
+            for (MeasuredProcess process : List.copyOf(waiting)) {
+                if (new JsonObject(process.get("/configuration")).getLong("offset") >= offset) {
+                    times.recordValue(Math.round((System.nanoTime() - start) / NANOS_PER_MILLI));
+                    waiting.remove(process);
+                }
+            }
+        }
+    }
+}
--- a/experiments/src/main/java/org/redwinghook/experiments/capacity/ControlCosts.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/ControlCosts.java
@@ -135,6 +135,7 @@
         private final @Nullable Series series;
         private final int size;
         private final ProcessLoad load;
+        private @Nullable FakePlatform platform;
         private @Nullable MeasuredProcess process;
         private MeasuredProcess.@Nullable Counters before;
         private @Nullable Cost cost;
@@ -152,18 +153,25 @@
                 add(vms, "sidecar", load.endpoints(), ports.get(0));
                 add(vms, "router", load.routers(), ports.get(1));
             }
-            FakePlatform platform = new FakePlatform(platforms, vms);
-            platform.start().await();
-            platform.configure(load.customers(), load.changesPerMinute()).await();
-            process = MeasuredProcess.start(role, platform, enginePort, directory, name());
+            FakePlatform made = new FakePlatform(platforms, vms);
+            platform = made;
+            made.start().await();
+            made.configure(load.customers(), load.changesPerMinute()).await();
+            process = MeasuredProcess.start(role, made, enginePort, directory, name());
         }
 
         void connect() throws IOException, InterruptedException {
             MeasuredProcess started = process;
-            if (started == null) {
+            FakePlatform source = platform;
+            if (started == null || source == null) {
                 return;
             }
             started.awaitStart();
+            if (series == Series.SIDECAR_CHANGES) {
+                // A sidecar with a router does not poll the log, so the changes must come from that router.
+                peers.relay(started.peerPort(), source).await();
+                return;
+            }
             // As many routers connect to a router as it connects to; a sidecar is connected to all of them.
             int incoming = role == ProcessRole.SIDECAR ? load.routers() : bits(load.routers());
             peers.connect(started.peerPort(), incoming, load.quotaRequestsPerSecond())
--- a/experiments/src/main/java/org/redwinghook/experiments/capacity/FakePeers.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/FakePeers.java
@@ -11,6 +11,8 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import org.redwinghook.core.message.ConfigurationAnnouncement;
+import org.redwinghook.core.message.ConfigurationPull;
+import org.redwinghook.core.message.ConfigurationRecords;
 import org.redwinghook.core.message.EndpointLoad;
 import org.redwinghook.core.message.Heartbeat;
 import org.redwinghook.core.message.Hello;
@@ -32,6 +34,7 @@
     private static final String LOOPBACK = "127.0.0.1";
     private static final int PROTOCOL_VERSION = 1;
     private static final long HEARTBEAT_MILLIS = 5_000;
+    private static final long RELAY_MILLIS = 100;
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final long QUOTA_TOKENS = 256;
     private static final EndpointLoad IDLE_LOAD = new EndpointLoad(0, 0, 32, 0.25, 0, true);
@@ -71,6 +74,20 @@
         return sidecars.start().compose(first -> routers.start().map(second -> List.of(first, second)));
     }
 
+    /**
+     * Connects a router that announces new records of a log and sends them when it is asked.
+     *
+     * @param port peer port of the process
+     * @param platform has the log
+     * @return completes when the router is connected
+     */
+    public Future<Void> relay(int port, FakePlatform platform) {
+        return client.connect(port, LOOPBACK)
+                .map(socket -> new FakePeer(new PeerConnection(socket, codec, metrics), ProcessRole.ROUTER))
+                .onSuccess(peer -> peer.relay(platform))
+                .mapEmpty();
+    }
+
     /**
      * Connects routers to a process.
      *
@@ -122,6 +139,29 @@
             });
         }
 
+        void relay(FakePlatform platform) {
+            offset = platform.offset();
+            connection.onMessage(message -> {
+                if (message instanceof ConfigurationPull pull) {
+                    connection.send(new ConfigurationRecords(
+                            pull.after(), offset, platform.after(pull.after()), List.of(), List.of(), false, true));
+                }
+            });
+            connection.send(hello());
+            long timer = vertx.setPeriodic(RELAY_MILLIS, ignored -> announce(platform.offset()));
+            connection.onClose(() -> {
+                open.remove(this);
+                vertx.cancelTimer(timer);
+            });
+        }
+
+        private void announce(long newest) {
+            if (newest > offset) {
+                offset = newest;
+                connection.send(new ConfigurationAnnouncement(newest));
+            }
+        }
+
         void beat() {
             connection.send(new Heartbeat(offset, role == ProcessRole.SIDECAR ? IDLE_LOAD : null));
         }
--- a/experiments/src/main/java/org/redwinghook/experiments/capacity/FakePlatform.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/FakePlatform.java
@@ -1,9 +1,11 @@
 package org.redwinghook.experiments.capacity;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.concurrent.ConcurrentSkipListMap;
 
 import com.google.common.hash.Hashing;
 import io.vertx.core.Future;
@@ -12,6 +14,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.redwinghook.core.config.SectionChange;
+import org.redwinghook.core.message.RawRecord;
 import org.redwinghook.runtime.config.ConfigurationCodec;
 import org.redwinghook.runtime.platform.LogClient;
 import org.redwinghook.runtime.settings.Address;
@@ -44,6 +47,7 @@
     private final LogStandIn log;
     private final VmListStandIn vmList;
     private final ConfigurationCodec codec = new ConfigurationCodec();
+    private final ConcurrentSkipListMap<Long, RawRecord> records = new ConcurrentSkipListMap<>();
     private int logPort;
     private int vmListPort;
     private long version;
@@ -125,26 +129,89 @@
                 .mapEmpty();
     }
 
+    /**
+     * Adds a VM to the list.
+     *
+     * @param entry the VM
+     */
+    public void add(JsonObject entry) {
+        vmList.add(entry);
+    }
+
+    /**
+     * Changes one customer.
+     *
+     * @return offset of the change
+     */
+    public Future<Long> change() {
+        return change(new LogClient(vertx, new Address(LOOPBACK, logPort)));
+    }
+
+    /**
+     * Credential of a customer.
+     *
+     * @param customer number of the customer
+     * @return the bearer credential
+     */
+    public static String credential(int customer) {
+        return "key-" + customer;
+    }
+
+    /**
+     * Offset of the newest record.
+     *
+     * @return the offset, 0 if there is none
+     */
+    public long offset() {
+        return records.isEmpty() ? 0 : records.lastKey();
+    }
+
+    /**
+     * Records after an offset.
+     *
+     * @param offset the offset
+     * @return records in order of their offsets
+     */
+    public List<RawRecord> after(long offset) {
+        return List.copyOf(records.tailMap(offset, false).values());
+    }
+
     private void keepChanging(LogClient client, int changesPerMinute) {
         if (changesPerMinute == 0) {
             return;
         }
-        vertx.setPeriodic(MILLIS_PER_MINUTE / changesPerMinute, ignored -> append(
-                        client, "customers.team-0", version, Map.of(CUSTOMER + 0, customer(0, version)))
-                .onSuccess(offset -> version = offset));
+        vertx.setPeriodic(MILLIS_PER_MINUTE / changesPerMinute, ignored -> change(client));
+    }
+
+    private Future<Long> change(LogClient client) {
+        Map<String, String> entry = Map.of(CUSTOMER + 0, customer(0, version));
+        return append(client, "customers.team-0", version, entry).onSuccess(offset -> version = offset);
     }
 
     private Future<Long> append(LogClient client, String section, long replaces, Map<String, String> put) {
         SectionChange change =
                 new SectionChange(section, TEAM, replaces, UUID.randomUUID().toString(), "capacity", put, List.of());
-        return client.append(STREAM, Buffer.buffer(codec.encode(change)));
+        byte[] data = codec.encode(change);
+        Buffer record = Buffer.buffer(data);
+        // A busy machine may take longer than the client's timeout; a second copy of a change is rejected by its
+        // version.
+        return client.append(STREAM, record)
+                .recover(failure -> client.append(STREAM, record))
+                .recover(failure -> client.append(STREAM, record))
+                .onSuccess(offset -> {
+                    records.put(offset, new RawRecord(offset, System.currentTimeMillis(), data));
+                });
     }
 
     private static String customer(int index, long revision) {
         return new JsonObject()
                 .put("owner", OWNER)
-                .put("credentialHashes", List.of(Hashing.sha256().hashInt(index).toString()))
-                .put("requestsPerSecond", 200)
+                .put(
+                        "credentialHashes",
+                        List.of(Hashing.sha256()
+                                .hashString(credential(index), StandardCharsets.UTF_8)
+                                .toString()))
+                .put("requestsPerSecond", 5_000)
                 .put("tokensPerMinute", 200_000_000 + revision)
                 .encode();
     }
--- a/experiments/src/main/java/org/redwinghook/experiments/capacity/MeasuredProcess.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/MeasuredProcess.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -21,6 +22,7 @@
 public final class MeasuredProcess {
 
     private static final String HEAP = "-Xmx64m";
+    private static final String ENGINE_HEAP = "-Xmx1g";
     private static final Duration HTTP_TIMEOUT = Duration.ofSeconds(5);
     private static final long START_MILLIS = 60_000;
     private static final long CHECK_MILLIS = 200;
@@ -38,12 +40,14 @@
     private final Process process;
     private final int peerPort;
     private final int adminPort;
+    private final int callerPort;
     private final HttpClient http = HttpClient.newHttpClient();
 
-    private MeasuredProcess(Process process, int peerPort, int adminPort) {
+    private MeasuredProcess(Process process, int peerPort, int adminPort, int callerPort) {
         this.process = process;
         this.peerPort = peerPort;
         this.adminPort = adminPort;
+        this.callerPort = callerPort;
     }
 
     /**
@@ -61,6 +65,7 @@
             ProcessRole role, FakePlatform platform, int enginePort, Path directory, String name) throws IOException {
         int peerPort = freePort();
         int adminPort = freePort();
+        int callerPort = freePort();
         String settings = """
                 process: %s
                 dataCentre: %s
@@ -71,15 +76,16 @@
                   vmList: {port: %d}
                 %s
                 """.formatted(
-                name,
-                FakePeers.DATA_CENTRE,
-                peerPort,
-                adminPort,
-                platform.logPort(),
-                platform.vmListPort(),
-                role == ProcessRole.ROUTER
-                        ? "caller: {port: 0}\nsettleMillis: 0"
-                        : "service: " + FakePlatform.SERVICE + "\nkind: engine\nendpoint: {port: " + enginePort + "}");
+                        name,
+                        FakePeers.DATA_CENTRE,
+                        peerPort,
+                        adminPort,
+                        platform.logPort(),
+                        platform.vmListPort(),
+                        role == ProcessRole.ROUTER
+                                ? "caller: {port: " + callerPort + "}\nsettleMillis: 0"
+                                : "service: " + FakePlatform.SERVICE
+                                        + "\nkind: engine\nconcurrency: 2000\nendpoint: {port: " + enginePort + "}");
         Path file = directory.resolve(name + ".yaml");
         Files.writeString(file, settings);
         String binary = role == ProcessRole.ROUTER ? "bin/redwinghook-router" : "bin/redwinghook-sidecar";
@@ -87,7 +93,27 @@
         builder.environment().put("JAVA_OPTIONS", HEAP);
         builder.redirectErrorStream(true)
                 .redirectOutput(directory.resolve(name + ".log").toFile());
-        return new MeasuredProcess(builder.start(), peerPort, adminPort);
+        return new MeasuredProcess(builder.start(), peerPort, adminPort, callerPort);
+    }
+
+    /**
+     * Starts an engine stand-in in a JVM of its own, so that its processor time is not the client's.
+     *
+     * @param port port to listen on
+     * @param options options of the kind engine
+     * @param directory receives its output
+     * @return the operating system's process
+     * @throws IOException if it cannot be started
+     */
+    public static Process engine(int port, List<String> options, Path directory) throws IOException {
+        List<String> command = new ArrayList<>(
+                List.of("bin/redwinghook-stand-in", "--kind", "engine", "--port", Integer.toString(port)));
+        command.addAll(options);
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().put("JAVA_OPTIONS", ENGINE_HEAP);
+        builder.redirectErrorStream(true)
+                .redirectOutput(directory.resolve("engine.log").toFile());
+        return builder.start();
     }
 
     /**
@@ -118,6 +144,15 @@
         return peerPort;
     }
 
+    /**
+     * Port for callers of a router.
+     *
+     * @return the port; nothing listens there in a sidecar
+     */
+    public int callerPort() {
+        return callerPort;
+    }
+
     /**
      * Whether the configuration is in force in this process.
      *
@@ -193,6 +228,18 @@
         }
     }
 
+    /**
+     * A port that nothing listens on.
+     *
+     * @return the port
+     * @throws IOException if there is none
+     */
+    public static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
     private Counters counters(String metrics) throws IOException {
         long processor =
                 process.info().totalCpuDuration().map(Duration::toNanos).orElse(0L);
@@ -228,12 +275,6 @@
         return Pattern.compile("(?m)^redwinghook_wire_(?:sent|received)_" + unit + "_total(?:\\{[^}]*\\})? (\\S+)");
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     /**
      * Counters since the start of a process.
      *
