--- a/experiments/src/main/java/org/redwinghook/experiments/capacity/MeasuredProcess.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/capacity/MeasuredProcess.java
@@ -13,14 +13,22 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 import org.redwinghook.core.message.ProcessRole;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** A router or sidecar in a JVM of its own, with a heap of 64 MB and the serial collector. */
 public final class MeasuredProcess {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(MeasuredProcess.class);
+
+    /** Below the ports of outgoing connections, one of which could take the port before the process listens. */
+    private static final AtomicInteger NEXT_PORT = new AtomicInteger(21_000);
+
     private static final String HEAP = "-Xmx64m";
     private static final String ENGINE_HEAP = "-Xmx1g";
     private static final Duration HTTP_TIMEOUT = Duration.ofSeconds(5);
@@ -229,14 +237,18 @@
     }
 
     /**
-     * A port that nothing listens on.
+     * A port that nothing listens on and that is not given out again.
      *
      * @return the port
-     * @throws IOException if there is none
      */
-    public static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+    public static int freePort() {
+        while (true) {
+            int port = NEXT_PORT.getAndIncrement();
+            try (ServerSocket socket = new ServerSocket(port)) {
+                return socket.getLocalPort();
+            } catch (IOException taken) {
+                LOGGER.debug("port {} is taken", port);
+            }
         }
     }
 
