Adapt the publish test to the full command line

The test checks the same outcomes through OperatorCommandLine. A conflict is worded differently, and with the log down before the append the command now says that nothing was changed, which is stricter than 'unknown'.

--- a/operator/src/test/java/org/redwinghook/operator/PublishCommandTest.java
+++ b/operator/src/test/java/org/redwinghook/operator/PublishCommandTest.java
@@ -8,8 +8,6 @@
 import java.nio.file.Path;
 
 import io.vertx.core.Vertx;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.redwinghook.runtime.process.ExitCode;
 import org.redwinghook.standins.log.LogStandIn;
 import org.testng.annotations.AfterClass;
@@ -30,7 +28,7 @@
 
     /** Guards against exit codes and lines that do not tell the operator what the log says. */
     @Test
-    public void eachOutcomeHasItsExitCode() throws IOException, CmdLineException {
+    public void eachOutcomeHasItsExitCode() throws IOException {
         LogStandIn log = new LogStandIn(vertx, 0);
         int port = log.start().await();
         assertEquals(publish(port, "billing", "owners: {a: {weight: 1}}"), ExitCode.DONE);
@@ -38,24 +36,22 @@
         assertEquals(publish(port, "billing", "owners: {a: {weight: 1}}"), ExitCode.DONE);
         assertTrue(printed().contains("owners: unchanged"), printed());
         assertEquals(publish(port, "press", "owners: {a: {weight: 2}}"), ExitCode.CONFLICT);
-        assertTrue(printed().contains("conflict with version 1 of team billing"), printed());
+        assertTrue(printed().contains("owners: conflict: version 1 of team billing is in force"), printed());
         assertEquals(publish(port, "billing", "owners: {a: {weight: 0}, b: {size: 1}}"), ExitCode.FINDINGS);
         assertTrue(printed().contains("owners.a.weight") && printed().contains("owners.b.size"), printed());
         log.stop().await();
         assertEquals(publish(port, "billing", "owners: {a: {weight: 3}}"), ExitCode.FAILED);
-        assertTrue(printed().contains("unknown whether it was accepted"), printed());
+        assertTrue(printed().contains("the log cannot be read, nothing was changed"), printed());
     }
 
-    private ExitCode publish(int port, String team, String text) throws IOException, CmdLineException {
+    private ExitCode publish(int port, String team, String text) throws IOException {
         Path file = Files.createTempFile("configuration", ".yaml");
         try {
             Files.writeString(file, text);
-            PublishOptions options = new PublishOptions();
-            new CmdLineParser(options)
-                    .parseArgument("publish", "--log", "127.0.0.1:" + port, "--file", file.toString(), "--team", team);
             output.reset();
             PrintStream stream = new PrintStream(output, true, StandardCharsets.UTF_8);
-            return new PublishCommand(vertx, stream, stream).run(options);
+            return new OperatorCommandLine(vertx, stream, stream)
+                    .run("publish", "--log", "127.0.0.1:" + port, "--file", file.toString(), "--team", team);
         } finally {
             Files.delete(file);
         }
