Tell routers at once that an endpoint leaves or returns

Seen on the local deployment: one second after a data centre was brought back, its only plain service still answered 503, since routers kept the last reported load, which said that no new work is taken, until the next heartbeat (5 s). Sidecars now send their load when that changes. StreamsTest expects the notice within 2 s; without the change it would wait for the heartbeat.

--- a/sidecar/src/main/java/org/redwinghook/sidecar/peer/EndpointGate.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/EndpointGate.java
@@ -1,7 +1,10 @@
 package org.redwinghook.sidecar.peer;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import io.vertx.core.Vertx;
@@ -19,6 +22,7 @@
 
     private final AdmissionController admission;
     private final Map<Long, PendingWork> pending = new HashMap<>();
+    private final Set<Runnable> acceptingListeners = new LinkedHashSet<>();
     private boolean accepting = true;
     private boolean engineChanging;
     private @Nullable Runnable idleListener;
@@ -112,13 +116,28 @@
         return accepting;
     }
 
+    /**
+     * Adds a listener that is called when the endpoint starts or ceases to take new work.
+     *
+     * @param listener the listener
+     * @return removes it
+     */
+    public Runnable onAcceptingChanged(Runnable listener) {
+        acceptingListeners.add(listener);
+        return () -> acceptingListeners.remove(listener);
+    }
+
     /**
      * Sets whether new work is taken. Waiting requests are refused when it no longer is.
      *
      * @param value whether new work is taken
      */
     public void setAccepting(boolean value) {
+        boolean changed = accepting != value;
         accepting = value;
+        if (changed) {
+            List.copyOf(acceptingListeners).forEach(Runnable::run);
+        }
         if (accepting) {
             return;
         }
--- a/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
@@ -64,8 +64,11 @@
         this.configuration = endpoint.configuration();
         connection.onMessage(this::receive);
         LivenessMonitor monitor = new LivenessMonitor(vertx, connection, this::heartbeat);
+        // Routers hear at once that the endpoint leaves or returns; the next heartbeat would be up to 5 s late.
+        Runnable listenerRemoval = gate.onAcceptingChanged(this::announceLoad);
         connection.onClose(() -> {
             monitor.stop();
+            listenerRemoval.run();
             closed();
         });
     }
@@ -98,6 +101,12 @@
         }
     }
 
+    private void announceLoad() {
+        if (peer != null) {
+            connection.send(heartbeat());
+        }
+    }
+
     private Heartbeat heartbeat() {
         return new Heartbeat(hello.get().configurationOffset(), gate.load());
     }
--- a/sidecar/src/test/java/org/redwinghook/sidecar/RouterClient.java
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/RouterClient.java
@@ -8,11 +8,14 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.message.CallRequest;
+import org.redwinghook.core.message.EndpointLoad;
 import org.redwinghook.core.message.GenerationRequest;
 import org.redwinghook.core.message.Heartbeat;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.Message;
+import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.message.Submit;
 import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.PeerConnection;
@@ -31,6 +34,8 @@
     private final PeerConnection connection;
     private final LinkedBlockingQueue<Message> received = new LinkedBlockingQueue<>();
 
+    private volatile @Nullable EndpointLoad lastLoad;
+
     RouterClient(Vertx vertx, int port) {
         context = vertx.getOrCreateContext();
         WireMetrics metrics = new WireMetrics(new SimpleMeterRegistry());
@@ -39,7 +44,9 @@
                 .map(socket -> {
                     PeerConnection opened = new PeerConnection(socket, new FrameCodec(), metrics);
                     opened.onMessage(message -> {
-                        if (!(message instanceof Hello) && !(message instanceof Heartbeat)) {
+                        if (message instanceof Heartbeat heartbeat) {
+                            lastLoad = heartbeat.load();
+                        } else if (!(message instanceof Hello)) {
                             received.add(message);
                         }
                     });
@@ -52,6 +59,16 @@
         context.runOnContext(ignored -> connection.send(message));
     }
 
+    void greet() {
+        send(new Hello(1, "router", 1, ProcessRole.ROUTER, null, "dc", 0));
+    }
+
+    /** Whether the last heartbeat said that the endpoint takes new work; false before the first one. */
+    boolean isTold(boolean accepting) {
+        EndpointLoad load = lastLoad;
+        return load != null && load.accepting() == accepting;
+    }
+
     void close() {
         context.runOnContext(ignored -> connection.close());
     }
--- a/sidecar/src/test/java/org/redwinghook/sidecar/StreamsTest.java
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/StreamsTest.java
@@ -207,6 +207,22 @@
         router.next(Finished.class);
     }
 
+    /** Guards against routers that go on sending work to a leaving endpoint until its next heartbeat. */
+    @Test
+    public void routersAreToldAtOnceThatTheEndpointLeaves() {
+        RouterClient router = router(60_000, 0);
+        router.greet();
+        Await.until("the first load", () -> router.isTold(true));
+        router.generate(1, 256);
+        router.next(Accepted.class);
+        long start = System.nanoTime();
+        sidecar.stopGracefully();
+        Await.until("the notice", () -> router.isTold(false));
+        // Heartbeats come every 5 s; the notice must not wait for one.
+        Assert.assertTrue(System.nanoTime() - start < 2_000_000_000L);
+        engine.allow(TOKENS);
+    }
+
     /** Guards against a graceful stop that cuts the tokens which a slow caller has not taken yet. */
     @Test
     public void gracefulStopWaitsForASlowFollower() {
