--- a/core/src/main/java/org/redwinghook/core/admission/WarmUpLimit.java
+++ b/core/src/main/java/org/redwinghook/core/admission/WarmUpLimit.java
@@ -61,7 +61,7 @@
     }
 
     /**
-     * Counts a response. One that met less than half of the limit's load does not show that the endpoint bears the
+     * Counts a response. One that met less than half of the limit's load does not show that the endpoint takes the
      * limit.
      */
     void response(int running) {
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/FakeEngine.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/FakeEngine.java
@@ -8,7 +8,7 @@
 /**
  * A model engine in virtual time with continuous batching: slots, memory in tokens, chunked prefill, a prefix cache,
  * decode steps that slow down with batch size and memory pressure, preemption when the memory is full, and a cold start
- * that bears little load.
+ * that takes little load.
  */
 final class FakeEngine implements FakeEndpoint {
 
@@ -25,7 +25,7 @@
 
     private static final double PRESSURE_FACTOR = 6;
 
-    /** Sequences that a cold engine bears; more slow it down, and a new one beyond four times as many fails it. */
+    /** Sequences that a cold engine takes; more slow it down, and a new one beyond four times as many fails it. */
     private static final double COLD_SEQUENCES = 4;
 
     private static final double FAILURE_FACTOR = 4;
@@ -56,7 +56,7 @@
             return;
         }
         waiting.add(run);
-        if (running.size() > FAILURE_FACTOR * bearable()) {
+        if (running.size() > FAILURE_FACTOR * capacity()) {
             crash();
             return;
         }
@@ -96,12 +96,12 @@
     private long stepMicros(int decoding, int prefilled) {
         double share = (double) usedTokens / MEMORY_TOKENS;
         double pressure = 1 + PRESSURE_FACTOR * Math.max(0, share - PRESSURE_FROM);
-        double cold = Math.max(1, running.size() / bearable());
+        double cold = Math.max(1, running.size() / capacity());
         double micros = STEP_MICROS + STEP_MICROS_PER_SEQUENCE * decoding + STEP_MICROS_PER_PREFILL_TOKEN * prefilled;
         return (long) (micros * pressure * cold * cold);
     }
 
-    private double bearable() {
+    private double capacity() {
         double warm = Math.min(1, tokensSinceStart / WARM_AFTER_TOKENS);
         return COLD_SEQUENCES + warm * (SLOTS - COLD_SEQUENCES);
     }
--- a/router/src/main/java/org/redwinghook/router/peer/MeshConnection.java
+++ b/router/src/main/java/org/redwinghook/router/peer/MeshConnection.java
@@ -34,7 +34,7 @@
         }
     }
 
-    /** Closes the connection if it has been silent for too long, otherwise sends a sign of life. */
+    /** Closes the connection if it has been silent for too long, otherwise sends a heartbeat. */
     void beat() {
         if (System.nanoTime() - lastHeardNanos > SILENCE_NANOS) {
             connection.close();
--- a/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
@@ -19,7 +19,7 @@
 import org.redwinghook.runtime.settings.Address;
 
 /**
- * Client of the platform's list of VMs. The list lags behind the truth.
+ * Client of the platform's list of VMs. The list may be out of date.
  *
  * <p>If the platform sends an entity tag, an unchanged list is neither sent nor parsed again. Lists of 960 VMs that were
  * read whole each second took 40 times the bytes that a process may use.
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/LoadReport.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/LoadReport.java
@@ -5,7 +5,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Load report of an engine; it lags behind the truth.
+ * Load report of an engine; it may be out of date.
  *
  * @param running generations at the engine
  * @param waiting generations that the engine holds back
--- a/standins/src/main/java/org/redwinghook/standins/engine/ColdOverload.java
+++ b/standins/src/main/java/org/redwinghook/standins/engine/ColdOverload.java
@@ -1,6 +1,6 @@
 package org.redwinghook.standins.engine;
 
-/** What a cold engine does with more requests than it can bear. */
+/** What a cold engine does with more requests than its capacity. */
 public enum ColdOverload {
     /** It serves them slowly. */
     SLOW,
--- a/standins/src/main/java/org/redwinghook/standins/engine/EngineOptions.java
+++ b/standins/src/main/java/org/redwinghook/standins/engine/EngineOptions.java
@@ -41,8 +41,8 @@
     @Option(name = "--cold-slowdown", metaVar = "FACTOR", usage = "factor on the time of steps while cold")
     private int coldSlowdown = USUAL.coldStart().slowdown();
 
-    @Option(name = "--cold-requests", metaVar = "N", usage = "requests that a cold engine can bear")
-    private int coldRequests = USUAL.coldStart().bearableRequests();
+    @Option(name = "--cold-requests", metaVar = "N", usage = "requests that a cold engine can run")
+    private int coldRequests = USUAL.coldStart().coldCapacity();
 
     @Option(name = "--cold-overload", usage = "what a cold engine does with more")
     private ColdOverload coldOverload = USUAL.coldStart().overload();
--- a/standins/src/main/java/org/redwinghook/standins/engine/EngineRun.java
+++ b/standins/src/main/java/org/redwinghook/standins/engine/EngineRun.java
@@ -8,6 +8,7 @@
  * @param prompt the prompt
  * @param cold whether the engine was cold
  * @param requests requests at the engine, running and waiting, this one included
- * @param borne whether the engine took the request
+ * @param accepted whether the engine took the request
  */
-public record EngineRun(long atMillis, String generation, String prompt, boolean cold, int requests, boolean borne) {}
+public record EngineRun(
+        long atMillis, String generation, String prompt, boolean cold, int requests, boolean accepted) {}
--- a/standins/src/main/java/org/redwinghook/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/redwinghook/standins/engine/EngineStandIn.java
@@ -221,9 +221,9 @@
         }
         boolean isCold = coldSteps > 0;
         int requests = batch.running() + batch.waiting() + 1;
-        boolean isBorne = bears(context);
-        runs.add(new EngineRun(System.currentTimeMillis(), identifier, prompt, isCold, requests, isBorne));
-        if (!isBorne) {
+        boolean isWithinCapacity = hasCapacity(context);
+        runs.add(new EngineRun(System.currentTimeMillis(), identifier, prompt, isCold, requests, isWithinCapacity));
+        if (!isWithinCapacity) {
             return;
         }
         generations.put(identifier, generation);
@@ -234,9 +234,9 @@
     }
 
     /** Whether the engine is warm or not overloaded; otherwise does what a cold engine does with too much load. */
-    private boolean bears(RoutingContext context) {
+    private boolean hasCapacity(RoutingContext context) {
         ColdStart coldStart = settings.coldStart();
-        if (coldSteps == 0 || batch.running() + batch.waiting() < coldStart.bearableRequests()) {
+        if (coldSteps == 0 || batch.running() + batch.waiting() < coldStart.coldCapacity()) {
             return true;
         }
         switch (coldStart.overload()) {
--- a/standins/src/test/java/org/redwinghook/standins/engine/EngineStandInTest.java
+++ b/standins/src/test/java/org/redwinghook/standins/engine/EngineStandInTest.java
@@ -94,7 +94,7 @@
         }
     }
 
-    /** Guards against an engine that never dies and bears any load while cold. */
+    /** Guards against an engine that never dies and takes any load while cold. */
     public static final class Failures extends Fixture {
 
         @Test
--- a/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Deployment.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Deployment.java
@@ -351,12 +351,12 @@
     public void recordWork() {
         engines.forEach((vm, engine) -> {
             for (EngineRun run : engine.runs()) {
-                if (run.borne()) {
+                if (run.accepted()) {
                     history.add(new Event.WorkStarted(run.atMillis(), vm.name(), vm.dataCentre(), run.prompt()));
                 }
                 if (run.cold() && coldStart.steps() > 0) {
                     history.add(new Event.LoadObserved(
-                            run.atMillis(), vm.name(), run.requests(), coldStart.bearableRequests()));
+                            run.atMillis(), vm.name(), run.requests(), coldStart.coldCapacity()));
                 }
             }
         });
--- a/system-tests/src/test/java/org/redwinghook/systemtests/deployment/GuaranteesUnderFailureTest.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/GuaranteesUnderFailureTest.java
@@ -90,9 +90,9 @@
         assertGuarantees();
     }
 
-    /** Guards against a burst that a freshly started engine cannot bear. */
+    /** Guards against a burst that a freshly started engine cannot take. */
     @Test
-    public void freshEngineBearsBurst() {
+    public void freshEngineSurvivesBurst() {
         stopDeployment();
         start(new ColdStart(100, 4, 4, ColdOverload.SLOW));
         List<Future<Ending>> answers = new ArrayList<>();
--- a/system-tests/src/test/java/org/redwinghook/systemtests/history/Event.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/history/Event.java
@@ -104,14 +104,14 @@
             @Nullable String key) implements Event {}
 
     /**
-     * A back end observed how many requests it runs, and how many it could bear at that moment.
+     * A back end observed how many requests it runs, and how many it could run at that moment.
      *
      * @param atMillis time of the observation in milliseconds
      * @param endpoint name of the endpoint
      * @param running requests that run
-     * @param bearable requests that the endpoint bears
+     * @param capacity requests that the endpoint can run
      */
-    record LoadObserved(long atMillis, String endpoint, int running, int bearable) implements Event {}
+    record LoadObserved(long atMillis, String endpoint, int running, int capacity) implements Event {}
 
     /**
      * An operator's withdrawal of a data centre or endpoint was accepted.
--- a/system-tests/src/test/java/org/redwinghook/systemtests/history/Guarantee.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/history/Guarantee.java
@@ -37,9 +37,9 @@
         @Override
         void check(History history, Bounds bounds, Reporter reporter) {
             for (Event.LoadObserved load : history.of(Event.LoadObserved.class)) {
-                if (load.running() > load.bearable()) {
-                    reporter.report(
-                            load.endpoint() + " ran " + load.running() + " requests and bears " + load.bearable());
+                if (load.running() > load.capacity()) {
+                    reporter.report(load.endpoint() + " ran " + load.running() + " requests with a capacity of "
+                            + load.capacity());
                 }
             }
         }
--- a/system-tests/src/test/java/org/redwinghook/systemtests/history/GuaranteeTest.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/history/GuaranteeTest.java
@@ -86,7 +86,7 @@
                     new Event.WorkStarted(8_001, "e1", "d1", "r1")),
             planted(
                     Guarantee.NO_OVERLOAD,
-                    "more work than a cold endpoint bears",
+                    "more work than a cold endpoint can run",
                     new Event.LoadObserved(1, "e1", 3, 2)),
             planted(
                     Guarantee.PLANNED_STOPS_CUT_NOTHING,
