Look for an endpoint's connection before scanning the VM list

Each attempt of a request scanned all members of the VM list, although the connection is nearly always open. The list is now read only for an endpoint outside the subset. The router's 31 tests, formatter and linter pass; the system tests were not run again.

--- a/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
@@ -124,9 +124,14 @@
      * @return the connection, empty if the VM is not known
      */
     public Optional<EndpointConnection> connection(String vm) {
+        EndpointConnection known = connections.get(vm);
+        if (known != null) {
+            return Optional.of(known);
+        }
         for (Member member : members) {
-            if (!connections.containsKey(vm) && member.vm().equals(vm) && member.role() == ProcessRole.SIDECAR) {
+            if (member.vm().equals(vm) && member.role() == ProcessRole.SIDECAR) {
                 keep(member);
+                break;
             }
         }
         return Optional.ofNullable(connections.get(vm));
