Authenticate callers in one place

Completions and calls to plain services each looked up the credential and rejected an unknown one with the same answer; Authenticator now does both. The answers are unchanged.

--- a/router/src/main/java/org/redwinghook/router/caller/Authenticator.java
+++ b/router/src/main/java/org/redwinghook/router/caller/Authenticator.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import com.google.common.hash.Hashing;
+import io.vertx.ext.web.RoutingContext;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.config.Configuration;
 import org.redwinghook.core.config.Customer;
@@ -15,6 +16,7 @@
 public final class Authenticator {
 
     private static final String SCHEME = "Bearer ";
+    private static final int HTTP_UNAUTHORIZED = 401;
 
     private Map<String, Customer> customersByHash = Map.of();
 
@@ -28,6 +30,21 @@
         configuration.onChange(this::index);
     }
 
+    /**
+     * Finds the customer of a request, and rejects the request if its credential is not known.
+     *
+     * @param context the request
+     * @return the customer, empty if the request was rejected
+     */
+    public Optional<Customer> authenticate(RoutingContext context) {
+        Optional<Customer> customer = customer(context.request().getHeader("Authorization"));
+        if (customer.isEmpty()) {
+            CallerErrors.reject(
+                    CallerResponse.of(context), HTTP_UNAUTHORIZED, "unauthorized", "the credential is not known");
+        }
+        return customer;
+    }
+
     /**
      * Finds the customer.
      *
--- a/router/src/main/java/org/redwinghook/router/caller/CompletionHandler.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CompletionHandler.java
@@ -28,7 +28,6 @@
 public final class CompletionHandler {
 
     private static final String LAST_EVENT_ID = "Last-Event-ID";
-    private static final int HTTP_UNAUTHORIZED = 401;
     private static final int HTTP_NOT_FOUND = 404;
     private static final int PREFIX_CHARACTERS = 256;
     private static final int CHARACTERS_PER_TOKEN = 4;
@@ -69,7 +68,7 @@
      */
     public void complete(RoutingContext context, CompletionFormat format) {
         CallerResponse response = CallerResponse.of(context);
-        Optional<Customer> customer = customer(context);
+        Optional<Customer> customer = authenticator.authenticate(context);
         if (customer.isEmpty()) {
             return;
         }
@@ -102,7 +101,7 @@
      * @param context the request
      */
     public void events(RoutingContext context) {
-        Optional<Customer> customer = customer(context);
+        Optional<Customer> customer = authenticator.authenticate(context);
         if (customer.isEmpty()) {
             return;
         }
@@ -121,15 +120,6 @@
                 null);
     }
 
-    private Optional<Customer> customer(RoutingContext context) {
-        Optional<Customer> customer = authenticator.customer(context.request().getHeader("Authorization"));
-        if (customer.isEmpty()) {
-            CallerErrors.reject(
-                    CallerResponse.of(context), HTTP_UNAUTHORIZED, "unauthorized", "the credential is not known");
-        }
-        return customer;
-    }
-
     private void start(
             CallerResponse response,
             CompletionFormat format,
--- a/router/src/main/java/org/redwinghook/router/caller/ServiceCallHandler.java
+++ b/router/src/main/java/org/redwinghook/router/caller/ServiceCallHandler.java
@@ -30,7 +30,6 @@
 public final class ServiceCallHandler {
 
     private static final String PREFIX = "/services/";
-    private static final int HTTP_UNAUTHORIZED = 401;
     private static final int HTTP_NOT_FOUND = 404;
     private static final int HTTP_BAD_GATEWAY = 502;
 
@@ -70,9 +69,8 @@
     public void handle(RoutingContext context) {
         HttpServerRequest request = context.request();
         CallerResponse response = CallerResponse.of(context);
-        Optional<Customer> customer = authenticator.customer(request.getHeader("Authorization"));
+        Optional<Customer> customer = authenticator.authenticate(context);
         if (customer.isEmpty()) {
-            CallerErrors.reject(response, HTTP_UNAUTHORIZED, "unauthorized", "the credential is not known");
             return;
         }
         String rest = request.uri().substring(PREFIX.length());
