--- a/core/src/main/java/org/redwinghook/core/forward/ServiceSettings.java
+++ b/core/src/main/java/org/redwinghook/core/forward/ServiceSettings.java
@@ -7,7 +7,7 @@
  * @param healthPath path of the health check
  * @param maxConnections most connections that an endpoint accepts from all routers
  * @param coldRequestsPerSecond requests a second that a cold endpoint bears; 0 if it has no such limit
- * @param memoryTokens tokens that an endpoint's memory holds; 0 for plain services
+ * @param memory memory of its engines
  */
 public record ServiceSettings(
-        String name, String healthPath, int maxConnections, double coldRequestsPerSecond, long memoryTokens) {}
+        String name, String healthPath, int maxConnections, double coldRequestsPerSecond, EngineMemory memory) {}
--- a/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
@@ -22,6 +22,18 @@
             return prefill + steps + overflow * OVERFLOW_MILLIS_PER_TOKEN;
         }
     },
+    /**
+     * Generations that move with their memory. Answers departures under load: no prompt is read again, so only memory
+     * and the shared steps count, and a copy to another data centre takes twice as long.
+     */
+    MOVED_RUN {
+        @Override
+        double delayMillis(Candidate candidate, PlacementQuery query) {
+            double prefill = query.promptTokens() / PREFILL_TOKENS_PER_MILLI;
+            double copy = candidate.distance() == Distance.LOCAL ? 0 : FARTHER_COPY_MILLIS;
+            return GENERATION.delayMillis(candidate, query) - prefill + copy;
+        }
+    },
     /** Calls of plain services. Answers a burst at few slots: the delay is the wait for a slot. */
     CALL {
         @Override
@@ -58,6 +70,9 @@
     /** Delay of a cold endpoint, in milliseconds. */
     private static final double COLD_MILLIS = 200;
 
+    /** Additional time of a copy to another data centre, in milliseconds: that of a usual prompt in the same one. */
+    private static final double FARTHER_COPY_MILLIS = 200;
+
     abstract double delayMillis(Candidate candidate, PlacementQuery query);
 
     /**
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/relocation/MoveOrder.java
@@ -0,0 +1,53 @@
+package org.redwinghook.core.relocation;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.redwinghook.core.forward.EngineMemory;
+
+/**
+ * Orders the runs of an engine that leaves. Answers departures at short notice, with more runs than the engine's link
+ * can copy: runs that end in time stay, and of the others those with the shortest copy go first, as each moved run saves
+ * about the same.
+ */
+public final class MoveOrder {
+
+    /** Part of the notice in which a run is trusted to end by itself; the estimate of its length may be too short. */
+    private static final double TRUSTED_SHARE = 0.5;
+
+    private MoveOrder() {}
+
+    /**
+     * Orders runs for moving one after another.
+     *
+     * @param runs the engine's runs
+     * @param memory memory of the engine
+     * @param noticeMillis time until the engine is gone
+     * @return runs to move, first to last; those that no longer fit into the time come last
+     */
+    public static List<RunAtEngine> order(List<RunAtEngine> runs, EngineMemory memory, double noticeMillis) {
+        List<RunAtEngine> moving = new ArrayList<>();
+        for (RunAtEngine run : runs) {
+            if (!run.resumable() && run.remainingMillis() > noticeMillis * TRUSTED_SHARE) {
+                moving.add(run);
+            }
+        }
+        moving.sort(Comparator.comparingDouble((RunAtEngine run) -> memory.copyMillis(run.residentTokens()))
+                .thenComparing(RunAtEngine::requestId));
+        return moving;
+    }
+
+    /**
+     * Time to wait before the first copy, so that routers do not fill the link with copies at the same time: a copy
+     * that stops its run must not queue behind another router's whole copy.
+     *
+     * @param earlierTokens memory that routers before this one will copy
+     * @param memory memory of the engine
+     * @param noticeMillis time until the engine is gone
+     * @return milliseconds, at most half of the notice
+     */
+    public static double turnMillis(long earlierTokens, EngineMemory memory, double noticeMillis) {
+        return Math.min(noticeMillis / 2, memory.copyMillis(earlierTokens));
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -9,6 +9,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.EndpointEntry;
+import org.redwinghook.core.forward.EngineMemory;
 import org.redwinghook.core.forward.KnownEndpoint;
 import org.redwinghook.core.forward.ServiceSettings;
 import org.redwinghook.core.placement.Candidate;
@@ -65,10 +66,7 @@
                 .filter(endpoint -> !endpoint.health().avoid(now))
                 .toList();
         List<KnownEndpoint> tried = reachable.isEmpty() ? allowed : reachable;
-        long memory = state.configuration()
-                .flatMap(configuration -> configuration.service(caller.service()))
-                .map(ServiceSettings::memoryTokens)
-                .orElse(0L);
+        long memory = memory(caller.service()).capacityTokens();
         List<Candidate> candidates = new ArrayList<>();
         for (KnownEndpoint endpoint : tried) {
             candidates.add(candidate(endpoint, memory, now));
@@ -77,6 +75,19 @@
                 .flatMap(best -> state.endpoints().find(best.id()));
     }
 
+    /**
+     * Memory of a service's engines.
+     *
+     * @param service name of the service
+     * @return the memory, {@link EngineMemory#NONE} if the configuration names none
+     */
+    EngineMemory memory(String service) {
+        return state.configuration()
+                .flatMap(configuration -> configuration.service(service))
+                .map(ServiceSettings::memory)
+                .orElse(EngineMemory.NONE);
+    }
+
     private List<KnownEndpoint> allowed(CallerExchange caller, Set<String> excluded) {
         List<KnownEndpoint> allowed = new ArrayList<>();
         Set<String> home = allowedRegions(caller);
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -67,6 +67,7 @@
                 new ForwardSelector(state, ledger, clock, settings.dataCentre(), settings.regions()),
                 new ServiceRetries(settings.retryShare(), settings.retrySlack(), () -> 4),
                 moves);
+        state.onLeaving(new RunRelocator(context, streams)::leaving);
         server = new ForwardServer(vertx, settings.caller(), context, streams);
         readiness = new ReadyServer(vertx, settings.ready(), settings.readyPath(), this::ready);
         followers = List.of(
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -12,6 +12,7 @@
 import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.RunningRequest;
+import org.redwinghook.core.relocation.RunAtEngine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -35,6 +36,12 @@
     /** Output tokens of one event; from the engines' data sheet. */
     private static final long TOKENS_PER_EVENT = 4;
 
+    /** Time that an engine under usual load needs for an output token, in milliseconds; from its data sheet. */
+    private static final double MILLIS_PER_TOKEN = 8;
+
+    /** A run that is longer than expected is taken to go on for this fraction (1/n) of what it has produced. */
+    private static final long LONGER_SHARE = 4;
+
     private static final int MISDIRECTED = 421;
 
     private final ForwardContext context;
@@ -49,6 +56,7 @@
     private boolean begun;
     private long events;
     private @Nullable String lastEventId;
+    private @Nullable KnownEndpoint source;
 
     StreamForwarding(ForwardContext context, CallerExchange caller, RunningStreams registry) {
         this.context = context;
@@ -81,8 +89,19 @@
         return caller;
     }
 
-    boolean producing() {
-        return begun && !caller.ended();
+    /**
+     * The run as its engine holds it.
+     *
+     * @return sizes known so far
+     */
+    RunAtEngine run() {
+        long produced = events * TOKENS_PER_EVENT;
+        long remaining = Math.max(query.outputTokens() - produced, produced / LONGER_SHARE);
+        return new RunAtEngine(
+                caller.requestId(),
+                query.promptTokens() + produced,
+                remaining * MILLIS_PER_TOKEN,
+                caller.route().mayRunAgain());
     }
 
     PlacementQuery query() {
@@ -107,12 +126,14 @@
      *
      * @param endpoint where to go on
      * @param copy the copy
+     * @param stoppedSource engine that stopped the run and still holds its memory, null if there is none
      */
-    void continueAt(KnownEndpoint endpoint, MemoryCopy copy) {
+    void continueAt(KnownEndpoint endpoint, MemoryCopy copy, @Nullable KnownEndpoint stoppedSource) {
         if (caller.ended()) {
             return;
         }
         cancel();
+        source = stoppedSource;
         Attempt attempt = new Attempt(endpoint, copy);
         current = attempt;
         attempt.start();
@@ -311,6 +332,13 @@
                     reply.notRun(),
                     copy != null);
             if (begun) {
+                MemoryCopy unused = copy;
+                KnownEndpoint holder = source;
+                if (unused != null && holder != null && holder != endpoint) {
+                    source = null;
+                    continueAt(holder, unused, null);
+                    return;
+                }
                 abort("the endpoint refused to go on");
                 return;
             }
