--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/message/EndpointWork.java
@@ -0,0 +1,14 @@
+package org.redwinghook.core.message;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+/**
+ * Work of a router at an endpoint.
+ *
+ * @param endpoint identifier of the endpoint
+ * @param running requests sent and not ended
+ * @param waitingTokens prompt tokens of generations that have not produced a token
+ * @param residentTokens memory that the generations are expected to need at their end, in tokens
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record EndpointWork(String endpoint, int running, long waitingTokens, long residentTokens) {}
--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -34,7 +34,9 @@
     @JsonSubTypes.Type(value = KeyAnswer.class, name = "keyAnswer"),
     @JsonSubTypes.Type(value = QuotaRequest.class, name = "quotaRequest"),
     @JsonSubTypes.Type(value = QuotaGrant.class, name = "quotaGrant"),
-    @JsonSubTypes.Type(value = QuotaUse.class, name = "quotaUse")
+    @JsonSubTypes.Type(value = QuotaUse.class, name = "quotaUse"),
+    @JsonSubTypes.Type(value = WorkReport.class, name = "workReport"),
+    @JsonSubTypes.Type(value = RelayedRecords.class, name = "relayedRecords")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/message/WorkReport.java
@@ -0,0 +1,16 @@
+package org.redwinghook.core.message;
+
+import java.util.List;
+
+/**
+ * Work of a router at all endpoints; replaces its report before.
+ *
+ * @param router name of the router
+ * @param work its work, without idle endpoints
+ */
+public record WorkReport(String router, List<EndpointWork> work) implements Message {
+
+    public WorkReport {
+        work = List.copyOf(work);
+    }
+}
--- a/core/src/main/java/org/redwinghook/core/placement/WorkLedger.java
+++ b/core/src/main/java/org/redwinghook/core/placement/WorkLedger.java
@@ -81,6 +81,25 @@
         return total;
     }
 
+    /**
+     * Work at an endpoint of the routers whose names sort before this one's: they take their turns first.
+     *
+     * @param self name of this router
+     * @param endpointId the endpoint
+     * @param nowMillis time now, monotonic
+     * @return the work
+     */
+    public WorkTotals earlier(String self, String endpointId, long nowMillis) {
+        WorkTotals total = WorkTotals.NONE;
+        for (Map.Entry<String, PeerTotals> peer : peers.entrySet()) {
+            boolean recent = nowMillis - peer.getValue().atMillis() <= PEER_TOTALS_MILLIS;
+            if (recent && peer.getKey().compareTo(self) < 0) {
+                total = total.plus(peer.getValue().totals().getOrDefault(endpointId, WorkTotals.NONE));
+            }
+        }
+        return total;
+    }
+
     private static WorkTotals sum(Set<RunningRequest> running) {
         return running.stream().map(RunningRequest::work).reduce(WorkTotals.NONE, WorkTotals::plus);
     }
--- a/router/src/main/java/org/redwinghook/router/RouterProcess.java
+++ b/router/src/main/java/org/redwinghook/router/RouterProcess.java
@@ -28,6 +28,7 @@
 import org.redwinghook.router.limit.RequestLimits;
 import org.redwinghook.router.metrics.RouterMetrics;
 import org.redwinghook.router.peer.MeshSetup;
+import org.redwinghook.router.peer.MeshTiming;
 import org.redwinghook.router.peer.RouterMesh;
 import org.redwinghook.router.peer.RouterPeers;
 import org.redwinghook.runtime.admin.AdminServer;
@@ -113,7 +114,7 @@
                 vertx,
                 process,
                 settings.shared().peer(),
-                new MeshSetup(codec, wireMetrics, this::hello, configuration, dispatcher));
+                new MeshSetup(codec, wireMetrics, this::hello, configuration, dispatcher, MeshTiming.USUAL));
         directory.onMembers(mesh::update);
         quota = new QuotaClient(vertx, process, peers, dispatcher, this::limit, this::region, metrics);
         UsageLedger ledger = new UsageLedger(process, incarnation);
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -60,6 +60,21 @@
      */
     Optional<KnownEndpoint> choose(
             CallerExchange caller, PlacementPolicy policy, PlacementQuery query, Set<String> excluded) {
+        return choose(caller, policy, query, excluded, dataCentre);
+    }
+
+    /**
+     * Chooses an endpoint for a request that comes from another place than this router.
+     *
+     * @param caller the request
+     * @param policy how to weigh
+     * @param query size of the request
+     * @param excluded identifiers of endpoints not to use
+     * @param from data centre that distances are counted from
+     * @return the endpoint, empty if none may take it
+     */
+    Optional<KnownEndpoint> choose(
+            CallerExchange caller, PlacementPolicy policy, PlacementQuery query, Set<String> excluded, String from) {
         long now = clock.millis();
         List<KnownEndpoint> allowed = allowed(caller, excluded);
         List<KnownEndpoint> reachable = allowed.stream()
@@ -69,7 +84,8 @@
         long memory = memory(caller.service()).capacityTokens();
         List<Candidate> candidates = new ArrayList<>();
         for (KnownEndpoint endpoint : tried) {
-            candidates.add(candidate(endpoint, memory, now));
+            candidates.add(
+                    candidate(endpoint, memory, distance(from, endpoint.entry().dataCentre()), now));
         }
         return policy.choose(candidates, query)
                 .flatMap(best -> state.endpoints().find(best.id()));
@@ -117,7 +133,7 @@
         return both;
     }
 
-    private Candidate candidate(KnownEndpoint endpoint, long memoryTokens, long now) {
+    private Candidate candidate(KnownEndpoint endpoint, long memoryTokens, Distance distance, long now) {
         EndpointEntry entry = endpoint.entry();
         return new Candidate(
                 entry.id(),
@@ -125,16 +141,16 @@
                 memoryTokens,
                 ledger.at(entry.id(), now),
                 endpoint.waiting(now),
-                distance(entry.dataCentre()),
+                distance,
                 endpoint.health().failureShare(now),
                 endpoint.cold(now));
     }
 
-    private Distance distance(String other) {
-        if (other.equals(dataCentre)) {
+    private Distance distance(String from, String other) {
+        if (other.equals(from)) {
             return Distance.LOCAL;
         }
-        String region = regions.get(dataCentre);
+        String region = regions.get(from);
         return region != null && region.equals(regions.get(other)) ? Distance.NEAR : Distance.FAR;
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import org.jspecify.annotations.Nullable;
@@ -29,6 +30,7 @@
     private final Map<RecordTopic, RecordReplica> replicas = new EnumMap<>(RecordTopic.class);
     private final EndpointTable endpoints = new EndpointTable();
     private final List<Consumer<KnownEndpoint>> leavingHandlers = new ArrayList<>();
+    private final List<BiConsumer<RecordTopic, List<VersionedRecord>>> changeHandlers = new ArrayList<>();
     private @Nullable ForwardingConfiguration configuration;
 
     /**
@@ -54,6 +56,15 @@
         leavingHandlers.add(handler);
     }
 
+    /**
+     * Registers who is told of changes.
+     *
+     * @param handler receives the topic and the records that are new
+     */
+    public void onChange(BiConsumer<RecordTopic, List<VersionedRecord>> handler) {
+        changeHandlers.add(handler);
+    }
+
     /**
      * Configuration in force.
      *
@@ -88,7 +99,7 @@
      * @return false until then
      */
     public boolean complete() {
-        return configuration != null && replica(RecordTopic.ENDPOINTS).position() > 0;
+        return configuration != null && endpoints.size() > 0;
     }
 
     /**
@@ -133,6 +144,9 @@
                 endpointWrote(record, storeWasAway);
             }
         }
+        if (!changed.isEmpty()) {
+            changeHandlers.forEach(handler -> handler.accept(topic, changed));
+        }
         return changed;
     }
 
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -1,7 +1,10 @@
 package org.redwinghook.router.forward;
 
+import java.util.List;
+
 import io.vertx.core.Vertx;
 import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.VersionedRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,6 +33,7 @@
     private final ForwardingState state;
     private final RecordTopic topic;
     private final MonotonicClock clock;
+    private final Relay relay;
     private long failedAtMillis = Long.MIN_VALUE / 2;
     private int failures;
     private boolean snapshotNeeded = true;
@@ -43,14 +47,35 @@
      * @param state receives the records
      * @param topic the topic
      * @param clock tells the time
+     * @param relay receives records that are new
      */
     public RecordFollower(
-            Vertx vertx, RecordStore store, ForwardingState state, RecordTopic topic, MonotonicClock clock) {
+            Vertx vertx,
+            RecordStore store,
+            ForwardingState state,
+            RecordTopic topic,
+            MonotonicClock clock,
+            Relay relay) {
         this.vertx = vertx;
         this.store = store;
         this.state = state;
         this.topic = topic;
         this.clock = clock;
+        this.relay = relay;
+    }
+
+    /** Passes on what a follower has read. */
+    @FunctionalInterface
+    public interface Relay {
+
+        /**
+         * Passes records on.
+         *
+         * @param topic their topic
+         * @param records records that are new
+         * @param mayHaveLapsed whether removals may come only from an outage of the store
+         */
+        void relay(RecordTopic topic, List<VersionedRecord> records, boolean mayHaveLapsed);
     }
 
     /** Starts to follow the topic. */
@@ -88,13 +113,13 @@
     private void snapshotRead(RecordPage page) {
         snapshotNeeded = false;
         succeeded();
-        state.applySnapshot(topic, page.records(), page.end(), storeWasAway());
+        relay.relay(topic, state.applySnapshot(topic, page.records(), page.end(), storeWasAway()), storeWasAway());
         next();
     }
 
     private void read(RecordPage page) {
         succeeded();
-        state.apply(topic, page.records(), storeWasAway());
+        relay.relay(topic, state.apply(topic, page.records(), storeWasAway()), storeWasAway());
         state.replica(topic).advance(page.end());
         vertx.setTimer(PAUSE_MILLIS, ignored -> next());
     }
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -0,0 +1,165 @@
+package org.redwinghook.router.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.vertx.core.Vertx;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.message.EndpointWork;
+import org.redwinghook.core.message.KeyedRecord;
+import org.redwinghook.core.message.Message;
+import org.redwinghook.core.message.RelayedRecords;
+import org.redwinghook.core.message.WorkReport;
+import org.redwinghook.core.placement.WorkLedger;
+import org.redwinghook.core.placement.WorkTotals;
+import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.VersionedRecord;
+import org.redwinghook.runtime.config.ConfigurationPeer;
+import org.redwinghook.runtime.config.PeerListener;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What routers tell each other: records of the platform's store, for routers that cannot reach it, and their running
+ * work, so that they do not all choose the same endpoint.
+ */
+final class RouterExchange implements PeerListener {
+
+    /** Interval of work reports while work changes, in milliseconds; several fit into a prompt's reading. */
+    private static final long REPORT_MILLIS = 100;
+
+    /** Interval of work reports that repeat the one before, in milliseconds; half of the age at which they expire. */
+    private static final long REPEAT_MILLIS = WorkLedger.PEER_TOTALS_MILLIS / 2;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(RouterExchange.class);
+
+    private final Vertx vertx;
+    private final String self;
+    private final ForwardingState state;
+    private final WorkLedger ledger;
+    private final MonotonicClock clock;
+    private final Set<ConfigurationPeer> peers = new LinkedHashSet<>();
+    private Map<String, WorkTotals> lastReport = Map.of();
+    private long reportedMillis;
+
+    RouterExchange(Vertx vertx, String self, ForwardingState state, WorkLedger ledger, MonotonicClock clock) {
+        this.vertx = vertx;
+        this.self = self;
+        this.state = state;
+        this.ledger = ledger;
+        this.clock = clock;
+    }
+
+    void start() {
+        vertx.setPeriodic(REPORT_MILLIS, ignored -> report());
+    }
+
+    /**
+     * Passes records on to the connected routers.
+     *
+     * @param topic their topic
+     * @param records the records
+     * @param mayHaveLapsed whether removals may come only from an outage of the store
+     */
+    void relay(RecordTopic topic, List<VersionedRecord> records, boolean mayHaveLapsed) {
+        if (!records.isEmpty()) {
+            send(null, message(topic, records, mayHaveLapsed));
+        }
+    }
+
+    /**
+     * Names of the connected routers.
+     *
+     * @return the names, this router's not among them
+     */
+    Set<String> connected() {
+        Set<String> names = new LinkedHashSet<>();
+        peers.forEach(peer -> names.add(peer.name()));
+        return names;
+    }
+
+    @Override
+    public void opened(ConfigurationPeer peer) {
+        peers.add(peer);
+        LOGGER.info("router connected name={} connections={}", peer.name(), peers.size());
+        for (RecordTopic topic : RecordTopic.values()) {
+            List<VersionedRecord> all = state.replica(topic).all();
+            if (!all.isEmpty()) {
+                peer.send(message(topic, all, false));
+            }
+        }
+        lastReport = Map.of();
+    }
+
+    @Override
+    public void closed(ConfigurationPeer peer) {
+        peers.remove(peer);
+        LOGGER.info("router disconnected name={} connections={}", peer.name(), peers.size());
+    }
+
+    @Override
+    public void received(ConfigurationPeer peer, Message message) {
+        if (message instanceof WorkReport report) {
+            Map<String, WorkTotals> totals = new HashMap<>();
+            for (EndpointWork work : report.work()) {
+                totals.put(
+                        work.endpoint(), new WorkTotals(work.running(), work.waitingTokens(), work.residentTokens()));
+            }
+            ledger.peer(report.router(), totals, clock.millis());
+        }
+        if (message instanceof RelayedRecords relayed) {
+            relayed(peer, relayed);
+        }
+    }
+
+    @Override
+    public void membersChanged(int liveRouters, int reachable) {
+        LOGGER.debug("routers listed={} reachable={}", liveRouters, reachable);
+    }
+
+    private void relayed(ConfigurationPeer peer, RelayedRecords relayed) {
+        RecordTopic topic = RecordTopic.valueOf(relayed.topic());
+        List<VersionedRecord> records = new ArrayList<>();
+        for (KeyedRecord record : relayed.records()) {
+            records.add(new VersionedRecord(record.key(), record.offset(), record.value()));
+        }
+        List<VersionedRecord> changed = state.apply(topic, records, relayed.mayHaveLapsed());
+        if (!changed.isEmpty()) {
+            LOGGER.info("records relayed topic={} from={} changed={}", topic, peer.name(), changed.size());
+            send(peer, message(topic, changed, relayed.mayHaveLapsed()));
+        }
+    }
+
+    private void report() {
+        Map<String, WorkTotals> totals = ledger.own();
+        long now = clock.millis();
+        if (totals.equals(lastReport) && now - reportedMillis < REPEAT_MILLIS) {
+            return;
+        }
+        lastReport = totals;
+        reportedMillis = now;
+        List<EndpointWork> work = new ArrayList<>();
+        totals.forEach((endpoint, total) ->
+                work.add(new EndpointWork(endpoint, total.running(), total.waitingTokens(), total.residentTokens())));
+        send(null, new WorkReport(self, work));
+    }
+
+    private void send(@Nullable ConfigurationPeer except, Message message) {
+        Set<String> reached = new LinkedHashSet<>();
+        for (ConfigurationPeer peer : List.copyOf(peers)) {
+            if (peer != except && reached.add(peer.name())) {
+                peer.send(message);
+            }
+        }
+    }
+
+    private static RelayedRecords message(RecordTopic topic, List<VersionedRecord> records, boolean mayHaveLapsed) {
+        List<KeyedRecord> keyed = new ArrayList<>();
+        records.forEach(record -> keyed.add(new KeyedRecord(record.key(), record.offset(), record.value())));
+        return new RelayedRecords(topic.name(), keyed, mayHaveLapsed);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
@@ -0,0 +1,103 @@
+package org.redwinghook.router.forward;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.core.membership.Member;
+import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.VersionedRecord;
+import org.redwinghook.router.peer.RouterMesh;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Which routers there are. Each writes its address into the store when it starts, and removes it when it stops; others
+ * learn of it from the store or from each other.
+ */
+final class RouterMembership {
+
+    /** Pause before a failed registration is tried again, in milliseconds. */
+    private static final long RETRY_MILLIS = 500;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(RouterMembership.class);
+
+    private final Vertx vertx;
+    private final RecordStore store;
+    private final ForwardingState state;
+    private final ForwardingSettings settings;
+    private final RouterMesh mesh;
+    private boolean leaving;
+    private int size = 1;
+
+    RouterMembership(
+            Vertx vertx, RecordStore store, ForwardingState state, ForwardingSettings settings, RouterMesh mesh) {
+        this.vertx = vertx;
+        this.store = store;
+        this.state = state;
+        this.settings = settings;
+        this.mesh = mesh;
+    }
+
+    void register() {
+        if (leaving) {
+            return;
+        }
+        JsonObject entry = new JsonObject()
+                .put("host", settings.peer().host())
+                .put("port", settings.peer().port())
+                .put("dataCentre", settings.dataCentre());
+        store.write(RecordTopic.ROUTERS, settings.process(), entry.toBuffer().getBytes())
+                .onSuccess(ignored -> LOGGER.info("router registered name={}", settings.process()))
+                .onFailure(failure -> vertx.setTimer(RETRY_MILLIS, ignored -> register()));
+    }
+
+    /** Removes this router's entry; if that fails, others notice that it cannot be reached. */
+    void leave() {
+        leaving = true;
+        store.write(RecordTopic.ROUTERS, settings.process(), new byte[0])
+                .onFailure(failure -> LOGGER.warn("router not removed cause={}", failure.toString()));
+    }
+
+    /** Takes the newest records over. */
+    void update() {
+        List<Member> members = new ArrayList<>();
+        for (VersionedRecord record : state.replica(RecordTopic.ROUTERS).all()) {
+            if (record.value() != null) {
+                add(record, members);
+            }
+        }
+        size = Math.max(1, members.size());
+        mesh.update(members);
+    }
+
+    /**
+     * Number of routers.
+     *
+     * @return those that are registered, at least 1
+     */
+    int size() {
+        return size;
+    }
+
+    private static void add(VersionedRecord record, List<Member> members) {
+        try {
+            JsonObject entry = new JsonObject(Buffer.buffer(record.value()));
+            members.add(new Member(
+                    record.key(),
+                    entry.getString("dataCentre"),
+                    ProcessRole.ROUTER,
+                    entry.getString("host"),
+                    entry.getInteger("port"),
+                    0,
+                    null,
+                    false));
+        } catch (DecodeException | ClassCastException | NullPointerException exception) {
+            LOGGER.warn("router entry unreadable key={} cause={}", record.key(), exception.toString());
+        }
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
@@ -45,8 +45,10 @@
 
     private final ForwardContext context;
     private final RunningStreams streams;
+    private final String self;
 
-    RunRelocator(ForwardContext context, RunningStreams streams) {
+    RunRelocator(ForwardContext context, RunningStreams streams, String self) {
+        this.self = self;
         this.context = context;
         this.streams = streams;
     }
@@ -71,8 +73,24 @@
         for (RunAtEngine run : MoveOrder.order(runs, memory, NOTICE_MILLIS)) {
             queue.add(new Move(byId.get(run.requestId()), engine));
         }
-        LOGGER.info("moves planned engine={} runs={} moving={}", engine.entry().id(), runs.size(), queue.size());
-        next(queue);
+        if (queue.isEmpty()) {
+            return;
+        }
+        long earlier = context.ledger()
+                .earlier(self, engine.entry().id(), context.clock().millis())
+                .residentTokens();
+        long turn = (long) MoveOrder.turnMillis(earlier, memory, NOTICE_MILLIS);
+        LOGGER.info(
+                "moves planned engine={} runs={} moving={} turnMillis={}",
+                engine.entry().id(),
+                runs.size(),
+                queue.size(),
+                turn);
+        if (turn <= 0) {
+            next(queue);
+            return;
+        }
+        context.vertx().setTimer(turn, ignored -> next(queue));
     }
 
     private void next(Deque<Move> queue) {
@@ -133,7 +151,13 @@
         private Optional<KnownEndpoint> choose() {
             PlacementQuery query = new PlacementQuery(
                     stream.run().residentTokens(), Math.max(0, stream.query().outputTokens()));
-            return context.selector().choose(stream.caller(), PlacementPolicy.MOVED_RUN, query, excluded);
+            return context.selector()
+                    .choose(
+                            stream.caller(),
+                            PlacementPolicy.MOVED_RUN,
+                            query,
+                            excluded,
+                            source.entry().dataCentre());
         }
 
         private void reserve(KnownEndpoint endpoint) {
--- a/router/src/main/java/org/redwinghook/router/peer/MeshConnection.java
+++ b/router/src/main/java/org/redwinghook/router/peer/MeshConnection.java
@@ -10,7 +10,7 @@
 /** One open connection between two routers, whichever of them opened it. */
 final class MeshConnection {
 
-    private static final long SILENCE_NANOS = 15_000_000_000L;
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final PeerConnection connection;
     private final MeshSetup setup;
@@ -25,7 +25,7 @@
         connection.onMessage(this::receive);
         connection.onClose(() -> {
             if (peer != null) {
-                setup.configuration().closed(peer);
+                setup.listener().closed(peer);
             }
             onClose.run();
         });
@@ -36,7 +36,7 @@
 
     /** Closes the connection if it has been silent for too long, otherwise sends a heartbeat. */
     void beat() {
-        if (System.nanoTime() - lastHeardNanos > SILENCE_NANOS) {
+        if (System.nanoTime() - lastHeardNanos > setup.timing().silenceMillis() * NANOS_PER_MILLI) {
             connection.close();
             return;
         }
@@ -55,7 +55,7 @@
             greeted(greeting);
         }
         if (peer != null) {
-            setup.configuration().received(peer, message);
+            setup.listener().received(peer, message);
             setup.dispatcher().dispatch(connection, message);
         }
     }
@@ -72,6 +72,6 @@
             connection.send(setup.hello().get());
         }
         peer = new ConnectionPeer(greeting.process(), connection);
-        setup.configuration().opened(peer);
+        setup.listener().opened(peer);
     }
 }
--- a/router/src/main/java/org/redwinghook/router/peer/MeshLink.java
+++ b/router/src/main/java/org/redwinghook/router/peer/MeshLink.java
@@ -9,8 +9,6 @@
 /** Keeps a connection to another router open. */
 final class MeshLink {
 
-    private static final long RECONNECT_MILLIS = 1_000;
-
     private final Vertx vertx;
     private final NetClient client;
     private final Member member;
@@ -70,7 +68,7 @@
         connection = null;
         isUnreachable = unreachable;
         if (!isClosed) {
-            vertx.setTimer(RECONNECT_MILLIS, ignored -> open());
+            vertx.setTimer(setup.timing().reconnectMillis(), ignored -> open());
         }
     }
 }
--- a/router/src/main/java/org/redwinghook/router/peer/MeshSetup.java
+++ b/router/src/main/java/org/redwinghook/router/peer/MeshSetup.java
@@ -3,7 +3,7 @@
 import java.util.function.Supplier;
 
 import org.redwinghook.core.message.Hello;
-import org.redwinghook.runtime.config.ConfigurationService;
+import org.redwinghook.runtime.config.PeerListener;
 import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.MessageDispatcher;
 import org.redwinghook.runtime.wire.WireMetrics;
@@ -14,12 +14,14 @@
  * @param codec encodes and decodes frames
  * @param metrics counts bytes and messages
  * @param hello gives this router's greeting
- * @param configuration spreads over the connections
- * @param dispatcher receives all other messages
+ * @param listener is told of the connections and receives all messages
+ * @param dispatcher receives all messages
+ * @param timing times of the connections
  */
 public record MeshSetup(
         FrameCodec codec,
         WireMetrics metrics,
         Supplier<Hello> hello,
-        ConfigurationService configuration,
-        MessageDispatcher dispatcher) {}
+        PeerListener listener,
+        MessageDispatcher dispatcher,
+        MeshTiming timing) {}
--- a/router/src/main/java/org/redwinghook/router/peer/RouterMesh.java
+++ b/router/src/main/java/org/redwinghook/router/peer/RouterMesh.java
@@ -21,7 +21,6 @@
 /** Connects this router to others, so that configuration reaches each router within a few hops. */
 public final class RouterMesh implements StateSource {
 
-    private static final long HEARTBEAT_MILLIS = 5_000;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
     private final Vertx vertx;
@@ -56,7 +55,7 @@
      * @return the port
      */
     public Future<Integer> start() {
-        vertx.setPeriodic(HEARTBEAT_MILLIS, ignored -> beat());
+        vertx.setPeriodic(setup.timing().heartbeatMillis(), ignored -> beat());
         return server.start();
     }
 
@@ -124,7 +123,7 @@
     private void tellMembers() {
         long reachable =
                 links.values().stream().filter(link -> !link.isUnreachable()).count();
-        setup.configuration().membersChanged(liveRouters, (int) reachable);
+        setup.listener().membersChanged(liveRouters, (int) reachable);
     }
 
     private record MeshState(int liveRouters, List<String> links, int accepted) {}
--- a/runtime/src/main/java/org/redwinghook/runtime/config/ConfigurationService.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/ConfigurationService.java
@@ -5,7 +5,7 @@
 import org.redwinghook.core.config.Withdrawal;
 
 /** Gives a process its configuration and takes part in spreading it. */
-public interface ConfigurationService extends ConfigurationSource, ConfigurationExchange {
+public interface ConfigurationService extends ConfigurationSource, PeerListener {
 
     /** Starts to follow the configuration. */
     void start();
@@ -20,14 +20,6 @@
      */
     boolean isReady();
 
-    /**
-     * Tells how many other processes matter.
-     *
-     * @param liveRouters live routers, this process included if it is one
-     * @param peers other processes that are connected or that may still be reached
-     */
-    void membersChanged(int liveRouters, int peers);
-
     /**
      * Takes an operator's withdrawal and passes it on.
      *
