--- a/core/src/main/java/org/redwinghook/core/message/EndpointWork.java
+++ b/core/src/main/java/org/redwinghook/core/message/EndpointWork.java
@@ -9,6 +9,7 @@
  * @param running requests sent and not ended
  * @param waitingTokens prompt tokens of generations that have not produced a token
  * @param residentTokens memory that the generations are expected to need at their end, in tokens
+ * @param heldTokens memory that the generations hold now, in tokens
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record EndpointWork(String endpoint, int running, long waitingTokens, long residentTokens) {}
+public record EndpointWork(String endpoint, int running, long waitingTokens, long residentTokens, long heldTokens) {}
--- a/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
@@ -24,13 +24,17 @@
     },
     /**
      * Generations that move with their memory. Answers departures under load: no prompt is read again, so only memory
-     * and the shared steps count, and a copy to another data centre takes twice as long.
+     * and the shared steps count, and a copy to another data centre takes twice as long. The link between regions is
+     * far too slow for copies.
      */
     MOVED_RUN {
         @Override
         double delayMillis(Candidate candidate, PlacementQuery query) {
             double prefill = query.promptTokens() / PREFILL_TOKENS_PER_MILLI;
             double copy = candidate.distance() == Distance.LOCAL ? 0 : FARTHER_COPY_MILLIS;
+            if (candidate.distance() == Distance.FAR) {
+                return Double.POSITIVE_INFINITY;
+            }
             return GENERATION.delayMillis(candidate, query) - prefill + copy;
         }
     },
--- a/core/src/main/java/org/redwinghook/core/placement/RunningRequest.java
+++ b/core/src/main/java/org/redwinghook/core/placement/RunningRequest.java
@@ -46,6 +46,7 @@
      */
     public WorkTotals work() {
         long waiting = producedTokens == 0 ? promptTokens : 0;
-        return new WorkTotals(1, waiting, promptTokens + Math.max(expectedOutputTokens, producedTokens));
+        long held = producedTokens == 0 ? 0 : promptTokens + producedTokens;
+        return new WorkTotals(1, waiting, promptTokens + Math.max(expectedOutputTokens, producedTokens), held);
     }
 }
--- a/core/src/main/java/org/redwinghook/core/placement/WorkTotals.java
+++ b/core/src/main/java/org/redwinghook/core/placement/WorkTotals.java
@@ -6,11 +6,12 @@
  * @param running requests sent and not ended
  * @param waitingTokens prompt tokens of generations that have not produced a token
  * @param residentTokens memory that the generations are expected to need at their end, in tokens
+ * @param heldTokens memory that generations hold now, in tokens
  */
-public record WorkTotals(int running, long waitingTokens, long residentTokens) {
+public record WorkTotals(int running, long waitingTokens, long residentTokens, long heldTokens) {
 
     /** No work. */
-    public static final WorkTotals NONE = new WorkTotals(0, 0, 0);
+    public static final WorkTotals NONE = new WorkTotals(0, 0, 0, 0);
 
     /**
      * Adds other work.
@@ -20,6 +21,9 @@
      */
     public WorkTotals plus(WorkTotals other) {
         return new WorkTotals(
-                running + other.running, waitingTokens + other.waitingTokens, residentTokens + other.residentTokens);
+                running + other.running,
+                waitingTokens + other.waitingTokens,
+                residentTokens + other.residentTokens,
+                heldTokens + other.heldTokens);
     }
 }
--- a/core/src/main/java/org/redwinghook/core/relocation/MoveOrder.java
+++ b/core/src/main/java/org/redwinghook/core/relocation/MoveOrder.java
@@ -8,14 +8,17 @@
 
 /**
  * Orders the runs of an engine that leaves. Answers departures at short notice, with more runs than the engine's link
- * can copy: runs that end in time stay, and of the others those with the shortest copy go first, as each moved run saves
- * about the same.
+ * can copy: runs that will not end in time go first, those with the shortest copy before the others, as each moved run
+ * saves about the same. Runs that are expected to end in time follow, since the estimate may be too short.
  */
 public final class MoveOrder {
 
     /** Part of the notice in which a run is trusted to end by itself; the estimate of its length may be too short. */
     private static final double TRUSTED_SHARE = 0.5;
 
+    /** Latest turn as a part of the notice: a copy that starts later is not complete in time. */
+    private static final double LATEST_TURN_SHARE = 2.0 / 3;
+
     private MoveOrder() {}
 
     /**
@@ -24,16 +27,17 @@
      * @param runs the engine's runs
      * @param memory memory of the engine
      * @param noticeMillis time until the engine is gone
-     * @return runs to move, first to last; those that no longer fit into the time come last
+     * @return runs to move, first to last; runs that may start anew elsewhere are not among them
      */
     public static List<RunAtEngine> order(List<RunAtEngine> runs, EngineMemory memory, double noticeMillis) {
         List<RunAtEngine> moving = new ArrayList<>();
         for (RunAtEngine run : runs) {
-            if (!run.resumable() && run.remainingMillis() > noticeMillis * TRUSTED_SHARE) {
+            if (!run.resumable()) {
                 moving.add(run);
             }
         }
-        moving.sort(Comparator.comparingDouble((RunAtEngine run) -> memory.copyMillis(run.residentTokens()))
+        moving.sort(Comparator.comparing((RunAtEngine run) -> run.remainingMillis() <= noticeMillis * TRUSTED_SHARE)
+                .thenComparingDouble(run -> memory.copyMillis(run.residentTokens()))
                 .thenComparing(RunAtEngine::requestId));
         return moving;
     }
@@ -45,9 +49,9 @@
      * @param earlierTokens memory that routers before this one will copy
      * @param memory memory of the engine
      * @param noticeMillis time until the engine is gone
-     * @return milliseconds, at most half of the notice
+     * @return milliseconds, at most two thirds of the notice
      */
     public static double turnMillis(long earlierTokens, EngineMemory memory, double noticeMillis) {
-        return Math.min(noticeMillis / 2, memory.copyMillis(earlierTokens));
+        return Math.min(noticeMillis * LATEST_TURN_SHARE, memory.copyMillis(earlierTokens));
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -107,7 +107,8 @@
             Map<String, WorkTotals> totals = new HashMap<>();
             for (EndpointWork work : report.work()) {
                 totals.put(
-                        work.endpoint(), new WorkTotals(work.running(), work.waitingTokens(), work.residentTokens()));
+                        work.endpoint(),
+                        new WorkTotals(work.running(), work.waitingTokens(), work.residentTokens(), work.heldTokens()));
             }
             ledger.peer(report.router(), totals, clock.millis());
         }
@@ -143,8 +144,8 @@
         lastReport = totals;
         reportedMillis = now;
         List<EndpointWork> work = new ArrayList<>();
-        totals.forEach((endpoint, total) ->
-                work.add(new EndpointWork(endpoint, total.running(), total.waitingTokens(), total.residentTokens())));
+        totals.forEach((endpoint, total) -> work.add(new EndpointWork(
+                endpoint, total.running(), total.waitingTokens(), total.residentTokens(), total.heldTokens())));
         send(null, new WorkReport(self, work));
     }
 
--- a/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
@@ -78,7 +78,7 @@
         }
         long earlier = context.ledger()
                 .earlier(self, engine.entry().id(), context.clock().millis())
-                .residentTokens();
+                .heldTokens();
         long turn = (long) MoveOrder.turnMillis(earlier, memory, NOTICE_MILLIS);
         LOGGER.info(
                 "moves planned engine={} runs={} moving={} turnMillis={}",
@@ -126,7 +126,10 @@
             }
             Optional<KnownEndpoint> chosen = choose();
             if (chosen.isEmpty()) {
-                ended("no_destination", queue);
+                // Memory that was full may be free by the next try.
+                excluded.clear();
+                excluded.add(source.entry().id());
+                later(queue);
                 return;
             }
             destination = chosen.get();
@@ -188,16 +191,18 @@
                     release();
                     start(queue);
                 }
-                default -> {
-                    release();
-                    context.vertx().setTimer(RETRY_MILLIS, ignored -> {
-                        queue.add(this);
-                        next(queue);
-                    });
-                }
+                default -> later(queue);
             }
         }
 
+        private void later(Deque<Move> queue) {
+            release();
+            context.vertx().setTimer(RETRY_MILLIS, ignored -> {
+                queue.add(this);
+                next(queue);
+            });
+        }
+
         private void stop(KnownEndpoint chosen, Deque<Move> queue) {
             stream.expectStop(true);
             context.moves()
@@ -213,7 +218,8 @@
             String handle = result.handle();
             if (handle == null) {
                 stream.expectStop(false);
-                ended("not_stopped " + result.status(), queue);
+                excluded.add(chosen.entry().id());
+                later(queue);
                 return;
             }
             KnownEndpoint target = result.status() == MoveResult.Status.COPIED ? chosen : source;
