Copy runs of a leaving engine in turns that follow the other routers' progress

Cause: a copy that stops its run waited behind another router's whole copy on the engine's link, and the pause between two events passed the limit. Ruled out: a turn by estimated copy time; copies to another data centre take twice as long. Conclusion: routers report at once when their moves end, and the next one starts then.

--- a/core/src/main/java/org/redwinghook/core/relocation/MoveOrder.java
+++ b/core/src/main/java/org/redwinghook/core/relocation/MoveOrder.java
@@ -43,15 +43,16 @@
     }
 
     /**
-     * Time to wait before the first copy, so that routers do not fill the link with copies at the same time: a copy
-     * that stops its run must not queue behind another router's whole copy.
+     * Whether a router may copy its runs. Routers take turns, so that a copy that stops its run does not queue behind
+     * another router's whole copy on the engine's link.
      *
-     * @param earlierTokens memory that routers before this one will copy
+     * @param earlierTokens memory at the engine that routers before this one have not moved yet
      * @param memory memory of the engine
-     * @param noticeMillis time until the engine is gone
-     * @return milliseconds, at most two thirds of the notice
+     * @param waitedMillis time since the engine's notice
+     * @param noticeMillis time between the notice and the engine's end
+     * @return true once the others are done, or when a later start would come too late
      */
-    public static double turnMillis(long earlierTokens, EngineMemory memory, double noticeMillis) {
-        return Math.min(noticeMillis * LATEST_TURN_SHARE, memory.copyMillis(earlierTokens));
+    public static boolean mayStart(long earlierTokens, EngineMemory memory, double waitedMillis, double noticeMillis) {
+        return memory.copyMillis(earlierTokens) <= 0 || waitedMillis >= noticeMillis * LATEST_TURN_SHARE;
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -84,10 +84,10 @@
                 new ForwardSelector(state, ledger, clock, settings.dataCentre(), settings.regions()),
                 new ServiceRetries(settings.retryShare(), settings.retrySlack(), this::routers),
                 moves);
-        state.onLeaving(new RunRelocator(context, streams, settings.process())::leaving);
         server = new ForwardServer(vertx, settings.caller(), context, streams);
         readiness = new ReadyServer(vertx, settings.ready(), settings.readyPath(), this::ready);
         exchange = new RouterExchange(vertx, settings.process(), state, ledger, clock);
+        state.onLeaving(new RunRelocator(context, streams, settings.process(), exchange::report)::leaving);
         WireMetrics wireMetrics = new WireMetrics(new SimpleMeterRegistry());
         mesh = new RouterMesh(
                 vertx,
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -135,7 +135,8 @@
         }
     }
 
-    private void report() {
+    /** Reports the work if it has changed. */
+    void report() {
         Map<String, WorkTotals> totals = ledger.own();
         long now = clock.millis();
         if (totals.equals(lastReport) && now - reportedMillis < REPEAT_MILLIS) {
--- a/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
@@ -41,13 +41,19 @@
     private static final long STOPPED_MILLIS = 300;
 
     private static final long STOPPED_CHECK_MILLIS = 5;
+
+    /** Interval of looks whether routers before this one have moved their runs, in milliseconds. */
+    private static final long TURN_CHECK_MILLIS = 20;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(RunRelocator.class);
 
     private final ForwardContext context;
     private final RunningStreams streams;
     private final String self;
+    private final Runnable report;
 
-    RunRelocator(ForwardContext context, RunningStreams streams, String self) {
+    RunRelocator(ForwardContext context, RunningStreams streams, String self, Runnable report) {
+        this.report = report;
         this.self = self;
         this.context = context;
         this.streams = streams;
@@ -76,21 +82,19 @@
         if (queue.isEmpty()) {
             return;
         }
-        long earlier = context.ledger()
-                .earlier(self, engine.entry().id(), context.clock().millis())
-                .heldTokens();
-        long turn = (long) MoveOrder.turnMillis(earlier, memory, NOTICE_MILLIS);
-        LOGGER.info(
-                "moves planned engine={} runs={} moving={} turnMillis={}",
-                engine.entry().id(),
-                runs.size(),
-                queue.size(),
-                turn);
-        if (turn <= 0) {
+        LOGGER.info("moves planned engine={} runs={} moving={}", engine.entry().id(), runs.size(), queue.size());
+        awaitTurn(engine, memory, queue, context.clock().millis());
+    }
+
+    /** Routers whose names sort first copy first; see {@link MoveOrder#mayStart}. */
+    private void awaitTurn(KnownEndpoint engine, EngineMemory memory, Deque<Move> queue, long sinceMillis) {
+        long now = context.clock().millis();
+        long earlier = context.ledger().earlier(self, engine.entry().id(), now).heldTokens();
+        if (MoveOrder.mayStart(earlier, memory, now - sinceMillis, NOTICE_MILLIS)) {
             next(queue);
             return;
         }
-        context.vertx().setTimer(turn, ignored -> next(queue));
+        context.vertx().setTimer(TURN_CHECK_MILLIS, ignored -> awaitTurn(engine, memory, queue, sinceMillis));
     }
 
     private void next(Deque<Move> queue) {
@@ -260,6 +264,7 @@
                     outcome,
                     context.clock().millis() - startedMillis,
                     tries);
+            report.run();
             next(queue);
         }
     }
