--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -78,8 +78,9 @@
     }
 
     private void timedOut() {
+        boolean sent = current != null && !current.over && current.exchange.sent();
         cancel();
-        if (sends == 0) {
+        if (!mayHaveRun && !sent) {
             caller.refuse(new Refusal(RefusalCause.NO_TIME, 0));
             return;
         }
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -170,13 +170,14 @@
     }
 
     private void timedOut() {
+        boolean sent = current != null && !current.over && current.exchange.sent();
         cancel();
         if (begun) {
             abort("the time ran out");
             return;
         }
         end();
-        if (sends == 0) {
+        if (!mayHaveRun && !sent) {
             caller.refuse(new Refusal(RefusalCause.NO_TIME, 0));
             return;
         }
