--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/LineLogConfigurator.java
@@ -0,0 +1,57 @@
+package org.redwinghook.runtime.process;
+
+import java.nio.charset.StandardCharsets;
+
+import ch.qos.logback.classic.AsyncAppender;
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ConfiguratorRank;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.spi.ContextAwareBase;
+
+/**
+ * Configures logging without reading XML, which takes a large part of a start's processor time. Lines go to standard
+ * output through a bounded queue; a full queue drops lines and never blocks. In force with the system property
+ * {@code redwinghook.log=lines}.
+ */
+@ConfiguratorRank(ConfiguratorRank.CUSTOM_HIGH_PRIORITY)
+public final class LineLogConfigurator extends ContextAwareBase implements Configurator {
+
+    /** Lines that wait to be written; some seconds of a router's usual load. */
+    private static final int QUEUE_LINES = 2_048;
+
+    private static final String PROPERTY = "redwinghook.log";
+    private static final String LINES = "lines";
+    private static final String PATTERN = "%date{\"yyyy-MM-dd'T'HH:mm:ss.SSS'Z'\", UTC} %level %logger{0} %msg%n%ex";
+
+    @Override
+    public ExecutionStatus configure(LoggerContext context) {
+        if (!LINES.equals(System.getProperty(PROPERTY))) {
+            return ExecutionStatus.INVOKE_NEXT_IF_ANY;
+        }
+        PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+        encoder.setContext(context);
+        encoder.setCharset(StandardCharsets.UTF_8);
+        encoder.setPattern(PATTERN);
+        encoder.start();
+        ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+        console.setContext(context);
+        console.setEncoder(encoder);
+        console.start();
+        AsyncAppender queue = new AsyncAppender();
+        queue.setContext(context);
+        queue.setQueueSize(QUEUE_LINES);
+        queue.setDiscardingThreshold(0);
+        queue.setNeverBlock(true);
+        queue.addAppender(console);
+        queue.start();
+        context.getLogger("io.netty").setLevel(Level.WARN);
+        context.getLogger("io.vertx").setLevel(Level.WARN);
+        context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).setLevel(Level.INFO);
+        context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).addAppender(queue);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+}
