Try: keep a copy of each draft at a second engine; handle SIGHUP

Cause looked at: drafts cut when an engine leaves before its runs are moved, or crashes. The copies take the links and the memory that moves need.

--- a/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
@@ -212,7 +212,7 @@
             context.moves()
                     .copy(source.entry(), stream.caller().requestId(), chosen.entry(), true)
                     .onFailure(failure -> {
-                        stream.expectStop(false);
+                        stream.stopFailed();
                         ended("stop_failed " + failure.getMessage(), queue);
                     })
                     .onSuccess(result -> stopped(result, chosen, queue));
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -116,6 +116,19 @@
         }
     }
 
+    /** Notes that the engine did not say whether it stopped the run; if the stream has ended, the run is lost there. */
+    void stopFailed() {
+        Attempt attempt = current;
+        if (attempt == null) {
+            return;
+        }
+        attempt.stopping = false;
+        if (attempt.over && !caller.ended()) {
+            attempt.over = false;
+            attempt.failed(new IllegalStateException("the engine was lost while it stopped the run"));
+        }
+    }
+
     boolean stopped() {
         Attempt attempt = current;
         return attempt == null || attempt.over;
@@ -151,6 +164,24 @@
         attempt.start();
     }
 
+    /** Engine that keeps a copy of the run, null if the run may start anew elsewhere or there is no room. */
+    private @Nullable KnownEndpoint backupHolder(KnownEndpoint endpoint) {
+        if (caller.route().mayRunAgain()
+                || !context.selector().memory(caller.service()).backups()) {
+            return null;
+        }
+        Set<String> others = new HashSet<>(excluded);
+        others.add(endpoint.entry().id());
+        return context.selector()
+                .choose(
+                        caller,
+                        PlacementPolicy.BACKUP,
+                        query,
+                        others,
+                        endpoint.entry().dataCentre())
+                .orElse(null);
+    }
+
     private void giveUp(RefusalCause cause) {
         if (begun) {
             abort("the stream cannot go on");
@@ -211,6 +242,8 @@
         private final EndpointExchange exchange;
         private final RunningRequest running;
         private final EventSplitter splitter = new EventSplitter();
+        private final @Nullable KnownEndpoint holder;
+        private final @Nullable RunningRequest reserved;
         private @Nullable HttpClientResponse response;
         private boolean stopping;
         private boolean over;
@@ -220,16 +253,23 @@
             this.copy = copy;
             this.exchange = EndpointExchange.to(endpoint.entry());
             this.running = new RunningRequest(endpoint.entry().id(), query.promptTokens(), query.outputTokens());
+            this.holder = backupHolder(endpoint);
+            this.reserved = holder == null
+                    ? null
+                    : RunningRequest.copy(holder.entry().id(), query.promptTokens() + query.outputTokens());
         }
 
         void start() {
             context.ledger().started(running);
+            if (reserved != null) {
+                context.ledger().started(reserved);
+            }
             EndpointRequestHead head = new EndpointRequestHead(
                     endpoint.entry().id(),
                     Math.max(1, caller.remainingMillis()),
                     caller.access() == null ? null : caller.access().customer(),
                     null,
-                    null,
+                    holder == null ? null : holder.entry().address(),
                     copy,
                     lastEventId);
             exchange.send(
@@ -246,6 +286,9 @@
         void end() {
             over = true;
             context.ledger().ended(running);
+            if (reserved != null) {
+                context.ledger().ended(reserved);
+            }
             exchange.close();
         }
 
@@ -364,6 +407,21 @@
                     endpoint.entry().id());
         }
 
+        /** Goes on from the copy that the engine kept elsewhere while it ran. */
+        private boolean goneOnFromBackup() {
+            KnownEndpoint keeper = holder;
+            if (keeper == null || caller.ended()) {
+                return false;
+            }
+            LOGGER.info(
+                    "run goes on from backup id={} endpoint={} lastEventId={}",
+                    caller.requestId(),
+                    keeper.entry().id(),
+                    lastEventId);
+            continueAt(keeper, new MemoryCopy(keeper.entry().address(), caller.requestId()), null);
+            return true;
+        }
+
         private void failed(Throwable failure) {
             if (over) {
                 return;
@@ -389,6 +447,9 @@
             sends++;
             mayHaveRun = true;
             endpoint.health().failed(context.clock().millis());
+            if (goneOnFromBackup()) {
+                return;
+            }
             if (caller.route().mayRunAgain() && mayRepeat()) {
                 attempt();
                 return;
--- a/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
@@ -89,7 +89,21 @@
             System.out.println(file + ": no findings");
             return ExitCode.DONE;
         }
-        return launch(settings.get());
+        return launch(settings.get(), file);
+    }
+
+    /** Checks the settings again; what a process was started with stays in force until its next start. */
+    private void reload(Path file, S inForce) {
+        String text = read(file);
+        if (text == null) {
+            return;
+        }
+        Either<List<Finding>, S> settings = settingsReader.apply(file.toString(), text);
+        if (settings.isLeft()) {
+            LOGGER.warn("{} reload rejected findings={}", binary, settings.getLeft());
+            return;
+        }
+        LOGGER.info("{} reload changed={}", binary, !settings.get().equals(inForce));
     }
 
     private @Nullable String read(Path file) {
@@ -101,7 +115,7 @@
         }
     }
 
-    private ExitCode launch(S settings) {
+    private ExitCode launch(S settings, Path file) {
         // One event loop: the decision code of a process runs on a single thread and needs no locks.
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
         ProcessVerticle verticle = new ProcessVerticle(inner -> factory.apply(inner, settings));
@@ -114,6 +128,7 @@
             return ExitCode.FAILED;
         }
         LOGGER.info("{} started", binary);
+        HangupSignal.handle(() -> reload(file, settings));
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(vertx, verticle, stopped), "graceful-stop"));
         awaitUninterruptibly(stopped);
