--- a/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
@@ -38,21 +38,6 @@
             return GENERATION.delayMillis(candidate, query) - prefill + copy;
         }
     },
-    /**
-     * Copies of runs' memory, kept in case their engine fails. Answers crashes and departures without room for a move:
-     * only memory that running generations leave free is used, within the region.
-     */
-    BACKUP {
-        @Override
-        double delayMillis(Candidate candidate, PlacementQuery query) {
-            double needed = candidate.work().residentTokens() + query.promptTokens() + query.outputTokens();
-            boolean room = needed <= candidate.memoryTokens() * BACKUP_MEMORY_SHARE;
-            if (!room || candidate.distance() == Distance.FAR) {
-                return Double.POSITIVE_INFINITY;
-            }
-            return needed / PREFILL_TOKENS_PER_MILLI;
-        }
-    },
     /** Calls of plain services. Answers a burst at few slots: the delay is the wait for a slot. */
     CALL {
         @Override
@@ -71,9 +56,6 @@
     /** Share of an engine's memory to plan for; the rest absorbs outputs that are longer than expected. */
     private static final double USABLE_MEMORY_SHARE = 0.92;
 
-    /** Share of an engine's memory up to which it takes copies. */
-    private static final double BACKUP_MEMORY_SHARE = 0.75;
-
     /** Delay for each token beyond the usable memory: the preempted prompt is read again, and its stream stalls. */
     private static final double OVERFLOW_MILLIS_PER_TOKEN = 1;
 
--- a/core/src/main/java/org/redwinghook/core/placement/RunningRequest.java
+++ b/core/src/main/java/org/redwinghook/core/placement/RunningRequest.java
@@ -6,7 +6,6 @@
     private final String endpointId;
     private final long promptTokens;
     private final long expectedOutputTokens;
-    private final boolean copyOnly;
     private long producedTokens;
 
     /**
@@ -17,25 +16,9 @@
      * @param expectedOutputTokens output expected in all; 0 for calls
      */
     public RunningRequest(String endpointId, long promptTokens, long expectedOutputTokens) {
-        this(endpointId, promptTokens, expectedOutputTokens, false);
-    }
-
-    private RunningRequest(String endpointId, long promptTokens, long expectedOutputTokens, boolean copyOnly) {
         this.endpointId = endpointId;
         this.promptTokens = promptTokens;
         this.expectedOutputTokens = expectedOutputTokens;
-        this.copyOnly = copyOnly;
-    }
-
-    /**
-     * A copy of a run's memory, which takes room at an engine but no steps.
-     *
-     * @param endpointId engine that holds the copy
-     * @param tokens memory that it is expected to need at its end
-     * @return the copy
-     */
-    public static RunningRequest copy(String endpointId, long tokens) {
-        return new RunningRequest(endpointId, tokens, 0, true);
     }
 
     /**
@@ -62,9 +45,6 @@
      * @return the work
      */
     public WorkTotals work() {
-        if (copyOnly) {
-            return new WorkTotals(0, 0, promptTokens, 0);
-        }
         long waiting = producedTokens == 0 ? promptTokens : 0;
         long held = producedTokens == 0 ? 0 : promptTokens + producedTokens;
         return new WorkTotals(1, waiting, promptTokens + Math.max(expectedOutputTokens, producedTokens), held);
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -164,24 +164,6 @@
         attempt.start();
     }
 
-    /** Engine that keeps a copy of the run, null if the run may start anew elsewhere or there is no room. */
-    private @Nullable KnownEndpoint backupHolder(KnownEndpoint endpoint) {
-        if (caller.route().mayRunAgain()
-                || !context.selector().memory(caller.service()).backups()) {
-            return null;
-        }
-        Set<String> others = new HashSet<>(excluded);
-        others.add(endpoint.entry().id());
-        return context.selector()
-                .choose(
-                        caller,
-                        PlacementPolicy.BACKUP,
-                        query,
-                        others,
-                        endpoint.entry().dataCentre())
-                .orElse(null);
-    }
-
     private void giveUp(RefusalCause cause) {
         if (begun) {
             abort("the stream cannot go on");
@@ -242,8 +224,6 @@
         private final EndpointExchange exchange;
         private final RunningRequest running;
         private final EventSplitter splitter = new EventSplitter();
-        private final @Nullable KnownEndpoint holder;
-        private final @Nullable RunningRequest reserved;
         private @Nullable HttpClientResponse response;
         private boolean stopping;
         private boolean over;
@@ -253,23 +233,16 @@
             this.copy = copy;
             this.exchange = EndpointExchange.to(endpoint.entry());
             this.running = new RunningRequest(endpoint.entry().id(), query.promptTokens(), query.outputTokens());
-            this.holder = backupHolder(endpoint);
-            this.reserved = holder == null
-                    ? null
-                    : RunningRequest.copy(holder.entry().id(), query.promptTokens() + query.outputTokens());
         }
 
         void start() {
             context.ledger().started(running);
-            if (reserved != null) {
-                context.ledger().started(reserved);
-            }
             EndpointRequestHead head = new EndpointRequestHead(
                     endpoint.entry().id(),
                     Math.max(1, caller.remainingMillis()),
                     caller.access() == null ? null : caller.access().customer(),
                     null,
-                    holder == null ? null : holder.entry().address(),
+                    null,
                     copy,
                     lastEventId);
             exchange.send(
@@ -286,9 +259,6 @@
         void end() {
             over = true;
             context.ledger().ended(running);
-            if (reserved != null) {
-                context.ledger().ended(reserved);
-            }
             exchange.close();
         }
 
@@ -375,15 +345,8 @@
                     reply.status(),
                     reply.notRun(),
                     copy != null);
-            if (begun) {
-                MemoryCopy unused = copy;
-                KnownEndpoint holder = source;
-                if (unused != null && holder != null && holder != endpoint) {
-                    source = null;
-                    continueAt(holder, unused, null);
-                    return;
-                }
-                abort("the endpoint refused to go on");
+            if (copy != null) {
+                copyNotTaken(copy);
                 return;
             }
             if (reply.notRun() || reply.status() == MISDIRECTED) {
@@ -407,19 +370,14 @@
                     endpoint.entry().id());
         }
 
-        /** Goes on from the copy that the engine kept elsewhere while it ran. */
-        private boolean goneOnFromBackup() {
-            KnownEndpoint keeper = holder;
-            if (keeper == null || caller.ended()) {
-                return false;
+        /** The copy was not used: the engine that stopped the run can still go on from its own memory. */
+        private void copyNotTaken(MemoryCopy unused) {
+            KnownEndpoint holder = source;
+            if (holder != null && holder != endpoint) {
+                continueAt(holder, unused, null);
+                return;
             }
-            LOGGER.info(
-                    "run goes on from backup id={} endpoint={} lastEventId={}",
-                    caller.requestId(),
-                    keeper.entry().id(),
-                    lastEventId);
-            continueAt(keeper, new MemoryCopy(keeper.entry().address(), caller.requestId()), null);
-            return true;
+            abort("no endpoint goes on from the copy");
         }
 
         private void failed(Throwable failure) {
@@ -441,15 +399,16 @@
             excluded.add(endpoint.entry().id());
             if (!exchange.sent()) {
                 endpoint.health().unreachable(context.clock().millis());
+                if (copy != null) {
+                    copyNotTaken(copy);
+                    return;
+                }
                 attempt();
                 return;
             }
             sends++;
             mayHaveRun = true;
             endpoint.health().failed(context.clock().millis());
-            if (goneOnFromBackup()) {
-                return;
-            }
             if (caller.route().mayRunAgain() && mayRepeat()) {
                 attempt();
                 return;
