--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -116,6 +116,19 @@
         }
     }
 
+    /** Notes that the engine did not say whether it stopped the run; if the stream has ended, the run is lost there. */
+    void stopFailed() {
+        Attempt attempt = current;
+        if (attempt == null) {
+            return;
+        }
+        attempt.stopping = false;
+        if (attempt.over && !caller.ended()) {
+            attempt.over = false;
+            attempt.failed(new IllegalStateException("the engine was lost while it stopped the run"));
+        }
+    }
+
     boolean stopped() {
         Attempt attempt = current;
         return attempt == null || attempt.over;
@@ -332,15 +345,8 @@
                     reply.status(),
                     reply.notRun(),
                     copy != null);
-            if (begun) {
-                MemoryCopy unused = copy;
-                KnownEndpoint holder = source;
-                if (unused != null && holder != null && holder != endpoint) {
-                    source = null;
-                    continueAt(holder, unused, null);
-                    return;
-                }
-                abort("the endpoint refused to go on");
+            if (copy != null) {
+                copyNotTaken(copy);
                 return;
             }
             if (reply.notRun() || reply.status() == MISDIRECTED) {
@@ -364,6 +370,16 @@
                     endpoint.entry().id());
         }
 
+        /** The copy was not used: the engine that stopped the run can still go on from its own memory. */
+        private void copyNotTaken(MemoryCopy unused) {
+            KnownEndpoint holder = source;
+            if (holder != null && holder != endpoint) {
+                continueAt(holder, unused, null);
+                return;
+            }
+            abort("no endpoint goes on from the copy");
+        }
+
         private void failed(Throwable failure) {
             if (over) {
                 return;
@@ -383,6 +399,10 @@
             excluded.add(endpoint.entry().id());
             if (!exchange.sent()) {
                 endpoint.health().unreachable(context.clock().millis());
+                if (copy != null) {
+                    copyNotTaken(copy);
+                    return;
+                }
                 attempt();
                 return;
             }
