--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/forward/ForwardingConfigurationTest.java
@@ -0,0 +1,77 @@
+package org.redwinghook.core.forward;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards against requests that reach the service of another route. */
+public class ForwardingConfigurationTest {
+
+    @Test
+    public void longestPrefixOfTheHostDecides() {
+        ForwardingConfiguration configuration = new ForwardingConfiguration(
+                1,
+                List.of(route("short", "/a/"), route("long", "/a/b/")),
+                Map.of(),
+                Map.of(),
+                new CallerLimits(1, 1, 1, 1));
+        Assert.assertEquals(configuration.route("host", "/a/b/c").orElseThrow().name(), "long");
+        Assert.assertEquals(configuration.route("host", "/a/c").orElseThrow().name(), "short");
+        Assert.assertTrue(configuration.route("host", "/b/").isEmpty());
+        Assert.assertTrue(configuration.route("other", "/a/").isEmpty());
+    }
+
+    @Test
+    public void allRoutersSplitARouteAlikeAndByWeight() {
+        Route route = new Route(
+                "split",
+                "host",
+                "/",
+                List.of(new WeightedService("small", 1), new WeightedService("large", 3)),
+                RequestKind.IDEMPOTENT,
+                1,
+                1,
+                0,
+                1,
+                0,
+                Set.of(),
+                true,
+                false);
+        Map<String, Integer> chosen = new HashMap<>();
+        for (int number = 0; number < 4_000; number++) {
+            String service = route.serviceFor("request-" + number);
+            Assert.assertEquals(route.serviceFor("request-" + number), service);
+            chosen.merge(service, 1, Integer::sum);
+        }
+        Assert.assertEquals(chosen.get("small"), 1_000, 150);
+    }
+
+    @Test
+    public void onlyResumableStreamsAndIdempotentRequestsMayRunAgain() {
+        Assert.assertTrue(RequestKind.IDEMPOTENT.mayRunAgain(false));
+        Assert.assertFalse(RequestKind.NON_IDEMPOTENT.mayRunAgain(true));
+        Assert.assertFalse(RequestKind.STREAMING.mayRunAgain(false));
+        Assert.assertTrue(RequestKind.STREAMING.mayRunAgain(true));
+    }
+
+    private static Route route(String name, String prefix) {
+        return new Route(
+                name,
+                "host",
+                prefix,
+                List.of(new WeightedService("calls", 1)),
+                RequestKind.IDEMPOTENT,
+                1,
+                1,
+                0,
+                1,
+                0,
+                Set.of(),
+                true,
+                false);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/placement/WorkLedgerTest.java
@@ -0,0 +1,44 @@
+package org.redwinghook.core.placement;
+
+import java.util.Map;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards against routers that count work twice, forget it, or believe a router that has gone. */
+public class WorkLedgerTest {
+
+    @Test
+    public void endingTwiceCountsOnce() {
+        WorkLedger ledger = new WorkLedger();
+        RunningRequest first = new RunningRequest("engine", 100, 50);
+        ledger.started(first);
+        ledger.started(new RunningRequest("engine", 10, 5));
+        ledger.ended(first);
+        ledger.ended(first);
+        Assert.assertEquals(ledger.at("engine", 0), new WorkTotals(1, 10, 15, 0));
+    }
+
+    @Test
+    public void promptNoLongerWaitsAfterTheFirstToken() {
+        RunningRequest request = new RunningRequest("engine", 100, 50);
+        request.produced(80);
+        Assert.assertEquals(request.work(), new WorkTotals(1, 0, 180, 180));
+    }
+
+    @Test
+    public void totalsOfASilentRouterExpire() {
+        WorkLedger ledger = new WorkLedger();
+        ledger.peer("other", Map.of("engine", new WorkTotals(3, 0, 0, 0)), 0);
+        Assert.assertEquals(ledger.at("engine", WorkLedger.PEER_TOTALS_MILLIS).running(), 3);
+        Assert.assertEquals(ledger.at("engine", WorkLedger.PEER_TOTALS_MILLIS + 1), WorkTotals.NONE);
+    }
+
+    @Test
+    public void onlyRoutersThatSortFirstCountAsEarlier() {
+        WorkLedger ledger = new WorkLedger();
+        ledger.peer("router-a", Map.of("engine", new WorkTotals(1, 0, 10, 10)), 0);
+        ledger.peer("router-c", Map.of("engine", new WorkTotals(1, 0, 20, 20)), 0);
+        Assert.assertEquals(ledger.earlier("router-b", "engine", 0).heldTokens(), 10);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/relocation/MoveOrderTest.java
@@ -0,0 +1,49 @@
+package org.redwinghook.core.relocation;
+
+import java.util.List;
+
+import org.redwinghook.core.forward.EngineMemory;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards against runs that are lost at a departure although the link could have copied them. */
+public class MoveOrderTest {
+
+    private static final EngineMemory MEMORY = new EngineMemory(34_000, 35_136, 5_100, true, true);
+    private static final double NOTICE_MILLIS = 1_500;
+
+    /** Load: an engine with several long runs, one that ends soon and one that may start anew elsewhere, leaves. */
+    public static class MixedRuns {
+
+        @Test
+        public void runsThatCannotEndInTimeGoFirstAndTheShortestCopyLeads() {
+            List<RunAtEngine> ordered = MoveOrder.order(
+                    List.of(
+                            new RunAtEngine("ends", 1_000, 200, false),
+                            new RunAtEngine("large", 5_000, 9_000, false),
+                            new RunAtEngine("small", 2_000, 9_000, false),
+                            new RunAtEngine("resumable", 2_000, 9_000, true)),
+                    MEMORY,
+                    NOTICE_MILLIS);
+            Assert.assertEquals(
+                    ordered.stream().map(RunAtEngine::requestId).toList(), List.of("small", "large", "ends"));
+        }
+    }
+
+    /** Load: runs of several routers share the link of an engine that leaves. */
+    public static class SeveralRouters {
+
+        @Test
+        public void waitsForEarlierRoutersButNotUntilItIsTooLate() {
+            Assert.assertFalse(MoveOrder.mayStart(3_000, MEMORY, 100, NOTICE_MILLIS));
+            Assert.assertTrue(MoveOrder.mayStart(0, MEMORY, 100, NOTICE_MILLIS));
+            Assert.assertTrue(MoveOrder.mayStart(3_000, MEMORY, NOTICE_MILLIS * 0.67, NOTICE_MILLIS));
+        }
+    }
+
+    @Test
+    public void copyTimeFollowsFromTheLink() {
+        Assert.assertEquals(MEMORY.copyMillis(3_500), 193, 1);
+        Assert.assertEquals(EngineMemory.NONE.copyMillis(3_500), 0, 0);
+    }
+}
--- a/core/src/test/java/org/redwinghook/core/routing/RetryBudgetTest.java
+++ b/core/src/test/java/org/redwinghook/core/routing/RetryBudgetTest.java
@@ -53,4 +53,15 @@
         Assert.assertFalse(budget.tryRetry(1, 9_999));
         Assert.assertTrue(budget.tryRetry(1, 10_000));
     }
+
+    @Test
+    public void leastRetriesFollowTheNumberOfRouters() {
+        int[] least = {2};
+        RetryBudget budget = new RetryBudget(3, 0.1, () -> least[0]);
+        Assert.assertTrue(budget.tryRetry(1, 1_000));
+        Assert.assertTrue(budget.tryRetry(1, 1_000));
+        Assert.assertFalse(budget.tryRetry(1, 1_000));
+        least[0] = 3;
+        Assert.assertTrue(budget.tryRetry(1, 1_000));
+    }
 }
