Close connections of a stopping router only after their answers are written

Cause: a request counted as ended before its answer was handed to the connection, so the last answer of a stopping router could be cut (LOST). Seen once: ForwardingTest.Stops, on a busy machine.

--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -143,7 +144,7 @@
             return;
         }
         response().setStatusCode(status).headers().addAll(headers);
-        response().end(answer);
+        written(response().end(answer));
     }
 
     /**
@@ -185,28 +186,37 @@
     void abort(String cause) {
         if (finish(cause, 0, "none")) {
             request.connection().close();
+            onEnd.run();
         }
     }
 
     /**
-     * Notes that the answer is complete.
+     * Ends an answer whose body has been passed on piece by piece.
      *
      * @param endpoint who answered, for the log
      */
-    void completed(String endpoint) {
-        finish("completed", response().getStatusCode(), endpoint);
+    void complete(String endpoint) {
+        if (finish("completed", response().getStatusCode(), endpoint)) {
+            written(response().end());
+        }
+    }
+
+    /** A stopping router may close the connection once the answer is on its way, not before. */
+    private void written(Future<Void> write) {
+        write.onComplete(ignored -> onEnd.run());
     }
 
     private void end(int status, String type, String message) {
-        response()
+        written(response()
                 .setStatusCode(status)
                 .putHeader("Content-Type", "application/json")
-                .end(CallerErrors.body(type, message).toBuffer());
+                .end(CallerErrors.body(type, message).toBuffer()));
     }
 
     private void gone() {
         if (finish("caller_left", 0, "none")) {
             goneHandler.run();
+            onEnd.run();
         }
     }
 
@@ -225,7 +235,6 @@
                 status,
                 endpoint,
                 elapsedMillis());
-        onEnd.run();
         return true;
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -325,8 +325,7 @@
             end();
             StreamForwarding.this.end();
             endpoint.health().succeeded(context.clock().millis());
-            caller.completed(endpoint.entry().id());
-            caller.response().end();
+            caller.complete(endpoint.entry().id());
         }
 
         private void refused(HttpClientResponse head, ReplyHead reply, Buffer body) {
