Ask the store first at a start; serve metrics and state on the operators' port

Cause: after a loss of power a router opened its other ports and connections before it read the configuration, and answered 503 without a time to come back meanwhile.

--- a/core/src/main/java/org/redwinghook/core/forward/EndpointTable.java
+++ b/core/src/main/java/org/redwinghook/core/forward/EndpointTable.java
@@ -122,6 +122,15 @@
         return Optional.ofNullable(endpoints.get(id));
     }
 
+    /**
+     * Listed endpoints.
+     *
+     * @return their entries
+     */
+    public List<EndpointEntry> entries() {
+        return endpoints.values().stream().map(KnownEndpoint::entry).toList();
+    }
+
     /**
      * Number of listed endpoints.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -11,6 +11,8 @@
 import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.RunningRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Forwards a request whose answer is passed on as a whole. An answer that is cut off, that belongs to another request or
@@ -18,6 +20,8 @@
  */
 final class CallForwarding {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(CallForwarding.class);
+
     /** Longest time for connecting to an endpoint, in milliseconds; several round trips between regions. */
     private static final long CONNECT_MILLIS = 400;
 
@@ -213,6 +217,12 @@
                 endpoint.health().failed(context.clock().millis());
             }
             excluded.add(endpoint.entry().id());
+            context.metrics().endpointFailed(caller.service(), "refused");
+            LOGGER.info(
+                    "endpoint refused id={} endpoint={} status={}",
+                    caller.requestId(),
+                    endpoint.entry().id(),
+                    reply.status());
             if (mayRepeat()) {
                 attempt();
                 return;
@@ -226,6 +236,13 @@
             }
             end();
             excluded.add(endpoint.entry().id());
+            context.metrics().endpointFailed(caller.service(), exchange.sent() ? "failed" : "unreachable");
+            LOGGER.info(
+                    "call failed id={} endpoint={} sent={} cause={}",
+                    caller.requestId(),
+                    endpoint.entry().id(),
+                    exchange.sent(),
+                    failure.toString());
             if (!exchange.sent()) {
                 endpoint.health().unreachable(context.clock().millis());
                 attempt();
--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -28,6 +28,7 @@
 
     private final Vertx vertx;
     private final MonotonicClock clock;
+    private final ForwardMetrics metrics;
     private final HttpServerRequest request;
     private final RequestHead head;
     private final String requestId;
@@ -56,6 +57,7 @@
             ForwardContext context, HttpServerRequest request, Buffer body, AdmittedRequest admitted, Runnable onEnd) {
         this.vertx = context.vertx();
         this.clock = context.clock();
+        this.metrics = context.metrics();
         this.request = request;
         this.head = admitted.head();
         this.requestId = admitted.requestId();
@@ -173,7 +175,7 @@
      */
     void fail(String cause, boolean timedOut) {
         int status = timedOut ? GATEWAY_TIMEOUT : BAD_GATEWAY;
-        if (finish(cause, status, "none")) {
+        if (finish(timedOut ? "timed_out" : "failed", status, "none", cause)) {
             end(status, "unknown_outcome", cause);
         }
     }
@@ -184,7 +186,7 @@
      * @param cause why
      */
     void abort(String cause) {
-        if (finish(cause, 0, "none")) {
+        if (finish("aborted", 0, "none", cause)) {
             request.connection().close();
             onEnd.run();
         }
@@ -221,20 +223,26 @@
     }
 
     private boolean finish(String outcome, int status, String endpoint) {
+        return finish(outcome, status, endpoint, "none");
+    }
+
+    private boolean finish(String outcome, int status, String endpoint, String cause) {
         if (ended) {
             return false;
         }
         ended = true;
         vertx.cancelTimer(timer);
         LOGGER.info(
-                "request ended id={} route={} service={} outcome={} status={} endpoint={} elapsedMillis={}",
+                "request ended id={} route={} service={} outcome={} status={} endpoint={} cause=\"{}\" elapsedMillis={}",
                 requestId,
                 route.name(),
                 service,
                 outcome,
                 status,
                 endpoint,
+                cause,
                 elapsedMillis());
+        metrics.ended(service, outcome, elapsedMillis());
         return true;
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
@@ -16,6 +16,7 @@
  * @param selector chooses endpoints
  * @param retries budget of second attempts
  * @param moves moves the memory of runs
+ * @param metrics counters and histograms
  */
 record ForwardContext(
         Vertx vertx,
@@ -26,4 +27,5 @@
         WorkLedger ledger,
         ForwardSelector selector,
         ServiceRetries retries,
-        MemoryMoves moves) {}
+        MemoryMoves moves,
+        ForwardMetrics metrics) {}
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -0,0 +1,71 @@
+package org.redwinghook.router.forward;
+
+import java.time.Duration;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+
+/** Counters and latency histograms of forwarded requests. */
+final class ForwardMetrics {
+
+    private static final Duration SHORTEST = Duration.ofMillis(5);
+    private static final Duration LONGEST = Duration.ofSeconds(60);
+
+    private final MeterRegistry registry;
+
+    ForwardMetrics(MeterRegistry registry) {
+        this.registry = registry;
+    }
+
+    /**
+     * Counts an ended request.
+     *
+     * @param service its service
+     * @param outcome how it ended
+     * @param elapsedMillis time since its arrival
+     */
+    void ended(String service, String outcome, long elapsedMillis) {
+        registry.counter("redwinghook.forward.requests", "service", service, "outcome", outcome)
+                .increment();
+        timer("redwinghook.forward.duration", service).record(Duration.ofMillis(elapsedMillis));
+    }
+
+    /**
+     * Notes the first event of a stream.
+     *
+     * @param service service of the stream
+     * @param elapsedMillis time since the request's arrival
+     */
+    void firstEvent(String service, long elapsedMillis) {
+        timer("redwinghook.forward.first.event", service).record(Duration.ofMillis(elapsedMillis));
+    }
+
+    /**
+     * Counts an endpoint that did not answer a request well.
+     *
+     * @param service service of the endpoint
+     * @param cause what went wrong: unreachable, failed or refused
+     */
+    void endpointFailed(String service, String cause) {
+        registry.counter("redwinghook.forward.endpoint.failures", "service", service, "cause", cause)
+                .increment();
+    }
+
+    /**
+     * Counts a move of a run.
+     *
+     * @param outcome how it ended
+     */
+    void moved(String outcome) {
+        registry.counter("redwinghook.forward.moves", "outcome", outcome).increment();
+    }
+
+    private Timer timer(String name, String service) {
+        return Timer.builder(name)
+                .tag("service", service)
+                .publishPercentileHistogram()
+                .minimumExpectedValue(SHORTEST)
+                .maximumExpectedValue(LONGEST)
+                .register(registry);
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -1,5 +1,7 @@
 package org.redwinghook.router.forward;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 import io.vertx.core.Future;
@@ -27,6 +29,15 @@
     private static final int TOO_LARGE = 413;
     private static final int NOT_READY = 503;
 
+    /** Longest time for which a request waits for the configuration after a start, in milliseconds. */
+    private static final long EARLY_MILLIS = 600;
+
+    /** Requests that may wait for the configuration; about a second's load of a large router. */
+    private static final int MOST_EARLY = 200;
+
+    /** When a caller may come back to a router that knows no configuration, in seconds. */
+    private static final String RETRY_AFTER_START = "0.5";
+
     /** Largest request head, in bytes; above what configurations allow. */
     private static final int LARGEST_HEAD_BYTES = 64 * 1024;
 
@@ -34,6 +45,7 @@
     private final Address address;
     private final ForwardContext context;
     private final RunningStreams streams;
+    private final List<Runnable> early = new ArrayList<>();
     private final Promise<Void> idle = Promise.promise();
     private @Nullable HttpServer server;
     private int running;
@@ -58,7 +70,7 @@
                 .setMaxInitialLineLength(LARGEST_HEAD_BYTES)
                 .setHandle100ContinueAutomatically(true));
         server = created;
-        return Listening.on(address, created.requestHandler(this::handle).listen(address.port(), address.host()))
+        return Listening.on(address, created.requestHandler(this::accept).listen(address.port(), address.host()))
                 .map(HttpServer::actualPort);
     }
 
@@ -93,13 +105,40 @@
         return server == null ? Future.succeededFuture() : server.close();
     }
 
-    private void handle(HttpServerRequest request) {
+    /** Serves requests that came before the configuration was known. */
+    void stateComplete() {
+        List<Runnable> held = List.copyOf(early);
+        early.clear();
+        held.forEach(Runnable::run);
+    }
+
+    private void accept(HttpServerRequest request) {
         long arrived = context.clock().millis();
+        if (context.state().complete() || early.size() >= MOST_EARLY) {
+            handle(request, arrived);
+            return;
+        }
+        // The store answers within some hundred milliseconds of a start; a refusal would cost the caller its retry.
+        request.pause();
+        Runnable serve = () -> {
+            request.resume();
+            handle(request, arrived);
+        };
+        early.add(serve);
+        vertx.setTimer(EARLY_MILLIS, ignored -> {
+            if (early.remove(serve)) {
+                serve.run();
+            }
+        });
+    }
+
+    private void handle(HttpServerRequest request, long arrived) {
         if (draining) {
             request.response().putHeader("Connection", "close");
         }
         ForwardingConfiguration configuration = context.state().configuration().orElse(null);
         if (configuration == null || !context.state().complete()) {
+            request.response().putHeader("Retry-After", RETRY_AFTER_START);
             reject(request, NOT_READY, "the configuration is not known yet");
             return;
         }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -4,12 +4,15 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
 import org.redwinghook.core.forward.ForwardingConfiguration;
+import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.placement.WorkLedger;
@@ -17,6 +20,8 @@
 import org.redwinghook.router.peer.MeshSetup;
 import org.redwinghook.router.peer.MeshTiming;
 import org.redwinghook.router.peer.RouterMesh;
+import org.redwinghook.runtime.admin.AdminServer;
+import org.redwinghook.runtime.admin.StateSource;
 import org.redwinghook.runtime.process.ManagedProcess;
 import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.MessageDispatcher;
@@ -33,6 +38,12 @@
     /** Part of the time for stopping that is left for closing connections, in milliseconds. */
     private static final long CLOSING_MILLIS = 500;
 
+    /** Latest start of what the first requests can do without, in milliseconds; a start without the store needs peers. */
+    private static final long COMPANIONS_MILLIS = 800;
+
+    /** Time for the first requests before the rest starts, in milliseconds. */
+    private static final long COMPANIONS_AFTER_COMPLETE_MILLIS = 300;
+
     private static final int PROTOCOL_VERSION = 1;
 
     private static final Logger LOGGER = LoggerFactory.getLogger(ForwardingProcess.class);
@@ -46,8 +57,10 @@
     private final RouterMesh mesh;
     private final RouterMembership membership;
     private final List<RecordFollower> followers;
+    private final CompositeMeterRegistry meters = new CompositeMeterRegistry();
     private final long incarnation = System.currentTimeMillis();
     private boolean accepting = true;
+    private boolean companionsStarted;
 
     /**
      * Creates a router.
@@ -83,12 +96,13 @@
                 ledger,
                 new ForwardSelector(state, ledger, clock, settings.dataCentre(), settings.regions()),
                 new ServiceRetries(settings.retryShare(), settings.retrySlack(), this::routers),
-                moves);
+                moves,
+                new ForwardMetrics(meters));
         server = new ForwardServer(vertx, settings.caller(), context, streams);
         readiness = new ReadyServer(vertx, settings.ready(), settings.readyPath(), this::ready);
         exchange = new RouterExchange(vertx, settings.process(), state, ledger, clock);
         state.onLeaving(new RunRelocator(context, streams, settings.process(), exchange::report)::leaving);
-        WireMetrics wireMetrics = new WireMetrics(new SimpleMeterRegistry());
+        WireMetrics wireMetrics = new WireMetrics(meters);
         mesh = new RouterMesh(
                 vertx,
                 settings.process(),
@@ -114,11 +128,50 @@
 
     @Override
     public Future<Void> start() {
+        // The store is asked first: what it answers is all that the first requests need.
         followers.forEach(RecordFollower::start);
+        state.onChange((topic, changed) -> completeIfKnown());
         vertx.setPeriodic(EXPIRY_MILLIS, ignored -> state.expire());
+        vertx.setTimer(COMPANIONS_MILLIS, ignored -> startCompanions());
+        return Future.all(server.start(), readiness.start()).mapEmpty();
+    }
+
+    private void completeIfKnown() {
+        if (!companionsStarted && state.complete()) {
+            server.stateComplete();
+            vertx.setTimer(COMPANIONS_AFTER_COMPLETE_MILLIS, ignored -> startCompanions());
+        }
+    }
+
+    /** Starts what the first requests can do without: other routers and the operators' port. */
+    private void startCompanions() {
+        if (companionsStarted) {
+            return;
+        }
+        companionsStarted = true;
         exchange.start();
         membership.register();
-        return Future.all(server.start(), readiness.start(), mesh.start()).mapEmpty();
+        mesh.start().onFailure(failure -> LOGGER.error("port for routers not opened cause={}", failure.toString()));
+        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        meters.add(registry);
+        ServiceRegistry services = new ServiceRegistry();
+        services.register("forwarding", (StateSource) this::dump);
+        services.register("mesh", mesh);
+        new AdminServer(vertx, settings.admin(), services, registry, this::ready)
+                .start()
+                .onFailure(failure -> LOGGER.error("port for operators not opened cause={}", failure.toString()));
+    }
+
+    private ForwardingDump dump() {
+        return new ForwardingDump(
+                settings.process(),
+                incarnation,
+                accepting,
+                state.configuration().map(ForwardingConfiguration::version).orElse(0L),
+                state.endpoints().entries(),
+                state.endpoints().withdrawn(),
+                exchange.connected(),
+                server.running());
     }
 
     @Override
--- a/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
@@ -264,6 +264,7 @@
                     outcome,
                     context.clock().millis() - startedMillis,
                     tries);
+            context.metrics().moved(outcome.split(" ")[0]);
             report.run();
             next(queue);
         }
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -300,6 +300,7 @@
         private void deliver(HttpClientResponse head, EventSplitter.Event event) {
             if (!begun) {
                 begun = true;
+                context.metrics().firstEvent(caller.service(), caller.elapsedMillis());
                 caller.response()
                         .setStatusCode(head.statusCode())
                         .setChunked(true)
@@ -337,6 +338,7 @@
             excluded.add(endpoint.entry().id());
             long now = context.clock().millis();
             endpoint.health().failed(now);
+            context.metrics().endpointFailed(caller.service(), "refused");
             LOGGER.info(
                     "endpoint refused id={} endpoint={} status={} notRun={} memory={}",
                     caller.requestId(),
@@ -396,6 +398,7 @@
                     exchange.sent(),
                     failure.toString());
             excluded.add(endpoint.entry().id());
+            context.metrics().endpointFailed(caller.service(), exchange.sent() ? "failed" : "unreachable");
             if (!exchange.sent()) {
                 endpoint.health().unreachable(context.clock().millis());
                 if (copy != null) {
