--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/replica/StoreReadersTest.java
@@ -0,0 +1,29 @@
+package org.redwinghook.core.replica;
+
+import java.util.Map;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards against deployments in which no router, or every router, waits at the store. */
+public class StoreReadersTest {
+
+    @Test
+    public void routerWithoutPeersReadsForItself() {
+        Assert.assertTrue(StoreReaders.waits("router-9", Map.of()));
+    }
+
+    @Test
+    public void onlyTheFirstTwoWait() {
+        Map<String, Boolean> peers = Map.of("router-1", true, "router-2", true, "router-4", true);
+        Assert.assertFalse(StoreReaders.waits("router-3", peers));
+        Assert.assertTrue(StoreReaders.waits("router-15", Map.of("router-1", true, "router-2", true)));
+        Assert.assertFalse(StoreReaders.waits("router-5", peers));
+    }
+
+    @Test
+    public void routersThatTheStoreTurnsAwayDoNotCount() {
+        Map<String, Boolean> peers = Map.of("router-1", false, "router-2", true);
+        Assert.assertTrue(StoreReaders.waits("router-3", peers));
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -122,10 +122,15 @@
         });
         followers = new ArrayList<>();
         for (RecordTopic topic : RecordTopic.values()) {
-            followers.add(new RecordFollower(vertx, store, state, topic, clock, exchange::relay));
+            followers.add(
+                    new RecordFollower(vertx, store, state, topic, clock, exchange::relay, exchange::waitsAtStore));
         }
     }
 
+    private boolean readsStore() {
+        return followers.stream().allMatch(RecordFollower::reads);
+    }
+
     @Override
     public Future<Void> start() {
         // The store is asked first: what it answers is all that the first requests need.
@@ -149,6 +154,7 @@
             return;
         }
         companionsStarted = true;
+        exchange.onReadsStore(this::readsStore);
         exchange.start();
         membership.register();
         mesh.start().onFailure(failure -> LOGGER.error("port for routers not opened cause={}", failure.toString()));
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -1,6 +1,7 @@
 package org.redwinghook.router.forward;
 
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Vertx;
 import org.redwinghook.core.replica.RecordTopic;
@@ -17,6 +18,12 @@
     /** Pause between reads, in milliseconds: endpoints report often, and one read can bring several reports. */
     private static final long PAUSE_MILLIS = 150;
 
+    /**
+     * Pause between reads while other routers wait at the store and pass its records on, in milliseconds: half of the
+     * time in which a change must be in force.
+     */
+    private static final long LOOK_MILLIS = 1_500;
+
     /** First pause after a failed read, in milliseconds; it doubles up to {@link #LONGEST_RETRY_MILLIS}. */
     private static final long RETRY_MILLIS = 100;
 
@@ -34,6 +41,7 @@
     private final RecordTopic topic;
     private final MonotonicClock clock;
     private final Relay relay;
+    private final BooleanSupplier waitsAtStore;
     private long failedAtMillis = Long.MIN_VALUE / 2;
     private int failures;
     private boolean snapshotNeeded = true;
@@ -48,6 +56,7 @@
      * @param topic the topic
      * @param clock tells the time
      * @param relay receives records that are new
+     * @param waitsAtStore whether this router waits at the store, rather than others for it
      */
     public RecordFollower(
             Vertx vertx,
@@ -55,13 +64,15 @@
             ForwardingState state,
             RecordTopic topic,
             MonotonicClock clock,
-            Relay relay) {
+            Relay relay,
+            BooleanSupplier waitsAtStore) {
         this.vertx = vertx;
         this.store = store;
         this.state = state;
         this.topic = topic;
         this.clock = clock;
         this.relay = relay;
+        this.waitsAtStore = waitsAtStore;
     }
 
     /** Passes on what a follower has read. */
@@ -97,6 +108,15 @@
         return clock.millis() - failedAtMillis < AWAY_MILLIS;
     }
 
+    /**
+     * Whether the last read succeeded.
+     *
+     * @return false after a failure
+     */
+    public boolean reads() {
+        return failures == 0;
+    }
+
     private void next() {
         if (stopped) {
             return;
@@ -105,7 +125,8 @@
             store.snapshot(topic).onSuccess(this::snapshotRead).onFailure(this::failed);
             return;
         }
-        store.read(topic, state.replica(topic).position(), WAIT_MILLIS)
+        boolean waits = waitsAtStore.getAsBoolean();
+        store.read(topic, state.replica(topic).position(), waits ? WAIT_MILLIS : 0)
                 .onSuccess(this::read)
                 .onFailure(this::failed);
     }
@@ -121,7 +142,7 @@
         succeeded();
         relay.relay(topic, state.apply(topic, page.records(), storeWasAway()), storeWasAway());
         state.replica(topic).advance(page.end());
-        vertx.setTimer(PAUSE_MILLIS, ignored -> next());
+        vertx.setTimer(waitsAtStore.getAsBoolean() ? PAUSE_MILLIS : LOOK_MILLIS, ignored -> next());
     }
 
     private void succeeded() {
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Vertx;
 import org.jspecify.annotations.Nullable;
@@ -17,6 +18,7 @@
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.placement.WorkTotals;
 import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.StoreReaders;
 import org.redwinghook.core.replica.VersionedRecord;
 import org.redwinghook.runtime.config.ConfigurationPeer;
 import org.redwinghook.runtime.config.PeerListener;
@@ -43,7 +45,10 @@
     private final WorkLedger ledger;
     private final MonotonicClock clock;
     private final Set<ConfigurationPeer> peers = new LinkedHashSet<>();
+    private final Map<String, Boolean> storeReaders = new HashMap<>();
     private Map<String, WorkTotals> lastReport = Map.of();
+    private boolean lastReadsStore = true;
+    private BooleanSupplier readsStore = () -> true;
     private long reportedMillis;
 
     RouterExchange(Vertx vertx, String self, ForwardingState state, WorkLedger ledger, MonotonicClock clock) {
@@ -54,6 +59,24 @@
         this.clock = clock;
     }
 
+    /**
+     * Sets what tells whether this router can read the store.
+     *
+     * @param supplier tells it
+     */
+    void onReadsStore(BooleanSupplier supplier) {
+        readsStore = supplier;
+    }
+
+    /**
+     * Whether this router waits at the store for new records.
+     *
+     * @return false if others do and pass them on
+     */
+    boolean waitsAtStore() {
+        return StoreReaders.waits(self, storeReaders);
+    }
+
     void start() {
         vertx.setPeriodic(REPORT_MILLIS, ignored -> report());
     }
@@ -98,6 +121,9 @@
     @Override
     public void closed(ConfigurationPeer peer) {
         peers.remove(peer);
+        if (!connected().contains(peer.name())) {
+            storeReaders.remove(peer.name());
+        }
         LOGGER.info("router disconnected name={} connections={}", peer.name(), peers.size());
     }
 
@@ -111,6 +137,7 @@
                         new WorkTotals(work.running(), work.waitingTokens(), work.residentTokens(), work.heldTokens()));
             }
             ledger.peer(report.router(), totals, clock.millis());
+            storeReaders.put(report.router(), report.readsStore());
         }
         if (message instanceof RelayedRecords relayed) {
             relayed(peer, relayed);
@@ -139,15 +166,17 @@
     void report() {
         Map<String, WorkTotals> totals = ledger.own();
         long now = clock.millis();
-        if (totals.equals(lastReport) && now - reportedMillis < REPEAT_MILLIS) {
+        boolean reads = readsStore.getAsBoolean();
+        if (totals.equals(lastReport) && reads == lastReadsStore && now - reportedMillis < REPEAT_MILLIS) {
             return;
         }
+        lastReadsStore = reads;
         lastReport = totals;
         reportedMillis = now;
         List<EndpointWork> work = new ArrayList<>();
         totals.forEach((endpoint, total) -> work.add(new EndpointWork(
                 endpoint, total.running(), total.waitingTokens(), total.residentTokens(), total.heldTokens())));
-        send(null, new WorkReport(self, work));
+        send(null, new WorkReport(self, work, reads));
     }
 
     private void send(@Nullable ConfigurationPeer except, Message message) {
