--- a/core/src/main/java/org/redwinghook/core/placement/WorkLedger.java
+++ b/core/src/main/java/org/redwinghook/core/placement/WorkLedger.java
@@ -43,14 +43,24 @@
     }
 
     /**
-     * Replaces what another router told of its work.
+     * Takes over what another router told of its work.
      *
      * @param router name of the other router
      * @param totals its work by endpoint
+     * @param whole whether endpoints that are not named are idle, rather than unchanged
      * @param nowMillis time now, monotonic
      */
-    public void peer(String router, Map<String, WorkTotals> totals, long nowMillis) {
-        peers.put(router, new PeerTotals(Map.copyOf(totals), nowMillis));
+    public void peer(String router, Map<String, WorkTotals> totals, boolean whole, long nowMillis) {
+        PeerTotals before = peers.get(router);
+        Map<String, WorkTotals> merged = whole || before == null ? new HashMap<>() : new HashMap<>(before.totals());
+        totals.forEach((endpoint, work) -> {
+            if (work.equals(WorkTotals.NONE)) {
+                merged.remove(endpoint);
+            } else {
+                merged.put(endpoint, work);
+            }
+        });
+        peers.put(router, new PeerTotals(merged, nowMillis));
     }
 
     /**
--- a/core/src/test/java/org/redwinghook/core/placement/WorkLedgerTest.java
+++ b/core/src/test/java/org/redwinghook/core/placement/WorkLedgerTest.java
@@ -29,7 +29,7 @@
     @Test
     public void totalsOfASilentRouterExpire() {
         WorkLedger ledger = new WorkLedger();
-        ledger.peer("other", Map.of("engine", new WorkTotals(3, 0, 0, 0)), 0);
+        ledger.peer("other", Map.of("engine", new WorkTotals(3, 0, 0, 0)), true, 0);
         Assert.assertEquals(ledger.at("engine", WorkLedger.PEER_TOTALS_MILLIS).running(), 3);
         Assert.assertEquals(ledger.at("engine", WorkLedger.PEER_TOTALS_MILLIS + 1), WorkTotals.NONE);
     }
@@ -37,8 +37,28 @@
     @Test
     public void onlyRoutersThatSortFirstCountAsEarlier() {
         WorkLedger ledger = new WorkLedger();
-        ledger.peer("router-a", Map.of("engine", new WorkTotals(1, 0, 10, 10)), 0);
-        ledger.peer("router-c", Map.of("engine", new WorkTotals(1, 0, 20, 20)), 0);
+        ledger.peer("router-a", Map.of("engine", new WorkTotals(1, 0, 10, 10)), true, 0);
+        ledger.peer("router-c", Map.of("engine", new WorkTotals(1, 0, 20, 20)), true, 0);
         Assert.assertEquals(ledger.earlier("router-b", "engine", 0).heldTokens(), 10);
     }
+
+    @Test
+    public void changesLeaveOtherEndpointsAsTheyWere() {
+        WorkLedger ledger = new WorkLedger();
+        WorkTotals work = new WorkTotals(1, 0, 10, 10);
+        ledger.peer("other", Map.of("a", work, "b", work), true, 0);
+        ledger.peer("other", Map.of("a", WorkTotals.NONE), false, 1);
+        Assert.assertEquals(ledger.at("a", 1), WorkTotals.NONE);
+        Assert.assertEquals(ledger.at("b", 1), work);
+        ledger.peer("other", Map.of(), true, 2);
+        Assert.assertEquals(ledger.at("b", 2), WorkTotals.NONE);
+    }
+
+    @Test
+    public void smallChangesOfMemoryAreNotWorthAMessage() {
+        WorkTotals work = new WorkTotals(1, 0, 5_000, 3_000);
+        Assert.assertFalse(work.differsFrom(new WorkTotals(1, 0, 5_000, 3_200)));
+        Assert.assertTrue(work.differsFrom(new WorkTotals(1, 0, 5_000, 3_500)));
+        Assert.assertTrue(work.differsFrom(new WorkTotals(2, 0, 5_000, 3_000)));
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/RouterProcess.java
+++ b/router/src/main/java/org/redwinghook/router/RouterProcess.java
@@ -28,6 +28,7 @@
 import org.redwinghook.router.limit.RequestLimits;
 import org.redwinghook.router.metrics.RouterMetrics;
 import org.redwinghook.router.peer.MeshSetup;
+import org.redwinghook.router.peer.MeshShape;
 import org.redwinghook.router.peer.MeshTiming;
 import org.redwinghook.router.peer.RouterMesh;
 import org.redwinghook.router.peer.RouterPeers;
@@ -114,7 +115,14 @@
                 vertx,
                 process,
                 settings.shared().peer(),
-                new MeshSetup(codec, wireMetrics, this::hello, configuration, dispatcher, MeshTiming.USUAL));
+                new MeshSetup(
+                        codec,
+                        wireMetrics,
+                        this::hello,
+                        configuration,
+                        dispatcher,
+                        MeshTiming.USUAL,
+                        MeshShape.POSITIONS));
         directory.onMembers(mesh::update);
         quota = new QuotaClient(vertx, process, peers, dispatcher, this::limit, this::region, metrics);
         UsageLedger ledger = new UsageLedger(process, incarnation);
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -18,6 +18,7 @@
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.router.peer.MeshSetup;
+import org.redwinghook.router.peer.MeshShape;
 import org.redwinghook.router.peer.MeshTiming;
 import org.redwinghook.router.peer.RouterMesh;
 import org.redwinghook.runtime.admin.AdminServer;
@@ -113,7 +114,8 @@
                         this::hello,
                         exchange,
                         new MessageDispatcher(),
-                        MeshTiming.FAST));
+                        MeshTiming.FAST,
+                        MeshShape.ALL));
         membership = new RouterMembership(vertx, store, state, settings, mesh);
         state.onChange((topic, changed) -> {
             if (topic == RecordTopic.ROUTERS) {
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -46,7 +46,7 @@
     private final MonotonicClock clock;
     private final Set<ConfigurationPeer> peers = new LinkedHashSet<>();
     private final Map<String, Boolean> storeReaders = new HashMap<>();
-    private Map<String, WorkTotals> lastReport = Map.of();
+    private final Map<String, WorkTotals> lastReport = new HashMap<>();
     private boolean lastReadsStore = true;
     private BooleanSupplier readsStore = () -> true;
     private long reportedMillis;
@@ -115,7 +115,8 @@
                 peer.send(message(topic, all, false));
             }
         }
-        lastReport = Map.of();
+        Map<String, WorkTotals> own = ledger.own();
+        peer.send(new WorkReport(self, entries(own), true, readsStore.getAsBoolean()));
     }
 
     @Override
@@ -136,7 +137,7 @@
                         work.endpoint(),
                         new WorkTotals(work.running(), work.waitingTokens(), work.residentTokens(), work.heldTokens()));
             }
-            ledger.peer(report.router(), totals, clock.millis());
+            ledger.peer(report.router(), totals, report.whole(), clock.millis());
             storeReaders.put(report.router(), report.readsStore());
         }
         if (message instanceof RelayedRecords relayed) {
@@ -162,21 +163,41 @@
         }
     }
 
-    /** Reports the work if it has changed. */
+    /** Reports what has changed of the work. */
     void report() {
-        Map<String, WorkTotals> totals = ledger.own();
+        Map<String, WorkTotals> changed = changes(ledger.own());
         long now = clock.millis();
         boolean reads = readsStore.getAsBoolean();
-        if (totals.equals(lastReport) && reads == lastReadsStore && now - reportedMillis < REPEAT_MILLIS) {
+        if (changed.isEmpty() && reads == lastReadsStore && now - reportedMillis < REPEAT_MILLIS) {
             return;
         }
+        lastReport.putAll(changed);
+        lastReport.values().removeIf(WorkTotals.NONE::equals);
         lastReadsStore = reads;
-        lastReport = totals;
         reportedMillis = now;
+        send(null, new WorkReport(self, entries(changed), false, reads));
+    }
+
+    private Map<String, WorkTotals> changes(Map<String, WorkTotals> own) {
+        Map<String, WorkTotals> changed = new HashMap<>();
+        own.forEach((endpoint, work) -> {
+            if (work.differsFrom(lastReport.getOrDefault(endpoint, WorkTotals.NONE))) {
+                changed.put(endpoint, work);
+            }
+        });
+        for (String endpoint : lastReport.keySet()) {
+            if (!own.containsKey(endpoint)) {
+                changed.put(endpoint, WorkTotals.NONE);
+            }
+        }
+        return changed;
+    }
+
+    private static List<EndpointWork> entries(Map<String, WorkTotals> totals) {
         List<EndpointWork> work = new ArrayList<>();
         totals.forEach((endpoint, total) -> work.add(new EndpointWork(
                 endpoint, total.running(), total.waitingTokens(), total.residentTokens(), total.heldTokens())));
-        send(null, new WorkReport(self, work, reads));
+        return work;
     }
 
     private void send(@Nullable ConfigurationPeer except, Message message) {
--- a/router/src/main/java/org/redwinghook/router/peer/MeshSetup.java
+++ b/router/src/main/java/org/redwinghook/router/peer/MeshSetup.java
@@ -17,6 +17,7 @@
  * @param listener is told of the connections and receives all messages
  * @param dispatcher receives all messages
  * @param timing times of the connections
+ * @param shape to which routers connections are opened
  */
 public record MeshSetup(
         FrameCodec codec,
@@ -24,4 +25,5 @@
         Supplier<Hello> hello,
         PeerListener listener,
         MessageDispatcher dispatcher,
-        MeshTiming timing) {}
+        MeshTiming timing,
+        MeshShape shape) {}
--- a/router/src/main/java/org/redwinghook/router/peer/RouterMesh.java
+++ b/router/src/main/java/org/redwinghook/router/peer/RouterMesh.java
@@ -11,7 +11,6 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import org.redwinghook.core.membership.Member;
-import org.redwinghook.core.membership.MeshPositions;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.runtime.admin.StateSource;
 import org.redwinghook.runtime.settings.Address;
@@ -71,7 +70,7 @@
                 routers.put(member.vm(), member);
             }
         }
-        List<String> neighbours = MeshPositions.neighbours(routers.keySet(), self);
+        List<String> neighbours = setup.shape().neighbours(routers.keySet(), self);
         for (String name : Set.copyOf(links.keySet())) {
             MeshLink link = links.get(name);
             if (!neighbours.contains(name) || !link.member().equals(routers.get(name))) {
