--- a/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
+++ b/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
@@ -1,5 +1,6 @@
 package org.redwinghook.core.forward;
 
+import org.redwinghook.core.placement.ColdPacing;
 import org.redwinghook.core.placement.EndpointHealth;
 
 /** An endpoint and what the router has learned of it. Times are milliseconds of a monotonic clock. */
@@ -9,6 +10,7 @@
     private static final long LOAD_MILLIS = 1_000;
 
     private final EndpointHealth health = new EndpointHealth();
+    private final ColdPacing pacing = new ColdPacing();
     private EndpointEntry entry;
     private long coldUntilMillis;
     private int waiting;
@@ -37,6 +39,15 @@
         return health;
     }
 
+    /**
+     * Requests that this router has sent to the endpoint.
+     *
+     * @return their pacing, which counts only while the endpoint is cold
+     */
+    public ColdPacing pacing() {
+        return pacing;
+    }
+
     /**
      * Notes the load that came with an answer.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -115,6 +115,7 @@
 
         void start() {
             context.ledger().started(running);
+            endpoint.pacing().sent(context.clock().millis());
             if (caller.route().mayRunAgain() && sends + 1 < caller.route().maxAttempts()) {
                 timer = context.vertx().setTimer(Math.max(1, caller.route().objectiveMillis()), ignored -> tooSlow());
             }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.EndpointEntry;
@@ -26,6 +27,7 @@
     private final MonotonicClock clock;
     private final String dataCentre;
     private final Map<String, String> regions;
+    private final IntSupplier routers;
 
     /**
      * Creates a selector.
@@ -35,13 +37,16 @@
      * @param clock tells the time
      * @param dataCentre the router's data centre
      * @param regions region of each data centre
+     * @param routers number of routers
      */
     ForwardSelector(
             ForwardingState state,
             WorkLedger ledger,
             MonotonicClock clock,
             String dataCentre,
-            Map<String, String> regions) {
+            Map<String, String> regions,
+            IntSupplier routers) {
+        this.routers = routers;
         this.state = state;
         this.ledger = ledger;
         this.clock = clock;
@@ -80,7 +85,7 @@
         List<KnownEndpoint> reachable = allowed.stream()
                 .filter(endpoint -> !endpoint.health().avoid(now))
                 .toList();
-        List<KnownEndpoint> tried = reachable.isEmpty() ? allowed : reachable;
+        List<KnownEndpoint> tried = paced(caller.service(), reachable.isEmpty() ? allowed : reachable, now);
         long memory = memory(caller.service()).capacityTokens();
         List<Candidate> candidates = new ArrayList<>();
         for (KnownEndpoint endpoint : tried) {
@@ -91,6 +96,17 @@
                 .flatMap(best -> state.endpoints().find(best.id()));
     }
 
+    /** Leaves out cold endpoints to which this router has sent its part of what they bear. */
+    private List<KnownEndpoint> paced(String service, List<KnownEndpoint> endpoints, long now) {
+        double limit = state.configuration()
+                .flatMap(configuration -> configuration.service(service))
+                .map(ServiceSettings::coldRequestsPerSecond)
+                .orElse(0.0);
+        return endpoints.stream()
+                .filter(endpoint -> !endpoint.cold(now) || endpoint.pacing().allows(limit, routers.getAsInt(), now))
+                .toList();
+    }
+
     /**
      * Memory of a service's engines.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -95,7 +95,7 @@
                 protocol,
                 client,
                 ledger,
-                new ForwardSelector(state, ledger, clock, settings.dataCentre(), settings.regions()),
+                new ForwardSelector(state, ledger, clock, settings.dataCentre(), settings.regions(), this::routers),
                 new ServiceRetries(settings.retryShare(), settings.retrySlack(), this::routers),
                 moves,
                 new ForwardMetrics(meters));
--- a/router/src/main/java/org/redwinghook/router/peer/MeshShape.java
+++ b/router/src/main/java/org/redwinghook/router/peer/MeshShape.java
@@ -1,8 +1,9 @@
 package org.redwinghook.router.peer;
 
-import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.redwinghook.core.membership.MeshPositions;
 
@@ -16,22 +17,24 @@
         }
     },
     /**
-     * One connection between each two routers, for deployments of up to some sixty routers that tell each other their
-     * work several times a second; larger ones use positions.
+     * All other routers, for deployments of up to some sixty routers that tell each other their work several times a
+     * second; larger ones use positions. The one that sorts first opens the connection; those at the positions are
+     * opened from both ends, so that a router connects whose own record the others cannot read.
      */
     ALL {
         @Override
         public List<String> neighbours(Collection<String> routers, String self) {
+            List<String> positions = POSITIONS.neighbours(routers, self);
             if (routers.size() > MOST_CONNECTED) {
-                return POSITIONS.neighbours(routers, self);
+                return positions;
             }
-            List<String> later = new ArrayList<>();
+            Set<String> neighbours = new LinkedHashSet<>(positions);
             for (String router : routers) {
                 if (router.compareTo(self) > 0) {
-                    later.add(router);
+                    neighbours.add(router);
                 }
             }
-            return later;
+            return List.copyOf(neighbours);
         }
     };
 
--- /dev/null
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/HangupSignalTest.java
@@ -0,0 +1,20 @@
+package org.redwinghook.runtime.process;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards against processes that end when their settings file changes. */
+public class HangupSignalTest {
+
+    @Test
+    public void signalReachesTheHandlerAndTheProcessGoesOn() throws Exception {
+        CountDownLatch received = new CountDownLatch(1);
+        HangupSignal.handle(received::countDown);
+        String self = Long.toString(ProcessHandle.current().pid());
+        Assert.assertEquals(new ProcessBuilder("kill", "-HUP", self).start().waitFor(), 0);
+        Assert.assertTrue(received.await(5, TimeUnit.SECONDS));
+    }
+}
