--- a/router/src/main/java/org/redwinghook/router/forward/RunningStreams.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunningStreams.java
@@ -14,8 +14,14 @@
         streams.add(stream);
     }
 
-    void remove(StreamForwarding stream) {
-        streams.remove(stream);
+    /**
+     * Removes a stream that has ended.
+     *
+     * @param stream the stream
+     * @return false if it had been removed before
+     */
+    boolean remove(StreamForwarding stream) {
+        return streams.remove(stream);
     }
 
     /**
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -57,6 +57,10 @@
     private long events;
     private @Nullable String lastEventId;
     private @Nullable KnownEndpoint source;
+    private long firstEventMillis;
+    private long lastEventMillis;
+    private long largestGapMillis;
+    private int continuations;
 
     StreamForwarding(ForwardContext context, CallerExchange caller, RunningStreams registry) {
         this.context = context;
@@ -147,6 +151,7 @@
         }
         cancel();
         source = stoppedSource;
+        continuations++;
         Attempt attempt = new Attempt(endpoint, copy);
         current = attempt;
         attempt.start();
@@ -203,7 +208,15 @@
     }
 
     private void end() {
-        registry.remove(this);
+        if (registry.remove(this) && begun) {
+            LOGGER.info(
+                    "stream ended id={} events={} firstEventMillis={} largestGapMillis={} continuations={}",
+                    caller.requestId(),
+                    events,
+                    firstEventMillis,
+                    largestGapMillis,
+                    continuations);
+        }
     }
 
     private void cancel() {
@@ -216,6 +229,16 @@
         }
     }
 
+    private void noteGap() {
+        long now = context.clock().millis();
+        if (events == 0) {
+            firstEventMillis = caller.elapsedMillis();
+        } else {
+            largestGapMillis = Math.max(largestGapMillis, now - lastEventMillis);
+        }
+        lastEventMillis = now;
+    }
+
     /** One endpoint's turn. */
     private final class Attempt {
 
@@ -308,6 +331,7 @@
                         .headers()
                         .addAll(context.protocol().callerHeaders(head));
             }
+            noteGap();
             caller.response().write(event.bytes());
             events++;
             running.produced(events * TOKENS_PER_EVENT);
