--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -18,6 +18,7 @@
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.router.peer.MeshSetup;
+import org.redwinghook.router.peer.MeshShape;
 import org.redwinghook.router.peer.MeshTiming;
 import org.redwinghook.router.peer.RouterMesh;
 import org.redwinghook.runtime.admin.AdminServer;
@@ -94,7 +95,7 @@
                 protocol,
                 client,
                 ledger,
-                new ForwardSelector(state, ledger, clock, settings.dataCentre(), settings.regions()),
+                new ForwardSelector(state, ledger, clock, settings.dataCentre(), settings.regions(), this::routers),
                 new ServiceRetries(settings.retryShare(), settings.retrySlack(), this::routers),
                 moves,
                 new ForwardMetrics(meters));
@@ -113,7 +114,8 @@
                         this::hello,
                         exchange,
                         new MessageDispatcher(),
-                        MeshTiming.FAST));
+                        MeshTiming.FAST,
+                        MeshShape.ALL));
         membership = new RouterMembership(vertx, store, state, settings, mesh);
         state.onChange((topic, changed) -> {
             if (topic == RecordTopic.ROUTERS) {
@@ -122,10 +124,15 @@
         });
         followers = new ArrayList<>();
         for (RecordTopic topic : RecordTopic.values()) {
-            followers.add(new RecordFollower(vertx, store, state, topic, clock, exchange::relay));
+            followers.add(
+                    new RecordFollower(vertx, store, state, topic, clock, exchange::relay, exchange::waitsAtStore));
         }
     }
 
+    private boolean readsStore() {
+        return followers.stream().allMatch(RecordFollower::reads);
+    }
+
     @Override
     public Future<Void> start() {
         // The store is asked first: what it answers is all that the first requests need.
@@ -149,6 +156,7 @@
             return;
         }
         companionsStarted = true;
+        exchange.onReadsStore(this::readsStore);
         exchange.start();
         membership.register();
         mesh.start().onFailure(failure -> LOGGER.error("port for routers not opened cause={}", failure.toString()));
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Vertx;
 import org.jspecify.annotations.Nullable;
@@ -17,6 +18,7 @@
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.placement.WorkTotals;
 import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.StoreReaders;
 import org.redwinghook.core.replica.VersionedRecord;
 import org.redwinghook.runtime.config.ConfigurationPeer;
 import org.redwinghook.runtime.config.PeerListener;
@@ -43,7 +45,10 @@
     private final WorkLedger ledger;
     private final MonotonicClock clock;
     private final Set<ConfigurationPeer> peers = new LinkedHashSet<>();
-    private Map<String, WorkTotals> lastReport = Map.of();
+    private final Map<String, Boolean> storeReaders = new HashMap<>();
+    private final Map<String, WorkTotals> lastReport = new HashMap<>();
+    private boolean lastReadsStore = true;
+    private BooleanSupplier readsStore = () -> true;
     private long reportedMillis;
 
     RouterExchange(Vertx vertx, String self, ForwardingState state, WorkLedger ledger, MonotonicClock clock) {
@@ -54,6 +59,24 @@
         this.clock = clock;
     }
 
+    /**
+     * Sets what tells whether this router can read the store.
+     *
+     * @param supplier tells it
+     */
+    void onReadsStore(BooleanSupplier supplier) {
+        readsStore = supplier;
+    }
+
+    /**
+     * Whether this router waits at the store for new records.
+     *
+     * @return false if others do and pass them on
+     */
+    boolean waitsAtStore() {
+        return StoreReaders.waits(self, storeReaders);
+    }
+
     void start() {
         vertx.setPeriodic(REPORT_MILLIS, ignored -> report());
     }
@@ -92,12 +115,16 @@
                 peer.send(message(topic, all, false));
             }
         }
-        lastReport = Map.of();
+        Map<String, WorkTotals> own = ledger.own();
+        peer.send(new WorkReport(self, entries(own), true, readsStore.getAsBoolean()));
     }
 
     @Override
     public void closed(ConfigurationPeer peer) {
         peers.remove(peer);
+        if (!connected().contains(peer.name())) {
+            storeReaders.remove(peer.name());
+        }
         LOGGER.info("router disconnected name={} connections={}", peer.name(), peers.size());
     }
 
@@ -110,7 +137,8 @@
                         work.endpoint(),
                         new WorkTotals(work.running(), work.waitingTokens(), work.residentTokens(), work.heldTokens()));
             }
-            ledger.peer(report.router(), totals, clock.millis());
+            ledger.peer(report.router(), totals, report.whole(), clock.millis());
+            storeReaders.put(report.router(), report.readsStore());
         }
         if (message instanceof RelayedRecords relayed) {
             relayed(peer, relayed);
@@ -135,19 +163,41 @@
         }
     }
 
-    /** Reports the work if it has changed. */
+    /** Reports what has changed of the work. */
     void report() {
-        Map<String, WorkTotals> totals = ledger.own();
+        Map<String, WorkTotals> changed = changes(ledger.own());
         long now = clock.millis();
-        if (totals.equals(lastReport) && now - reportedMillis < REPEAT_MILLIS) {
+        boolean reads = readsStore.getAsBoolean();
+        if (changed.isEmpty() && reads == lastReadsStore && now - reportedMillis < REPEAT_MILLIS) {
             return;
         }
-        lastReport = totals;
+        lastReport.putAll(changed);
+        lastReport.values().removeIf(WorkTotals.NONE::equals);
+        lastReadsStore = reads;
         reportedMillis = now;
+        send(null, new WorkReport(self, entries(changed), false, reads));
+    }
+
+    private Map<String, WorkTotals> changes(Map<String, WorkTotals> own) {
+        Map<String, WorkTotals> changed = new HashMap<>();
+        own.forEach((endpoint, work) -> {
+            if (work.differsFrom(lastReport.getOrDefault(endpoint, WorkTotals.NONE))) {
+                changed.put(endpoint, work);
+            }
+        });
+        for (String endpoint : lastReport.keySet()) {
+            if (!own.containsKey(endpoint)) {
+                changed.put(endpoint, WorkTotals.NONE);
+            }
+        }
+        return changed;
+    }
+
+    private static List<EndpointWork> entries(Map<String, WorkTotals> totals) {
         List<EndpointWork> work = new ArrayList<>();
         totals.forEach((endpoint, total) -> work.add(new EndpointWork(
                 endpoint, total.running(), total.waitingTokens(), total.residentTokens(), total.heldTokens())));
-        send(null, new WorkReport(self, work));
+        return work;
     }
 
     private void send(@Nullable ConfigurationPeer except, Message message) {
