--- a/core/src/main/java/org/redwinghook/core/placement/Candidate.java
+++ b/core/src/main/java/org/redwinghook/core/placement/Candidate.java
@@ -11,6 +11,8 @@
  * @param distance how far it is
  * @param failureShare recent share of requests that failed there, 0 to 1
  * @param cold whether it has just started
+ * @param spreadMillis random delay below {@link #MOST_SPREAD_MILLIS}, so that routers that know the same do not all
+ *     choose the same endpoint
  */
 public record Candidate(
         String id,
@@ -20,4 +22,9 @@
         int reportedWaiting,
         Distance distance,
         double failureShare,
-        boolean cold) {}
+        boolean cold,
+        double spreadMillis) {
+
+    /** Largest random delay, in milliseconds: less than a prompt's reading, more than a running generation's share. */
+    public static final double MOST_SPREAD_MILLIS = 30;
+}
--- a/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
@@ -111,6 +111,7 @@
                 + candidate.distance().costMillis()
                 + candidate.failureShare() * FAILURE_MILLIS
                 + candidate.reportedWaiting() * WAITING_MILLIS
-                + (candidate.cold() ? COLD_MILLIS : 0);
+                + (candidate.cold() ? COLD_MILLIS : 0)
+                + candidate.spreadMillis();
     }
 }
--- a/core/src/test/java/org/redwinghook/core/placement/PlacementPolicyTest.java
+++ b/core/src/test/java/org/redwinghook/core/placement/PlacementPolicyTest.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -37,6 +38,30 @@
         }
     }
 
+    /** Load: many routers place prompts in the same moment, before any has told the others. */
+    public static class RoutersThatKnowTheSame {
+
+        @Test
+        public void doNotAllChooseTheSameEngine() {
+            Random random = new Random(7);
+            Map<String, Integer> placed = new HashMap<>();
+            for (int router = 0; router < 40; router++) {
+                List<Candidate> candidates = new ArrayList<>();
+                for (String engine : List.of("a", "b", "c", "d")) {
+                    double spread = random.nextDouble() * Candidate.MOST_SPREAD_MILLIS;
+                    candidates.add(new Candidate(
+                            engine, 32, MEMORY_TOKENS, WorkTotals.NONE, 0, Distance.LOCAL, 0, false, spread));
+                }
+                String chosen = PlacementPolicy.GENERATION
+                        .choose(candidates, DRAFT)
+                        .orElseThrow()
+                        .id();
+                placed.merge(chosen, 1, Integer::sum);
+            }
+            placed.values().forEach(count -> Assert.assertTrue(count < 20, placed.toString()));
+        }
+    }
+
     /** Load: engines whose memory is nearly full, where one more generation would preempt another. */
     public static class FullMemory {
 
@@ -44,7 +69,7 @@
         public void farEngineWithRoomIsBetterThanANearOneWithout() {
             Candidate full = candidate("full", new WorkTotals(8, 0, 32_000, 30_000));
             Candidate far = new Candidate(
-                    "far", 32, MEMORY_TOKENS, new WorkTotals(2, 0, 8_000, 8_000), 0, Distance.FAR, 0, false);
+                    "far", 32, MEMORY_TOKENS, new WorkTotals(2, 0, 8_000, 8_000), 0, Distance.FAR, 0, false, 0);
             Assert.assertEquals(
                     PlacementPolicy.GENERATION
                             .choose(List.of(full, far), DRAFT)
@@ -59,7 +84,7 @@
 
         @Test
         public void neverMovesMemoryBetweenRegions() {
-            Candidate far = new Candidate("far", 32, MEMORY_TOKENS, WorkTotals.NONE, 0, Distance.FAR, 0, false);
+            Candidate far = new Candidate("far", 32, MEMORY_TOKENS, WorkTotals.NONE, 0, Distance.FAR, 0, false, 0);
             Assert.assertTrue(
                     PlacementPolicy.MOVED_RUN.choose(List.of(far), DRAFT).isEmpty());
         }
@@ -67,7 +92,7 @@
         @Test
         public void prefersTheSameDataCentreWhenLoadsAreAlike() {
             Candidate near = new Candidate(
-                    "near", 32, MEMORY_TOKENS, new WorkTotals(1, 0, 4_000, 4_000), 0, Distance.NEAR, 0, false);
+                    "near", 32, MEMORY_TOKENS, new WorkTotals(1, 0, 4_000, 4_000), 0, Distance.NEAR, 0, false, 0);
             Candidate local = candidate("local", new WorkTotals(3, 0, 12_000, 12_000));
             Assert.assertEquals(
                     PlacementPolicy.MOVED_RUN
@@ -88,8 +113,8 @@
                 health.failed(1_000 + number);
             }
             Candidate failing = new Candidate(
-                    "failing", 6, 0, WorkTotals.NONE, 0, Distance.LOCAL, health.failureShare(1_010), false);
-            Candidate busy = new Candidate("busy", 6, 0, new WorkTotals(5, 0, 0, 0), 0, Distance.LOCAL, 0, false);
+                    "failing", 6, 0, WorkTotals.NONE, 0, Distance.LOCAL, health.failureShare(1_010), false, 0);
+            Candidate busy = new Candidate("busy", 6, 0, new WorkTotals(5, 0, 0, 0), 0, Distance.LOCAL, 0, false, 0);
             Assert.assertEquals(
                     PlacementPolicy.CALL
                             .choose(List.of(failing, busy), new PlacementQuery(0, 0))
@@ -126,6 +151,6 @@
     }
 
     private static Candidate candidate(String id, WorkTotals work) {
-        return new Candidate(id, 32, MEMORY_TOKENS, work, 0, Distance.LOCAL, 0, false);
+        return new Candidate(id, 32, MEMORY_TOKENS, work, 0, Distance.LOCAL, 0, false, 0);
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
@@ -17,6 +17,7 @@
  * @param retries budget of second attempts
  * @param moves moves the memory of runs
  * @param metrics counters and histograms
+ * @param reportWork tells the other routers at once what has changed of this one's work
  */
 record ForwardContext(
         Vertx vertx,
@@ -28,4 +29,5 @@
         ForwardSelector selector,
         ServiceRetries retries,
         MemoryMoves moves,
-        ForwardMetrics metrics) {}
+        ForwardMetrics metrics,
+        Runnable reportWork) {}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import java.util.function.IntSupplier;
 
 import org.jspecify.annotations.Nullable;
@@ -28,6 +29,7 @@
     private final String dataCentre;
     private final Map<String, String> regions;
     private final IntSupplier routers;
+    private final DoubleSupplier random;
 
     /**
      * Creates a selector.
@@ -38,6 +40,7 @@
      * @param dataCentre the router's data centre
      * @param regions region of each data centre
      * @param routers number of routers
+     * @param random gives random numbers from 0 to below 1
      */
     ForwardSelector(
             ForwardingState state,
@@ -45,8 +48,10 @@
             MonotonicClock clock,
             String dataCentre,
             Map<String, String> regions,
-            IntSupplier routers) {
+            IntSupplier routers,
+            DoubleSupplier random) {
         this.routers = routers;
+        this.random = random;
         this.state = state;
         this.ledger = ledger;
         this.clock = clock;
@@ -159,7 +164,8 @@
                 endpoint.waiting(now),
                 distance,
                 endpoint.health().failureShare(now),
-                endpoint.cold(now));
+                endpoint.cold(now),
+                random.getAsDouble() * Candidate.MOST_SPREAD_MILLIS);
     }
 
     private Distance distance(String from, String other) {
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
@@ -95,14 +96,22 @@
                 protocol,
                 client,
                 ledger,
-                new ForwardSelector(state, ledger, clock, settings.dataCentre(), settings.regions(), this::routers),
+                new ForwardSelector(
+                        state,
+                        ledger,
+                        clock,
+                        settings.dataCentre(),
+                        settings.regions(),
+                        this::routers,
+                        () -> ThreadLocalRandom.current().nextDouble()),
                 new ServiceRetries(settings.retryShare(), settings.retrySlack(), this::routers),
                 moves,
-                new ForwardMetrics(meters));
+                new ForwardMetrics(meters),
+                this::reportWork);
         server = new ForwardServer(vertx, settings.caller(), context, streams);
         readiness = new ReadyServer(vertx, settings.ready(), settings.readyPath(), this::ready);
         exchange = new RouterExchange(vertx, settings.process(), state, ledger, clock);
-        state.onLeaving(new RunRelocator(context, streams, settings.process(), exchange::report)::leaving);
+        state.onLeaving(new RunRelocator(context, streams, settings.process())::leaving);
         WireMetrics wireMetrics = new WireMetrics(meters);
         mesh = new RouterMesh(
                 vertx,
@@ -129,6 +138,10 @@
         }
     }
 
+    private void reportWork() {
+        exchange.report();
+    }
+
     private boolean readsStore() {
         return followers.stream().allMatch(RecordFollower::reads);
     }
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -12,17 +12,17 @@
 /** Follows one topic of the platform's store: a snapshot first, then reads that wait for the next record. */
 public final class RecordFollower {
 
-    /** Longest wait of a read, in milliseconds; shorter than the time after which a silent connection is given up. */
-    private static final long WAIT_MILLIS = 2_000;
+    /** Longest wait of a read, in milliseconds; a silent connection shows a second after it. */
+    private static final long WAIT_MILLIS = 1_000;
 
     /** Pause between reads, in milliseconds: endpoints report often, and one read can bring several reports. */
     private static final long PAUSE_MILLIS = 150;
 
-    /**
-     * Pause between reads while other routers wait at the store and pass its records on, in milliseconds: half of the
-     * time in which a change must be in force.
-     */
-    private static final long LOOK_MILLIS = 1_500;
+    /** Pause between reads while other routers wait at the store and pass its records on, in milliseconds. */
+    private static final long LOOK_MILLIS = 4_000;
+
+    /** Interval of looks whether this router must wait at the store itself, in milliseconds. */
+    private static final long TURN_MILLIS = 200;
 
     /** First pause after a failed read, in milliseconds; it doubles up to {@link #LONGEST_RETRY_MILLIS}. */
     private static final long RETRY_MILLIS = 100;
@@ -142,7 +142,16 @@
         succeeded();
         relay.relay(topic, state.apply(topic, page.records(), storeWasAway()), storeWasAway());
         state.replica(topic).advance(page.end());
-        vertx.setTimer(waitsAtStore.getAsBoolean() ? PAUSE_MILLIS : LOOK_MILLIS, ignored -> next());
+        long lookAtMillis = clock.millis() + LOOK_MILLIS;
+        vertx.setTimer(PAUSE_MILLIS, ignored -> nextInTurn(lookAtMillis));
+    }
+
+    private void nextInTurn(long lookAtMillis) {
+        if (waitsAtStore.getAsBoolean() || clock.millis() >= lookAtMillis) {
+            next();
+            return;
+        }
+        vertx.setTimer(TURN_MILLIS, ignored -> nextInTurn(lookAtMillis));
     }
 
     private void succeeded() {
--- a/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
@@ -50,10 +50,8 @@
     private final ForwardContext context;
     private final RunningStreams streams;
     private final String self;
-    private final Runnable report;
 
-    RunRelocator(ForwardContext context, RunningStreams streams, String self, Runnable report) {
-        this.report = report;
+    RunRelocator(ForwardContext context, RunningStreams streams, String self) {
         this.self = self;
         this.context = context;
         this.streams = streams;
@@ -265,7 +263,7 @@
                     context.clock().millis() - startedMillis,
                     tries);
             context.metrics().moved(outcome.split(" ")[0]);
-            report.run();
+            context.reportWork().run();
             next(queue);
         }
     }
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -261,6 +261,7 @@
         void start() {
             context.ledger().started(running);
             endpoint.pacing().sent(context.clock().millis());
+            context.reportWork().run();
             EndpointRequestHead head = new EndpointRequestHead(
                     endpoint.entry().id(),
                     Math.max(1, caller.remainingMillis()),
