--- a/runtime/src/main/java/org/redwinghook/runtime/process/LineLogConfigurator.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/LineLogConfigurator.java
@@ -5,11 +5,11 @@
 import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.Configurator;
 import ch.qos.logback.classic.spi.ConfiguratorRank;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.LayoutWrappingEncoder;
 import ch.qos.logback.core.spi.ContextAwareBase;
 
 /**
@@ -25,17 +25,19 @@
 
     private static final String PROPERTY = "redwinghook.log";
     private static final String LINES = "lines";
-    private static final String PATTERN = "%date{\"yyyy-MM-dd'T'HH:mm:ss.SSS'Z'\", UTC} %level %logger{0} %msg%n%ex";
 
     @Override
     public ExecutionStatus configure(LoggerContext context) {
         if (!LINES.equals(System.getProperty(PROPERTY))) {
             return ExecutionStatus.INVOKE_NEXT_IF_ANY;
         }
-        PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+        LineLayout layout = new LineLayout();
+        layout.setContext(context);
+        layout.start();
+        LayoutWrappingEncoder<ILoggingEvent> encoder = new LayoutWrappingEncoder<>();
         encoder.setContext(context);
         encoder.setCharset(StandardCharsets.UTF_8);
-        encoder.setPattern(PATTERN);
+        encoder.setLayout(layout);
         encoder.start();
         ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
         console.setContext(context);
