Register the handlers of signals before saying that the process has started

Cause: the handler of SIGHUP was registered between the line and the handler of SIGTERM, and a SIGTERM right after the line met neither. Seen in ProcessLauncherTest.secondSignalNeitherHangsNorCutsTheStop.

--- a/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
@@ -127,10 +127,11 @@
             vertx.close().await();
             return ExitCode.FAILED;
         }
-        LOGGER.info("{} started", binary);
-        HangupSignal.handle(() -> reload(file, settings));
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(vertx, verticle, stopped), "graceful-stop"));
+        HangupSignal.handle(() -> reload(file, settings));
+        // Whoever reads this line may send signals.
+        LOGGER.info("{} started", binary);
         awaitUninterruptibly(stopped);
         return ExitCode.DONE;
     }
