--- a/router/src/main/java/org/redwinghook/router/forward/ReplyHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ReplyHead.java
@@ -8,7 +8,7 @@
  * @param status HTTP status
  * @param requestId request that the answer belongs to, null if the endpoint did not say
  * @param notRun whether the endpoint states that it did not run the request
- * @param intact whether the body is in the form that the router asked for
+ * @param intact whether the head is whole and the body is in the form that the router asked for
  * @param waiting requests that wait at the endpoint, -1 if it did not say
  */
 public record ReplyHead(int status, @Nullable String requestId, boolean notRun, boolean intact, int waiting) {
