--- a/router/src/test/java/org/redwinghook/router/FakeSidecar.java
+++ b/router/src/test/java/org/redwinghook/router/FakeSidecar.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -26,11 +27,17 @@
 /** A sidecar whose answers the test writes. */
 final class FakeSidecar {
 
+    private static final String HOST = "127.0.1.1";
+
     /**
-     * Outgoing connections take their port on 127.0.0.1, among them attempts to reconnect to a stopped sidecar. On an
-     * address of its own, a sidecar that listens again on its old port finds it free.
+     * First port that sidecars listen on. The system takes the ports of outgoing connections and of listeners that do
+     * not name one from 32768 on, also for other test runs on the machine; a sidecar that listens again on its old port
+     * must find it free.
      */
-    private static final String HOST = "127.0.1.1";
+    private static final int FIRST_PORT = 20_000;
+
+    private static final int PORTS = 12_000;
+    private static final int MOST_TRIES = 50;
 
     private static final long WAIT_SECONDS = 5;
 
@@ -50,7 +57,7 @@
         this.context = vertx.getOrCreateContext();
         this.vm = vm;
         this.service = service;
-        listen();
+        listenOnFreePort();
     }
 
     JsonObject entry() {
@@ -64,6 +71,19 @@
                 .put("service", service);
     }
 
+    private void listenOnFreePort() {
+        for (int attempt = 1; ; attempt++) {
+            port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+            try {
+                listen();
+                return;
+            } catch (Exception exception) {
+                // Vert.x rethrows checked exceptions, such as a failure to bind, without declaring them.
+                Assert.assertTrue(attempt < MOST_TRIES, "no free port: " + exception);
+            }
+        }
+    }
+
     void listen() {
         PeerServer created = new PeerServer(
                 vertx,
