--- /dev/null
+++ b/router/src/test/java/org/redwinghook/router/forward/EventSplitterTest.java
@@ -0,0 +1,45 @@
+package org.redwinghook.router.forward;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import io.vertx.core.buffer.Buffer;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards against events that are lost, changed or passed on in part, however the bytes arrive. */
+public class EventSplitterTest {
+
+    private static final int SEEDS = 200;
+
+    @Test
+    public void eventsAreTheSameForAllPiecesOfTheirBytes() {
+        String stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\ndata: d\n\n";
+        for (int seed = 0; seed < SEEDS; seed++) {
+            EventSplitter splitter = new EventSplitter();
+            List<EventSplitter.Event> events = new ArrayList<>();
+            Random random = new Random(seed);
+            for (int at = 0; at < stream.length(); ) {
+                int end = Math.min(stream.length(), at + 1 + random.nextInt(12));
+                events.addAll(splitter.add(Buffer.buffer(stream.substring(at, end))));
+                at = end;
+            }
+            StringBuilder joined = new StringBuilder();
+            events.forEach(event -> joined.append(event.bytes()));
+            Assert.assertEquals(joined.toString(), stream, "seed " + seed);
+            Assert.assertEquals(events.size(), 4, "seed " + seed);
+            Assert.assertEquals(events.get(1).id(), "2");
+            Assert.assertNull(events.get(2).id());
+            Assert.assertFalse(splitter.partial());
+        }
+    }
+
+    @Test
+    public void eventWithoutItsEndIsKeptBack() {
+        EventSplitter splitter = new EventSplitter();
+        Assert.assertEquals(
+                splitter.add(Buffer.buffer("id: 1\ndata: a\n\nid: 2\nda")).size(), 1);
+        Assert.assertTrue(splitter.partial());
+    }
+}
