Complete a run that ends while its engine is asked to stop it

Cause: the end of a stream was taken for the stop; the answer then hung until the caller's deadline. The same held when the engine did not know the run. A run that went on where it was, because the destination had no room, is now moved to another engine.

--- a/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
@@ -219,16 +219,22 @@
         private void stopped(MoveResult result, KnownEndpoint chosen, Deque<Move> queue) {
             String handle = result.handle();
             if (handle == null) {
-                stream.expectStop(false);
+                stream.stopFailed();
                 excluded.add(chosen.entry().id());
                 later(queue);
                 return;
             }
-            KnownEndpoint target = result.status() == MoveResult.Status.COPIED ? chosen : source;
+            boolean copied = result.status() == MoveResult.Status.COPIED;
             awaitEnd(STOPPED_MILLIS, () -> {
                 MemoryCopy copy = new MemoryCopy(source.entry().address(), handle);
-                stream.continueAt(target, copy, source);
-                ended("moved " + result.status(), queue);
+                stream.continueAt(copied ? chosen : source, copy, source);
+                if (copied) {
+                    ended("moved " + result.status(), queue);
+                    return;
+                }
+                // The run goes on where it was, and another engine may have room.
+                excluded.add(chosen.entry().id());
+                later(queue);
             });
         }
 
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -345,7 +345,7 @@
             if (over) {
                 return;
             }
-            if (stopping || splitter.partial() || !begun) {
+            if ((stopping && !framed()) || splitter.partial() || !begun) {
                 failed(new IllegalStateException("the stream ended before its last event"));
                 return;
             }
@@ -355,6 +355,13 @@
             caller.complete(endpoint.entry().id());
         }
 
+        /** Whether the end of the body was marked; a run that an engine stops ends without such a mark. */
+        private boolean framed() {
+            HttpClientResponse head = response;
+            return head != null
+                    && (head.getHeader("Transfer-Encoding") != null || head.getHeader("Content-Length") != null);
+        }
+
         private void refused(HttpClientResponse head, ReplyHead reply, Buffer body) {
             if (over) {
                 return;
