--- a/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
@@ -19,7 +19,8 @@
             double needed = work.residentTokens() + query.promptTokens() + query.outputTokens();
             double free = candidate.memoryTokens() * USABLE_MEMORY_SHARE;
             double overflow = candidate.memoryTokens() == 0 ? 0 : Math.max(0, needed - free);
-            return prefill + steps + overflow * OVERFLOW_MILLIS_PER_TOKEN;
+            double far = candidate.distance() == Distance.FAR ? FAR_RUN_MILLIS : 0;
+            return prefill + steps + far + overflow * OVERFLOW_MILLIS_PER_TOKEN;
         }
     },
     /**
@@ -74,8 +75,18 @@
     /** Delay of a cold endpoint, in milliseconds. */
     private static final double COLD_MILLIS = 200;
 
-    /** Additional time of a copy to another data centre, in milliseconds: that of a usual prompt in the same one. */
-    private static final double FARTHER_COPY_MILLIS = 200;
+    /**
+     * Additional cost of a copy to another data centre, in milliseconds: it takes the link of the engine that leaves for
+     * the time of one more copy, and about two other runs wait for that time.
+     */
+    private static final double FARTHER_COPY_MILLIS = 600;
+
+    /**
+     * Additional cost of a generation in another region, in milliseconds: all of its events cross the slow link, and
+     * each call of a later move takes two trips between the regions. About a fifth of the usual time to a first token
+     * remains to be saved by a nearer engine.
+     */
+    private static final double FAR_RUN_MILLIS = 300;
 
     abstract double delayMillis(Candidate candidate, PlacementQuery query);
 
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointExchange.java
@@ -23,7 +23,9 @@
 public final class EndpointExchange {
 
     private final EndpointEntry endpoint;
+    private @Nullable Future<HttpClientConnection> connecting;
     private @Nullable HttpClientConnection connection;
+    private boolean connectionLost;
     private boolean sent;
     private boolean cancelled;
 
@@ -42,7 +44,26 @@
     }
 
     /**
-     * Sends the request.
+     * Opens the connection before the request is sent; a connection that is open already is kept.
+     *
+     * @param client the HTTP client
+     * @return the connection
+     */
+    public Future<HttpClientConnection> connect(HttpClientAgent client) {
+        Future<HttpClientConnection> started = connecting;
+        if (started != null && !started.failed() && !connectionLost) {
+            return started;
+        }
+        connectionLost = false;
+        Future<HttpClientConnection> opening =
+                client.connect(new HttpConnectOptions().setHost(endpoint.host()).setPort(endpoint.port()));
+        connecting = opening;
+        opening.onSuccess(this::adopt);
+        return opening;
+    }
+
+    /**
+     * Sends the request, on the connection that was opened for it or on a new one.
      *
      * @param client the HTTP client
      * @param connectMillis longest time for connecting
@@ -54,12 +75,8 @@
      */
     public Future<HttpClientResponse> send(
             HttpClientAgent client, long connectMillis, HttpMethod method, String uri, MultiMap headers, Buffer body) {
-        HttpConnectOptions options =
-                new HttpConnectOptions().setHost(endpoint.host()).setPort(endpoint.port());
-        Future<HttpClientConnection> connecting = client.connect(options);
         Promise<HttpClientResponse> answered = Promise.promise();
-        connecting.onSuccess(this::adopt);
-        connecting
+        connect(client)
                 .timeout(connectMillis, TimeUnit.MILLISECONDS)
                 .onFailure(failure -> {
                     cancelled = true;
@@ -113,6 +130,7 @@
 
     private void adopt(HttpClientConnection connected) {
         connection = connected;
+        connected.closeHandler(ignored -> connectionLost = true);
         if (cancelled) {
             connected.close();
         }
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -57,6 +57,7 @@
     private long events;
     private @Nullable String lastEventId;
     private @Nullable KnownEndpoint source;
+    private @Nullable EndpointExchange prepared;
     private long firstEventMillis;
     private long lastEventMillis;
     private long largestGapMillis;
@@ -138,6 +139,40 @@
         return attempt == null || attempt.over;
     }
 
+    /**
+     * Opens a connection to the engine where the run is about to go on, which shortens the pause of a move.
+     *
+     * @param endpoint the engine
+     */
+    void prepare(KnownEndpoint endpoint) {
+        closePrepared();
+        EndpointExchange exchange = EndpointExchange.to(endpoint.entry());
+        prepared = exchange;
+        exchange.connect(context.client())
+                .onFailure(failure -> LOGGER.info(
+                        "no connection ahead id={} endpoint={} cause={}",
+                        caller.requestId(),
+                        endpoint.entry().id(),
+                        failure.toString()));
+    }
+
+    private void closePrepared() {
+        EndpointExchange unused = prepared;
+        prepared = null;
+        if (unused != null) {
+            unused.close();
+        }
+    }
+
+    private EndpointExchange exchangeWith(KnownEndpoint endpoint) {
+        EndpointExchange ready = prepared;
+        if (ready != null && ready.endpoint().sameStart(endpoint.entry())) {
+            prepared = null;
+            return ready;
+        }
+        return EndpointExchange.to(endpoint.entry());
+    }
+
     /**
      * Goes on from a copy of the run's memory.
      *
@@ -208,6 +243,7 @@
     }
 
     private void end() {
+        closePrepared();
         if (registry.remove(this) && begun) {
             LOGGER.info(
                     "stream ended id={} events={} firstEventMillis={} largestGapMillis={} continuations={}",
@@ -254,7 +290,7 @@
         Attempt(KnownEndpoint endpoint, @Nullable MemoryCopy copy) {
             this.endpoint = endpoint;
             this.copy = copy;
-            this.exchange = EndpointExchange.to(endpoint.entry());
+            this.exchange = exchangeWith(endpoint);
             this.running = new RunningRequest(endpoint.entry().id(), query.promptTokens(), query.outputTokens());
         }
 
