Let routers take turns again when they move runs, with waves inside a turn

Ruled out: the second copy itself; alone it takes 6 to 28 ms.

Change: a router starts when the routers before it have moved their runs; its own next wave starts when all runs of the wave before have stopped. Kept: two runs to a wave, connections opened ahead, the copy before the stop.

--- a/core/src/main/java/org/redwinghook/core/relocation/MoveOrder.java
+++ b/core/src/main/java/org/redwinghook/core/relocation/MoveOrder.java
@@ -16,6 +16,9 @@
     /** Part of the notice in which a run is trusted to end by itself; the estimate of its length may be too short. */
     private static final double TRUSTED_SHARE = 0.5;
 
+    /** Latest turn as a part of the notice: a copy that starts later is not complete in time. */
+    private static final double LATEST_TURN_SHARE = 2.0 / 3;
+
     private MoveOrder() {}
 
     /**
@@ -38,4 +41,18 @@
                 .thenComparing(RunAtEngine::requestId));
         return moving;
     }
+
+    /**
+     * Whether a router may copy its runs. Routers take turns, so that a copy that stops its run does not queue behind
+     * another router's whole copy on the engine's link.
+     *
+     * @param earlierTokens memory at the engine that routers before this one have not moved yet
+     * @param memory memory of the engine
+     * @param waitedMillis time since the engine's notice
+     * @param noticeMillis time between the notice and the engine's end
+     * @return true once the others are done, or when a later start would come too late
+     */
+    public static boolean mayStart(long earlierTokens, EngineMemory memory, double waitedMillis, double noticeMillis) {
+        return memory.copyMillis(earlierTokens) <= 0 || waitedMillis >= noticeMillis * LATEST_TURN_SHARE;
+    }
 }
--- a/core/src/main/java/org/redwinghook/core/relocation/MovePlan.java
+++ b/core/src/main/java/org/redwinghook/core/relocation/MovePlan.java
@@ -6,55 +6,47 @@
 import org.redwinghook.core.forward.EngineMemory;
 
 /**
- * When one router copies its runs away from an engine that leaves. Answers departures at short notice under the runs of
- * several routers: the engine's link takes one copy after another, in the order of the calls. Copies start in waves. The
- * copies of one wave are called at once, whichever router they belong to, so that the link is not idle between them; the
- * next wave starts when they are expected to be done, so that stopped runs do not wait behind many whole copies. A
- * router counts the memory of the routers whose names sort before its own as queued before its runs.
+ * Which runs of one router are copied together when their engine leaves. Answers departures at short notice: the
+ * engine's link takes one copy after another, and a router in another region needs several trips for each run. The
+ * copies of a wave are called at once, so that the link is not idle between them; the next wave starts when all runs of
+ * the one before have stopped, so that a stopped run does not wait behind many whole copies.
  *
- * @param moves the moves in order
- * @param hurryMillis time from the notice after which a copied run stops at once, in milliseconds
+ * @param waves runs in the order of their copies
  */
-public record MovePlan(List<PlannedMove> moves, double hurryMillis) {
+public record MovePlan(List<List<RunAtEngine>> waves) {
 
-    /** Link time of a wave, in milliseconds: about two runs of usual size. */
+    /** Link time of a wave, in milliseconds: two runs of usual size. */
     private static final double WAVE_MILLIS = 400;
 
-    /** Time between waves for stopping the copied runs, in milliseconds: two trips between regions. */
-    private static final double STOPPING_MILLIS = 60;
-
-    /** Part of the notice that remains for stopping runs and going on elsewhere, in milliseconds. */
-    private static final double LAST_STOP_MILLIS = 350;
-
     public MovePlan {
-        moves = List.copyOf(moves);
+        waves = List.copyOf(waves);
     }
 
     /**
-     * A run and when its copy starts.
+     * Plans the moves of one router.
      *
-     * @param run the run
-     * @param startMillis time from the notice, in milliseconds
-     */
-    public record PlannedMove(RunAtEngine run, double startMillis) {}
-
-    /**
-     * Plans the moves.
-     *
-     * @param runs this router's runs at the engine
+     * @param runs the router's runs at the engine
      * @param memory memory of the engine
-     * @param queue memory of other routers that is copied first
      * @param noticeMillis time until the engine is gone
      * @return the plan; runs that may start anew elsewhere are not part of it
      */
-    public static MovePlan of(List<RunAtEngine> runs, EngineMemory memory, LinkQueue queue, double noticeMillis) {
-        List<PlannedMove> moves = new ArrayList<>();
-        double queuedMillis = queue.copyMillis(memory, queue.earlierTokens());
+    public static MovePlan of(List<RunAtEngine> runs, EngineMemory memory, double noticeMillis) {
+        List<List<RunAtEngine>> waves = new ArrayList<>();
+        List<RunAtEngine> wave = new ArrayList<>();
+        double waveMillis = 0;
         for (RunAtEngine run : MoveOrder.order(runs, memory, noticeMillis)) {
-            double wave = Math.floor(queuedMillis / WAVE_MILLIS);
-            moves.add(new PlannedMove(run, wave * (WAVE_MILLIS + STOPPING_MILLIS)));
-            queuedMillis += queue.copyMillis(memory, run.residentTokens());
+            double copyMillis = memory.copyMillis(run.residentTokens());
+            if (!wave.isEmpty() && waveMillis + copyMillis > WAVE_MILLIS) {
+                waves.add(List.copyOf(wave));
+                wave.clear();
+                waveMillis = 0;
+            }
+            wave.add(run);
+            waveMillis += copyMillis;
+        }
+        if (!wave.isEmpty()) {
+            waves.add(List.copyOf(wave));
         }
-        return new MovePlan(moves, noticeMillis - LAST_STOP_MILLIS);
+        return new MovePlan(waves);
     }
 }
--- a/core/src/test/java/org/redwinghook/core/relocation/MoveOrderTest.java
+++ b/core/src/test/java/org/redwinghook/core/relocation/MoveOrderTest.java
@@ -30,6 +30,17 @@
         }
     }
 
+    /** Load: runs of several routers share the link of an engine that leaves. */
+    public static class SeveralRouters {
+
+        @Test
+        public void waitsForEarlierRoutersButNotUntilItIsTooLate() {
+            Assert.assertFalse(MoveOrder.mayStart(3_000, MEMORY, 100, NOTICE_MILLIS));
+            Assert.assertTrue(MoveOrder.mayStart(0, MEMORY, 100, NOTICE_MILLIS));
+            Assert.assertTrue(MoveOrder.mayStart(3_000, MEMORY, NOTICE_MILLIS * 0.67, NOTICE_MILLIS));
+        }
+    }
+
     @Test
     public void copyTimeFollowsFromTheLink() {
         Assert.assertEquals(MEMORY.copyMillis(3_500), 193, 1);
--- a/router/src/main/java/org/redwinghook/router/forward/RunMove.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunMove.java
@@ -36,11 +36,13 @@
     private final StreamForwarding stream;
     private final KnownEndpoint source;
     private final long hurryAtMillis;
+    private final Runnable onLinkLeft;
     private final long createdMillis;
     private final Set<String> excluded = new HashSet<>();
     private @Nullable KnownEndpoint destination;
     private @Nullable RunningRequest reserved;
     private int tries;
+    private boolean linkLeft;
     private long stopSentMillis;
     private long stoppedMillis;
 
@@ -51,8 +53,15 @@
      * @param stream the run's stream
      * @param source engine that leaves
      * @param hurryAtMillis time, monotonic, from which a copied run stops without a second copy
+     * @param onLinkLeft called once when the run is stopped or its copy is put off, so that others may use the link
      */
-    RunMove(ForwardContext context, StreamForwarding stream, KnownEndpoint source, long hurryAtMillis) {
+    RunMove(
+            ForwardContext context,
+            StreamForwarding stream,
+            KnownEndpoint source,
+            long hurryAtMillis,
+            Runnable onLinkLeft) {
+        this.onLinkLeft = onLinkLeft;
         this.context = context;
         this.stream = stream;
         this.source = source;
@@ -150,8 +159,16 @@
         }
     }
 
+    private void leaveLink() {
+        if (!linkLeft) {
+            linkLeft = true;
+            onLinkLeft.run();
+        }
+    }
+
     private void later() {
         release();
+        leaveLink();
         context.vertx().setTimer(RETRY_MILLIS, ignored -> start());
     }
 
@@ -168,6 +185,7 @@
     }
 
     private void stopped(MoveResult result, KnownEndpoint chosen) {
+        leaveLink();
         String handle = result.handle();
         if (handle == null) {
             stream.stopFailed();
@@ -210,6 +228,7 @@
 
     private void ended(String outcome) {
         release();
+        leaveLink();
         KnownEndpoint target = destination;
         long now = context.clock().millis();
         LOGGER.info(
--- a/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
@@ -1,24 +1,35 @@
 package org.redwinghook.router.forward;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 import org.redwinghook.core.forward.EngineMemory;
 import org.redwinghook.core.forward.KnownEndpoint;
-import org.redwinghook.core.relocation.LinkQueue;
+import org.redwinghook.core.relocation.MoveOrder;
 import org.redwinghook.core.relocation.MovePlan;
 import org.redwinghook.core.relocation.RunAtEngine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Moves runs away from engines that leave, as {@link MovePlan} says; {@link RunMove} is one run's move. */
+/**
+ * Moves runs away from engines that leave. Routers take turns by name ({@link MoveOrder#mayStart}); in its turn, a router
+ * moves its runs in waves ({@link MovePlan}).
+ */
 final class RunRelocator {
 
     /** Time between an engine's notice and its end, in milliseconds; the shortest notice of an engine. */
     private static final double NOTICE_MILLIS = 1_500;
 
+    /** Part of the notice for the last copy and the way to the other engine: several trips between regions. */
+    private static final long LAST_STOP_MILLIS = 350;
+
+    /** Interval of looks whether routers before this one have moved their runs, in milliseconds. */
+    private static final long TURN_CHECK_MILLIS = 20;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(RunRelocator.class);
 
     private final ForwardContext context;
@@ -47,41 +58,67 @@
             byId.put(stream.caller().requestId(), stream);
             runs.add(stream.run());
         }
-        if (runs.isEmpty()) {
+        MovePlan plan = MovePlan.of(runs, memory, NOTICE_MILLIS);
+        if (plan.waves().isEmpty()) {
             return;
         }
-        MovePlan plan = MovePlan.of(runs, memory, queue(engine), NOTICE_MILLIS);
-        long noticedMillis = context.clock().millis();
+        Departure departure = new Departure(engine, memory, context.clock().millis());
+        for (List<RunAtEngine> wave : plan.waves()) {
+            departure.waves.add(
+                    wave.stream().map(run -> byId.get(run.requestId())).toList());
+        }
         LOGGER.info(
-                "moves planned engine={} runs={} moving={} firstMillis={} lastMillis={}",
+                "moves planned engine={} runs={} waves={}",
                 engine.entry().id(),
                 runs.size(),
-                plan.moves().size(),
-                plan.moves().stream()
-                        .mapToLong(move -> (long) move.startMillis())
-                        .min()
-                        .orElse(0),
-                plan.moves().stream()
-                        .mapToLong(move -> (long) move.startMillis())
-                        .max()
-                        .orElse(0));
-        for (MovePlan.PlannedMove planned : plan.moves()) {
-            StreamForwarding stream = byId.get(planned.run().requestId());
-            RunMove move = new RunMove(context, stream, engine, noticedMillis + (long) plan.hurryMillis());
-            if (planned.startMillis() < 1) {
-                move.start();
-            } else {
-                context.vertx().setTimer((long) planned.startMillis(), ignored -> move.start());
+                plan.waves().size());
+        departure.awaitTurn();
+    }
+
+    /** One engine that leaves, and what this router still has to move from it. */
+    private final class Departure {
+
+        private final KnownEndpoint engine;
+        private final EngineMemory memory;
+        private final long noticedMillis;
+        private final Deque<List<StreamForwarding>> waves = new ArrayDeque<>();
+        private int copying;
+
+        Departure(KnownEndpoint engine, EngineMemory memory, long noticedMillis) {
+            this.engine = engine;
+            this.memory = memory;
+            this.noticedMillis = noticedMillis;
+        }
+
+        /** Routers whose names sort first copy first. */
+        void awaitTurn() {
+            long now = context.clock().millis();
+            long earlier =
+                    context.ledger().earlier(self, engine.entry().id(), now).heldTokens();
+            if (MoveOrder.mayStart(earlier, memory, now - noticedMillis, NOTICE_MILLIS)) {
+                nextWave();
+                return;
+            }
+            context.vertx().setTimer(TURN_CHECK_MILLIS, ignored -> awaitTurn());
+        }
+
+        private void nextWave() {
+            List<StreamForwarding> wave = waves.poll();
+            if (wave == null) {
+                return;
+            }
+            copying = wave.size();
+            long hurryAtMillis = noticedMillis + (long) NOTICE_MILLIS - LAST_STOP_MILLIS;
+            for (StreamForwarding stream : wave) {
+                new RunMove(context, stream, engine, hurryAtMillis, this::linkLeft).start();
             }
         }
-    }
 
-    private LinkQueue queue(KnownEndpoint engine) {
-        long now = context.clock().millis();
-        String id = engine.entry().id();
-        boolean localEngine = context.state().endpoints().usable(engine.entry().service()).stream()
-                .anyMatch(other -> other != engine
-                        && other.entry().dataCentre().equals(engine.entry().dataCentre()));
-        return new LinkQueue(context.ledger().earlier(self, id, now).heldTokens(), localEngine);
+        private void linkLeft() {
+            copying--;
+            if (copying == 0) {
+                nextWave();
+            }
+        }
     }
 }
