--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/json/package-info.java
@@ -0,0 +1,5 @@
+/** How JSON objects are read and written. */
+@NullMarked
+package org.redwinghook.runtime.json;
+
+import org.jspecify.annotations.NullMarked;
--- a/runtime/src/main/java/org/redwinghook/runtime/wire/FrameCodec.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/FrameCodec.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.Lazy;
 import io.vavr.control.Try;
 import io.vertx.core.buffer.Buffer;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
@@ -19,8 +20,9 @@
     /** Bytes of the length in front of each frame. */
     public static final int LENGTH_BYTES = 4;
 
-    private final ObjectMapper mapper =
-            new ObjectMapper(new MessagePackFactory()).disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    /** Made with the first frame: it takes a large part of a start's processor time. */
+    private final Lazy<ObjectMapper> mapper = Lazy.of(() ->
+            new ObjectMapper(new MessagePackFactory()).disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES));
 
     /**
      * Encodes a message with its length.
@@ -30,7 +32,7 @@
      */
     public Buffer encode(Message message) {
         try {
-            byte[] body = mapper.writerFor(Message.class).writeValueAsBytes(message);
+            byte[] body = mapper.get().writerFor(Message.class).writeValueAsBytes(message);
             return Buffer.buffer(LENGTH_BYTES + body.length)
                     .appendInt(body.length)
                     .appendBytes(body);
@@ -46,6 +48,6 @@
      * @return the message, or a failure for a message of an unknown type or a damaged frame
      */
     public Try<Message> decode(Buffer body) {
-        return Try.of(() -> mapper.readValue(body.getBytes(), Message.class));
+        return Try.of(() -> mapper.get().readValue(body.getBytes(), Message.class));
     }
 }
