--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -42,6 +42,7 @@
     private int sends;
     private int connects;
     private boolean mayHaveRun;
+    private @Nullable Runnable failureAnswer;
 
     CallForwarding(ForwardContext context, CallerExchange caller) {
         this.context = context;
@@ -70,12 +71,22 @@
 
     private void giveUp(RefusalCause cause) {
         if (mayHaveRun) {
-            caller.fail("no endpoint left for a repeated request", false);
+            fail("no endpoint left for a repeated request", false);
             return;
         }
         caller.refuse(new Refusal(cause, RETRY_AFTER_MILLIS));
     }
 
+    /** Ends a request that may have run: with the failure that an endpoint answered, if one did. */
+    private void fail(String cause, boolean timedOut) {
+        Runnable answer = failureAnswer;
+        if (answer != null) {
+            answer.run();
+            return;
+        }
+        caller.fail(cause, timedOut);
+    }
+
     private boolean mayRepeat() {
         return sends < caller.route().maxAttempts()
                 && context.retries().tryRetry(caller.service(), context.clock().millis());
@@ -88,7 +99,7 @@
             caller.refuse(new Refusal(RefusalCause.NO_TIME, 0));
             return;
         }
-        caller.fail("the time ran out", true);
+        fail("the time ran out", true);
     }
 
     private void cancel() {
@@ -198,12 +209,17 @@
             } else {
                 endpoint.health().failed(now);
                 mayHaveRun = true;
+                failureAnswer = () -> forward(response, reply, body);
                 if (caller.route().mayRunAgain() && mayRepeat()) {
                     excluded.add(endpoint.entry().id());
                     attempt();
                     return;
                 }
             }
+            forward(response, reply, body);
+        }
+
+        private void forward(HttpClientResponse response, ReplyHead reply, Buffer body) {
             caller.forward(
                     reply.status(),
                     context.protocol().callerHeaders(response),
@@ -256,7 +272,7 @@
                 attempt();
                 return;
             }
-            caller.fail("the endpoint failed: " + failure.getMessage(), false);
+            fail("the endpoint failed: " + failure.getMessage(), false);
         }
     }
 }
