Choose from a random half of the engines when there are many routers

All of them see the same engine as the best one, and the random delay of 30 ms is small beside memory that is free.

Change: CandidateSample. With eight routers or more, each choice is made among a random half of more than six engines. The looks of routers that do not wait at the store are 10 s apart instead of 4 s: what they miss is repaired.

--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -15,6 +15,7 @@
 import org.redwinghook.core.forward.KnownEndpoint;
 import org.redwinghook.core.forward.ServiceSettings;
 import org.redwinghook.core.placement.Candidate;
+import org.redwinghook.core.placement.CandidateSample;
 import org.redwinghook.core.placement.Distance;
 import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
@@ -97,7 +98,7 @@
             candidates.add(
                     candidate(endpoint, memory, distance(from, endpoint.entry().dataCentre()), now));
         }
-        return policy.choose(candidates, query)
+        return policy.choose(CandidateSample.of(candidates, routers.getAsInt(), random), query)
                 .flatMap(best -> state.endpoints().find(best.id()));
     }
 
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -18,8 +18,11 @@
     /** Pause between reads, in milliseconds: endpoints report often, and one read can bring several reports. */
     private static final long PAUSE_MILLIS = 150;
 
-    /** Pause between reads while other routers wait at the store and pass its records on, in milliseconds. */
-    private static final long LOOK_MILLIS = 4_000;
+    /**
+     * Pause between reads while other routers wait at the store and pass its records on, in milliseconds; what they miss
+     * is repaired within seconds.
+     */
+    private static final long LOOK_MILLIS = 10_000;
 
     /** Interval of looks whether this router must wait at the store itself, in milliseconds. */
     private static final long TURN_MILLIS = 200;
