--- a/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
@@ -81,6 +81,7 @@
         private final KnownEndpoint engine;
         private final EngineMemory memory;
         private final long noticedMillis;
+        private final long noticedTokens;
         private final Deque<List<StreamForwarding>> waves = new ArrayDeque<>();
         private int copying;
 
@@ -88,20 +89,25 @@
             this.engine = engine;
             this.memory = memory;
             this.noticedMillis = noticedMillis;
+            this.noticedTokens = earlierTokens();
         }
 
         /** Routers whose names sort first copy first. */
         void awaitTurn() {
             long now = context.clock().millis();
-            long earlier =
-                    context.ledger().earlier(self, engine.entry().id(), now).heldTokens();
-            if (MoveOrder.mayStart(earlier, memory, now - noticedMillis, NOTICE_MILLIS)) {
+            if (MoveOrder.mayStart(earlierTokens(), noticedTokens, memory, now - noticedMillis)) {
                 nextWave();
                 return;
             }
             context.vertx().setTimer(TURN_CHECK_MILLIS, ignored -> awaitTurn());
         }
 
+        private long earlierTokens() {
+            return context.ledger()
+                    .earlier(self, engine.entry().id(), context.clock().millis())
+                    .heldTokens();
+        }
+
         private void nextWave() {
             List<StreamForwarding> wave = waves.poll();
             if (wave == null) {
