--- a/core/src/main/java/org/redwinghook/core/relocation/MoveOrder.java
+++ b/core/src/main/java/org/redwinghook/core/relocation/MoveOrder.java
@@ -16,11 +16,8 @@
     /** Part of the notice in which a run is trusted to end by itself; the estimate of its length may be too short. */
     private static final double TRUSTED_SHARE = 0.5;
 
-    /** Time for stopping the runs of the routers before, in milliseconds: several trips between regions. */
-    private static final double STOPPING_MILLIS = 300;
-
-    /** How much longer copies take than the link allows: some go to other data centres, for twice the time. */
-    private static final double SLOWER_COPY_FACTOR = 1.3;
+    /** Latest turn as a part of the notice: a copy that starts later is not complete in time. */
+    private static final double LATEST_TURN_SHARE = 2.0 / 3;
 
     private MoveOrder() {}
 
@@ -47,18 +44,15 @@
 
     /**
      * Whether a router may copy its runs. Routers take turns, so that a copy that stops its run does not queue behind
-     * another router's whole copy on the engine's link. A turn that does not come in time, as copies of the routers before
-     * are slower than expected, is taken when their runs should have been copied: the routers that wait do not all start
-     * at once, since then none of their copies would be complete in time.
+     * another router's whole copy on the engine's link.
      *
      * @param earlierTokens memory at the engine that routers before this one have not moved yet
-     * @param noticedTokens memory at the engine of the routers before this one when the notice came
      * @param memory memory of the engine
      * @param waitedMillis time since the engine's notice
-     * @return true once the others are done or should be
+     * @param noticeMillis time between the notice and the engine's end
+     * @return true once the others are done, or when a later start would come too late
      */
-    public static boolean mayStart(long earlierTokens, long noticedTokens, EngineMemory memory, double waitedMillis) {
-        double expectedMillis = STOPPING_MILLIS + memory.copyMillis(noticedTokens) * SLOWER_COPY_FACTOR;
-        return memory.copyMillis(earlierTokens) <= 0 || waitedMillis >= expectedMillis;
+    public static boolean mayStart(long earlierTokens, EngineMemory memory, double waitedMillis, double noticeMillis) {
+        return memory.copyMillis(earlierTokens) <= 0 || waitedMillis >= noticeMillis * LATEST_TURN_SHARE;
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
@@ -81,7 +81,6 @@
         private final KnownEndpoint engine;
         private final EngineMemory memory;
         private final long noticedMillis;
-        private final long noticedTokens;
         private final Deque<List<StreamForwarding>> waves = new ArrayDeque<>();
         private int copying;
 
@@ -89,25 +88,20 @@
             this.engine = engine;
             this.memory = memory;
             this.noticedMillis = noticedMillis;
-            this.noticedTokens = earlierTokens();
         }
 
         /** Routers whose names sort first copy first. */
         void awaitTurn() {
             long now = context.clock().millis();
-            if (MoveOrder.mayStart(earlierTokens(), noticedTokens, memory, now - noticedMillis)) {
+            long earlier =
+                    context.ledger().earlier(self, engine.entry().id(), now).heldTokens();
+            if (MoveOrder.mayStart(earlier, memory, now - noticedMillis, NOTICE_MILLIS)) {
                 nextWave();
                 return;
             }
             context.vertx().setTimer(TURN_CHECK_MILLIS, ignored -> awaitTurn());
         }
 
-        private long earlierTokens() {
-            return context.ledger()
-                    .earlier(self, engine.entry().id(), context.clock().millis())
-                    .heldTokens();
-        }
-
         private void nextWave() {
             List<StreamForwarding> wave = waves.poll();
             if (wave == null) {
