Pass records on from router to router in deployments of more than 64 routers

Cause: found by reading.

Change: where not all routers are connected, what is new goes on to the others at once, as before.

Nothing changes for up to 64 routers.

--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -12,6 +12,7 @@
 import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Vertx;
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.message.EndpointWork;
 import org.redwinghook.core.message.KeyedRecord;
 import org.redwinghook.core.message.Message;
@@ -23,6 +24,7 @@
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.StoreReaders;
 import org.redwinghook.core.replica.VersionedRecord;
+import org.redwinghook.router.peer.MeshShape;
 import org.redwinghook.runtime.config.ConfigurationPeer;
 import org.redwinghook.runtime.config.PeerListener;
 import org.slf4j.Logger;
@@ -61,6 +63,7 @@
     private boolean lastReadsStore = true;
     private BooleanSupplier readsStore = () -> true;
     private BooleanSupplier storeWasAway = () -> false;
+    private boolean allConnected = true;
     private boolean operatorsScheduled;
     private long operatorsSentMillis = Long.MIN_VALUE / 2;
     private long reportedMillis;
@@ -119,7 +122,7 @@
             return;
         }
         if (topic != RecordTopic.OPERATORS) {
-            send(message(topic, newest(records).values(), mayHaveLapsed));
+            send(null, message(topic, newest(records).values(), mayHaveLapsed));
             return;
         }
         if (StoreReaders.isFirst(self, storeReaders)) {
@@ -143,7 +146,7 @@
             return;
         }
         operatorsSentMillis = clock.millis();
-        send(message(RecordTopic.OPERATORS, pendingOperators.values(), false));
+        send(null, message(RecordTopic.OPERATORS, pendingOperators.values(), false));
         pendingOperators.clear();
     }
 
@@ -208,6 +211,7 @@
 
     @Override
     public void membersChanged(int liveRouters, int reachable) {
+        allConnected = liveRouters <= MeshShape.MOST_CONNECTED;
         LOGGER.debug("routers listed={} reachable={}", liveRouters, reachable);
     }
 
@@ -243,6 +247,10 @@
             records.add(new VersionedRecord(record.key(), record.offset(), record.value()));
         }
         List<VersionedRecord> changed = state.apply(topic, records, relayed.mayHaveLapsed());
+        if (!allConnected && !changed.isEmpty()) {
+            // A router of a large deployment is connected to few others, so what it hears goes on from one to the next.
+            send(peer, message(topic, changed, relayed.mayHaveLapsed()));
+        }
         if (topic != RecordTopic.ENDPOINTS && !changed.isEmpty()) {
             LOGGER.info("records relayed topic={} from={} changed={}", topic, peer.name(), changed.size());
         }
@@ -260,7 +268,7 @@
         lastReport.values().removeIf(WorkTotals.NONE::equals);
         lastReadsStore = reads;
         reportedMillis = now;
-        send(new WorkReport(self, entries(changed), false, reads, known()));
+        send(null, new WorkReport(self, entries(changed), false, reads, known()));
     }
 
     private Map<String, WorkTotals> changes(Map<String, WorkTotals> own) {
@@ -285,10 +293,10 @@
         return work;
     }
 
-    private void send(Message message) {
+    private void send(@Nullable ConfigurationPeer except, Message message) {
         Set<String> reached = new LinkedHashSet<>();
         for (ConfigurationPeer peer : List.copyOf(peers)) {
-            if (reached.add(peer.name())) {
+            if (peer != except && reached.add(peer.name())) {
                 peer.send(message);
             }
         }
--- a/router/src/main/java/org/redwinghook/router/peer/MeshShape.java
+++ b/router/src/main/java/org/redwinghook/router/peer/MeshShape.java
@@ -39,7 +39,7 @@
     };
 
     /** Routers up to which all are connected; the cost for each router grows with their number. */
-    private static final int MOST_CONNECTED = 64;
+    public static final int MOST_CONNECTED = 64;
 
     /**
      * Routers to connect to.
--- /dev/null
+++ b/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
@@ -0,0 +1,122 @@
+package org.redwinghook.router.forward;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.vertx.core.Vertx;
+import org.redwinghook.core.forward.EndpointEntry;
+import org.redwinghook.core.message.KeyedRecord;
+import org.redwinghook.core.message.Message;
+import org.redwinghook.core.message.RelayedRecords;
+import org.redwinghook.core.message.WorkReport;
+import org.redwinghook.core.placement.WorkLedger;
+import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.VersionedRecord;
+import org.redwinghook.runtime.config.ConfigurationPeer;
+import org.testng.Assert;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against records that fill the routers' links, and against records that stop at the first router. */
+public class RouterExchangeTest {
+
+    private static final int FEW_ROUTERS = 27;
+    private static final int MANY_ROUTERS = 360;
+    private static final RecordDecoder NO_RECORDS = new RecordDecoder() {
+        @Override
+        public Optional<OperatorRecord> operator(VersionedRecord record) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<EndpointEntry> endpoint(VersionedRecord record) {
+            return Optional.empty();
+        }
+    };
+
+    private final Vertx vertx = Vertx.vertx();
+    private ForwardingState state = new ForwardingState(NO_RECORDS, MonotonicClock.system());
+    private RouterExchange exchange = exchange();
+    private Peer first = new Peer("router-a");
+    private Peer other = new Peer("router-c");
+
+    /** Keeps what it is sent. */
+    private record Peer(String name, List<Message> sent) implements ConfigurationPeer {
+
+        Peer(String name) {
+            this(name, new ArrayList<>());
+        }
+
+        @Override
+        public void send(Message message) {
+            sent.add(message);
+        }
+
+        long relayed() {
+            return sent.stream().filter(RelayedRecords.class::isInstance).count();
+        }
+    }
+
+    @BeforeMethod
+    public void start() {
+        state = new ForwardingState(NO_RECORDS, MonotonicClock.system());
+        exchange = exchange();
+        first = new Peer("router-a");
+        other = new Peer("router-c");
+    }
+
+    @AfterClass
+    public void close() {
+        vertx.close().await();
+    }
+
+    /** Load: all routers are connected, and the reader has sent the record to each of them. */
+    @Test
+    public void recordIsNotPassedOnWhereAllRoutersAreConnected() {
+        connect(FEW_ROUTERS);
+        exchange.received(first, record(3));
+        Assert.assertEquals(state.replica(RecordTopic.OPERATORS).all().size(), 1);
+        Assert.assertEquals(other.relayed(), 0);
+    }
+
+    /** Load: a router is connected to few of many others, and no reader is among them. */
+    @Test
+    public void recordGoesOnFromRouterToRouterInLargeDeployments() {
+        connect(MANY_ROUTERS);
+        exchange.received(first, record(3));
+        Assert.assertEquals(other.relayed(), 1);
+        Assert.assertEquals(first.relayed(), 0);
+        exchange.received(other, record(3));
+        Assert.assertEquals(first.relayed(), 0);
+    }
+
+    /** Load: a router was cut off while the configuration changed. */
+    @Test
+    public void routerThatStaysBehindIsSentWhatItLacks() throws InterruptedException {
+        connect(FEW_ROUTERS);
+        exchange.received(first, record(3));
+        exchange.report();
+        Thread.sleep(500);
+        exchange.received(other, new WorkReport("router-c", List.of(), false, false, List.of(0L, 0L, 0L)));
+        Assert.assertEquals(other.relayed(), 1);
+    }
+
+    private RouterExchange exchange() {
+        return new RouterExchange(vertx, "router-b", state, new WorkLedger(), MonotonicClock.system());
+    }
+
+    private void connect(int routers) {
+        exchange.opened(first);
+        exchange.opened(other);
+        exchange.membersChanged(routers, 2);
+    }
+
+    private static RelayedRecords record(long offset) {
+        byte[] value = "value".getBytes(StandardCharsets.UTF_8);
+        return new RelayedRecords(
+                RecordTopic.OPERATORS.name(), List.of(new KeyedRecord("config", offset, value)), false);
+    }
+}
