--- a/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
@@ -88,9 +88,8 @@
     private static final double FARTHER_COPY_MILLIS = 600;
 
     /**
-     * Additional cost of a generation in another region, in milliseconds: all of its events cross the slow link, and
-     * each call of a later move takes two trips between the regions. About a fifth of the usual time to a first token
-     * remains to be saved by a nearer engine.
+     * Additional cost of a generation in another region, in milliseconds: a sixth of the usual objective for a first
+     * token. All of its events cross the slow link between regions, and each call of a later move takes two trips.
      */
     private static final double FAR_RUN_MILLIS = 300;
 
