Share what calls and streams do with one endpoint; remove fields that nothing sets

CallForwarding and StreamForwarding each had their own count of attempts, budget checks, exclusions, sending and reading of an answer's head. EndpointAttempts has the endpoints of one request, EndpointTurn one request at one endpoint; both classes use them. The two budget checks, before and after the attempt under way is counted, are one with a parameter, and StreamForwarding no longer reopens an ended attempt to fail it.

The headers that callers may not set stay dropped.

Behaviour is meant to be unchanged.

--- a/core/src/main/java/org/redwinghook/core/forward/EngineMemory.java
+++ b/core/src/main/java/org/redwinghook/core/forward/EngineMemory.java
@@ -7,13 +7,11 @@
  * @param bytesPerToken bytes of a token when it is copied
  * @param linkMegabits megabits a second that a copy can take
  * @param movable whether engines copy runs to each other on request
- * @param backups whether engines copy runs to each other as they grow
  */
-public record EngineMemory(
-        long capacityTokens, long bytesPerToken, double linkMegabits, boolean movable, boolean backups) {
+public record EngineMemory(long capacityTokens, long bytesPerToken, double linkMegabits, boolean movable) {
 
     /** Memory of endpoints that are no engines. */
-    public static final EngineMemory NONE = new EngineMemory(0, 0, 0, false, false);
+    public static final EngineMemory NONE = new EngineMemory(0, 0, 0, false);
 
     private static final double BITS_PER_BYTE = 8;
     private static final double BITS_PER_MEGABIT_MILLI = 1_000;
--- a/core/src/test/java/org/redwinghook/core/relocation/MoveOrderTest.java
+++ b/core/src/test/java/org/redwinghook/core/relocation/MoveOrderTest.java
@@ -9,7 +9,7 @@
 /** Guards against runs that are lost at a departure although the link could have copied them. */
 public class MoveOrderTest {
 
-    private static final EngineMemory MEMORY = new EngineMemory(34_000, 35_136, 5_100, true, true);
+    private static final EngineMemory MEMORY = new EngineMemory(34_000, 35_136, 5_100, true);
     private static final double NOTICE_MILLIS = 1_500;
 
     /** Load: an engine with several long runs, one that ends soon and one that may start anew elsewhere, leaves. */
--- a/core/src/test/java/org/redwinghook/core/relocation/MovePlanTest.java
+++ b/core/src/test/java/org/redwinghook/core/relocation/MovePlanTest.java
@@ -10,7 +10,7 @@
 /** Guards against copies that delay each other until the engine is gone, and against an idle link. */
 public class MovePlanTest {
 
-    private static final EngineMemory MEMORY = new EngineMemory(34_000, 35_136, 5_100, true, true);
+    private static final EngineMemory MEMORY = new EngineMemory(34_000, 35_136, 5_100, true);
     private static final double NOTICE_MILLIS = 1_500;
 
     /** Load: six runs of one router at an engine that leaves; recorded at second 18.0 of a played day. */
--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -1,8 +1,6 @@
 package org.redwinghook.router.forward;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
@@ -22,31 +20,21 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(CallForwarding.class);
 
-    /** Longest time for connecting to an endpoint, in milliseconds; several round trips between regions. */
-    private static final long CONNECT_MILLIS = 400;
-
-    /** Endpoints that may be tried in vain before anything is sent. */
-    private static final int MOST_CONNECTS = 4;
-
     /** Time after which a refused caller finds room again, in milliseconds: a few calls' duration. */
     private static final long RETRY_AFTER_MILLIS = 250;
 
-    private static final int MISDIRECTED = 421;
     private static final int FIRST_SERVER_ERROR = 500;
 
     private final ForwardContext context;
     private final CallerExchange caller;
-    private final Set<String> excluded = new HashSet<>();
-    private final PlacementQuery query = new PlacementQuery(0, 0);
+    private final EndpointAttempts attempts;
     private @Nullable Attempt current;
-    private int sends;
-    private int connects;
-    private boolean mayHaveRun;
     private @Nullable Runnable failureAnswer;
 
     CallForwarding(ForwardContext context, CallerExchange caller) {
         this.context = context;
         this.caller = caller;
+        this.attempts = new EndpointAttempts(context, caller, PlacementPolicy.CALL, new PlacementQuery(0, 0));
     }
 
     void start() {
@@ -58,19 +46,18 @@
     }
 
     private void attempt() {
-        Optional<KnownEndpoint> chosen = context.selector().choose(caller, PlacementPolicy.CALL, query, excluded);
-        if (chosen.isEmpty() || connects >= MOST_CONNECTS) {
-            giveUp(connects > 0 ? RefusalCause.ENDPOINTS_FULL : RefusalCause.NO_ENDPOINT);
+        Optional<KnownEndpoint> chosen = attempts.next();
+        if (chosen.isEmpty()) {
+            giveUp(attempts.noneLeft());
             return;
         }
-        connects++;
         Attempt attempt = new Attempt(chosen.get());
         current = attempt;
         attempt.start();
     }
 
     private void giveUp(RefusalCause cause) {
-        if (mayHaveRun) {
+        if (attempts.mayHaveRun()) {
             fail("no endpoint left for a repeated request", false);
             return;
         }
@@ -87,15 +74,10 @@
         caller.fail(cause, timedOut);
     }
 
-    private boolean mayRepeat() {
-        return sends < caller.route().maxAttempts()
-                && context.retries().tryRetry(caller.service(), context.clock().millis());
-    }
-
     private void timedOut() {
-        boolean sent = current != null && !current.over && current.exchange.sent();
+        boolean sent = current != null && current.turn.underWay();
         cancel();
-        if (!mayHaveRun && !sent) {
+        if (!attempts.mayHaveRun() && !sent) {
             caller.refuse(new Refusal(RefusalCause.NO_TIME, 0));
             return;
         }
@@ -113,93 +95,60 @@
     private final class Attempt {
 
         private final KnownEndpoint endpoint;
-        private final EndpointExchange exchange;
-        private final RunningRequest running;
+        private final EndpointTurn turn;
         private long timer = -1;
-        private boolean over;
 
         Attempt(KnownEndpoint endpoint) {
             this.endpoint = endpoint;
-            this.exchange = EndpointExchange.to(endpoint.entry());
-            this.running = new RunningRequest(endpoint.entry().id(), 0, 0);
+            this.turn = new EndpointTurn(
+                    context,
+                    caller,
+                    endpoint,
+                    EndpointExchange.to(endpoint.entry()),
+                    new RunningRequest(endpoint.entry().id(), 0, 0));
         }
 
         void start() {
-            context.ledger().started(running);
-            endpoint.pacing().sent(context.clock().millis());
-            if (caller.route().mayRunAgain() && sends + 1 < caller.route().maxAttempts()) {
+            turn.begin();
+            if (caller.route().mayRunAgain() && attempts.allowsAnother(1)) {
                 timer = context.vertx().setTimer(Math.max(1, caller.route().objectiveMillis()), ignored -> tooSlow());
             }
-            EndpointRequestHead head = new EndpointRequestHead(
-                    endpoint.entry().id(),
-                    Math.max(1, caller.remainingMillis()),
-                    caller.access() == null ? null : caller.access().customer(),
-                    null,
-                    null,
-                    null,
-                    null);
-            exchange.send(
-                            context.client(),
-                            Math.min(CONNECT_MILLIS, Math.max(1, caller.remainingMillis())),
-                            caller.request().method(),
-                            caller.request().uri(),
-                            context.protocol().endpointHeaders(caller.request().headers(), head),
-                            caller.body())
-                    .onSuccess(this::answered)
-                    .onFailure(this::failed);
+            turn.send(null, null).onSuccess(this::answered).onFailure(this::failed);
         }
 
         void end() {
-            over = true;
             context.vertx().cancelTimer(timer);
-            context.ledger().ended(running);
-            exchange.close();
+            turn.end();
         }
 
+        /** Gives the endpoint up although it may still answer. */
         private void tooSlow() {
-            if (!over && caller.remainingMillis() > 0 && mayRepeatSlow()) {
-                lost();
+            if (!turn.over() && caller.remainingMillis() > 0 && attempts.tryAnother(1)) {
+                end();
+                attempts.lost(endpoint);
+                attempt();
             }
         }
 
-        private boolean mayRepeatSlow() {
-            return sends + 1 < caller.route().maxAttempts()
-                    && context.retries()
-                            .tryRetry(caller.service(), context.clock().millis());
-        }
-
-        /** Gives the endpoint up although it may still answer. */
-        private void lost() {
-            sends++;
-            mayHaveRun = true;
-            end();
-            endpoint.health().failed(context.clock().millis());
-            excluded.add(endpoint.entry().id());
-            attempt();
-        }
-
         private void answered(HttpClientResponse response) {
-            if (over) {
+            if (turn.over()) {
                 return;
             }
-            ReplyHead reply = context.protocol().reply(response);
-            if (reply.waiting() >= 0) {
-                endpoint.reportWaiting(reply.waiting(), context.clock().millis());
-            }
+            ReplyHead reply = turn.reply(response);
             response.body().onSuccess(body -> complete(response, reply, body)).onFailure(this::failed);
         }
 
         private void complete(HttpClientResponse response, ReplyHead reply, Buffer body) {
-            if (over) {
+            if (turn.over()) {
                 return;
             }
-            if (!reply.intact() || !reply.belongsTo(caller.requestId())) {
+            if (!turn.owns(reply)) {
                 failed(new IllegalStateException("the answer is not the request's own"));
                 return;
             }
             end();
-            sends++;
-            if (reply.notRun() || reply.status() == MISDIRECTED) {
+            attempts.answered();
+            if (reply.notRun() || reply.status() == EndpointTurn.MISDIRECTED) {
                 refused(reply);
                 return;
             }
@@ -208,39 +157,30 @@
                 endpoint.health().succeeded(now);
             } else {
                 endpoint.health().failed(now);
-                mayHaveRun = true;
-                failureAnswer = () -> forward(response, reply, body);
-                if (caller.route().mayRunAgain() && mayRepeat()) {
-                    excluded.add(endpoint.entry().id());
+                attempts.noteRun();
+                failureAnswer = () -> turn.forward(response, body);
+                if (caller.route().mayRunAgain() && attempts.tryAnother(0)) {
+                    attempts.exclude(endpoint);
                     attempt();
                     return;
                 }
             }
-            forward(response, reply, body);
-        }
-
-        private void forward(HttpClientResponse response, ReplyHead reply, Buffer body) {
-            caller.forward(
-                    reply.status(),
-                    context.protocol().callerHeaders(response),
-                    body,
-                    endpoint.entry().id());
+            turn.forward(response, body);
         }
 
         private void refused(ReplyHead reply) {
-            if (reply.status() == MISDIRECTED) {
+            if (reply.status() == EndpointTurn.MISDIRECTED) {
                 endpoint.health().unreachable(context.clock().millis());
             } else {
                 endpoint.health().failed(context.clock().millis());
             }
-            excluded.add(endpoint.entry().id());
-            context.metrics().endpointFailed(caller.service(), "refused");
+            attempts.refused(endpoint);
             LOGGER.info(
                     "endpoint refused id={} endpoint={} status={}",
                     caller.requestId(),
-                    endpoint.entry().id(),
+                    turn.endpointId(),
                     reply.status());
-            if (mayRepeat()) {
+            if (attempts.tryAnother(0)) {
                 attempt();
                 return;
             }
@@ -248,27 +188,18 @@
         }
 
         private void failed(Throwable failure) {
-            if (over) {
+            if (turn.over()) {
                 return;
             }
             end();
-            excluded.add(endpoint.entry().id());
-            context.metrics().endpointFailed(caller.service(), exchange.sent() ? "failed" : "unreachable");
             LOGGER.info(
                     "call failed id={} endpoint={} sent={} cause={}",
                     caller.requestId(),
-                    endpoint.entry().id(),
-                    exchange.sent(),
+                    turn.endpointId(),
+                    turn.sent(),
                     failure.toString());
-            if (!exchange.sent()) {
-                endpoint.health().unreachable(context.clock().millis());
-                attempt();
-                return;
-            }
-            sends++;
-            mayHaveRun = true;
-            endpoint.health().failed(context.clock().millis());
-            if (caller.route().mayRunAgain() && mayRepeat()) {
+            attempts.failed(turn);
+            if (!turn.sent() || (caller.route().mayRunAgain() && attempts.tryAnother(0))) {
                 attempt();
                 return;
             }
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointRequestHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointRequestHead.java
@@ -8,8 +8,6 @@
  * @param endpointId the only endpoint that may run the request
  * @param remainingMillis time that the caller still waits
  * @param customer customer of the request, null if it is anonymous
- * @param priority rank at the engine, 0 first; null for calls
- * @param backupAddress engine that receives a copy of the run's memory, null for none
  * @param memory copy of the run's memory to go on from, null for a new run
  * @param lastEventId last event that the caller has, null for a new run
  */
@@ -17,7 +15,5 @@
         String endpointId,
         long remainingMillis,
         @Nullable String customer,
-        @Nullable Integer priority,
-        @Nullable String backupAddress,
         @Nullable MemoryCopy memory,
         @Nullable String lastEventId) {}
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -1,8 +1,6 @@
 package org.redwinghook.router.forward;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
@@ -24,12 +22,6 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(StreamForwarding.class);
 
-    /** Longest time for connecting to an endpoint, in milliseconds; several round trips between regions. */
-    private static final long CONNECT_MILLIS = 400;
-
-    /** Endpoints that may be tried in vain before anything is sent. */
-    private static final int MOST_CONNECTS = 4;
-
     /** Time after which a refused caller finds room again, in milliseconds: about a prompt's reading. */
     private static final long RETRY_AFTER_MILLIS = 500;
 
@@ -42,17 +34,12 @@
     /** A run that is longer than expected is taken to go on for this fraction (1/n) of what it has produced. */
     private static final long LONGER_SHARE = 4;
 
-    private static final int MISDIRECTED = 421;
-
     private final ForwardContext context;
     private final CallerExchange caller;
     private final RunningStreams registry;
-    private final Set<String> excluded = new HashSet<>();
     private final PlacementQuery query;
+    private final EndpointAttempts attempts;
     private @Nullable Attempt current;
-    private int sends;
-    private int connects;
-    private boolean mayHaveRun;
     private boolean begun;
     private long events;
     private @Nullable String lastEventId;
@@ -70,6 +57,7 @@
         RequestHead head = caller.head();
         long expected = head.outputHint() > 0 ? head.outputHint() : head.mostOutputTokens();
         this.query = new PlacementQuery(head.promptTokens(), expected);
+        this.attempts = new EndpointAttempts(context, caller, PlacementPolicy.GENERATION, query);
     }
 
     void start() {
@@ -128,15 +116,14 @@
             return;
         }
         attempt.stopping = false;
-        if (attempt.over && !caller.ended()) {
-            attempt.over = false;
-            attempt.failed(new IllegalStateException("the engine was lost while it stopped the run"));
+        if (attempt.turn.over() && !caller.ended()) {
+            attempt.broken(new IllegalStateException("the engine was lost while it stopped the run"));
         }
     }
 
     boolean stopped() {
         Attempt attempt = current;
-        return attempt == null || attempt.over;
+        return attempt == null || attempt.turn.over();
     }
 
     /**
@@ -193,12 +180,11 @@
     }
 
     private void attempt() {
-        Optional<KnownEndpoint> chosen = context.selector().choose(caller, PlacementPolicy.GENERATION, query, excluded);
-        if (chosen.isEmpty() || connects >= MOST_CONNECTS) {
-            giveUp(connects > 0 ? RefusalCause.ENDPOINTS_FULL : RefusalCause.NO_ENDPOINT);
+        Optional<KnownEndpoint> chosen = attempts.next();
+        if (chosen.isEmpty()) {
+            giveUp(attempts.noneLeft());
             return;
         }
-        connects++;
         Attempt attempt = new Attempt(chosen.get(), null);
         current = attempt;
         attempt.start();
@@ -210,27 +196,22 @@
             return;
         }
         end();
-        if (mayHaveRun) {
+        if (attempts.mayHaveRun()) {
             caller.fail("no endpoint left for a repeated request", false);
             return;
         }
         caller.refuse(new Refusal(cause, RETRY_AFTER_MILLIS));
     }
 
-    private boolean mayRepeat() {
-        return sends < caller.route().maxAttempts()
-                && context.retries().tryRetry(caller.service(), context.clock().millis());
-    }
-
     private void timedOut() {
-        boolean sent = current != null && !current.over && current.exchange.sent();
+        boolean sent = current != null && current.turn.underWay();
         cancel();
         if (begun) {
             abort("the time ran out");
             return;
         }
         end();
-        if (!mayHaveRun && !sent) {
+        if (!attempts.mayHaveRun() && !sent) {
             caller.refuse(new Refusal(RefusalCause.NO_TIME, 0));
             return;
         }
@@ -258,7 +239,7 @@
     private void cancel() {
         Attempt attempt = current;
         if (attempt != null) {
-            attempt.end();
+            attempt.turn.end();
         }
         if (caller.ended()) {
             end();
@@ -280,58 +261,31 @@
 
         private final KnownEndpoint endpoint;
         private final @Nullable MemoryCopy copy;
-        private final EndpointExchange exchange;
+        private final EndpointTurn turn;
         private final RunningRequest running;
         private final EventSplitter splitter = new EventSplitter();
         private @Nullable HttpClientResponse response;
         private boolean stopping;
-        private boolean over;
 
         Attempt(KnownEndpoint endpoint, @Nullable MemoryCopy copy) {
             this.endpoint = endpoint;
             this.copy = copy;
-            this.exchange = exchangeWith(endpoint);
             this.running = new RunningRequest(endpoint.entry().id(), query.promptTokens(), query.outputTokens());
+            this.turn = new EndpointTurn(context, caller, endpoint, exchangeWith(endpoint), running);
         }
 
         void start() {
-            context.ledger().started(running);
-            endpoint.pacing().sent(context.clock().millis());
+            turn.begin();
             context.reportWork().run();
-            EndpointRequestHead head = new EndpointRequestHead(
-                    endpoint.entry().id(),
-                    Math.max(1, caller.remainingMillis()),
-                    caller.access() == null ? null : caller.access().customer(),
-                    null,
-                    null,
-                    copy,
-                    lastEventId);
-            exchange.send(
-                            context.client(),
-                            Math.min(CONNECT_MILLIS, Math.max(1, caller.remainingMillis())),
-                            caller.request().method(),
-                            caller.request().uri(),
-                            context.protocol().endpointHeaders(caller.request().headers(), head),
-                            caller.body())
-                    .onSuccess(this::answered)
-                    .onFailure(this::failed);
-        }
-
-        void end() {
-            over = true;
-            context.ledger().ended(running);
-            exchange.close();
+            turn.send(copy, lastEventId).onSuccess(this::answered).onFailure(this::failed);
         }
 
         private void answered(HttpClientResponse head) {
-            if (over) {
+            if (turn.over()) {
                 return;
             }
-            ReplyHead reply = context.protocol().reply(head);
-            if (reply.waiting() >= 0) {
-                endpoint.reportWaiting(reply.waiting(), context.clock().millis());
-            }
-            if (!reply.intact() || !reply.belongsTo(caller.requestId())) {
+            ReplyHead reply = turn.reply(head);
+            if (!turn.owns(reply)) {
                 failed(new IllegalStateException("the answer is not the request's own"));
                 return;
             }
@@ -346,7 +300,7 @@
         }
 
         private void received(HttpClientResponse head, Buffer bytes) {
-            if (over) {
+            if (turn.over()) {
                 return;
             }
             for (EventSplitter.Event event : splitter.add(bytes)) {
@@ -378,15 +332,15 @@
         }
 
         private void completed() {
-            if (over) {
+            if (turn.over()) {
                 return;
             }
             if ((stopping && !framed()) || splitter.partial() || !begun) {
                 failed(new IllegalStateException("the stream ended before its last event"));
                 return;
             }
+            turn.end();
             end();
-            StreamForwarding.this.end();
             endpoint.health().succeeded(context.clock().millis());
             caller.complete(endpoint.entry().id());
         }
@@ -399,15 +353,13 @@
         }
 
         private void refused(HttpClientResponse head, ReplyHead reply, Buffer body) {
-            if (over) {
+            if (turn.over()) {
                 return;
             }
-            end();
-            sends++;
-            excluded.add(endpoint.entry().id());
-            long now = context.clock().millis();
-            endpoint.health().failed(now);
-            context.metrics().endpointFailed(caller.service(), "refused");
+            turn.end();
+            attempts.answered();
+            attempts.refused(endpoint);
+            endpoint.health().failed(context.clock().millis());
             LOGGER.info(
                     "endpoint refused id={} endpoint={} status={} notRun={} memory={}",
                     caller.requestId(),
@@ -419,25 +371,21 @@
                 copyNotTaken(copy);
                 return;
             }
-            if (reply.notRun() || reply.status() == MISDIRECTED) {
-                if (mayRepeat()) {
+            if (reply.notRun() || reply.status() == EndpointTurn.MISDIRECTED) {
+                if (attempts.tryAnother(0)) {
                     attempt();
                     return;
                 }
                 giveUp(RefusalCause.ENDPOINTS_FULL);
                 return;
             }
-            mayHaveRun = true;
-            if (caller.route().mayRunAgain() && mayRepeat()) {
+            attempts.noteRun();
+            if (caller.route().mayRunAgain() && attempts.tryAnother(0)) {
                 attempt();
                 return;
             }
-            StreamForwarding.this.end();
-            caller.forward(
-                    reply.status(),
-                    context.protocol().callerHeaders(head),
-                    body,
-                    endpoint.entry().id());
+            end();
+            turn.forward(head, body);
         }
 
         /** The copy was not used: the engine that stopped the run can still go on from its own memory. */
@@ -451,36 +399,31 @@
         }
 
         private void failed(Throwable failure) {
-            if (over) {
+            if (turn.over()) {
                 return;
             }
-            end();
-            if (stopping) {
-                return;
+            turn.end();
+            if (!stopping) {
+                broken(failure);
             }
+        }
+
+        /** Goes on after a turn that ended without the end of the stream, if that is possible. */
+        private void broken(Throwable failure) {
             LOGGER.info(
                     "stream broken id={} endpoint={} events={} lastEventId={} sent={} cause={}",
                     caller.requestId(),
-                    endpoint.entry().id(),
+                    turn.endpointId(),
                     events,
                     lastEventId,
-                    exchange.sent(),
+                    turn.sent(),
                     failure.toString());
-            excluded.add(endpoint.entry().id());
-            context.metrics().endpointFailed(caller.service(), exchange.sent() ? "failed" : "unreachable");
-            if (!exchange.sent()) {
-                endpoint.health().unreachable(context.clock().millis());
-                if (copy != null) {
-                    copyNotTaken(copy);
-                    return;
-                }
-                attempt();
+            attempts.failed(turn);
+            if (!turn.sent() && copy != null) {
+                copyNotTaken(copy);
                 return;
             }
-            sends++;
-            mayHaveRun = true;
-            endpoint.health().failed(context.clock().millis());
-            if (caller.route().mayRunAgain() && mayRepeat()) {
+            if (!turn.sent() || (caller.route().mayRunAgain() && attempts.tryAnother(0))) {
                 attempt();
                 return;
             }
@@ -488,7 +431,7 @@
                 abort("the endpoint broke the stream off");
                 return;
             }
-            StreamForwarding.this.end();
+            end();
             caller.fail("the endpoint failed: " + failure.getMessage(), false);
         }
     }
