--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -178,7 +178,7 @@
             }
         }
         Map<String, WorkTotals> own = ledger.own();
-        peer.send(new WorkReport(self, entries(own), true, readsStore.getAsBoolean(), known()));
+        peer.send(new WorkReport(self, entries(own), true, readsStore.getAsBoolean(), noteKnowledge()));
     }
 
     @Override
@@ -217,7 +217,7 @@
 
     /** Sends a router what it lacks. */
     private void repair(ConfigurationPeer peer, WorkReport report) {
-        known();
+        noteKnowledge();
         for (RecordTopic topic : RecordTopic.values()) {
             boolean told = topic.ordinal() < report.known().size();
             if (told
@@ -229,8 +229,8 @@
         }
     }
 
-    /** How much this router knows of each topic. */
-    private List<Long> known() {
+    /** Notes how much this router knows of each topic, and returns it. */
+    private List<Long> noteKnowledge() {
         List<Long> known = new ArrayList<>();
         for (RecordTopic topic : RecordTopic.values()) {
             long knowledge = state.replica(topic).knowledge();
@@ -268,7 +268,7 @@
         lastReport.values().removeIf(WorkTotals.NONE::equals);
         lastReadsStore = reads;
         reportedMillis = now;
-        send(null, new WorkReport(self, entries(changed), false, reads, known()));
+        send(null, new WorkReport(self, entries(changed), false, reads, noteKnowledge()));
     }
 
     private Map<String, WorkTotals> changes(Map<String, WorkTotals> own) {
