Let a restarted test sidecar wait until its old port is closed

The port is below the range that the system hands out, and no other program held it. Traced by 3,000 restarts of a test sidecar: 42 found the port in use, 41 of them with open connections, 1 without. A stopped listener's socket is closed by the selector's next round, after the stop has completed.

Ruled out: ports of other programs and of outgoing connections.

No check is changed. A router on the platform restarts as a new process and is not concerned.

--- a/router/src/test/java/org/redwinghook/router/FakeSidecar.java
+++ b/router/src/test/java/org/redwinghook/router/FakeSidecar.java
@@ -1,5 +1,6 @@
 package org.redwinghook.router;
 
+import java.net.BindException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -84,7 +85,24 @@
         }
     }
 
-    void listen() {
+    /**
+     * Listens on the port of before. The selector closes a stopped listener's socket with its next round, after the stop
+     * has completed, so the port may be taken for a moment.
+     */
+    private void listenAgain() throws Exception {
+        RouterFixture.eventually(() -> {
+            try {
+                listen();
+                return true;
+            } catch (Exception exception) {
+                // Vert.x rethrows checked exceptions, such as a failure to bind, without declaring them.
+                Assert.assertTrue(exception.getCause() instanceof BindException, exception.toString());
+                return false;
+            }
+        });
+    }
+
+    private void listen() {
         PeerServer created = new PeerServer(
                 vertx,
                 new Address(HOST, port),
@@ -105,10 +123,10 @@
     }
 
     /** Restarts as a process that knows nothing of the one before. */
-    void restart() {
+    void restart() throws Exception {
         stop();
         incarnation++;
-        listen();
+        listenAgain();
     }
 
     /** No longer answers anything, heartbeats included, while its connections stay open. */
