--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -91,8 +91,9 @@
         List<KnownEndpoint> reachable = allowed.stream()
                 .filter(endpoint -> !endpoint.health().avoid(now))
                 .toList();
-        List<KnownEndpoint> tried = paced(caller.service(), reachable.isEmpty() ? allowed : reachable, now);
-        long memory = memory(caller.service()).capacityTokens();
+        Optional<ServiceSettings> settings = settings(caller.service());
+        List<KnownEndpoint> tried = paced(settings, reachable.isEmpty() ? allowed : reachable, now);
+        long memory = memory(settings).capacityTokens();
         List<Candidate> candidates = new ArrayList<>();
         for (KnownEndpoint endpoint : tried) {
             candidates.add(
@@ -103,11 +104,8 @@
     }
 
     /** Leaves out cold endpoints to which this router has sent its part of what they bear. */
-    private List<KnownEndpoint> paced(String service, List<KnownEndpoint> endpoints, long now) {
-        double limit = state.configuration()
-                .flatMap(configuration -> configuration.service(service))
-                .map(ServiceSettings::coldRequestsPerSecond)
-                .orElse(0.0);
+    private List<KnownEndpoint> paced(Optional<ServiceSettings> settings, List<KnownEndpoint> endpoints, long now) {
+        double limit = settings.map(ServiceSettings::coldRequestsPerSecond).orElse(0.0);
         return endpoints.stream()
                 .filter(endpoint -> !endpoint.cold(now) || endpoint.pacing().allows(limit, routers.getAsInt(), now))
                 .toList();
@@ -120,10 +118,15 @@
      * @return the memory, {@link EngineMemory#NONE} if the configuration names none
      */
     EngineMemory memory(String service) {
-        return state.configuration()
-                .flatMap(configuration -> configuration.service(service))
-                .map(ServiceSettings::memory)
-                .orElse(EngineMemory.NONE);
+        return memory(settings(service));
+    }
+
+    private static EngineMemory memory(Optional<ServiceSettings> settings) {
+        return settings.map(ServiceSettings::memory).orElse(EngineMemory.NONE);
+    }
+
+    private Optional<ServiceSettings> settings(String service) {
+        return state.configuration().flatMap(configuration -> configuration.service(service));
     }
 
     private List<KnownEndpoint> allowed(CallerExchange caller, Set<String> excluded) {
