Read the platform's figures as fractions and reload settings

The stop time, the retry window and the tolerance of cold endpoints were fixed in the code or the template.

Change: stopSeconds, retries and coldEndpoints come from the platform's bounds; each figure may be whole, a fraction, null or missing. A changed settings file takes effect within a second, with or without SIGHUP, where no restart is needed; the log and the state dump name the digest in force and what waits for a restart. With more routers than a cold endpoint takes requests a second, only some routers send to it: 33 routers with one request each exceeded the 30 that such an endpoint tolerates.

--- a/core/src/main/java/org/redwinghook/core/document/YamlMap.java
+++ b/core/src/main/java/org/redwinghook/core/document/YamlMap.java
@@ -254,6 +254,22 @@
         return defaultValue;
     }
 
+    /**
+     * A decimal number that may be absent or null, as in a document filled in from a template.
+     *
+     * @param key the key
+     * @param minimum minimum value
+     * @param maximum maximum value
+     * @param defaultValue value if absent, null or after a finding
+     * @return the number
+     */
+    public double nullableDecimal(String key, double minimum, double maximum, double defaultValue) {
+        if (readNode(key) instanceof ScalarNode scalar && Tag.NULL.equals(scalar.getTag())) {
+            return defaultValue;
+        }
+        return decimal(key, minimum, maximum, defaultValue);
+    }
+
     /**
      * A boolean value that may be absent.
      *
--- a/core/src/main/java/org/redwinghook/core/placement/ColdPacing.java
+++ b/core/src/main/java/org/redwinghook/core/placement/ColdPacing.java
@@ -12,19 +12,41 @@
 
     private static final long SECOND_MILLIS = 1_000;
 
+    /** Standard deviations by which the number of senders may exceed its mean. */
+    private static final double VARIATION = 3;
+
     private final Deque<Long> sentMillis = new ArrayDeque<>();
 
     /**
      * Whether another request may be sent.
      *
      * @param requestsPerSecond requests per second that the endpoint can handle while it is cold; 0 for no limit
+     * @param burst tolerance of the endpoint for a burst
      * @param routers number of routers that share the limit
+     * @param position position of this router among all for this endpoint, evenly distributed from 0 inclusive to 1
+     *     exclusive
      * @param nowMillis current time
-     * @return false if this router has used up its share of the last second; at least one request per second is allowed
+     * @return false if this router has used up its share of the last second
      */
-    public boolean allows(double requestsPerSecond, int routers, long nowMillis) {
+    public boolean allows(double requestsPerSecond, ColdBurst burst, int routers, double position, long nowMillis) {
         removeExpired(nowMillis);
-        return requestsPerSecond <= 0 || sentMillis.size() < Math.max(1, (int) (requestsPerSecond / routers));
+        if (requestsPerSecond <= 0) {
+            return true;
+        }
+        if (requestsPerSecond >= routers) {
+            return sentMillis.size() < (int) (requestsPerSecond / routers);
+        }
+        return sentMillis.isEmpty() && position * routers < senders(requestsPerSecond, burst);
+    }
+
+    /**
+     * Expected number of routers that send one request each second, when there are more routers than requests. Each
+     * router knows only its own position, so the number that do send varies by its square root.
+     */
+    private static double senders(double requestsPerSecond, ColdBurst burst) {
+        double limit = burst.largestBurst(requestsPerSecond);
+        double root = (Math.sqrt(VARIATION * VARIATION + 4 * limit) - VARIATION) / 2;
+        return Math.min(requestsPerSecond, root * root);
     }
 
     /**
--- a/core/src/main/java/org/redwinghook/core/routing/RendezvousHash.java
+++ b/core/src/main/java/org/redwinghook/core/routing/RendezvousHash.java
@@ -25,6 +25,17 @@
                 .asLong();
     }
 
+    /**
+     * Position of a node for a key, evenly distributed over the nodes.
+     *
+     * @param key hash of the key
+     * @param node name of the node
+     * @return from 0 inclusive to 1 exclusive
+     */
+    public static double position(long key, String node) {
+        return (score(key, node) >>> 11) * 0x1.0p-53;
+    }
+
     /**
      * Hash of a text, for use as a key.
      *
--- a/core/src/main/java/org/redwinghook/core/routing/RetryBudget.java
+++ b/core/src/main/java/org/redwinghook/core/routing/RetryBudget.java
@@ -1,21 +1,21 @@
 package org.redwinghook.core.routing;
 
+import java.util.function.DoubleSupplier;
 import java.util.function.IntSupplier;
 
-/** Limits retries to a share of the requests over the last ten seconds. Times are milliseconds of a monotonic clock. */
+/** Limits retries to a share of the requests in a window. Times are milliseconds of a monotonic clock. */
 public final class RetryBudget {
 
-    private static final int WINDOW_SECONDS = 10;
     private static final long SECOND_MILLIS = 1_000;
 
     /** Retries that the window always allows; at a few requests per second, a share alone would forbid every retry. */
     private static final int DEFAULT_MINIMUM_RETRIES = 3;
 
     private final int maximumAttempts;
-    private final double retryShare;
+    private final DoubleSupplier retryShare;
     private final IntSupplier minimumRetries;
-    private final int[] requests = new int[WINDOW_SECONDS];
-    private final int[] retries = new int[WINDOW_SECONDS];
+    private final int[] requests;
+    private final int[] retries;
     private long currentSecond;
 
     /**
@@ -25,20 +25,23 @@
      * @param retryShare retries as a share of requests over ten seconds
      */
     public RetryBudget(int maximumAttempts, double retryShare) {
-        this(maximumAttempts, retryShare, () -> DEFAULT_MINIMUM_RETRIES);
+        this(maximumAttempts, () -> retryShare, () -> DEFAULT_MINIMUM_RETRIES, RetryLimits.DEFAULT_WINDOW_SECONDS);
     }
 
     /**
      * Creates a budget.
      *
      * @param maximumAttempts maximum number of attempts of one request
-     * @param retryShare retries as a share of requests over ten seconds
-     * @param minimumRetries retries that are always allowed in ten seconds, regardless of the number of requests
+     * @param retryShare retries as a share of the requests in a window
+     * @param minimumRetries retries that are always allowed in a window, regardless of the number of requests
+     * @param windowSeconds length of the window, in seconds
      */
-    public RetryBudget(int maximumAttempts, double retryShare, IntSupplier minimumRetries) {
+    public RetryBudget(int maximumAttempts, DoubleSupplier retryShare, IntSupplier minimumRetries, int windowSeconds) {
         this.maximumAttempts = maximumAttempts;
         this.retryShare = retryShare;
         this.minimumRetries = minimumRetries;
+        this.requests = new int[windowSeconds];
+        this.retries = new int[windowSeconds];
     }
 
     /**
@@ -60,7 +63,7 @@
      */
     public boolean tryRetry(int attempts, long nowMillis) {
         advance(nowMillis);
-        double allowed = Math.max(minimumRetries.getAsInt(), retryShare * sum(requests));
+        double allowed = Math.max(minimumRetries.getAsInt(), retryShare.getAsDouble() * sum(requests));
         if (attempts >= maximumAttempts || sum(retries) + 1 > allowed) {
             return false;
         }
@@ -70,7 +73,7 @@
 
     private void advance(long nowMillis) {
         long second = Math.floorDiv(nowMillis, SECOND_MILLIS);
-        long first = Math.max(currentSecond + 1, second - WINDOW_SECONDS + 1);
+        long first = Math.max(currentSecond + 1, second - requests.length + 1);
         for (long passed = first; passed <= second; passed++) {
             requests[slot(passed)] = 0;
             retries[slot(passed)] = 0;
@@ -78,8 +81,8 @@
         currentSecond = Math.max(currentSecond, second);
     }
 
-    private static int slot(long second) {
-        return (int) Math.floorMod(second, (long) WINDOW_SECONDS);
+    private int slot(long second) {
+        return (int) Math.floorMod(second, (long) requests.length);
     }
 
     private static int sum(int[] counts) {
--- a/core/src/test/java/org/redwinghook/core/routing/RetryBudgetTest.java
+++ b/core/src/test/java/org/redwinghook/core/routing/RetryBudgetTest.java
@@ -57,7 +57,7 @@
     @Test
     public void minimumRetriesFollowTheSupplier() {
         int[] minimum = {2};
-        RetryBudget budget = new RetryBudget(3, 0.1, () -> minimum[0]);
+        RetryBudget budget = new RetryBudget(3, () -> 0.1, () -> minimum[0], 10);
         Assert.assertTrue(budget.tryRetry(1, 1_000));
         Assert.assertTrue(budget.tryRetry(1, 1_000));
         Assert.assertFalse(budget.tryRetry(1, 1_000));
--- a/router/src/main/java/org/redwinghook/router/RouterMain.java
+++ b/router/src/main/java/org/redwinghook/router/RouterMain.java
@@ -19,8 +19,10 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        ProcessLauncher<RouterSettings> launcher =
-                new ProcessLauncher<>("redwinghook-router", RouterSettings::read, RouterMain::createProcess);
+        ProcessLauncher<RouterSettings> launcher = new ProcessLauncher<>(
+                "redwinghook-router",
+                RouterSettings::read,
+                (vertx, settings) -> createProcess(vertx, settings.current()));
         System.exit(launcher.run(arguments).number());
     }
 
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.EndpointEntry;
@@ -20,6 +21,7 @@
 import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.WorkLedger;
+import org.redwinghook.core.routing.RendezvousHash;
 
 /** Chooses endpoints for forwarded requests. */
 final class ForwardSelector {
@@ -27,8 +29,9 @@
     private final ForwardingState state;
     private final WorkLedger ledger;
     private final MonotonicClock clock;
+    private final Supplier<ForwardingSettings> settings;
+    private final long selfHash;
     private final String dataCentre;
-    private final Map<String, String> regions;
     private final IntSupplier routerCount;
     private final DoubleSupplier random;
 
@@ -38,8 +41,7 @@
      * @param state configuration and endpoints known to the router
      * @param ledger work of all routers at each endpoint
      * @param clock monotonic clock
-     * @param dataCentre the router's data centre
-     * @param regions region of each data centre
+     * @param settings settings in force; name and data centre of the router do not change
      * @param routerCount number of routers
      * @param random source of random numbers, from 0 inclusive to 1 exclusive
      */
@@ -47,8 +49,7 @@
             ForwardingState state,
             WorkLedger ledger,
             MonotonicClock clock,
-            String dataCentre,
-            Map<String, String> regions,
+            Supplier<ForwardingSettings> settings,
             IntSupplier routerCount,
             DoubleSupplier random) {
         this.routerCount = routerCount;
@@ -56,8 +57,9 @@
         this.state = state;
         this.ledger = ledger;
         this.clock = clock;
-        this.dataCentre = dataCentre;
-        this.regions = Map.copyOf(regions);
+        this.settings = settings;
+        this.selfHash = RendezvousHash.hash(settings.get().process());
+        this.dataCentre = settings.get().dataCentre();
     }
 
     /**
@@ -95,9 +97,9 @@
         List<KnownEndpoint> reachable = allowed.stream()
                 .filter(endpoint -> !endpoint.health().shouldAvoid(now))
                 .toList();
-        Optional<ServiceSettings> settings = settings(caller.service());
-        List<KnownEndpoint> eligible = withinColdPace(settings, reachable.isEmpty() ? allowed : reachable, now);
-        long memoryTokens = memory(settings).capacityTokens();
+        Optional<ServiceSettings> service = serviceSettings(caller.service());
+        List<KnownEndpoint> eligible = withinColdPace(service, reachable.isEmpty() ? allowed : reachable, now);
+        long memoryTokens = memory(service).capacityTokens();
         List<Candidate> candidates = new ArrayList<>();
         for (KnownEndpoint endpoint : eligible) {
             candidates.add(candidate(
@@ -114,11 +116,18 @@
      * Excludes cold endpoints to which this router has already sent its share of the requests that they may receive.
      */
     private List<KnownEndpoint> withinColdPace(
-            Optional<ServiceSettings> settings, List<KnownEndpoint> endpoints, long now) {
-        double limit = settings.map(ServiceSettings::coldRequestsPerSecond).orElse(0.0);
+            Optional<ServiceSettings> service, List<KnownEndpoint> endpoints, long now) {
+        double limit = service.map(ServiceSettings::coldRequestsPerSecond).orElse(0.0);
         return endpoints.stream()
-                .filter(endpoint ->
-                        !endpoint.isCold(now) || endpoint.pacing().allows(limit, routerCount.getAsInt(), now))
+                .filter(endpoint -> !endpoint.isCold(now)
+                        || endpoint.pacing()
+                                .allows(
+                                        limit,
+                                        settings.get().coldBurst(),
+                                        routerCount.getAsInt(),
+                                        RendezvousHash.position(
+                                                selfHash, endpoint.entry().id()),
+                                        now))
                 .toList();
     }
 
@@ -129,22 +138,23 @@
      * @return the memory, {@link EngineMemory#NONE} if the configuration names none
      */
     EngineMemory memory(String service) {
-        return memory(settings(service));
+        return memory(serviceSettings(service));
     }
 
-    private static EngineMemory memory(Optional<ServiceSettings> settings) {
-        return settings.map(ServiceSettings::memory).orElse(EngineMemory.NONE);
+    private static EngineMemory memory(Optional<ServiceSettings> service) {
+        return service.map(ServiceSettings::memory).orElse(EngineMemory.NONE);
     }
 
-    private Optional<ServiceSettings> settings(String service) {
+    private Optional<ServiceSettings> serviceSettings(String service) {
         return state.configuration().flatMap(configuration -> configuration.findService(service));
     }
 
     private List<KnownEndpoint> allowedEndpoints(CallerExchange caller, Set<String> excluded) {
         List<KnownEndpoint> allowed = new ArrayList<>();
         Set<String> allowedRegions = allowedRegions(caller);
+        Map<String, String> regionByDataCentre = settings.get().regions();
         for (KnownEndpoint endpoint : state.endpoints().usableEndpoints(caller.service())) {
-            String region = regions.get(endpoint.entry().dataCentre());
+            String region = regionByDataCentre.get(endpoint.entry().dataCentre());
             boolean isRegionAllowed = allowedRegions == null || (region != null && allowedRegions.contains(region));
             if (isRegionAllowed && !excluded.contains(endpoint.entry().id())) {
                 allowed.add(endpoint);
@@ -190,7 +200,8 @@
         if (otherDataCentre.equals(originDataCentre)) {
             return Distance.LOCAL;
         }
-        String region = regions.get(originDataCentre);
-        return region != null && region.equals(regions.get(otherDataCentre)) ? Distance.NEAR : Distance.FAR;
+        Map<String, String> regionByDataCentre = settings.get().regions();
+        String region = regionByDataCentre.get(originDataCentre);
+        return region != null && region.equals(regionByDataCentre.get(otherDataCentre)) ? Distance.NEAR : Distance.FAR;
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingDump.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingDump.java
@@ -10,6 +10,7 @@
  *
  * @param process name of the router
  * @param incarnation identifier of this start of the process
+ * @param settingsDigest checksum of the settings document in force
  * @param accepting whether the router accepts new connections
  * @param configurationVersion version of the configuration in force, 0 if none is known
  * @param endpoints listed endpoints
@@ -20,6 +21,7 @@
 record ForwardingDump(
         String process,
         long incarnation,
+        String settingsDigest,
         boolean accepting,
         long configurationVersion,
         List<EndpointEntry> endpoints,
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -25,6 +25,7 @@
 import org.redwinghook.runtime.admin.AdminServer;
 import org.redwinghook.runtime.admin.StateSource;
 import org.redwinghook.runtime.process.ManagedProcess;
+import org.redwinghook.runtime.process.ReloadableSettings;
 import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.MessageDispatcher;
 import org.redwinghook.runtime.wire.WireMetrics;
@@ -56,6 +57,7 @@
 
     private final Vertx vertx;
     private final ForwardingSettings settings;
+    private final ReloadableSettings<ForwardingSettings> reloadable;
     private final ForwardingState state;
     private final ForwardServer server;
     private final ReadinessServer readinessServer;
@@ -72,7 +74,7 @@
      * Creates a router.
      *
      * @param vertx event loop of the router
-     * @param settings its settings
+     * @param reloadable its settings
      * @param store the platform's store
      * @param decoder decodes its records
      * @param protocol mapping of HTTP headers
@@ -80,13 +82,14 @@
      */
     public ForwardingProcess(
             Vertx vertx,
-            ForwardingSettings settings,
+            ReloadableSettings<ForwardingSettings> reloadable,
             RecordStore store,
             RecordDecoder decoder,
             ForwardProtocol protocol,
             MemoryMover memoryMover) {
         this.vertx = vertx;
-        this.settings = settings;
+        this.settings = reloadable.current();
+        this.reloadable = reloadable;
         MonotonicClock clock = MonotonicClock.system();
         state = new ForwardingState(decoder, clock);
         WorkLedger ledger = new WorkLedger();
@@ -101,14 +104,9 @@
                 client,
                 ledger,
                 new ForwardSelector(
-                        state,
-                        ledger,
-                        clock,
-                        settings.dataCentre(),
-                        settings.regions(),
-                        this::routerCount,
-                        () -> ThreadLocalRandom.current().nextDouble()),
-                new ServiceRetryBudgets(settings.retryShare(), settings.retrySlack(), this::routerCount),
+                        state, ledger, clock, reloadable::current, this::routerCount, () -> ThreadLocalRandom.current()
+                                .nextDouble()),
+                new ServiceRetryBudgets(() -> reloadable.current().retries(), this::routerCount),
                 memoryMover,
                 new ForwardMetrics(meters),
                 this::reportWork);
@@ -150,8 +148,20 @@
         return followers.stream().allMatch(RecordFollower::canReadStore);
     }
 
+    private void logSettings(ForwardingSettings previous) {
+        ForwardingSettings newest = reloadable.current();
+        LOGGER.info(
+                "settings in force digest={} previous={} changed={} afterRestart={}",
+                newest.digest(),
+                previous.digest(),
+                newest.changedNames(previous, false),
+                newest.changedNames(settings, true));
+    }
+
     @Override
     public Future<Void> start() {
+        LOGGER.info("settings in force digest={}", settings.digest());
+        reloadable.onChange(previous -> vertx.runOnContext(ignored -> logSettings(previous)));
         // The store is read first: its records are all that the first requests need.
         followers.forEach(RecordFollower::start);
         state.onChange((topic, changed) -> handleStateChange());
@@ -192,6 +202,7 @@
         return new ForwardingDump(
                 settings.process(),
                 incarnation,
+                reloadable.current().digest(),
                 accepting,
                 state.configuration().map(ForwardingConfiguration::version).orElse(0L),
                 state.endpoints().entries(),
@@ -203,10 +214,11 @@
     @Override
     public Future<Void> stopGracefully() {
         accepting = false;
-        LOGGER.info("stop begins running={}", server.runningRequests());
+        long drainMillis = Math.max(1, reloadable.current().stopMillis() - CONNECTION_CLOSE_MILLIS);
+        LOGGER.info("stop begins running={} drainMillis={}", server.runningRequests(), drainMillis);
         membership.leave();
         return server.drain()
-                .timeout(Math.max(1, settings.stopMillis() - CONNECTION_CLOSE_MILLIS), TimeUnit.MILLISECONDS)
+                .timeout(drainMillis, TimeUnit.MILLISECONDS)
                 .otherwise(failure -> {
                     LOGGER.warn("stop interrupts requests running={}", server.runningRequests());
                     return null;
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
@@ -1,13 +1,20 @@
 package org.redwinghook.router.forward;
 
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.function.Function;
+import java.util.zip.CRC32;
 
 import io.vavr.control.Either;
 import org.redwinghook.core.document.Finding;
 import org.redwinghook.core.document.Findings;
 import org.redwinghook.core.document.YamlMap;
+import org.redwinghook.core.placement.ColdBurst;
+import org.redwinghook.core.routing.RetryLimits;
 import org.redwinghook.runtime.settings.Address;
 
 /**
@@ -23,8 +30,9 @@
  * @param admin address for operators
  * @param store address of the platform's store
  * @param stopMillis time between the stop signal and the end of the process, in milliseconds
- * @param retryShare retries of a service as a share of its requests
- * @param retrySlack retries of a service that all routers together may always send in ten seconds
+ * @param retries limits of the retries
+ * @param coldBurst tolerance of cold endpoints for a burst
+ * @param digest checksum of the document, which tells operators which version of it is in force
  */
 public record ForwardingSettings(
         String process,
@@ -37,11 +45,18 @@
         Address admin,
         Address store,
         long stopMillis,
-        double retryShare,
-        int retrySlack) {
+        RetryLimits retries,
+        ColdBurst coldBurst,
+        String digest) {
 
-    private static final long MAXIMUM_STOP_MILLIS = 600_000;
-    private static final long MAXIMUM_RETRY_SLACK = 1_000_000;
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final double DEFAULT_STOP_SECONDS = 8;
+    private static final double MAXIMUM_STOP_SECONDS = 86_400;
+    private static final double MAXIMUM_RETRY_SHARE = 100;
+    private static final double MAXIMUM_RETRY_SLACK = 1e9;
+    private static final double MAXIMUM_RETRY_WINDOW_SECONDS = 3_600;
+    private static final double MAXIMUM_COLD_FACTOR = 1_000;
+    private static final double MAXIMUM_COLD_REQUESTS = 1e6;
 
     public ForwardingSettings {
         regions = Map.copyOf(regions);
@@ -60,7 +75,6 @@
         YamlMap regionsMap = root.requiredMap("regions");
         Map<String, String> regions = new HashMap<>();
         regionsMap.keys().forEach(name -> regions.put(name, regionsMap.text(name)));
-        YamlMap retries = root.map("retries");
         ForwardingSettings settings = new ForwardingSettings(
                 root.text("process"),
                 root.text("dataCentre"),
@@ -71,11 +85,79 @@
                 Address.readText(root, "peer"),
                 Address.readText(root, "admin"),
                 Address.readText(root, "store"),
-                root.number("stopMillis", 1, MAXIMUM_STOP_MILLIS),
-                retries.decimal("share", 0, 1, 0),
-                (int) retries.number("slack", 0, MAXIMUM_RETRY_SLACK, 0));
-        retries.rejectUnknownKeys();
+                (long) (MILLIS_PER_SECOND
+                        * root.nullableDecimal("stopSeconds", 0.001, MAXIMUM_STOP_SECONDS, DEFAULT_STOP_SECONDS)),
+                readRetries(root.map("retries")),
+                readColdBurst(root.map("coldEndpoints")),
+                digest(text));
         root.rejectUnknownKeys();
         return findings.resultOf(settings);
     }
+
+    /**
+     * Names of the settings that differ from others.
+     *
+     * @param other the other settings
+     * @param restartOnly whether to name the settings that only a restart puts in force, or those that need none
+     * @return the names
+     */
+    List<String> changedNames(ForwardingSettings other, boolean restartOnly) {
+        List<String> changed = new ArrayList<>();
+        for (Setting setting : Setting.values()) {
+            if (setting.needsRestart == restartOnly
+                    && !setting.value.apply(this).equals(setting.value.apply(other))) {
+                changed.add(setting.name().toLowerCase(Locale.ROOT));
+            }
+        }
+        return changed;
+    }
+
+    private static RetryLimits readRetries(YamlMap retries) {
+        RetryLimits limits = new RetryLimits(
+                retries.nullableDecimal("share", 0, MAXIMUM_RETRY_SHARE, 0),
+                retries.nullableDecimal("slack", 0, MAXIMUM_RETRY_SLACK, 0),
+                (int) Math.ceil(retries.nullableDecimal(
+                        "windowSeconds", 0.001, MAXIMUM_RETRY_WINDOW_SECONDS, RetryLimits.DEFAULT_WINDOW_SECONDS)));
+        retries.rejectUnknownKeys();
+        return limits;
+    }
+
+    private static ColdBurst readColdBurst(YamlMap cold) {
+        ColdBurst burst = new ColdBurst(
+                cold.nullableDecimal("burstFactor", 0, MAXIMUM_COLD_FACTOR, ColdBurst.NONE.factor()),
+                cold.nullableDecimal("burstRequests", 0, MAXIMUM_COLD_REQUESTS, ColdBurst.NONE.requests()));
+        cold.rejectUnknownKeys();
+        return burst;
+    }
+
+    private static String digest(String text) {
+        CRC32 checksum = new CRC32();
+        checksum.update(text.getBytes(StandardCharsets.UTF_8));
+        return Long.toHexString(checksum.getValue());
+    }
+
+    private enum Setting {
+        PROCESS(true, ForwardingSettings::process),
+        DATA_CENTRE(true, ForwardingSettings::dataCentre),
+        REGIONS(false, ForwardingSettings::regions),
+        CALLER(true, ForwardingSettings::caller),
+        READY(true, ForwardingSettings::ready),
+        READY_PATH(true, ForwardingSettings::readyPath),
+        PEER(true, ForwardingSettings::peer),
+        ADMIN(true, ForwardingSettings::admin),
+        STORE(true, ForwardingSettings::store),
+        STOP_SECONDS(false, ForwardingSettings::stopMillis),
+        RETRY_SHARE(false, settings -> settings.retries().share()),
+        RETRY_SLACK(false, settings -> settings.retries().slack()),
+        RETRY_WINDOW(true, settings -> settings.retries().windowSeconds()),
+        COLD_ENDPOINTS(false, ForwardingSettings::coldBurst);
+
+        private final boolean needsRestart;
+        private final Function<ForwardingSettings, Object> value;
+
+        Setting(boolean needsRestart, Function<ForwardingSettings, Object> value) {
+            this.needsRestart = needsRestart;
+            this.value = value;
+        }
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ServiceRetryBudgets.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ServiceRetryBudgets.java
@@ -3,8 +3,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 
 import org.redwinghook.core.routing.RetryBudget;
+import org.redwinghook.core.routing.RetryLimits;
 
 /**
  * Retry budgets, one for each service. The part that does not depend on the number of requests is divided among the
@@ -12,21 +14,18 @@
  */
 final class ServiceRetryBudgets {
 
-    private final double share;
-    private final int slack;
+    private final Supplier<RetryLimits> limits;
     private final IntSupplier routerCount;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
 
     /**
      * Creates the budgets.
      *
-     * @param share retries as a share of the requests
-     * @param slack retries that all routers together may always send in a window of the budget
+     * @param limits limits for all routers together; the length of the window must not change
      * @param routerCount number of routers
      */
-    ServiceRetryBudgets(double share, int slack, IntSupplier routerCount) {
-        this.share = share;
-        this.slack = slack;
+    ServiceRetryBudgets(Supplier<RetryLimits> limits, IntSupplier routerCount) {
+        this.limits = limits;
         this.routerCount = routerCount;
     }
 
@@ -40,6 +39,15 @@
 
     private RetryBudget budget(String service) {
         return budgets.computeIfAbsent(
-                service, name -> new RetryBudget(1, share, () -> slack / Math.max(1, routerCount.getAsInt())));
+                service,
+                name -> new RetryBudget(
+                        1,
+                        () -> limits.get().share(),
+                        this::ownSlack,
+                        limits.get().windowSeconds()));
+    }
+
+    private int ownSlack() {
+        return (int) (limits.get().slack() / Math.max(1, routerCount.getAsInt()));
     }
 }
--- a/router/src/test/java/org/redwinghook/router/forward/ForwardingSettingsTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/ForwardingSettingsTest.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Either;
 import org.redwinghook.core.document.Finding;
 import org.testng.Assert;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against routers that start with invalid or incomplete settings. */
@@ -20,8 +21,9 @@
             peer: "10.0.0.1:82"
             admin: "10.0.0.1:83"
             store: "10.0.0.2:84"
-            stopMillis: 8000
-            retries: {share: 0.2, slack: 52}
+            stopSeconds: 8
+            retries: {share: 0.2, slack: 52, windowSeconds: 10}
+            coldEndpoints: {burstFactor: 1.5, burstRequests: 5}
             """;
 
     @Test
@@ -29,14 +31,14 @@
         ForwardingSettings settings = read(VALID).get();
         Assert.assertEquals(settings.caller().toString(), "10.0.0.1:80");
         Assert.assertEquals(settings.regions().get("dc-1"), "region-1");
-        Assert.assertEquals(settings.retrySlack(), 52);
+        Assert.assertEquals(settings.retries().slack(), 52.0);
     }
 
     @Test
     public void allFindingsAreReportedWithTheirFile() {
         String text = VALID.replace("process: router-1\n", "")
                 .replace("\"10.0.0.2:84\"", "\"10.0.0.2\"")
-                .replace("stopMillis: 8000", "stopMillis: 0\nunknown: 1");
+                .replace("stopSeconds: 8", "stopSeconds: 0\nunknown: 1");
         List<Finding> findings = read(text).getLeft();
         Assert.assertEquals(findings.size(), 4, findings.toString());
         Assert.assertTrue(
@@ -49,6 +51,51 @@
         Assert.assertTrue(read(VALID.replace("10.0.0.1:83", "10.0.0.1:70000")).isLeft());
     }
 
+    /**
+     * Figures that the platform fills in: each may be whole, a fraction, large or missing.
+     *
+     * @return key and valid value of each figure
+     */
+    @DataProvider
+    public Object[][] figures() {
+        return new Object[][] {
+            {"stopSeconds: ", "8"},
+            {"share: ", "0.2"},
+            {"slack: ", "52"},
+            {"windowSeconds: ", "10"},
+            {"burstFactor: ", "1.5"},
+            {"burstRequests: ", "5"}
+        };
+    }
+
+    /**
+     * Guards against a router that does not start because the platform writes a figure in another form.
+     *
+     * @param key key of the figure
+     * @param value its value in the valid settings
+     */
+    @Test(dataProvider = "figures")
+    public void eachFigureIsReadInEveryForm(String key, String value) {
+        for (String form : List.of("2", "44.16666666666667", "0.5", "100", "null", "", "1e2")) {
+            Either<List<Finding>, ForwardingSettings> settings = read(VALID.replace(key + value, key + form));
+            Assert.assertTrue(settings.isRight(), key + form + " " + settings);
+        }
+        for (String form : List.of("many", "-1", ".nan", "[1]")) {
+            Assert.assertTrue(read(VALID.replace(key + value, key + form)).isLeft(), key + form);
+        }
+    }
+
+    @Test
+    public void changedSettingsAreNamedByWhetherTheyNeedARestart() {
+        ForwardingSettings before = read(VALID).get();
+        ForwardingSettings after = read(VALID.replace("stopSeconds: 8", "stopSeconds: 9.5")
+                        .replace("10.0.0.2:84", "10.0.0.9:84"))
+                .get();
+        Assert.assertEquals(after.changedNames(before, false), List.of("stop_seconds"));
+        Assert.assertEquals(after.changedNames(before, true), List.of("store"));
+        Assert.assertNotEquals(after.digest(), before.digest());
+    }
+
     private static Either<List<Finding>, ForwardingSettings> read(String text) {
         return ForwardingSettings.read("settings.yaml", text);
     }
--- a/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 
 import io.vavr.control.Either;
@@ -25,11 +26,14 @@
  */
 public final class ProcessLauncher<S> {
 
+    /** Interval of checks whether the settings file has changed without a signal, in milliseconds. */
+    private static final long FILE_CHECK_INTERVAL_MILLIS = 1_000;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(ProcessLauncher.class);
 
     private final String binary;
     private final BiFunction<String, String, Either<List<Finding>, S>> settingsReader;
-    private final BiFunction<Vertx, S, ManagedProcess> factory;
+    private final BiFunction<Vertx, ReloadableSettings<S>, ManagedProcess> factory;
 
     /**
      * Creates a launcher.
@@ -41,7 +45,7 @@
     public ProcessLauncher(
             String binary,
             BiFunction<String, String, Either<List<Finding>, S>> settingsReader,
-            BiFunction<Vertx, S, ManagedProcess> factory) {
+            BiFunction<Vertx, ReloadableSettings<S>, ManagedProcess> factory) {
         this.binary = binary;
         this.settingsReader = settingsReader;
         this.factory = factory;
@@ -93,8 +97,8 @@
         return launch(settings.get(), file);
     }
 
-    /** Checks the settings file again. The process keeps the settings it was started with until its next start. */
-    private void reload(Path file, S currentSettings) {
+    /** Reads the settings file again; a file with findings changes nothing. */
+    private void reload(Path file, ReloadableSettings<S> current) {
         String text = readFile(file);
         if (text == null) {
             return;
@@ -104,7 +108,8 @@
             LOGGER.warn("{} reload rejected findings={}", binary, settings.getLeft());
             return;
         }
-        LOGGER.info("{} reload changed={}", binary, !settings.get().equals(currentSettings));
+        LOGGER.info("{} reload changed={}", binary, !settings.get().equals(current.current()));
+        current.replace(settings.get());
     }
 
     private @Nullable String readFile(Path file) {
@@ -116,7 +121,9 @@
         }
     }
 
-    private ExitCode launch(S settings, Path file) {
+    private ExitCode launch(S initialSettings, Path file) {
+        ReloadableSettings<S> settings = new ReloadableSettings<>(initialSettings);
+        SettingsFileWatch watch = new SettingsFileWatch(file);
         // With a single event loop, the services of a process run on one thread and need no locks.
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
         ProcessVerticle verticle = new ProcessVerticle(processVertx -> factory.apply(processVertx, settings));
@@ -133,7 +140,7 @@
         HangupSignal.registerHandler(() -> reload(file, settings));
         // Operators and tests send signals once this line is logged, so the handlers must be registered before.
         LOGGER.info("{} started", binary);
-        awaitUninterruptibly(stopped);
+        reloadUntilStopped(stopped, watch, () -> reload(file, settings));
         return ExitCode.DONE;
     }
 
@@ -150,9 +157,13 @@
         stopped.countDown();
     }
 
-    private static void awaitUninterruptibly(CountDownLatch latch) {
+    private static void reloadUntilStopped(CountDownLatch stopped, SettingsFileWatch watch, Runnable reload) {
         try {
-            latch.await();
+            while (!stopped.await(FILE_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)) {
+                if (watch.hasChanged()) {
+                    reload.run();
+                }
+            }
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
         }
--- a/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
@@ -1,11 +1,13 @@
 package org.redwinghook.runtime.process;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
+import org.redwinghook.core.document.Finding;
 import org.redwinghook.runtime.settings.Address;
 
 /** Process for tests, run as a subprocess. It listens on the port that its settings file contains. */
@@ -32,7 +34,15 @@
 
     static ProcessLauncher<Integer> launcher() {
         return new ProcessLauncher<>(
-                "launched", (file, text) -> Either.right(Integer.valueOf(text.strip())), LaunchedProcess::new);
+                "launched", LaunchedProcess::readPort, (vertx, port) -> new LaunchedProcess(vertx, port.current()));
+    }
+
+    private static Either<List<Finding>, Integer> readPort(String file, String text) {
+        try {
+            return Either.right(Integer.valueOf(text.strip()));
+        } catch (NumberFormatException exception) {
+            return Either.left(List.of(new Finding(file, 1, 1, "port", "must be a number")));
+        }
     }
 
     @Override
--- a/runtime/src/test/java/org/redwinghook/runtime/process/ProcessLauncherTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/ProcessLauncherTest.java
@@ -23,6 +23,10 @@
         Path settings = Files.createTempFile("launched", ".txt");
         settings.toFile().deleteOnExit();
         Files.writeString(settings, String.valueOf(port));
+        return launch(logFormat, settings);
+    }
+
+    private static Process launch(String logFormat, Path settings) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx64m",
@@ -84,4 +88,27 @@
         assertEquals(rest.size(), 1, rest.toString());
         assertTrue(rest.get(0).startsWith(linePrefix) && rest.get(0).contains("stopped"), rest.get(0));
     }
+
+    /**
+     * Guards against a settings file that changes without a signal and is ignored, and against a file with findings
+     * that replaces the settings in force.
+     *
+     * @throws Exception if the subprocess cannot be run
+     */
+    @Test(timeOut = 30_000)
+    public void changedFileIsReadWithoutASignal() throws Exception {
+        Path settings = Files.createTempFile("launched", ".txt");
+        settings.toFile().deleteOnExit();
+        Files.writeString(settings, "0");
+        Process process = launch("text", settings);
+        BufferedReader output = process.inputReader();
+        assertTrue(output.readLine().contains("started"));
+        Files.writeString(settings, "no port");
+        String rejected = output.readLine();
+        Files.writeString(settings, "12345");
+        String reloaded = output.readLine();
+        process.toHandle().destroy();
+        assertTrue(rejected.contains("reload rejected") && rejected.contains(":1:1"), rejected);
+        assertTrue(reloaded.contains("reload changed=true"), reloaded);
+    }
 }
--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarMain.java
@@ -19,8 +19,10 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        ProcessLauncher<SidecarSettings> launcher =
-                new ProcessLauncher<>("redwinghook-sidecar", SidecarSettings::read, SidecarMain::createProcess);
+        ProcessLauncher<SidecarSettings> launcher = new ProcessLauncher<>(
+                "redwinghook-sidecar",
+                SidecarSettings::read,
+                (vertx, settings) -> createProcess(vertx, settings.current()));
         System.exit(launcher.run(arguments).number());
     }
 
