Send nothing for callers that left, and nothing that a stop would cut off

Changes: a late loop polls its connections once more before work for a caller begins and before the request is written; the average time in the backlog counts against the deadline. A stopping router refuses what cannot end in time, by the learned duration of calls and the output of generations, with Connection: close, and closes idle connections once the load balancer has noticed the stop.

--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/forward/CallDurations.java
@@ -0,0 +1,49 @@
+package org.redwinghook.core.forward;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Learns how long the calls of each service take. Load: a stop under load, in which the timeout of a route is many times
+ * the duration of nearly all of its calls.
+ */
+public final class CallDurations {
+
+    /** Weight of a new duration in the mean, and of its deviation in the mean deviation. */
+    private static final double NEW_WEIGHT = 0.05;
+
+    /** Mean deviations above the mean that nearly no call exceeds. */
+    private static final double DEVIATIONS = 6;
+
+    private final Map<String, Estimate> estimates = new HashMap<>();
+
+    /**
+     * Records a call that ended.
+     *
+     * @param service name of the service
+     * @param millis duration, in milliseconds
+     */
+    public void record(String service, long millis) {
+        Estimate before = estimates.get(service);
+        if (before == null) {
+            estimates.put(service, new Estimate(millis, millis / 2.0));
+            return;
+        }
+        double difference = millis - before.mean;
+        double deviation = before.deviation + NEW_WEIGHT * (Math.abs(difference) - before.deviation);
+        estimates.put(service, new Estimate(before.mean + NEW_WEIGHT * difference, deviation));
+    }
+
+    /**
+     * Duration that nearly no call of a service exceeds.
+     *
+     * @param service name of the service
+     * @return the duration in milliseconds, infinite if no call has ended yet
+     */
+    public double longestMillis(String service) {
+        Estimate estimate = estimates.get(service);
+        return estimate == null ? Double.POSITIVE_INFINITY : estimate.mean + DEVIATIONS * estimate.deviation;
+    }
+
+    private record Estimate(double mean, double deviation) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/forward/StopAdmission.java
@@ -0,0 +1,79 @@
+package org.redwinghook.core.forward;
+
+import org.redwinghook.core.placement.PlacementQuery;
+
+/**
+ * Decides which requests a stopping router still takes. Load: a restart while callers keep sending on open connections; a
+ * request that the router cannot finish would be cut off, while a refusal lets its caller use another router. Times are
+ * milliseconds of a monotonic clock.
+ */
+public final class StopAdmission {
+
+    /** Time reserved for the wait of a generation at an engine, in milliseconds. */
+    private static final double GENERATION_MARGIN_MILLIS = 750;
+
+    /**
+     * Time after the stop signal in which a generation is taken if its expected output fits, in milliseconds; later ones
+     * only if their longest output does. Until the load balancer has noticed the stop, the caller's next try may reach
+     * another stopping router.
+     */
+    private static final long EXPECTED_OUTPUT_MILLIS = 3_000;
+
+    /** Time reserved for the transfer of a response, in milliseconds. */
+    private static final double RESPONSE_MARGIN_MILLIS = 250;
+
+    /** Time per output token of a fully loaded engine, in milliseconds. */
+    private static final double MILLIS_PER_OUTPUT_TOKEN = 8;
+
+    /** Prompt tokens that a loaded engine prefills per millisecond. */
+    private static final double PREFILL_TOKENS_PER_MILLI = 7;
+
+    private final long startedAtMillis;
+    private final long stopsAtMillis;
+
+    /**
+     * Creates the decision.
+     *
+     * @param startedAtMillis time of the stop signal
+     * @param stopsAtMillis time at which the router closes its connections
+     */
+    public StopAdmission(long startedAtMillis, long stopsAtMillis) {
+        this.startedAtMillis = startedAtMillis;
+        this.stopsAtMillis = stopsAtMillis;
+    }
+
+    /**
+     * Whether a call will end before the router stops.
+     *
+     * @param longestMillis learned duration that nearly no call of the service exceeds
+     * @param remainingMillis time after which the caller or the route gives up
+     * @param nowMillis current time
+     * @return false if the call must be refused
+     */
+    public boolean mayTakeCall(double longestMillis, long remainingMillis, long nowMillis) {
+        return endsInTime(longestMillis, remainingMillis, nowMillis);
+    }
+
+    /**
+     * Whether a generation will end before the router stops.
+     *
+     * @param query prompt and expected output
+     * @param longestOutputTokens longest output
+     * @param remainingMillis time after which the caller or the route gives up
+     * @param nowMillis current time
+     * @return false if the generation must be refused
+     */
+    public boolean mayTakeGeneration(
+            PlacementQuery query, long longestOutputTokens, long remainingMillis, long nowMillis) {
+        boolean isEarly = nowMillis - startedAtMillis < EXPECTED_OUTPUT_MILLIS;
+        long outputTokens = isEarly ? query.expectedOutputTokens() : longestOutputTokens;
+        double longest = query.promptTokens() / PREFILL_TOKENS_PER_MILLI
+                + outputTokens * MILLIS_PER_OUTPUT_TOKEN
+                + GENERATION_MARGIN_MILLIS;
+        return endsInTime(longest, remainingMillis, nowMillis);
+    }
+
+    private boolean endsInTime(double longestMillis, long remainingMillis, long nowMillis) {
+        return nowMillis + Math.min(longestMillis, remainingMillis) + RESPONSE_MARGIN_MILLIS <= stopsAtMillis;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/forward/StopAdmissionTest.java
@@ -0,0 +1,55 @@
+package org.redwinghook.core.forward;
+
+import java.util.Random;
+
+import org.redwinghook.core.placement.PlacementQuery;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards against a stopping router that takes a request and cuts it off. */
+public class StopAdmissionTest {
+
+    private static final PlacementQuery LONG_DRAFT = new PlacementQuery(3_000, 900);
+    private static final PlacementQuery SHORT_DRAFT = new PlacementQuery(3_000, 500);
+    private static final PlacementQuery SHORT_ANSWER = new PlacementQuery(2_200, 12);
+
+    private final StopAdmission admission = new StopAdmission(0, 7_500);
+
+    @Test
+    public void callIsTakenWhileItEndsBeforeTheStop() {
+        Assert.assertTrue(admission.mayTakeCall(Double.POSITIVE_INFINITY, 1_200, 6_000));
+        Assert.assertFalse(admission.mayTakeCall(Double.POSITIVE_INFINITY, 1_200, 6_100));
+        Assert.assertTrue(admission.mayTakeCall(300, 1_200, 6_900));
+        Assert.assertFalse(admission.mayTakeCall(300, 1_200, 7_000));
+    }
+
+    /** Guards against refusals of all calls in the last second of a stop, whose repeats reach other stopping routers. */
+    @Test
+    public void learnedDurationsCoverNearlyAllCalls() {
+        CallDurations durations = new CallDurations();
+        Assert.assertEquals(durations.longestMillis("calls"), Double.POSITIVE_INFINITY);
+        Random random = new Random(3);
+        int longer = 0;
+        for (int call = 0; call < 2_000; call++) {
+            long millis = (long) (20 + 60 * -Math.log(1 - random.nextDouble()));
+            longer += call > 50 && millis > durations.longestMillis("calls") ? 1 : 0;
+            durations.record("calls", millis);
+        }
+        Assert.assertTrue(longer <= 40, longer + " of 2000 calls took longer");
+        Assert.assertTrue(durations.longestMillis("calls") < 600);
+    }
+
+    @Test
+    public void generationIsTakenAtFirstIfItsExpectedOutputEndsBeforeTheStop() {
+        Assert.assertFalse(admission.mayTakeGeneration(LONG_DRAFT, 3_200, 39_000, 0));
+        Assert.assertTrue(admission.mayTakeGeneration(SHORT_DRAFT, 3_200, 39_000, 0));
+        Assert.assertTrue(admission.mayTakeGeneration(LONG_DRAFT, 3_200, 2_000, 2_000));
+    }
+
+    @Test
+    public void generationIsTakenLaterOnlyIfItsLongestOutputEndsBeforeTheStop() {
+        Assert.assertFalse(admission.mayTakeGeneration(SHORT_DRAFT, 3_200, 39_000, 3_000));
+        Assert.assertTrue(admission.mayTakeGeneration(SHORT_ANSWER, 55, 6_000, 5_500));
+        Assert.assertFalse(admission.mayTakeGeneration(SHORT_ANSWER, 55, 6_000, 6_000));
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -40,7 +40,6 @@
     void start() {
         caller.onDisconnect(this::cancel);
         caller.onTimeout(this::handleTimeout);
-        caller.startMonitoring();
         context.retryBudgets().requestStarted(caller.service(), context.clock().millis());
         startNextAttempt();
     }
@@ -150,6 +149,7 @@
             }
             end();
             attempts.recordResponse();
+            context.callDurations().record(caller.service(), caller.elapsedMillis());
             if (head.notRun() || head.status() == EndpointAttempt.MISDIRECTED_REQUEST) {
                 handleRefusal(head);
                 return;
--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -40,7 +40,7 @@
     private final long deadlineMillis;
     private final Runnable onEnd;
     private Runnable disconnectHandler = () -> {};
-    private Runnable timeoutHandler = () -> {};
+    private Runnable timeoutHandler = () -> refuse(new Refusal(RefusalCause.NO_TIME, 0));
     private long timeoutTimer = -1;
     private boolean isEnded;
 
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -67,6 +67,7 @@
                 lastEventId);
         return exchange.send(
                 context.client(),
+                context.pollBarrier(),
                 Math.min(CONNECT_TIMEOUT_MILLIS, remainingMillis),
                 caller.request().method(),
                 caller.request().uri(),
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointExchange.java
@@ -66,6 +66,7 @@
      * Sends the request, on the connection that was opened for it or on a new one.
      *
      * @param client the HTTP client
+     * @param barrier delays the request while the event loop is late
      * @param connectTimeoutMillis connect timeout, in milliseconds
      * @param method method of the request
      * @param uri path and query of the request
@@ -73,8 +74,9 @@
      * @param body its body
      * @return the response, completed when its head has arrived
      */
-    public Future<HttpClientResponse> send(
+    Future<HttpClientResponse> send(
             HttpClientAgent client,
+            PollBarrier barrier,
             long connectTimeoutMillis,
             HttpMethod method,
             String uri,
@@ -101,7 +103,7 @@
                                     .setURI(uri)
                                     .setHeaders(headers))
                             .onFailure(responsePromise::tryFail)
-                            .onSuccess(request -> write(request, body, responsePromise));
+                            .onSuccess(request -> barrier.run(() -> write(request, body, responsePromise)));
                 });
         return responsePromise.future();
     }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
+import org.redwinghook.core.forward.CallDurations;
 import org.redwinghook.core.placement.WorkLedger;
 
 /**
@@ -17,6 +18,8 @@
  * @param retryBudgets retry budget of each service
  * @param memoryMover moves the memory of runs between engines
  * @param metrics counters and histograms
+ * @param callDurations learned durations of calls
+ * @param pollBarrier delays work while the event loop is late
  * @param reportWork reports changes of this router's work to the other routers at once
  */
 record ForwardContext(
@@ -30,4 +33,6 @@
         ServiceRetryBudgets retryBudgets,
         MemoryMover memoryMover,
         ForwardMetrics metrics,
+        CallDurations callDurations,
+        PollBarrier pollBarrier,
         Runnable reportWork) {}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -16,9 +16,12 @@
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.forward.RequestKind;
 import org.redwinghook.core.forward.Route;
+import org.redwinghook.core.forward.StopAdmission;
 import org.redwinghook.router.caller.CallerErrors;
 import org.redwinghook.runtime.process.ListenErrors;
 import org.redwinghook.runtime.settings.Address;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** HTTP server that receives callers' requests and forwards them by route. */
 public final class ForwardServer {
@@ -38,6 +41,17 @@
     /** Retry-After of a router that has no configuration yet, in seconds. */
     private static final String RETRY_AFTER_SECONDS = "0.5";
 
+    /** Retry-After of a stopping router, in milliseconds: another router can take the request at once. */
+    private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
+
+    /**
+     * Time after which a stopping router closes idle connections, in milliseconds. By then the load balancer has noticed
+     * two failed readiness checks, one a second, and sends the callers' new connections to other routers.
+     */
+    private static final long IDLE_CLOSE_DELAY_MILLIS = 2_500;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(ForwardServer.class);
+
     /** Maximum size of a request head, in bytes; above the limits that configurations may set. */
     private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
 
@@ -50,6 +64,8 @@
     private @Nullable HttpServer server;
     private int runningRequests;
     private boolean draining;
+    private @Nullable StopAdmission stopAdmission;
+    private final CallerConnections connections = new CallerConnections();
 
     ForwardServer(Vertx vertx, Address address, ForwardContext context, RunningStreams streams) {
         this.vertx = vertx;
@@ -71,17 +87,26 @@
                 .setHandle100ContinueAutomatically(true));
         server = created;
         return ListenErrors.withAddress(
-                        address, created.requestHandler(this::accept).listen(address.port(), address.host()))
+                        address,
+                        created.connectionHandler(connections::add)
+                                .requestHandler(this::accept)
+                                .listen(address.port(), address.host()))
                 .map(HttpServer::actualPort);
     }
 
     /**
-     * Lets running requests finish; each connection closes after its next response.
+     * Lets running requests finish; each connection closes after its next response. Requests that would not end in time
+     * are refused.
      *
+     * @param drainMillis time until the server stops, in milliseconds
      * @return completes when no request is running
      */
-    Future<Void> drain() {
+    Future<Void> drain(long drainMillis) {
         draining = true;
+        long now = context.clock().millis();
+        stopAdmission = new StopAdmission(now, now + drainMillis);
+        vertx.setTimer(
+                Math.max(1, Math.min(IDLE_CLOSE_DELAY_MILLIS, drainMillis / 2)), ignored -> closeIdleConnections());
         if (runningRequests == 0) {
             idle.tryComplete();
         }
@@ -113,8 +138,14 @@
         requests.forEach(Runnable::run);
     }
 
+    private void closeIdleConnections() {
+        LOGGER.info("idle connections closed number={}", connections.closeIdle());
+    }
+
     private void accept(HttpServerRequest request) {
-        long receivedAtMillis = context.clock().millis();
+        connections.requestStarted(request.connection());
+        request.response().endHandler(ignored -> connections.requestEnded(request.connection()));
+        long receivedAtMillis = context.clock().millis() - context.pollBarrier().averageWaitMillis();
         if (context.state().isComplete() || earlyRequests.size() >= MAXIMUM_EARLY_REQUESTS) {
             handle(request, receivedAtMillis);
             return;
@@ -180,6 +211,23 @@
     }
 
     private void forward(CallerExchange caller) {
+        caller.startMonitoring();
+        context.pollBarrier().run(() -> {
+            if (!caller.isEnded()) {
+                startForwarding(caller);
+            }
+        });
+    }
+
+    private void startForwarding(CallerExchange caller) {
+        if (caller.remainingMillis() <= 0) {
+            caller.refuse(new Refusal(RefusalCause.NO_TIME, 0));
+            return;
+        }
+        if (!mayTake(caller)) {
+            caller.refuse(new Refusal(RefusalCause.STOPPING, STOPPING_RETRY_AFTER_MILLIS));
+            return;
+        }
         if (caller.route().kind() == RequestKind.STREAMING) {
             new StreamForwarding(context, caller, streams).start();
             return;
@@ -187,6 +235,21 @@
         new CallForwarding(context, caller).start();
     }
 
+    private boolean mayTake(CallerExchange caller) {
+        StopAdmission admission = stopAdmission;
+        if (admission == null) {
+            return true;
+        }
+        long now = context.clock().millis();
+        if (caller.route().kind() == RequestKind.STREAMING) {
+            RequestHead head = caller.head();
+            return admission.mayTakeGeneration(
+                    head.expectedSize(), head.maximumOutputTokens(), caller.remainingMillis(), now);
+        }
+        return admission.mayTakeCall(
+                context.callDurations().longestMillis(caller.service()), caller.remainingMillis(), now);
+    }
+
     private void handleRequestEnded() {
         runningRequests--;
         if (draining && runningRequests == 0) {
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -12,6 +12,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
+import org.redwinghook.core.forward.CallDurations;
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.Hello;
@@ -59,6 +60,7 @@
     private final ForwardingSettings settings;
     private final ReloadableSettings<ForwardingSettings> reloadable;
     private final ForwardingState state;
+    private final PollBarrier pollBarrier;
     private final ForwardServer server;
     private final ReadinessServer readinessServer;
     private final RouterExchange routerExchange;
@@ -96,6 +98,7 @@
         HttpClientAgent client = vertx.createHttpClient(
                 new HttpClientOptions().setTcpNoDelay(true).setKeepAlive(true).setDecompressionSupported(false));
         RunningStreams streams = new RunningStreams();
+        pollBarrier = new PollBarrier(vertx, clock);
         ForwardContext context = new ForwardContext(
                 vertx,
                 clock,
@@ -109,6 +112,8 @@
                 new ServiceRetryBudgets(() -> reloadable.current().retries(), this::routerCount),
                 memoryMover,
                 new ForwardMetrics(meters),
+                new CallDurations(),
+                pollBarrier,
                 this::reportWork);
         server = new ForwardServer(vertx, settings.caller(), context, streams);
         readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
@@ -167,7 +172,9 @@
         state.onChange((topic, changed) -> handleStateChange());
         vertx.setPeriodic(EXPIRY_CHECK_INTERVAL_MILLIS, ignored -> state.removeExpiredEndpoints());
         vertx.setTimer(SECONDARY_SERVICES_LATEST_START_MILLIS, ignored -> startSecondaryServices());
-        return Future.all(server.start(), readinessServer.start()).mapEmpty();
+        return Future.all(server.start(), readinessServer.start())
+                .onSuccess(ignored -> pollBarrier.start())
+                .mapEmpty();
     }
 
     private void handleStateChange() {
@@ -217,7 +224,7 @@
         long drainMillis = Math.max(1, reloadable.current().stopMillis() - CONNECTION_CLOSE_MILLIS);
         LOGGER.info("stop begins running={} drainMillis={}", server.runningRequests(), drainMillis);
         membership.leave();
-        return server.drain()
+        return server.drain(drainMillis)
                 .timeout(drainMillis, TimeUnit.MILLISECONDS)
                 .otherwise(failure -> {
                     LOGGER.warn("stop interrupts requests running={}", server.runningRequests());
--- a/router/src/main/java/org/redwinghook/router/forward/RefusalCause.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RefusalCause.java
@@ -9,7 +9,9 @@
     /** All endpoints that were tried reported that they did not run the request, or could not be reached. */
     ENDPOINTS_FULL(503),
     /** The deadline passed before the request was sent to an endpoint. */
-    NO_TIME(503);
+    NO_TIME(503),
+    /** The router stops before the request could end; other routers take it. */
+    STOPPING(503);
 
     private final int status;
 
--- a/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.placement.PlacementQuery;
 
 /**
  * Values from the head of a caller's request.
@@ -24,6 +25,15 @@
         long expectedOutputTokens,
         List<PromptPart> promptParts) {
 
+    /**
+     * Size of the generation.
+     *
+     * @return the prompt and the expected output, which is the maximum if the caller expects none
+     */
+    PlacementQuery expectedSize() {
+        return new PlacementQuery(promptTokens, expectedOutputTokens > 0 ? expectedOutputTokens : maximumOutputTokens);
+    }
+
     /**
      * A part of a prompt that may be shared with other prompts.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -54,17 +54,13 @@
         this.context = context;
         this.caller = caller;
         this.runningStreams = runningStreams;
-        RequestHead head = caller.head();
-        long expectedTokens =
-                head.expectedOutputTokens() > 0 ? head.expectedOutputTokens() : head.maximumOutputTokens();
-        this.query = new PlacementQuery(head.promptTokens(), expectedTokens);
+        this.query = caller.head().expectedSize();
         this.attempts = new RequestAttempts(context, caller, PlacementPolicy.GENERATION, query);
     }
 
     void start() {
         caller.onDisconnect(this::cancel);
         caller.onTimeout(this::handleTimeout);
-        caller.startMonitoring();
         runningStreams.add(this);
         context.retryBudgets().requestStarted(caller.service(), context.clock().millis());
         startNextAttempt();
