Keep a router's calls, messages and sums from growing with the number of routers

Work reports every 100 ms to all others are up to 330 messages a second for each of 33 routers, and each choice summed the reports of all routers for each endpoint.

--- a/core/src/main/java/org/redwinghook/core/placement/WorkLedger.java
+++ b/core/src/main/java/org/redwinghook/core/placement/WorkLedger.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 
@@ -15,7 +16,11 @@
     public static final long MAXIMUM_PEER_TOTALS_AGE_MILLIS = 2_000;
 
     private final Map<String, Set<RunningRequest>> ownRequests = new HashMap<>();
-    private final Map<String, PeerTotals> peerTotals = new HashMap<>();
+    /** Work reported by each other router, the latest report last. */
+    private final Map<String, PeerWork> workByPeer = new LinkedHashMap<>();
+
+    /** Sum over the routers whose reports have not expired, so that a lookup does not depend on their number. */
+    private final Map<String, WorkTotals> peerSums = new HashMap<>();
 
     /**
      * Adds a request that was sent.
@@ -51,17 +56,55 @@
      * @param nowMillis current monotonic time
      */
     public void updatePeer(String router, Map<String, WorkTotals> totals, boolean isComplete, long nowMillis) {
-        PeerTotals previous = peerTotals.get(router);
-        Map<String, WorkTotals> merged =
-                isComplete || previous == null ? new HashMap<>() : new HashMap<>(previous.totals());
-        totals.forEach((endpoint, work) -> {
-            if (work.equals(WorkTotals.NONE)) {
-                merged.remove(endpoint);
-            } else {
-                merged.put(endpoint, work);
+        PeerWork peer = workByPeer.remove(router);
+        if (peer == null) {
+            peer = new PeerWork();
+        }
+        workByPeer.put(router, peer);
+        peer.receivedAtMillis = nowMillis;
+        if (!peer.isCounted) {
+            peer.isCounted = true;
+            peer.totals.forEach(this::addToSum);
+        }
+        if (isComplete) {
+            peer.totals.forEach(this::subtractFromSum);
+            peer.totals.clear();
+        }
+        for (Map.Entry<String, WorkTotals> reported : totals.entrySet()) {
+            WorkTotals before = peer.totals.remove(reported.getKey());
+            if (before != null) {
+                subtractFromSum(reported.getKey(), before);
+            }
+            if (!reported.getValue().equals(WorkTotals.NONE)) {
+                peer.totals.put(reported.getKey(), reported.getValue());
+                addToSum(reported.getKey(), reported.getValue());
             }
-        });
-        peerTotals.put(router, new PeerTotals(merged, nowMillis));
+        }
+    }
+
+    private void addToSum(String endpoint, WorkTotals work) {
+        peerSums.merge(endpoint, work, WorkTotals::plus);
+    }
+
+    private void subtractFromSum(String endpoint, WorkTotals work) {
+        WorkTotals rest = peerSums.getOrDefault(endpoint, WorkTotals.NONE).minus(work);
+        if (rest.equals(WorkTotals.NONE)) {
+            peerSums.remove(endpoint);
+        } else {
+            peerSums.put(endpoint, rest);
+        }
+    }
+
+    private void removeExpired(long nowMillis) {
+        for (PeerWork peer : workByPeer.values()) {
+            if (nowMillis - peer.receivedAtMillis <= MAXIMUM_PEER_TOTALS_AGE_MILLIS) {
+                return;
+            }
+            if (peer.isCounted) {
+                peer.isCounted = false;
+                peer.totals.forEach(this::subtractFromSum);
+            }
+        }
     }
 
     /**
@@ -83,13 +126,9 @@
      * @return the work
      */
     public WorkTotals workAt(String endpointId, long nowMillis) {
-        WorkTotals total = sum(ownRequests.getOrDefault(endpointId, Set.of()));
-        for (PeerTotals peer : peerTotals.values()) {
-            if (nowMillis - peer.receivedAtMillis() <= MAXIMUM_PEER_TOTALS_AGE_MILLIS) {
-                total = total.plus(peer.totals().getOrDefault(endpointId, WorkTotals.NONE));
-            }
-        }
-        return total;
+        removeExpired(nowMillis);
+        return sum(ownRequests.getOrDefault(endpointId, Set.of()))
+                .plus(peerSums.getOrDefault(endpointId, WorkTotals.NONE));
     }
 
     /**
@@ -101,11 +140,11 @@
      * @return the work
      */
     public WorkTotals workOfEarlierRouters(String self, String endpointId, long nowMillis) {
+        removeExpired(nowMillis);
         WorkTotals total = WorkTotals.NONE;
-        for (Map.Entry<String, PeerTotals> peer : peerTotals.entrySet()) {
-            boolean recent = nowMillis - peer.getValue().receivedAtMillis() <= MAXIMUM_PEER_TOTALS_AGE_MILLIS;
-            if (recent && peer.getKey().compareTo(self) < 0) {
-                total = total.plus(peer.getValue().totals().getOrDefault(endpointId, WorkTotals.NONE));
+        for (Map.Entry<String, PeerWork> peer : workByPeer.entrySet()) {
+            if (peer.getValue().isCounted && peer.getKey().compareTo(self) < 0) {
+                total = total.plus(peer.getValue().totals.getOrDefault(endpointId, WorkTotals.NONE));
             }
         }
         return total;
@@ -115,5 +154,11 @@
         return running.stream().map(RunningRequest::work).reduce(WorkTotals.NONE, WorkTotals::plus);
     }
 
-    private record PeerTotals(Map<String, WorkTotals> totals, long receivedAtMillis) {}
+    /** Work of another router at each endpoint. */
+    private static final class PeerWork {
+
+        private final Map<String, WorkTotals> totals = new HashMap<>();
+        private long receivedAtMillis;
+        private boolean isCounted;
+    }
 }
--- a/core/src/main/java/org/redwinghook/core/placement/WorkTotals.java
+++ b/core/src/main/java/org/redwinghook/core/placement/WorkTotals.java
@@ -29,6 +29,20 @@
                 || Math.abs(heldTokens - other.heldTokens) > REPORTING_THRESHOLD_TOKENS;
     }
 
+    /**
+     * Subtracts other work.
+     *
+     * @param other the other work, part of this
+     * @return the rest
+     */
+    WorkTotals minus(WorkTotals other) {
+        return new WorkTotals(
+                running - other.running,
+                waitingTokens - other.waitingTokens,
+                residentTokens - other.residentTokens,
+                heldTokens - other.heldTokens);
+    }
+
     /**
      * Adds other work.
      *
--- a/core/src/main/java/org/redwinghook/core/replica/StoreReaders.java
+++ b/core/src/main/java/org/redwinghook/core/replica/StoreReaders.java
@@ -9,34 +9,22 @@
  */
 public final class StoreReaders {
 
-    /**
-     * Number of routers that wait at the store; the second one covers the time until a failure of the first is
-     * detected.
-     */
-    private static final int MAXIMUM_READERS = 2;
-
     private StoreReaders() {}
 
     /**
-     * Whether a router is the first reader, which alone relays large records at once.
-     *
-     * @param self name of the router
-     * @param peers connected routers, and whether each can read the store
-     * @return true if no connected router that can read the store sorts before this one
-     */
-    public static boolean isFirstReader(String self, Map<String, Boolean> peers) {
-        return countEarlierReaders(self, peers) == 0;
-    }
-
-    /**
-     * Whether a router waits at the store for new records.
+     * Role of a router.
      *
      * @param self name of the router
      * @param peers connected routers, and whether each can read the store
-     * @return true if fewer than two connected routers that can read the store sort before this one
+     * @return the first reader if no connected router that can read the store sorts before this one, the second reader if
+     *     one does
      */
-    public static boolean isReader(String self, Map<String, Boolean> peers) {
-        return countEarlierReaders(self, peers) < MAXIMUM_READERS;
+    public static StoreRole roleOf(String self, Map<String, Boolean> peers) {
+        return switch (countEarlierReaders(self, peers)) {
+            case 0 -> StoreRole.FIRST_READER;
+            case 1 -> StoreRole.SECOND_READER;
+            default -> StoreRole.FOLLOWER;
+        };
     }
 
     private static int countEarlierReaders(String self, Map<String, Boolean> peers) {
--- a/core/src/test/java/org/redwinghook/core/placement/WorkLedgerTest.java
+++ b/core/src/test/java/org/redwinghook/core/placement/WorkLedgerTest.java
@@ -1,6 +1,8 @@
 package org.redwinghook.core.placement;
 
 import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -45,6 +47,37 @@
         Assert.assertEquals(ledger.workOfEarlierRouters("router-b", "engine", 0).heldTokens(), 10);
     }
 
+    /** Guards against work that is forgotten when a silent router reports only what has changed. */
+    @Test
+    public void partialReportAfterASilenceBringsBackTheOtherTotals() {
+        WorkLedger ledger = new WorkLedger();
+        WorkTotals work = new WorkTotals(1, 0, 10, 10);
+        long silent = WorkLedger.MAXIMUM_PEER_TOTALS_AGE_MILLIS + 1;
+        ledger.updatePeer("other", Map.of("a", work, "b", work), true, 0);
+        Assert.assertEquals(ledger.workAt("a", silent), WorkTotals.NONE);
+        ledger.updatePeer("other", Map.of("a", WorkTotals.NONE), false, silent);
+        Assert.assertEquals(ledger.workAt("a", silent), WorkTotals.NONE);
+        Assert.assertEquals(ledger.workAt("b", silent), work);
+    }
+
+    /** Guards against sums that drift from the reports they are made of. */
+    @Test
+    public void sumsMatchTheNewestReportOfEachRouter() {
+        WorkLedger ledger = new WorkLedger();
+        Random random = new Random(7);
+        int[] newest = new int[9];
+        for (int step = 0; step < 2_000; step++) {
+            int router = random.nextInt(newest.length);
+            newest[router] = random.nextInt(4);
+            WorkTotals work =
+                    newest[router] == 0 ? WorkTotals.NONE : new WorkTotals(newest[router], 0, newest[router] * 10L, 0);
+            ledger.updatePeer("router-" + router, Map.of("engine", work), random.nextInt(5) == 0, step / 10);
+            Assert.assertEquals(
+                    ledger.workAt("engine", step / 10).running(),
+                    IntStream.of(newest).sum());
+        }
+    }
+
     @Test
     public void partialUpdatesLeaveOtherEndpointsUnchanged() {
         WorkLedger ledger = new WorkLedger();
--- a/core/src/test/java/org/redwinghook/core/replica/ReplicaRepairPolicyTest.java
+++ b/core/src/test/java/org/redwinghook/core/replica/ReplicaRepairPolicyTest.java
@@ -89,10 +89,10 @@
     @Test
     public void onlyOneReaderRelaysLargeRecords() {
         Map<String, Boolean> peers = new HashMap<>(Map.of("a", false, "b", true));
-        Assert.assertTrue(StoreReaders.isFirstReader("a", peers));
-        Assert.assertFalse(StoreReaders.isFirstReader("c", peers));
+        Assert.assertEquals(StoreReaders.roleOf("a", peers), StoreRole.FIRST_READER);
+        Assert.assertNotEquals(StoreReaders.roleOf("c", peers), StoreRole.FIRST_READER);
         peers.put("b", false);
-        Assert.assertTrue(StoreReaders.isFirstReader("c", peers));
+        Assert.assertEquals(StoreReaders.roleOf("c", peers), StoreRole.FIRST_READER);
     }
 
     private static String name(int number) {
--- a/core/src/test/java/org/redwinghook/core/replica/StoreReadersTest.java
+++ b/core/src/test/java/org/redwinghook/core/replica/StoreReadersTest.java
@@ -10,20 +10,21 @@
 
     @Test
     public void routerWithoutPeersIsAReader() {
-        Assert.assertTrue(StoreReaders.isReader("router-9", Map.of()));
+        Assert.assertNotEquals(StoreReaders.roleOf("router-9", Map.of()), StoreRole.FOLLOWER);
     }
 
     @Test
     public void onlyTheFirstTwoRoutersAreReaders() {
         Map<String, Boolean> peers = Map.of("router-1", true, "router-2", true, "router-4", true);
-        Assert.assertFalse(StoreReaders.isReader("router-3", peers));
-        Assert.assertTrue(StoreReaders.isReader("router-15", Map.of("router-1", true, "router-2", true)));
-        Assert.assertFalse(StoreReaders.isReader("router-5", peers));
+        Assert.assertEquals(StoreReaders.roleOf("router-3", peers), StoreRole.FOLLOWER);
+        Assert.assertNotEquals(
+                StoreReaders.roleOf("router-15", Map.of("router-1", true, "router-2", true)), StoreRole.FOLLOWER);
+        Assert.assertEquals(StoreReaders.roleOf("router-5", peers), StoreRole.FOLLOWER);
     }
 
     @Test
     public void routersThatCannotReadTheStoreDoNotCount() {
         Map<String, Boolean> peers = Map.of("router-1", false, "router-2", true);
-        Assert.assertTrue(StoreReaders.isReader("router-3", peers));
+        Assert.assertNotEquals(StoreReaders.roleOf("router-3", peers), StoreRole.FOLLOWER);
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -141,7 +141,7 @@
         followers = new ArrayList<>();
         for (RecordTopic topic : RecordTopic.values()) {
             followers.add(new RecordFollower(
-                    vertx, store, state, topic, clock, routerExchange::relay, routerExchange::isStoreReader));
+                    vertx, store, state, topic, clock, routerExchange::relay, routerExchange::storeRole));
         }
     }
 
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -1,10 +1,11 @@
 package org.redwinghook.router.forward;
 
 import java.util.List;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 import io.vertx.core.Vertx;
 import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.StoreRole;
 import org.redwinghook.core.replica.VersionedRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -12,19 +13,7 @@
 /** Follows one topic of the platform's store: reads a snapshot, then long-polls for new records. */
 public final class RecordFollower {
 
-    /** Maximum wait of a read, in milliseconds; an unresponsive connection is detected one second later. */
-    private static final long MAXIMUM_READ_WAIT_MILLIS = 1_000;
-
-    /** Pause between reads, in milliseconds: endpoints report often, and one read can return several reports. */
-    private static final long READ_PAUSE_MILLIS = 150;
-
-    /**
-     * Interval of reads while other routers read the store and relay its records, in milliseconds; missed records are
-     * repaired within seconds.
-     */
-    private static final long POLL_INTERVAL_MILLIS = 10_000;
-
-    /** Interval of checks whether this router has become a store reader, in milliseconds. */
+    /** Interval of checks whether this router's role has changed, in milliseconds. */
     private static final long ROLE_CHECK_INTERVAL_MILLIS = 200;
 
     /** Pause after the first failed read, in milliseconds; it doubles up to {@link #MAXIMUM_RETRY_MILLIS}. */
@@ -44,7 +33,7 @@
     private final RecordTopic topic;
     private final MonotonicClock clock;
     private final Relay relay;
-    private final BooleanSupplier isStoreReader;
+    private final Supplier<StoreRole> role;
     private long lastFailureAtMillis = Long.MIN_VALUE / 2;
     private int failures;
     private boolean snapshotNeeded = true;
@@ -59,7 +48,7 @@
      * @param topic the topic
      * @param clock monotonic clock
      * @param relay receives the new records
-     * @param isStoreReader whether this router long-polls the store, rather than relying on relayed records
+     * @param role part that this router takes in reading the store
      */
     public RecordFollower(
             Vertx vertx,
@@ -68,14 +57,14 @@
             RecordTopic topic,
             MonotonicClock clock,
             Relay relay,
-            BooleanSupplier isStoreReader) {
+            Supplier<StoreRole> role) {
         this.vertx = vertx;
         this.store = store;
         this.state = state;
         this.topic = topic;
         this.clock = clock;
         this.relay = relay;
-        this.isStoreReader = isStoreReader;
+        this.role = role;
     }
 
     /** Relays the records that a follower has read. */
@@ -128,8 +117,7 @@
             store.snapshot(topic).onSuccess(this::handleSnapshot).onFailure(this::handleFailure);
             return;
         }
-        boolean isReader = isStoreReader.getAsBoolean();
-        store.read(topic, state.replica(topic).nextOffset(), isReader ? MAXIMUM_READ_WAIT_MILLIS : 0)
+        store.read(topic, state.replica(topic).nextOffset(), role.get().waitMillis())
                 .onSuccess(this::handleRecords)
                 .onFailure(this::handleFailure);
     }
@@ -141,23 +129,28 @@
                 topic,
                 state.applySnapshot(topic, page.records(), page.endOffset(), storeWasUnavailable()),
                 storeWasUnavailable());
-        readNext();
+        readAfterPause();
     }
 
     private void handleRecords(RecordPage page) {
         recordSuccess();
         relay.relay(topic, state.apply(topic, page.records(), storeWasUnavailable()), storeWasUnavailable());
         state.replica(topic).advanceTo(page.endOffset());
-        long pollAtMillis = clock.millis() + POLL_INTERVAL_MILLIS;
-        vertx.setTimer(READ_PAUSE_MILLIS, ignored -> readWhenDue(pollAtMillis));
+        readAfterPause();
+    }
+
+    private void readAfterPause() {
+        long sinceMillis = clock.millis();
+        vertx.setTimer(StoreRole.FIRST_READER.pauseMillis(), ignored -> readWhenDue(sinceMillis));
     }
 
-    private void readWhenDue(long pollAtMillis) {
-        if (isStoreReader.getAsBoolean() || clock.millis() >= pollAtMillis) {
+    private void readWhenDue(long sinceMillis) {
+        long remainingMillis = sinceMillis + role.get().pauseMillis() - clock.millis();
+        if (remainingMillis <= 0) {
             readNext();
             return;
         }
-        vertx.setTimer(ROLE_CHECK_INTERVAL_MILLIS, ignored -> readWhenDue(pollAtMillis));
+        vertx.setTimer(Math.min(remainingMillis, ROLE_CHECK_INTERVAL_MILLIS), ignored -> readWhenDue(sinceMillis));
     }
 
     private void recordSuccess() {
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -18,11 +18,13 @@
 import org.redwinghook.core.message.Message;
 import org.redwinghook.core.message.RelayedRecords;
 import org.redwinghook.core.message.WorkReport;
+import org.redwinghook.core.placement.ReportInterval;
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.placement.WorkTotals;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.ReplicaRepairPolicy;
 import org.redwinghook.core.replica.StoreReaders;
+import org.redwinghook.core.replica.StoreRole;
 import org.redwinghook.core.replica.VersionedRecord;
 import org.redwinghook.router.peer.MeshTopology;
 import org.redwinghook.runtime.config.ConfigurationPeer;
@@ -36,8 +38,8 @@
  */
 final class RouterExchange implements PeerListener {
 
-    /** Interval of work reports while work changes, in milliseconds; an engine reads a prompt in several intervals. */
-    private static final long REPORT_INTERVAL_MILLIS = 100;
+    /** Interval of checks whether a work report is due, in milliseconds. */
+    private static final long REPORT_CHECK_INTERVAL_MILLIS = 100;
 
     /** Interval of unchanged work reports, in milliseconds; half of the age at which reports expire. */
     private static final long UNCHANGED_REPORT_INTERVAL_MILLIS = WorkLedger.MAXIMUM_PEER_TOTALS_AGE_MILLIS / 2;
@@ -98,16 +100,20 @@
     }
 
     /**
-     * Whether this router long-polls the store for new records.
+     * Part that this router takes in reading the store.
      *
-     * @return false if other routers do and relay the records
+     * @return the role among the connected routers
      */
-    boolean isStoreReader() {
-        return StoreReaders.isReader(self, storeAccessByRouter);
+    StoreRole storeRole() {
+        return StoreReaders.roleOf(self, storeAccessByRouter);
     }
 
     void start() {
-        vertx.setPeriodic(REPORT_INTERVAL_MILLIS, ignored -> report());
+        vertx.setPeriodic(REPORT_CHECK_INTERVAL_MILLIS, ignored -> {
+            if (clock.millis() - lastReportAtMillis >= ReportInterval.millis(peers.size())) {
+                report();
+            }
+        });
     }
 
     /**
@@ -125,7 +131,7 @@
             broadcast(null, toRelayedRecords(topic, newestByKey(records).values(), mayHaveLapsed));
             return;
         }
-        if (StoreReaders.isFirstReader(self, storeAccessByRouter)) {
+        if (storeRole() == StoreRole.FIRST_READER) {
             pendingOperatorRecords.putAll(newestByKey(records));
             broadcastOperatorRecords();
         }
