--- a/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
@@ -26,11 +26,14 @@
  */
 public final class VmListClient {
 
-    private static final long TIMEOUT_MILLIS = 2_000;
+    /** Time after which a read fails, in milliseconds; the next one follows soon. */
+    private static final long DEFAULT_TIMEOUT_MILLIS = 2_000;
+
     private static final int HTTP_NOT_MODIFIED = 304;
 
     private final HttpClient client;
     private final Address address;
+    private final long timeoutMillis;
     private @Nullable CachedList cachedList;
 
     /**
@@ -40,8 +43,20 @@
      * @param address address of the VM list
      */
     public VmListClient(Vertx vertx, Address address) {
+        this(vertx, address, DEFAULT_TIMEOUT_MILLIS);
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param vertx Vert.x instance that runs the client
+     * @param address address of the VM list
+     * @param timeoutMillis time after which a read fails, in milliseconds
+     */
+    public VmListClient(Vertx vertx, Address address, long timeoutMillis) {
         this.client = vertx.createHttpClient();
         this.address = address;
+        this.timeoutMillis = timeoutMillis;
     }
 
     /**
@@ -59,7 +74,7 @@
                     return request.send();
                 })
                 .compose(response -> handleResponse(response, cached))
-                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS);
     }
 
     private Future<List<Member>> handleResponse(HttpClientResponse response, @Nullable CachedList cached) {
--- a/standins/src/test/java/org/redwinghook/standins/vmlist/VmListClientTest.java
+++ b/standins/src/test/java/org/redwinghook/standins/vmlist/VmListClientTest.java
@@ -1,6 +1,8 @@
 package org.redwinghook.standins.vmlist;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.Vertx;
@@ -18,6 +20,9 @@
 /** Guards against a client that keeps an outdated VM list, and against full lists in response to each read. */
 public class VmListClientTest {
 
+    /** Timeout that a busy machine does not exceed, in milliseconds, for tests that do not guard the timeout. */
+    private static final long LONG_TIMEOUT_MILLIS = 30_000;
+
     private final Vertx vertx = Vertx.vertx();
 
     @AfterClass
@@ -30,7 +35,7 @@
     public void conditionalReadsReturnEachChange() {
         VmListStandIn list = new VmListStandIn(vertx, 0, new JsonArray().add(entry("a")));
         VmListClient client =
-                new VmListClient(vertx, new Address("127.0.0.1", list.start().await()));
+                new VmListClient(vertx, new Address("127.0.0.1", list.start().await()), LONG_TIMEOUT_MILLIS);
         Assert.assertEquals(names(client), List.of("a"));
         Assert.assertEquals(names(client), List.of("a"));
         list.add(entry("b"));
@@ -71,11 +76,25 @@
                 })
                 .listen(0, "127.0.0.1")
                 .await();
-        VmListClient client = new VmListClient(vertx, new Address("127.0.0.1", server.actualPort()));
+        VmListClient client =
+                new VmListClient(vertx, new Address("127.0.0.1", server.actualPort()), LONG_TIMEOUT_MILLIS);
         Assert.assertEquals(names(client), List.of("vm-1"));
         Assert.assertEquals(names(client), List.of("vm-2"));
     }
 
+    /** Guards against a client that waits forever for a list that does not respond, and never reads it again. */
+    @Test(timeOut = 30_000)
+    public void readThatIsNotAnsweredFailsAfterTheTimeout() {
+        HttpServer server = vertx.createHttpServer()
+                .requestHandler(request -> {})
+                .listen(0, "127.0.0.1")
+                .await();
+        VmListClient client = new VmListClient(vertx, new Address("127.0.0.1", server.actualPort()), 200);
+        long startNanos = System.nanoTime();
+        Assert.assertThrows(TimeoutException.class, () -> client.read().await());
+        Assert.assertTrue(System.nanoTime() - startNanos >= TimeUnit.MILLISECONDS.toNanos(200));
+    }
+
     private static List<String> names(VmListClient client) {
         return client.read().await().stream().map(Member::vm).toList();
     }
