Report work at leaving engines at once

Cause: routers take turns at the link of a leaving engine by the work that the others report.

Change: a router reports when an engine that runs its streams leaves, and when one of its runs there ends.

--- a/core/src/main/java/org/redwinghook/core/forward/EndpointTable.java
+++ b/core/src/main/java/org/redwinghook/core/forward/EndpointTable.java
@@ -46,6 +46,7 @@
      * @param nowMillis current time
      */
     public void remove(String id, boolean mayHaveLapsed, long nowMillis) {
+        find(id).ifPresent(KnownEndpoint::recordRemoval);
         if (!mayHaveLapsed) {
             endpoints.remove(id);
             expiryMillisById.remove(id);
--- a/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
+++ b/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
@@ -13,6 +13,7 @@
     private final ColdPacing pacing = new ColdPacing();
     private EndpointEntry entry;
     private long coldUntilMillis;
+    private boolean isRemoved;
     private int waitingRequests;
     private long waitingReceivedAtMillis = Long.MIN_VALUE / 2;
 
@@ -69,6 +70,19 @@
         return nowMillis - waitingReceivedAtMillis <= MAXIMUM_LOAD_AGE_MILLIS ? waitingRequests : 0;
     }
 
+    /**
+     * Whether the endpoint is about to end: it drains, or its entry was removed.
+     *
+     * @return true from the notice on
+     */
+    public boolean isLeaving() {
+        return isRemoved || entry.draining();
+    }
+
+    void recordRemoval() {
+        isRemoved = true;
+    }
+
     /**
      * Whether the endpoint is cold.
      *
@@ -91,6 +105,7 @@
 
     void update(EndpointEntry newest, long nowMillis) {
         entry = newest;
+        isRemoved = false;
         recordColdMillis(newest.coldMillis(), nowMillis);
     }
 }
--- a/core/src/test/java/org/redwinghook/core/forward/EndpointTableTest.java
+++ b/core/src/test/java/org/redwinghook/core/forward/EndpointTableTest.java
@@ -49,6 +49,22 @@
         Assert.assertTrue(table.find("a").isPresent());
     }
 
+    /** Guards against runs that other routers wait for after they have ended, since their end is not reported at once. */
+    @Test
+    public void endpointIsLeavingFromItsNoticeOnUntilItIsListedAgain() {
+        EndpointTable table = table();
+        KnownEndpoint endpoint = table.find("a").orElseThrow();
+        Assert.assertFalse(endpoint.isLeaving());
+        table.put(entry("a", true, 1), NOW);
+        Assert.assertTrue(endpoint.isLeaving());
+        table.put(entry("a", false, 1), NOW);
+        Assert.assertFalse(endpoint.isLeaving());
+        table.remove("a", true, NOW);
+        Assert.assertTrue(endpoint.isLeaving());
+        table.put(entry("a", false, 1), NOW);
+        Assert.assertFalse(endpoint.isLeaving());
+    }
+
     @Test
     public void withdrawnDataCentreTakesNoRequestsUntilItIsRestored() {
         EndpointTable table = table();
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -112,9 +112,14 @@
 
     /** Ends the attempt and closes its connection, which makes the endpoint stop work on the request. */
     void end() {
+        boolean wasRunning = !isEnded;
         isEnded = true;
         context.ledger().remove(runningRequest);
         exchange.close();
+        if (wasRunning && runningRequest.work().heldTokens() > 0 && endpoint.isLeaving()) {
+            // Other routers wait for this run before they copy theirs.
+            context.reportWork().run();
+        }
     }
 
     boolean isEnded() {
--- a/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
@@ -58,6 +58,10 @@
             streamsByRequestId.put(stream.caller().requestId(), stream);
             runs.add(stream.runAtEngine());
         }
+        if (!runs.isEmpty()) {
+            // The other routers take turns by this router's newest work, not by that of its last report.
+            context.reportWork().run();
+        }
         MovePlan plan = MovePlan.of(runs, memory, NOTICE_MILLIS);
         if (plan.waves().isEmpty()) {
             return;
