Keep the speed of an engine in one place

The choice of engines, the plan of moves and the decision of a stopping router each had their own figures for it. No change of behaviour: the stop decision already used the same values.

--- a/core/src/main/java/org/redwinghook/core/forward/StopAdmission.java
+++ b/core/src/main/java/org/redwinghook/core/forward/StopAdmission.java
@@ -1,5 +1,6 @@
 package org.redwinghook.core.forward;
 
+import org.redwinghook.core.placement.EngineSpeed;
 import org.redwinghook.core.placement.PlacementQuery;
 
 /**
@@ -22,12 +23,6 @@
     /** Time reserved for the transfer of a response, in milliseconds. */
     private static final double RESPONSE_MARGIN_MILLIS = 250;
 
-    /** Time per output token of a fully loaded engine, in milliseconds. */
-    private static final double MILLIS_PER_OUTPUT_TOKEN = 8;
-
-    /** Prompt tokens that a loaded engine prefills per millisecond. */
-    private static final double PREFILL_TOKENS_PER_MILLI = 7;
-
     private final long startedAtMillis;
     private final long stopsAtMillis;
 
@@ -67,8 +62,8 @@
             PlacementQuery query, long longestOutputTokens, long remainingMillis, long nowMillis) {
         boolean isEarly = nowMillis - startedAtMillis < EXPECTED_OUTPUT_MILLIS;
         long outputTokens = isEarly ? query.expectedOutputTokens() : longestOutputTokens;
-        double longest = query.promptTokens() / PREFILL_TOKENS_PER_MILLI
-                + outputTokens * MILLIS_PER_OUTPUT_TOKEN
+        double longest = EngineSpeed.prefillMillis(query.promptTokens())
+                + EngineSpeed.outputMillis(outputTokens)
                 + GENERATION_MARGIN_MILLIS;
         return endsInTime(longest, remainingMillis, nowMillis);
     }
--- a/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
@@ -14,7 +14,7 @@
         @Override
         double delayMillis(Candidate candidate, PlacementQuery query) {
             WorkTotals work = candidate.work();
-            double prefill = (work.waitingTokens() + query.promptTokens()) / PREFILL_TOKENS_PER_MILLI;
+            double prefill = EngineSpeed.prefillMillis(work.waitingTokens() + query.promptTokens());
             double steps = work.running() * DELAY_PER_GENERATION_MILLIS;
             double needed = work.residentTokens() + query.promptTokens() + query.expectedOutputTokens();
             double free = candidate.memoryTokens() * USABLE_MEMORY_SHARE;
@@ -37,7 +37,7 @@
 
         @Override
         double delayMillis(Candidate candidate, PlacementQuery query) {
-            double prefill = query.promptTokens() / PREFILL_TOKENS_PER_MILLI;
+            double prefill = EngineSpeed.prefillMillis(query.promptTokens());
             double copy = candidate.distance() == Distance.LOCAL ? 0 : CROSS_DATA_CENTRE_COPY_MILLIS;
             if (candidate.distance() == Distance.FAR) {
                 return Double.POSITIVE_INFINITY;
@@ -54,12 +54,6 @@
         }
     };
 
-    /**
-     * Prompt tokens that an engine prefills per millisecond beside running generations: half of the data sheet's 14,
-     * since prompts are prefilled in chunks, and each chunk waits for a decoding step of about its own length.
-     */
-    private static final double PREFILL_TOKENS_PER_MILLI = 7;
-
     /** Delay that each running generation adds to a first token through slower decoding steps, in milliseconds. */
     private static final double DELAY_PER_GENERATION_MILLIS = 12;
 
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.EndpointEntry;
 import org.redwinghook.core.forward.KnownEndpoint;
+import org.redwinghook.core.placement.EngineSpeed;
 import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.RunningRequest;
@@ -28,9 +29,6 @@
     /** Output tokens per event; from the engines' data sheet. */
     private static final long TOKENS_PER_EVENT = 4;
 
-    /** Time per output token of an engine under usual load, in milliseconds; from its data sheet. */
-    private static final double MILLIS_PER_TOKEN = 8;
-
     /** A run that exceeds its expected output is assumed to produce another 1/n of its output so far. */
     private static final long OVERRUN_DIVISOR = 4;
 
@@ -91,7 +89,7 @@
         return new RunAtEngine(
                 caller.requestId(),
                 query.promptTokens() + producedTokens,
-                remainingTokens * MILLIS_PER_TOKEN,
+                EngineSpeed.outputMillis(remainingTokens),
                 caller.route().mayRunAgain());
     }
 
