Derive whether a router drains, and read a changed settings file once

Found when reading the whole change again: the server kept a flag beside the stop decision that it could be derived from; a change of the settings file announced by SIGHUP was read by the signal and again by the check of its attributes up to a second later, which logged a second reload; a comment was wrapped in the middle of a sentence.

--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -61,11 +61,10 @@
     private final RunningStreams streams;
     private final List<Runnable> earlyRequests = new ArrayList<>();
     private final Promise<Void> idle = Promise.promise();
+    private final CallerConnections connections = new CallerConnections();
     private @Nullable HttpServer server;
     private int runningRequests;
-    private boolean draining;
     private @Nullable StopAdmission stopAdmission;
-    private final CallerConnections connections = new CallerConnections();
 
     ForwardServer(Vertx vertx, Address address, ForwardContext context, RunningStreams streams) {
         this.vertx = vertx;
@@ -102,7 +101,6 @@
      * @return completes when no request is running
      */
     Future<Void> drain(long drainMillis) {
-        draining = true;
         long now = context.clock().millis();
         stopAdmission = new StopAdmission(now, now + drainMillis);
         vertx.setTimer(
@@ -151,8 +149,7 @@
             return;
         }
         // The store responds within a few hundred milliseconds of a start, so the request waits for the configuration.
-        // A
-        // refusal would use up the caller's retry.
+        // A refusal would use up the caller's retry.
         request.pause();
         Runnable serve = () -> {
             request.resume();
@@ -167,7 +164,7 @@
     }
 
     private void handle(HttpServerRequest request, long receivedAtMillis) {
-        if (draining) {
+        if (isDraining()) {
             request.response().putHeader("Connection", "close");
         }
         ForwardingConfiguration configuration = context.state().configuration().orElse(null);
@@ -235,6 +232,10 @@
         new CallForwarding(context, caller).start();
     }
 
+    private boolean isDraining() {
+        return stopAdmission != null;
+    }
+
     private boolean mayTake(CallerExchange caller) {
         StopAdmission admission = stopAdmission;
         if (admission == null) {
@@ -252,7 +253,7 @@
 
     private void handleRequestEnded() {
         runningRequests--;
-        if (draining && runningRequests == 0) {
+        if (isDraining() && runningRequests == 0) {
             idle.tryComplete();
         }
     }
--- a/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
@@ -137,7 +137,11 @@
         }
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(vertx, verticle, stopped), "graceful-stop"));
-        HangupSignal.registerHandler(() -> reload(file, settings));
+        HangupSignal.registerHandler(() -> {
+            // The change that the signal announces needs no second read.
+            watch.hasChanged();
+            reload(file, settings);
+        });
         // Operators and tests send signals once this line is logged, so the handlers must be registered before.
         LOGGER.info("{} started", binary);
         reloadUntilStopped(stopped, watch, () -> reload(file, settings));
--- a/runtime/src/main/java/org/redwinghook/runtime/process/SettingsFileWatch.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/SettingsFileWatch.java
@@ -5,7 +5,7 @@
 import java.nio.file.Path;
 import java.nio.file.attribute.BasicFileAttributes;
 
-/** Detects changes of a settings file by its attributes, without reading it. */
+/** Detects changes of a settings file by its attributes, without reading it. Safe for use by several threads. */
 final class SettingsFileWatch {
 
     private final Path file;
@@ -21,7 +21,7 @@
      *
      * @return false if it is unchanged or missing
      */
-    boolean hasChanged() {
+    synchronized boolean hasChanged() {
         String now = attributes();
         if (now.isEmpty() || now.equals(lastSeen)) {
             return false;
