Keep the port of a stopping router open until the load balancer has noticed the stop

Cause: ForwardServer.drain ended as soon as no request ran, and the router closed its port and exited within 20 ms (`stop begins running=0` at 18.892 s, `stopped` at 18.912 s, with an IllegalStateException for a connection that was accepted meanwhile). The load balancer sends connections until two readiness checks have failed, one a second.

Change: StopTiming (core) decides: the port closes when the load balancer has noticed the stop (2.5 s), no request runs and no connection is open, or at the end of the time. Idle connections are closed from 2.5 s on; a new connection has 0.5 s for its first request.

--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -17,6 +17,7 @@
 import org.redwinghook.core.forward.RequestKind;
 import org.redwinghook.core.forward.Route;
 import org.redwinghook.core.forward.StopAdmission;
+import org.redwinghook.core.forward.StopTiming;
 import org.redwinghook.router.caller.CallerErrors;
 import org.redwinghook.runtime.process.ListenErrors;
 import org.redwinghook.runtime.settings.Address;
@@ -44,11 +45,8 @@
     /** Retry-After of a stopping router, in milliseconds: another router can take the request at once. */
     private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
 
-    /**
-     * Time after which a stopping router closes idle connections, in milliseconds. By then the load balancer has noticed
-     * two failed readiness checks, one a second, and sends the callers' new connections to other routers.
-     */
-    private static final long IDLE_CLOSE_DELAY_MILLIS = 2_500;
+    /** Interval at which a stopping router checks what it may close, in milliseconds. */
+    private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
 
     private static final Logger LOGGER = LoggerFactory.getLogger(ForwardServer.class);
 
@@ -60,8 +58,8 @@
     private final ForwardContext context;
     private final RunningStreams streams;
     private final List<Runnable> earlyRequests = new ArrayList<>();
-    private final Promise<Void> idle = Promise.promise();
-    private final CallerConnections connections = new CallerConnections();
+    private final Promise<Void> drained = Promise.promise();
+    private final CallerConnections connections;
     private @Nullable HttpServer server;
     private int runningRequests;
     private @Nullable StopAdmission stopAdmission;
@@ -71,6 +69,7 @@
         this.address = address;
         this.context = context;
         this.streams = streams;
+        this.connections = new CallerConnections(context.clock());
     }
 
     /**
@@ -94,21 +93,39 @@
     }
 
     /**
-     * Lets running requests finish; each connection closes after its next response. Requests that would not end in time
-     * are refused.
+     * Lets running requests finish. New requests are served, as the load balancer sends connections until it has noticed
+     * the stop; each connection closes after its next response. Requests that would not end in time are refused.
      *
      * @param drainMillis time until the server stops, in milliseconds
-     * @return completes when no request is running
+     * @return completes when no caller depends on the server any more, or when the time is over
      */
     Future<Void> drain(long drainMillis) {
         long now = context.clock().millis();
         stopAdmission = new StopAdmission(now, now + drainMillis);
-        vertx.setTimer(
-                Math.max(1, Math.min(IDLE_CLOSE_DELAY_MILLIS, drainMillis / 2)), ignored -> closeIdleConnections());
-        if (runningRequests == 0) {
-            idle.tryComplete();
+        StopTiming timing = new StopTiming(now, now + drainMillis);
+        vertx.setPeriodic(STOP_CHECK_INTERVAL_MILLIS, timer -> {
+            if (continueDrain(timing)) {
+                vertx.cancelTimer(timer);
+                drained.complete();
+            }
+        });
+        return drained.future();
+    }
+
+    /** Closes the connections that are no longer needed and returns whether the server may stop. */
+    private boolean continueDrain(StopTiming timing) {
+        long now = context.clock().millis();
+        int closed = connections.closeIdle(idleSinceMillis -> timing.mayCloseIdleConnection(idleSinceMillis, now));
+        if (closed > 0) {
+            LOGGER.info("idle connections closed number={} open={}", closed, connections.size());
+        }
+        if (!timing.mayClosePort(runningRequests, connections.size(), now)) {
+            return false;
+        }
+        if (timing.isOver(now)) {
+            LOGGER.warn("stop interrupts requests running={} connections={}", runningRequests, connections.size());
         }
-        return idle.future();
+        return true;
     }
 
     /**
@@ -136,10 +153,6 @@
         requests.forEach(Runnable::run);
     }
 
-    private void closeIdleConnections() {
-        LOGGER.info("idle connections closed number={}", connections.closeIdle());
-    }
-
     private void accept(HttpServerRequest request) {
         connections.requestStarted(request.connection());
         request.response().endHandler(ignored -> connections.requestEnded(request.connection()));
@@ -253,9 +266,6 @@
 
     private void handleRequestEnded() {
         runningRequests--;
-        if (isDraining() && runningRequests == 0) {
-            idle.tryComplete();
-        }
     }
 
     private static void reject(HttpServerRequest request, int status, String message) {
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 
 import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -224,17 +223,10 @@
         long drainMillis = Math.max(1, reloadable.current().stopMillis() - CONNECTION_CLOSE_MILLIS);
         LOGGER.info("stop begins running={} drainMillis={}", server.runningRequests(), drainMillis);
         membership.leave();
-        return server.drain(drainMillis)
-                .timeout(drainMillis, TimeUnit.MILLISECONDS)
-                .otherwise(failure -> {
-                    LOGGER.warn("stop interrupts requests running={}", server.runningRequests());
-                    return null;
-                })
-                .compose(ignored -> server.stop())
-                .onComplete(ignored -> {
-                    followers.forEach(RecordFollower::stop);
-                    mesh.stop();
-                });
+        return server.drain(drainMillis).compose(ignored -> server.stop()).onComplete(ignored -> {
+            followers.forEach(RecordFollower::stop);
+            mesh.stop();
+        });
     }
 
     private int routerCount() {
