Answer every request that was read before a stopping router closes its connections

Callers saw a closed connection without an answer when their request still ran at the end of the stop time, when its body was late, or when it was rejected just then.

Cause: at the end of the time the server closed all connections at once. Only forwarded requests were counted, and none was asked to end.

Change: PendingRequests knows each request from its head to its written response. At the end each is interrupted: 503 if nothing was sent to an endpoint, otherwise 502; a begun stream is broken off, so that it does not look complete. The responses are written first, then the port closes, then the connections. Requests that run when the stop begins announce `Connection: close` too, and the router closes such a connection itself. A request behind the response that announced the close is refused and not run, as its caller does not read on (RFC 9112, 9.6).

Tests that failed before: ForwardingTest.Stops.requestsThatRunAtTheEndOfTheStopAreAnswered (HttpClosedException), requestWhoseBodyIsLateIsRefusedAtTheEndOfTheStop (closed), requestBehindTheLastResponseOfAConnectionIsNotRun (200, run).

--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -40,6 +40,7 @@
     void start() {
         caller.onDisconnect(this::cancel);
         caller.onTimeout(this::handleTimeout);
+        caller.onInterruption(this::handleInterruption);
         context.retryBudgets().requestStarted(caller.service(), context.clock().millis());
         startNextAttempt();
     }
@@ -74,13 +75,21 @@
     }
 
     private void handleTimeout() {
+        endUnanswered(new Refusal(RefusalCause.NO_TIME, 0), "the time ran out", true);
+    }
+
+    private void handleInterruption() {
+        endUnanswered(Refusal.STOPPING, "the router stops", false);
+    }
+
+    private void endUnanswered(Refusal refusal, String cause, boolean timedOut) {
         boolean sent = currentAttempt != null && currentAttempt.endpointAttempt.isInProgress();
         cancel();
         if (!attempts.mayHaveRun() && !sent) {
-            caller.refuse(new Refusal(RefusalCause.NO_TIME, 0));
+            caller.refuse(refusal);
             return;
         }
-        fail("the time ran out", true);
+        fail(cause, timedOut);
     }
 
     private void cancel() {
--- a/router/src/main/java/org/redwinghook/router/forward/CallerConnections.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerConnections.java
@@ -18,16 +18,45 @@
     }
 
     void add(HttpConnection connection) {
-        usages.put(connection, new Usage(0, clock.millis()));
+        usages.put(connection, new Usage(0, clock.millis(), false));
         connection.closeHandler(ignored -> usages.remove(connection));
     }
 
     void requestStarted(HttpConnection connection) {
-        usages.computeIfPresent(connection, (key, usage) -> new Usage(usage.requests + 1, clock.millis()));
+        usages.computeIfPresent(
+                connection, (key, usage) -> new Usage(usage.requests + 1, clock.millis(), usage.closeAnnounced));
     }
 
     void requestEnded(HttpConnection connection) {
-        usages.computeIfPresent(connection, (key, usage) -> new Usage(usage.requests - 1, clock.millis()));
+        usages.computeIfPresent(
+                connection, (key, usage) -> new Usage(usage.requests - 1, clock.millis(), usage.closeAnnounced));
+    }
+
+    /**
+     * Records that a response announces the end of its connection.
+     *
+     * @param connection the connection
+     * @return false if an earlier response announced it, so that the caller does not expect any further request to run
+     */
+    boolean announceClose(HttpConnection connection) {
+        Usage usage = usages.get(connection);
+        if (usage == null) {
+            return true;
+        }
+        usages.put(connection, new Usage(usage.requests, usage.idleSinceMillis, true));
+        return !usage.closeAnnounced;
+    }
+
+    /**
+     * Closes a connection if its end was announced and it has no request.
+     *
+     * @param connection the connection
+     */
+    void closeAnnounced(HttpConnection connection) {
+        Usage usage = usages.get(connection);
+        if (usage != null && usage.closeAnnounced && usage.requests == 0) {
+            connection.close();
+        }
     }
 
     int size() {
@@ -49,5 +78,5 @@
         return idle.size();
     }
 
-    private record Usage(int requests, long idleSinceMillis) {}
+    private record Usage(int requests, long idleSinceMillis, boolean closeAnnounced) {}
 }
--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -41,6 +41,7 @@
     private final Runnable onEnd;
     private Runnable disconnectHandler = () -> {};
     private Runnable timeoutHandler = () -> refuse(new Refusal(RefusalCause.NO_TIME, 0));
+    private Runnable interruptionHandler = () -> refuse(Refusal.STOPPING);
     private long timeoutTimer = -1;
     private boolean isEnded;
 
@@ -88,6 +89,15 @@
         timeoutHandler = handler;
     }
 
+    void onInterruption(Runnable handler) {
+        interruptionHandler = handler;
+    }
+
+    /** Ends the exchange at the end of a stop. */
+    void interrupt() {
+        interruptionHandler.run();
+    }
+
     HttpServerRequest request() {
         return request;
     }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -42,12 +43,17 @@
     /** Retry-After of a router that has no configuration yet, in seconds. */
     private static final String RETRY_AFTER_SECONDS = "0.5";
 
-    /** Retry-After of a stopping router, in milliseconds: another router can take the request at once. */
-    private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
-
     /** Interval at which a stopping router checks what it may close, in milliseconds. */
     private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
 
+    /** Maximum time in which a stopping router writes its last responses, in milliseconds. */
+    private static final long MAXIMUM_WRITE_MILLIS = 250;
+
+    /** Maximum time in which a stopping router closes its connections, in milliseconds. */
+    private static final long MAXIMUM_CLOSE_MILLIS = 100;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(ForwardServer.class);
 
     /** Maximum size of a request head, in bytes; above the limits that configurations may set. */
@@ -61,7 +67,8 @@
     private final Promise<Void> drained = Promise.promise();
     private final CallerConnections connections;
     private @Nullable HttpServer server;
-    private int runningRequests;
+    private final PendingRequests pendingRequests = new PendingRequests();
+    private boolean isClosing;
     private @Nullable StopAdmission stopAdmission;
 
     ForwardServer(Vertx vertx, Address address, ForwardContext context, RunningStreams streams) {
@@ -102,6 +109,7 @@
     Future<Void> drain(long drainMillis) {
         long now = context.clock().millis();
         stopAdmission = new StopAdmission(now, now + drainMillis);
+        pendingRequests.announceClose(connections);
         StopTiming timing = new StopTiming(now, now + drainMillis);
         vertx.setPeriodic(STOP_CHECK_INTERVAL_MILLIS, timer -> {
             if (continueDrain(timing)) {
@@ -119,11 +127,12 @@
         if (closed > 0) {
             LOGGER.info("idle connections closed number={} open={}", closed, connections.size());
         }
-        if (!timing.mayClosePort(runningRequests, connections.size(), now)) {
+        if (!timing.mayClosePort(pendingRequests.size(), connections.size(), now)) {
             return false;
         }
         if (timing.isOver(now)) {
-            LOGGER.warn("stop interrupts requests running={} connections={}", runningRequests, connections.size());
+            LOGGER.warn(
+                    "stop interrupts requests running={} connections={}", pendingRequests.size(), connections.size());
         }
         return true;
     }
@@ -134,16 +143,28 @@
      * @return the number
      */
     int runningRequests() {
-        return runningRequests;
+        return pendingRequests.size();
     }
 
     /**
-     * Closes the server and all connections.
+     * Answers the requests that still run, then closes the port and all connections.
      *
      * @return completes when they are closed
      */
     Future<Void> stop() {
-        return server == null ? Future.succeededFuture() : server.close();
+        HttpServer running = server;
+        if (running == null) {
+            return Future.succeededFuture();
+        }
+        isClosing = true;
+        return pendingRequests
+                .interrupt()
+                .timeout(MAXIMUM_WRITE_MILLIS, TimeUnit.MILLISECONDS)
+                .otherwise(failure -> {
+                    LOGGER.warn("stop leaves responses unwritten number={}", pendingRequests.size());
+                    return null;
+                })
+                .compose(ignored -> running.shutdown(MAXIMUM_CLOSE_MILLIS, TimeUnit.MILLISECONDS));
     }
 
     /** Serves the requests that arrived before the configuration was known. */
@@ -155,9 +176,10 @@
 
     private void accept(HttpServerRequest request) {
         connections.requestStarted(request.connection());
-        request.response().endHandler(ignored -> connections.requestEnded(request.connection()));
+        pendingRequests.put(request, () -> refuseStopping(request));
+        request.response().closeHandler(ignored -> handleRequestEnded(request));
         long receivedAtMillis = context.clock().millis() - context.pollBarrier().averageWaitMillis();
-        if (context.state().isComplete() || earlyRequests.size() >= MAXIMUM_EARLY_REQUESTS) {
+        if (context.state().isComplete() || isClosing || earlyRequests.size() >= MAXIMUM_EARLY_REQUESTS) {
             handle(request, receivedAtMillis);
             return;
         }
@@ -169,6 +191,11 @@
             handle(request, receivedAtMillis);
         };
         earlyRequests.add(serve);
+        pendingRequests.put(request, () -> {
+            earlyRequests.remove(serve);
+            request.resume();
+            refuseStopping(request);
+        });
         vertx.setTimer(MAXIMUM_EARLY_WAIT_MILLIS, ignored -> {
             if (earlyRequests.remove(serve)) {
                 serve.run();
@@ -177,8 +204,13 @@
     }
 
     private void handle(HttpServerRequest request, long receivedAtMillis) {
+        pendingRequests.put(request, () -> refuseStopping(request));
         if (isDraining()) {
             request.response().putHeader("Connection", "close");
+            if (isClosing || !connections.announceClose(request.connection())) {
+                refuseStopping(request);
+                return;
+            }
         }
         ForwardingConfiguration configuration = context.state().configuration().orElse(null);
         if (configuration == null || !context.state().isComplete()) {
@@ -209,14 +241,18 @@
         }
         AdmittedRequest admitted = new AdmittedRequest(head, requestId, route.get(), access, receivedAtMillis);
         int maximumBodyBytes = configuration.limits().maximumBodyBytes();
-        runningRequests++;
-        request.body().onFailure(failure -> handleRequestEnded()).onSuccess(body -> {
+        request.body().onFailure(failure -> handleRequestEnded(request)).onSuccess(body -> {
+            if (request.response().ended()) {
+                return;
+            }
             if (body.length() > maximumBodyBytes) {
                 reject(request, CONTENT_TOO_LARGE, "the body is larger than " + maximumBodyBytes + " bytes");
-                handleRequestEnded();
                 return;
             }
-            forward(new CallerExchange(context, request, body, admitted, this::handleRequestEnded));
+            CallerExchange caller =
+                    new CallerExchange(context, request, body, admitted, () -> handleRequestEnded(request));
+            pendingRequests.put(request, caller::interrupt);
+            forward(caller);
         });
     }
 
@@ -235,7 +271,7 @@
             return;
         }
         if (!mayTake(caller)) {
-            caller.refuse(new Refusal(RefusalCause.STOPPING, STOPPING_RETRY_AFTER_MILLIS));
+            caller.refuse(Refusal.STOPPING);
             return;
         }
         if (caller.route().kind() == RequestKind.STREAMING) {
@@ -264,16 +300,34 @@
                 context.callDurations().longestMillis(caller.service()), caller.remainingMillis(), now);
     }
 
-    private void handleRequestEnded() {
-        runningRequests--;
+    /** Ends a request after its response was written, because a stopping router then closes the connection. */
+    private void handleRequestEnded(HttpServerRequest request) {
+        if (!pendingRequests.remove(request)) {
+            return;
+        }
+        connections.requestEnded(request.connection());
+        if (isDraining()) {
+            // The next request of the connection, if it has been read, begins before this task.
+            vertx.runOnContext(ignored -> connections.closeAnnounced(request.connection()));
+        }
+    }
+
+    private void refuseStopping(HttpServerRequest request) {
+        if (request.response().ended()) {
+            return;
+        }
+        request.response()
+                .putHeader("Retry-After", Double.toString(Refusal.STOPPING.retryAfterMillis() / MILLIS_PER_SECOND));
+        reject(request, RefusalCause.STOPPING.status(), "the router stops");
     }
 
-    private static void reject(HttpServerRequest request, int status, String message) {
+    private void reject(HttpServerRequest request, int status, String message) {
         Buffer body = CallerErrors.body("rejected", message).toBuffer();
         request.response()
                 .setStatusCode(status)
                 .putHeader("Content-Type", "application/json")
-                .end(body);
+                .end(body)
+                .onComplete(ignored -> handleRequestEnded(request));
     }
 
     private static String host(HttpServerRequest request) {
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -59,6 +59,7 @@
     void start() {
         caller.onDisconnect(this::cancel);
         caller.onTimeout(this::handleTimeout);
+        caller.onInterruption(this::handleInterruption);
         runningStreams.add(this);
         context.retryBudgets().requestStarted(caller.service(), context.clock().millis());
         startNextAttempt();
@@ -202,18 +203,26 @@
     }
 
     private void handleTimeout() {
+        endIncomplete(new Refusal(RefusalCause.NO_TIME, 0), "the time ran out", true);
+    }
+
+    private void handleInterruption() {
+        endIncomplete(Refusal.STOPPING, "the router stops", false);
+    }
+
+    private void endIncomplete(Refusal refusal, String cause, boolean timedOut) {
         boolean sent = currentAttempt != null && currentAttempt.endpointAttempt.isInProgress();
         cancel();
         if (responseStarted) {
-            abort("the time ran out");
+            abort(cause);
             return;
         }
         end();
         if (!attempts.mayHaveRun() && !sent) {
-            caller.refuse(new Refusal(RefusalCause.NO_TIME, 0));
+            caller.refuse(refusal);
             return;
         }
-        caller.fail("the time ran out", true);
+        caller.fail(cause, timedOut);
     }
 
     private void abort(String cause) {
