Estimate the first calls of a router by the latency objective of their route

A router that had just started and was stopped again refused calls for the whole timeout of their route, and the first duration that it learned contained up to 0.6 s in which the request had waited for the configuration.

Cause: CallDurations gave infinity before any call had ended, so that StopAdmission fell back to the time that the caller had left; durations were measured from the arrival of the request.

Change: before any call has ended, a call is expected to take the latency objective of its route; durations are measured from the start of forwarding.

--- a/core/src/main/java/org/redwinghook/core/forward/CallDurations.java
+++ b/core/src/main/java/org/redwinghook/core/forward/CallDurations.java
@@ -38,11 +38,12 @@
      * Duration that nearly no call of a service exceeds.
      *
      * @param service name of the service
-     * @return the duration in milliseconds, infinite if no call has ended yet
+     * @param unknownMillis duration assumed before any call has ended
+     * @return the duration in milliseconds
      */
-    public double longestMillis(String service) {
+    public double longestMillis(String service, double unknownMillis) {
         Estimate estimate = estimates.get(service);
-        return estimate == null ? Double.POSITIVE_INFINITY : estimate.mean + DEVIATIONS * estimate.deviation;
+        return estimate == null ? unknownMillis : estimate.mean + DEVIATIONS * estimate.deviation;
     }
 
     private record Estimate(double mean, double deviation) {}
--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -28,6 +28,7 @@
     private final ForwardContext context;
     private final CallerExchange caller;
     private final RequestAttempts attempts;
+    private final long startedAtMillis;
     private @Nullable CallAttempt currentAttempt;
     private @Nullable Runnable forwardFailureResponse;
 
@@ -35,6 +36,7 @@
         this.context = context;
         this.caller = caller;
         this.attempts = new RequestAttempts(context, caller, PlacementPolicy.CALL, new PlacementQuery(0, 0));
+        this.startedAtMillis = context.clock().millis();
     }
 
     void start() {
@@ -158,7 +160,7 @@
             }
             end();
             attempts.recordResponse();
-            context.callDurations().record(caller.service(), caller.elapsedMillis());
+            context.callDurations().record(caller.service(), context.clock().millis() - startedAtMillis);
             if (head.notRun() || head.status() == EndpointAttempt.MISDIRECTED_REQUEST) {
                 handleRefusal(head);
                 return;
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -297,7 +297,10 @@
                     head.expectedSize(), head.maximumOutputTokens(), caller.remainingMillis(), now);
         }
         return admission.mayTakeCall(
-                context.callDurations().longestMillis(caller.service()), caller.remainingMillis(), now);
+                context.callDurations()
+                        .longestMillis(caller.service(), caller.route().latencyObjectiveMillis()),
+                caller.remainingMillis(),
+                now);
     }
 
     /** Ends a request after its response was written, because a stopping router then closes the connection. */
