Let the last router take calls that are likely to end, and send refused callers back later

Cause: a refusal assumes that another router takes the request. StopAdmission did not ask whether there is one.

Change: a router is the last one for a caller if no other router is registered (a router removes its entry when it begins to stop), or if the load balancer opened the connection although it has noticed the stop. Then a call is taken if a typical one fits, and Retry-After is the rest of the stop, at least 1 s, by which routers that stopped earlier are back. With other routers in service nothing changes.

--- a/core/src/main/java/org/redwinghook/core/forward/CallDurations.java
+++ b/core/src/main/java/org/redwinghook/core/forward/CallDurations.java
@@ -34,6 +34,18 @@
         estimates.put(service, new Estimate(before.mean + NEW_WEIGHT * difference, deviation));
     }
 
+    /**
+     * Duration of a typical call of a service.
+     *
+     * @param service name of the service
+     * @param unknownMillis duration assumed before any call has ended
+     * @return the duration in milliseconds
+     */
+    public double typicalMillis(String service, double unknownMillis) {
+        Estimate estimate = estimates.get(service);
+        return estimate == null ? unknownMillis : estimate.mean;
+    }
+
     /**
      * Duration that nearly no call of a service exceeds.
      *
--- a/core/src/main/java/org/redwinghook/core/forward/StopAdmission.java
+++ b/core/src/main/java/org/redwinghook/core/forward/StopAdmission.java
@@ -20,6 +20,12 @@
      */
     private static final long EXPECTED_OUTPUT_MILLIS = 3_000;
 
+    /** Retry delay while other routers take new connections, in milliseconds. */
+    private static final long OTHER_ROUTER_RETRY_MILLIS = 50;
+
+    /** Shortest retry delay while no other router takes new connections, in milliseconds: the start of a router. */
+    private static final long ROUTER_START_MILLIS = 1_000;
+
     /** Time reserved for the transfer of a response, in milliseconds. */
     private static final double RESPONSE_MARGIN_MILLIS = 250;
 
@@ -68,6 +74,31 @@
         return endsInTime(longest, remainingMillis, nowMillis);
     }
 
+    /**
+     * Whether a call is taken while no other router takes new connections. A refused caller would only reach another
+     * stopping router, so the call is taken if it is more likely to end in time than not.
+     *
+     * @param typicalMillis learned duration of a typical call of the service
+     * @param remainingMillis time after which the caller or the route gives up
+     * @param nowMillis current time
+     * @return false if the call must be refused
+     */
+    public boolean mayTakeCallAsLastRouter(double typicalMillis, long remainingMillis, long nowMillis) {
+        return nowMillis + Math.min(typicalMillis, remainingMillis) <= stopsAtMillis;
+    }
+
+    /**
+     * Time after which a refused caller should try again. Routers stop in turn, so those that began before this one are
+     * back when it has stopped.
+     *
+     * @param isLastRouter whether no other router takes new connections
+     * @param nowMillis current time
+     * @return the delay in milliseconds
+     */
+    public long retryAfterMillis(boolean isLastRouter, long nowMillis) {
+        return isLastRouter ? Math.max(ROUTER_START_MILLIS, stopsAtMillis - nowMillis) : OTHER_ROUTER_RETRY_MILLIS;
+    }
+
     private boolean endsInTime(double longestMillis, long remainingMillis, long nowMillis) {
         return nowMillis + Math.min(longestMillis, remainingMillis) + RESPONSE_MARGIN_MILLIS <= stopsAtMillis;
     }
--- a/core/src/main/java/org/redwinghook/core/forward/StopTiming.java
+++ b/core/src/main/java/org/redwinghook/core/forward/StopTiming.java
@@ -41,6 +41,16 @@
         return nowMillis >= noticedAtMillis && nowMillis - idleSinceMillis >= FIRST_REQUEST_MILLIS;
     }
 
+    /**
+     * Whether a connection shows that the load balancer has no router left that does not stop.
+     *
+     * @param openedAtMillis time at which the connection was opened
+     * @return whether it was opened although the load balancer has noticed the stop
+     */
+    public boolean isOpenedByLastResort(long openedAtMillis) {
+        return openedAtMillis >= noticedAtMillis;
+    }
+
     /**
      * Whether the router may close its port.
      *
--- a/core/src/test/java/org/redwinghook/core/forward/StopAdmissionTest.java
+++ b/core/src/test/java/org/redwinghook/core/forward/StopAdmissionTest.java
@@ -60,4 +60,18 @@
         Assert.assertTrue(admission.mayTakeCall(durations.longestMillis("calls", 300), 10_000, 6_900));
         Assert.assertFalse(admission.mayTakeCall(durations.longestMillis("calls", 300), 10_000, 7_000));
     }
+
+    /** Replays callers that reach one stopping router after the other because all of them stop. */
+    @Test
+    public void lastRouterTakesWhatIsLikelyToEndInTime() {
+        Assert.assertTrue(admission.mayTakeCallAsLastRouter(40, 1_200, 7_450));
+        Assert.assertFalse(admission.mayTakeCallAsLastRouter(40, 1_200, 7_470));
+    }
+
+    @Test
+    public void refusedCallersReturnWhenAnotherRouterTakesThem() {
+        Assert.assertEquals(admission.retryAfterMillis(false, 1_000), 50);
+        Assert.assertEquals(admission.retryAfterMillis(true, 1_000), 6_500);
+        Assert.assertEquals(admission.retryAfterMillis(true, 7_400), 1_000);
+    }
 }
--- a/core/src/test/java/org/redwinghook/core/forward/StopTimingTest.java
+++ b/core/src/test/java/org/redwinghook/core/forward/StopTimingTest.java
@@ -50,4 +50,11 @@
         Assert.assertFalse(shortStop.mayClosePort(0, 0, 700));
         Assert.assertTrue(shortStop.mayClosePort(0, 0, 750));
     }
+
+    /** Guards against refusing callers whose next try reaches another stopping router. */
+    @Test
+    public void connectionsAfterTheNoticeShowThatNoOtherRouterIsLeft() {
+        Assert.assertFalse(timing.isOpenedByLastResort(2_400));
+        Assert.assertTrue(timing.isOpenedByLastResort(2_500));
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -80,8 +80,8 @@
         endUnanswered(new Refusal(RefusalCause.NO_TIME, 0), "the time ran out", true);
     }
 
-    private void handleInterruption() {
-        endUnanswered(Refusal.STOPPING, "the router stops", false);
+    private void handleInterruption(Refusal refusal) {
+        endUnanswered(refusal, "the router stops", false);
     }
 
     private void endUnanswered(Refusal refusal, String cause, boolean timedOut) {
--- a/router/src/main/java/org/redwinghook/router/forward/CallerConnections.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerConnections.java
@@ -18,18 +18,28 @@
     }
 
     void add(HttpConnection connection) {
-        usages.put(connection, new Usage(0, clock.millis(), false));
+        long now = clock.millis();
+        usages.put(connection, new Usage(0, now, now, false));
         connection.closeHandler(ignored -> usages.remove(connection));
     }
 
     void requestStarted(HttpConnection connection) {
-        usages.computeIfPresent(
-                connection, (key, usage) -> new Usage(usage.requests + 1, clock.millis(), usage.closeAnnounced));
+        usages.computeIfPresent(connection, (key, usage) -> usage.withRequests(usage.requests + 1, clock.millis()));
     }
 
     void requestEnded(HttpConnection connection) {
-        usages.computeIfPresent(
-                connection, (key, usage) -> new Usage(usage.requests - 1, clock.millis(), usage.closeAnnounced));
+        usages.computeIfPresent(connection, (key, usage) -> usage.withRequests(usage.requests - 1, clock.millis()));
+    }
+
+    /**
+     * Time at which a connection was opened.
+     *
+     * @param connection the connection
+     * @return the time, in the distant past if it has closed
+     */
+    long openedAtMillis(HttpConnection connection) {
+        Usage usage = usages.get(connection);
+        return usage == null ? Long.MIN_VALUE : usage.openedAtMillis;
     }
 
     /**
@@ -39,12 +49,12 @@
      * @return false if an earlier response announced it, so that the caller does not expect any further request to run
      */
     boolean announceClose(HttpConnection connection) {
-        Usage usage = usages.get(connection);
-        if (usage == null) {
+        Usage before = usages.get(connection);
+        if (before == null) {
             return true;
         }
-        usages.put(connection, new Usage(usage.requests, usage.idleSinceMillis, true));
-        return !usage.closeAnnounced;
+        usages.put(connection, new Usage(before.requests, before.openedAtMillis, before.idleSinceMillis, true));
+        return !before.closeAnnounced;
     }
 
     /**
@@ -78,5 +88,10 @@
         return idle.size();
     }
 
-    private record Usage(int requests, long idleSinceMillis, boolean closeAnnounced) {}
+    private record Usage(int requests, long openedAtMillis, long idleSinceMillis, boolean closeAnnounced) {
+
+        Usage withRequests(int newRequests, long nowMillis) {
+            return new Usage(newRequests, openedAtMillis, nowMillis, closeAnnounced);
+        }
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -1,6 +1,7 @@
 package org.redwinghook.router.forward;
 
 import java.util.Locale;
+import java.util.function.Consumer;
 
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
@@ -41,7 +42,7 @@
     private final Runnable onEnd;
     private Runnable disconnectHandler = () -> {};
     private Runnable timeoutHandler = () -> refuse(new Refusal(RefusalCause.NO_TIME, 0));
-    private Runnable interruptionHandler = () -> refuse(Refusal.STOPPING);
+    private Consumer<Refusal> interruptionHandler = this::refuse;
     private long timeoutTimer = -1;
     private boolean isEnded;
 
@@ -89,13 +90,17 @@
         timeoutHandler = handler;
     }
 
-    void onInterruption(Runnable handler) {
+    void onInterruption(Consumer<Refusal> handler) {
         interruptionHandler = handler;
     }
 
-    /** Ends the exchange at the end of a stop. */
-    void interrupt() {
-        interruptionHandler.run();
+    /**
+     * Ends the exchange at the end of a stop.
+     *
+     * @param refusal refusal of a request that was not sent to an endpoint
+     */
+    void interrupt(Refusal refusal) {
+        interruptionHandler.accept(refusal);
     }
 
     HttpServerRequest request() {
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -13,6 +14,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.forward.CallDurations;
 import org.redwinghook.core.forward.CustomerAccess;
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.forward.RequestKind;
@@ -69,13 +71,21 @@
     private @Nullable HttpServer server;
     private final PendingRequests pendingRequests = new PendingRequests();
     private boolean isClosing;
+    private final BooleanSupplier hasOtherRouters;
     private @Nullable StopAdmission stopAdmission;
-
-    ForwardServer(Vertx vertx, Address address, ForwardContext context, RunningStreams streams) {
+    private @Nullable StopTiming stopTiming;
+
+    ForwardServer(
+            Vertx vertx,
+            Address address,
+            ForwardContext context,
+            RunningStreams streams,
+            BooleanSupplier hasOtherRouters) {
         this.vertx = vertx;
         this.address = address;
         this.context = context;
         this.streams = streams;
+        this.hasOtherRouters = hasOtherRouters;
         this.connections = new CallerConnections(context.clock());
     }
 
@@ -111,6 +121,7 @@
         stopAdmission = new StopAdmission(now, now + drainMillis);
         pendingRequests.announceClose(connections);
         StopTiming timing = new StopTiming(now, now + drainMillis);
+        stopTiming = timing;
         vertx.setPeriodic(STOP_CHECK_INTERVAL_MILLIS, timer -> {
             if (continueDrain(timing)) {
                 vertx.cancelTimer(timer);
@@ -251,7 +262,7 @@
             }
             CallerExchange caller =
                     new CallerExchange(context, request, body, admitted, () -> handleRequestEnded(request));
-            pendingRequests.put(request, caller::interrupt);
+            pendingRequests.put(request, () -> caller.interrupt(stopRefusal(request)));
             forward(caller);
         });
     }
@@ -271,7 +282,7 @@
             return;
         }
         if (!mayTake(caller)) {
-            caller.refuse(Refusal.STOPPING);
+            caller.refuse(stopRefusal(caller.request()));
             return;
         }
         if (caller.route().kind() == RequestKind.STREAMING) {
@@ -296,11 +307,29 @@
             return admission.mayTakeGeneration(
                     head.expectedSize(), head.maximumOutputTokens(), caller.remainingMillis(), now);
         }
-        return admission.mayTakeCall(
-                context.callDurations()
-                        .longestMillis(caller.service(), caller.route().latencyObjectiveMillis()),
-                caller.remainingMillis(),
-                now);
+        CallDurations durations = context.callDurations();
+        long unknownMillis = caller.route().latencyObjectiveMillis();
+        return isLastRouterFor(caller.request())
+                ? admission.mayTakeCallAsLastRouter(
+                        durations.typicalMillis(caller.service(), unknownMillis), caller.remainingMillis(), now)
+                : admission.mayTakeCall(
+                        durations.longestMillis(caller.service(), unknownMillis), caller.remainingMillis(), now);
+    }
+
+    /** Whether the caller of a request would reach only routers that stop. */
+    private boolean isLastRouterFor(HttpServerRequest request) {
+        StopTiming timing = stopTiming;
+        return !hasOtherRouters.getAsBoolean()
+                || (timing != null && timing.isOpenedByLastResort(connections.openedAtMillis(request.connection())));
+    }
+
+    private Refusal stopRefusal(HttpServerRequest request) {
+        StopAdmission admission = stopAdmission;
+        long retryAfterMillis = admission == null
+                ? 0
+                : admission.retryAfterMillis(
+                        isLastRouterFor(request), context.clock().millis());
+        return new Refusal(RefusalCause.STOPPING, retryAfterMillis);
     }
 
     /** Ends a request after its response was written, because a stopping router then closes the connection. */
@@ -320,7 +349,7 @@
             return;
         }
         request.response()
-                .putHeader("Retry-After", Double.toString(Refusal.STOPPING.retryAfterMillis() / MILLIS_PER_SECOND));
+                .putHeader("Retry-After", Double.toString(stopRefusal(request).retryAfterMillis() / MILLIS_PER_SECOND));
         reject(request, RefusalCause.STOPPING.status(), "the router stops");
     }
 
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -114,7 +114,7 @@
                 new CallDurations(),
                 pollBarrier,
                 this::reportWork);
-        server = new ForwardServer(vertx, settings.caller(), context, streams);
+        server = new ForwardServer(vertx, settings.caller(), context, streams, this::hasOtherRouters);
         readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
         routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock);
         state.onEndpointLeaving(new RunRelocator(context, streams, settings.process())::handleEndpointLeaving);
@@ -229,6 +229,10 @@
         });
     }
 
+    private boolean hasOtherRouters() {
+        return membership.hasOthers();
+    }
+
     private int routerCount() {
         return membership.size();
     }
--- a/router/src/main/java/org/redwinghook/router/forward/Refusal.java
+++ b/router/src/main/java/org/redwinghook/router/forward/Refusal.java
@@ -6,8 +6,4 @@
  * @param cause cause of the refusal
  * @param retryAfterMillis suggested retry delay, in milliseconds; 0 to suggest none
  */
-record Refusal(RefusalCause cause, long retryAfterMillis) {
-
-    /** Refusal by a stopping router; another router can take the request at once. */
-    static final Refusal STOPPING = new Refusal(RefusalCause.STOPPING, 50);
-}
+record Refusal(RefusalCause cause, long retryAfterMillis) {}
--- a/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
@@ -33,6 +33,7 @@
     private final RouterMesh mesh;
     private boolean isLeaving;
     private int size = 1;
+    private boolean hasOthers;
 
     RouterMembership(
             Vertx vertx, RecordStore store, ForwardingState state, ForwardingSettings settings, RouterMesh mesh) {
@@ -72,6 +73,7 @@
             }
         }
         size = Math.max(1, members.size());
+        hasOthers = members.stream().anyMatch(member -> !member.vm().equals(settings.process()));
         mesh.update(members);
     }
 
@@ -84,6 +86,15 @@
         return size;
     }
 
+    /**
+     * Whether another router is registered, which a router is until it begins to stop.
+     *
+     * @return false if this router is the only one, or all others stop
+     */
+    boolean hasOthers() {
+        return hasOthers;
+    }
+
     private static void addMember(VersionedRecord record, List<Member> members) {
         try {
             JsonObject entry = new JsonObject(Buffer.buffer(record.value()));
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -206,8 +206,8 @@
         endIncomplete(new Refusal(RefusalCause.NO_TIME, 0), "the time ran out", true);
     }
 
-    private void handleInterruption() {
-        endIncomplete(Refusal.STOPPING, "the router stops", false);
+    private void handleInterruption(Refusal refusal) {
+        endIncomplete(refusal, "the router stops", false);
     }
 
     private void endIncomplete(Refusal refusal, String cause, boolean timedOut) {
