Serve requests that wait for the configuration when a stop begins, and log refusals

A request that waited for the configuration when the stop began got the announcement of the close, and was then refused as if it followed that announcement.

Change: the announcement counts only for later requests of the connection. A request whose caller left while it waited is no longer handled. Each refusal of a stopping router has a log line with the retry delay that it names.

--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -170,8 +170,9 @@
      * @param refusal cause and suggested retry delay
      */
     void refuse(Refusal refusal) {
-        if (!tryEnd(
-                refusal.cause().name().toLowerCase(Locale.ROOT), refusal.cause().status(), "none")) {
+        String outcome = refusal.cause().name().toLowerCase(Locale.ROOT);
+        String retry = refusal.retryAfterMillis() > 0 ? "retryAfterMillis=" + refusal.retryAfterMillis() : "none";
+        if (!tryEnd(outcome, refusal.cause().status(), "none", retry)) {
             return;
         }
         if (refusal.retryAfterMillis() > 0) {
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -215,13 +215,13 @@
     }
 
     private void handle(HttpServerRequest request, long receivedAtMillis) {
+        if (request.response().closed()) {
+            return;
+        }
         pendingRequests.put(request, () -> refuseStopping(request));
-        if (isDraining()) {
-            request.response().putHeader("Connection", "close");
-            if (isClosing || !connections.announceClose(request.connection())) {
-                refuseStopping(request);
-                return;
-            }
+        if (isDraining() && !announceClose(request)) {
+            refuseStopping(request);
+            return;
         }
         ForwardingConfiguration configuration = context.state().configuration().orElse(null);
         if (configuration == null || !context.state().isComplete()) {
@@ -267,6 +267,13 @@
         });
     }
 
+    /** Announces the end of the connection and returns whether the request may still be served. */
+    private boolean announceClose(HttpServerRequest request) {
+        boolean isAnnouncedByThis = request.response().headers().contains("Connection");
+        request.response().putHeader("Connection", "close");
+        return !isClosing && (isAnnouncedByThis || connections.announceClose(request.connection()));
+    }
+
     private void forward(CallerExchange caller) {
         caller.startMonitoring();
         context.pollBarrier().run(() -> {
@@ -348,9 +355,14 @@
         if (request.response().ended()) {
             return;
         }
-        request.response()
-                .putHeader("Retry-After", Double.toString(stopRefusal(request).retryAfterMillis() / MILLIS_PER_SECOND));
-        reject(request, RefusalCause.STOPPING.status(), "the router stops");
+        Refusal refusal = stopRefusal(request);
+        LOGGER.info(
+                "request refused cause=stopping status={} retryAfterMillis={} stopEnds={}",
+                refusal.cause().status(),
+                refusal.retryAfterMillis(),
+                isClosing);
+        request.response().putHeader("Retry-After", Double.toString(refusal.retryAfterMillis() / MILLIS_PER_SECOND));
+        reject(request, refusal.cause().status(), "the router stops");
     }
 
     private void reject(HttpServerRequest request, int status, String message) {
--- a/router/src/main/java/org/redwinghook/router/forward/PendingRequests.java
+++ b/router/src/main/java/org/redwinghook/router/forward/PendingRequests.java
@@ -12,7 +12,8 @@
 final class PendingRequests {
 
     private final Map<HttpServerRequest, Runnable> interruptions = new LinkedHashMap<>();
-    private Promise<Void> empty = Promise.promise();
+    private final Promise<Void> interrupted = Promise.promise();
+    private boolean isInterrupted;
 
     /**
      * Adds a request or replaces its interruption.
@@ -32,9 +33,7 @@
      */
     boolean remove(HttpServerRequest request) {
         boolean removed = interruptions.remove(request) != null;
-        if (interruptions.isEmpty()) {
-            empty.tryComplete();
-        }
+        completeIfEmpty();
         return removed;
     }
 
@@ -61,13 +60,15 @@
      * @return completes when all responses have been written
      */
     Future<Void> interrupt() {
-        empty = Promise.promise();
-        Future<Void> written = empty.future();
-        if (interruptions.isEmpty()) {
-            empty.complete();
-            return written;
-        }
+        isInterrupted = true;
         List.copyOf(interruptions.values()).forEach(Runnable::run);
-        return written;
+        completeIfEmpty();
+        return interrupted.future();
+    }
+
+    private void completeIfEmpty() {
+        if (isInterrupted && interruptions.isEmpty()) {
+            interrupted.tryComplete();
+        }
     }
 }
