--- a/core/src/main/java/org/redwinghook/core/forward/CallDurations.java
+++ b/core/src/main/java/org/redwinghook/core/forward/CallDurations.java
@@ -34,15 +34,28 @@
         estimates.put(service, new Estimate(before.mean + NEW_WEIGHT * difference, deviation));
     }
 
+    /**
+     * Duration of a typical call of a service.
+     *
+     * @param service name of the service
+     * @param unknownMillis duration assumed before any call has ended
+     * @return the duration in milliseconds
+     */
+    public double typicalMillis(String service, double unknownMillis) {
+        Estimate estimate = estimates.get(service);
+        return estimate == null ? unknownMillis : estimate.mean;
+    }
+
     /**
      * Duration that nearly no call of a service exceeds.
      *
      * @param service name of the service
-     * @return the duration in milliseconds, infinite if no call has ended yet
+     * @param unknownMillis duration assumed before any call has ended
+     * @return the duration in milliseconds
      */
-    public double longestMillis(String service) {
+    public double longestMillis(String service, double unknownMillis) {
         Estimate estimate = estimates.get(service);
-        return estimate == null ? Double.POSITIVE_INFINITY : estimate.mean + DEVIATIONS * estimate.deviation;
+        return estimate == null ? unknownMillis : estimate.mean + DEVIATIONS * estimate.deviation;
     }
 
     private record Estimate(double mean, double deviation) {}
--- a/core/src/main/java/org/redwinghook/core/forward/StopAdmission.java
+++ b/core/src/main/java/org/redwinghook/core/forward/StopAdmission.java
@@ -13,12 +13,25 @@
     /** Time reserved for the wait of a generation at an engine, in milliseconds. */
     private static final double GENERATION_MARGIN_MILLIS = 750;
 
+    /** Time reserved for the longest wait of a generation at an engine, in milliseconds. */
+    private static final double LONGEST_WAIT_MILLIS = 1_000;
+
+    /** Time per output token at a busy engine, as a multiple of the usual time. */
+    private static final double BUSY_ENGINE_FACTOR = 2;
+
     /**
      * Time after the stop signal in which a generation is taken if its expected output fits, in milliseconds; later ones
      * only if their longest output does. Until the load balancer has noticed the stop, the caller's next try may reach
-     * another stopping router.
+     * another stopping router. The platform allows a cut only for requests of the first 3 s after the signal, which a
+     * busy VM handles late.
      */
-    private static final long EXPECTED_OUTPUT_MILLIS = 3_000;
+    private static final long EXPECTED_OUTPUT_MILLIS = 2_500;
+
+    /** Retry delay while other routers take new connections, in milliseconds. */
+    private static final long OTHER_ROUTER_RETRY_MILLIS = 50;
+
+    /** Shortest retry delay while no other router takes new connections, in milliseconds: the start of a router. */
+    private static final long ROUTER_START_MILLIS = 1_000;
 
     /** Time reserved for the transfer of a response, in milliseconds. */
     private static final double RESPONSE_MARGIN_MILLIS = 250;
@@ -61,11 +74,35 @@
     public boolean mayTakeGeneration(
             PlacementQuery query, long longestOutputTokens, long remainingMillis, long nowMillis) {
         boolean isEarly = nowMillis - startedAtMillis < EXPECTED_OUTPUT_MILLIS;
-        long outputTokens = isEarly ? query.expectedOutputTokens() : longestOutputTokens;
-        double longest = EngineSpeed.prefillMillis(query.promptTokens())
-                + EngineSpeed.outputMillis(outputTokens)
-                + GENERATION_MARGIN_MILLIS;
-        return endsInTime(longest, remainingMillis, nowMillis);
+        double outputMillis = isEarly
+                ? EngineSpeed.outputMillis(query.expectedOutputTokens()) + GENERATION_MARGIN_MILLIS
+                : BUSY_ENGINE_FACTOR * EngineSpeed.outputMillis(longestOutputTokens) + LONGEST_WAIT_MILLIS;
+        return endsInTime(EngineSpeed.prefillMillis(query.promptTokens()) + outputMillis, remainingMillis, nowMillis);
+    }
+
+    /**
+     * Whether a call is taken while no other router takes new connections. A refused caller would only reach another
+     * stopping router, so the call is taken if it is more likely to end in time than not.
+     *
+     * @param typicalMillis learned duration of a typical call of the service
+     * @param remainingMillis time after which the caller or the route gives up
+     * @param nowMillis current time
+     * @return false if the call must be refused
+     */
+    public boolean mayTakeCallAsLastRouter(double typicalMillis, long remainingMillis, long nowMillis) {
+        return nowMillis + Math.min(typicalMillis, remainingMillis) <= stopsAtMillis;
+    }
+
+    /**
+     * Time after which a refused caller should try again. Routers stop in turn, so those that began before this one are
+     * back when it has stopped.
+     *
+     * @param isLastRouter whether no other router takes new connections
+     * @param nowMillis current time
+     * @return the delay in milliseconds
+     */
+    public long retryAfterMillis(boolean isLastRouter, long nowMillis) {
+        return isLastRouter ? Math.max(ROUTER_START_MILLIS, stopsAtMillis - nowMillis) : OTHER_ROUTER_RETRY_MILLIS;
     }
 
     private boolean endsInTime(double longestMillis, long remainingMillis, long nowMillis) {
--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -28,6 +28,7 @@
     private final ForwardContext context;
     private final CallerExchange caller;
     private final RequestAttempts attempts;
+    private final long startedAtMillis;
     private @Nullable CallAttempt currentAttempt;
     private @Nullable Runnable forwardFailureResponse;
 
@@ -35,11 +36,13 @@
         this.context = context;
         this.caller = caller;
         this.attempts = new RequestAttempts(context, caller, PlacementPolicy.CALL, new PlacementQuery(0, 0));
+        this.startedAtMillis = context.clock().millis();
     }
 
     void start() {
         caller.onDisconnect(this::cancel);
         caller.onTimeout(this::handleTimeout);
+        caller.onInterruption(this::handleInterruption);
         context.retryBudgets().requestStarted(caller.service(), context.clock().millis());
         startNextAttempt();
     }
@@ -74,13 +77,21 @@
     }
 
     private void handleTimeout() {
+        endUnanswered(new Refusal(RefusalCause.NO_TIME, 0), "the time ran out", true);
+    }
+
+    private void handleInterruption(Refusal refusal) {
+        endUnanswered(refusal, "the router stops", false);
+    }
+
+    private void endUnanswered(Refusal refusal, String cause, boolean timedOut) {
         boolean sent = currentAttempt != null && currentAttempt.endpointAttempt.isInProgress();
         cancel();
         if (!attempts.mayHaveRun() && !sent) {
-            caller.refuse(new Refusal(RefusalCause.NO_TIME, 0));
+            caller.refuse(refusal);
             return;
         }
-        fail("the time ran out", true);
+        fail(cause, timedOut);
     }
 
     private void cancel() {
@@ -149,7 +160,7 @@
             }
             end();
             attempts.recordResponse();
-            context.callDurations().record(caller.service(), caller.elapsedMillis());
+            context.callDurations().record(caller.service(), context.clock().millis() - startedAtMillis);
             if (head.notRun() || head.status() == EndpointAttempt.MISDIRECTED_REQUEST) {
                 handleRefusal(head);
                 return;
--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -1,6 +1,7 @@
 package org.redwinghook.router.forward;
 
 import java.util.Locale;
+import java.util.function.Consumer;
 
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
@@ -41,6 +42,7 @@
     private final Runnable onEnd;
     private Runnable disconnectHandler = () -> {};
     private Runnable timeoutHandler = () -> refuse(new Refusal(RefusalCause.NO_TIME, 0));
+    private Consumer<Refusal> interruptionHandler = this::refuse;
     private long timeoutTimer = -1;
     private boolean isEnded;
 
@@ -88,6 +90,19 @@
         timeoutHandler = handler;
     }
 
+    void onInterruption(Consumer<Refusal> handler) {
+        interruptionHandler = handler;
+    }
+
+    /**
+     * Ends the exchange at the end of a stop.
+     *
+     * @param refusal refusal of a request that was not sent to an endpoint
+     */
+    void interrupt(Refusal refusal) {
+        interruptionHandler.accept(refusal);
+    }
+
     HttpServerRequest request() {
         return request;
     }
@@ -155,8 +170,9 @@
      * @param refusal cause and suggested retry delay
      */
     void refuse(Refusal refusal) {
-        if (!tryEnd(
-                refusal.cause().name().toLowerCase(Locale.ROOT), refusal.cause().status(), "none")) {
+        String outcome = refusal.cause().name().toLowerCase(Locale.ROOT);
+        String retry = refusal.retryAfterMillis() > 0 ? "retryAfterMillis=" + refusal.retryAfterMillis() : "none";
+        if (!tryEnd(outcome, refusal.cause().status(), "none", retry)) {
             return;
         }
         if (refusal.retryAfterMillis() > 0) {
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -12,11 +14,13 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.forward.CallDurations;
 import org.redwinghook.core.forward.CustomerAccess;
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.forward.RequestKind;
 import org.redwinghook.core.forward.Route;
 import org.redwinghook.core.forward.StopAdmission;
+import org.redwinghook.core.forward.StopTiming;
 import org.redwinghook.router.caller.CallerErrors;
 import org.redwinghook.runtime.process.ListenErrors;
 import org.redwinghook.runtime.settings.Address;
@@ -41,14 +45,16 @@
     /** Retry-After of a router that has no configuration yet, in seconds. */
     private static final String RETRY_AFTER_SECONDS = "0.5";
 
-    /** Retry-After of a stopping router, in milliseconds: another router can take the request at once. */
-    private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
+    /** Interval at which a stopping router checks what it may close, in milliseconds. */
+    private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
 
-    /**
-     * Time after which a stopping router closes idle connections, in milliseconds. By then the load balancer has noticed
-     * two failed readiness checks, one a second, and sends the callers' new connections to other routers.
-     */
-    private static final long IDLE_CLOSE_DELAY_MILLIS = 2_500;
+    /** Maximum time in which a stopping router writes its last responses, in milliseconds. */
+    private static final long MAXIMUM_WRITE_MILLIS = 250;
+
+    /** Maximum time in which a stopping router closes its connections, in milliseconds. */
+    private static final long MAXIMUM_CLOSE_MILLIS = 100;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final Logger LOGGER = LoggerFactory.getLogger(ForwardServer.class);
 
@@ -60,17 +66,27 @@
     private final ForwardContext context;
     private final RunningStreams streams;
     private final List<Runnable> earlyRequests = new ArrayList<>();
-    private final Promise<Void> idle = Promise.promise();
-    private final CallerConnections connections = new CallerConnections();
+    private final Promise<Void> drained = Promise.promise();
+    private final CallerConnections connections;
     private @Nullable HttpServer server;
-    private int runningRequests;
+    private final PendingRequests pendingRequests = new PendingRequests();
+    private boolean isClosing;
+    private final BooleanSupplier hasOtherRouters;
     private @Nullable StopAdmission stopAdmission;
+    private @Nullable StopTiming stopTiming;
 
-    ForwardServer(Vertx vertx, Address address, ForwardContext context, RunningStreams streams) {
+    ForwardServer(
+            Vertx vertx,
+            Address address,
+            ForwardContext context,
+            RunningStreams streams,
+            BooleanSupplier hasOtherRouters) {
         this.vertx = vertx;
         this.address = address;
         this.context = context;
         this.streams = streams;
+        this.hasOtherRouters = hasOtherRouters;
+        this.connections = new CallerConnections(context.clock());
     }
 
     /**
@@ -94,21 +110,42 @@
     }
 
     /**
-     * Lets running requests finish; each connection closes after its next response. Requests that would not end in time
-     * are refused.
+     * Lets running requests finish. New requests are served, as the load balancer sends connections until it has noticed
+     * the stop; each connection closes after its next response. Requests that would not end in time are refused.
      *
      * @param drainMillis time until the server stops, in milliseconds
-     * @return completes when no request is running
+     * @return completes when no caller depends on the server any more, or when the time is over
      */
     Future<Void> drain(long drainMillis) {
         long now = context.clock().millis();
         stopAdmission = new StopAdmission(now, now + drainMillis);
-        vertx.setTimer(
-                Math.max(1, Math.min(IDLE_CLOSE_DELAY_MILLIS, drainMillis / 2)), ignored -> closeIdleConnections());
-        if (runningRequests == 0) {
-            idle.tryComplete();
+        pendingRequests.announceClose(connections);
+        StopTiming timing = new StopTiming(now, now + drainMillis);
+        stopTiming = timing;
+        vertx.setPeriodic(STOP_CHECK_INTERVAL_MILLIS, timer -> {
+            if (continueDrain(timing)) {
+                vertx.cancelTimer(timer);
+                drained.complete();
+            }
+        });
+        return drained.future();
+    }
+
+    /** Closes the connections that are no longer needed and returns whether the server may stop. */
+    private boolean continueDrain(StopTiming timing) {
+        long now = context.clock().millis();
+        int closed = connections.closeIdle(idleSinceMillis -> timing.mayCloseIdleConnection(idleSinceMillis, now));
+        if (closed > 0) {
+            LOGGER.info("idle connections closed number={} open={}", closed, connections.size());
         }
-        return idle.future();
+        if (!timing.mayClosePort(pendingRequests.size(), connections.size(), now)) {
+            return false;
+        }
+        if (timing.isOver(now)) {
+            LOGGER.warn(
+                    "stop interrupts requests running={} connections={}", pendingRequests.size(), connections.size());
+        }
+        return true;
     }
 
     /**
@@ -117,16 +154,28 @@
      * @return the number
      */
     int runningRequests() {
-        return runningRequests;
+        return pendingRequests.size();
     }
 
     /**
-     * Closes the server and all connections.
+     * Answers the requests that still run, then closes the port and all connections.
      *
      * @return completes when they are closed
      */
     Future<Void> stop() {
-        return server == null ? Future.succeededFuture() : server.close();
+        HttpServer running = server;
+        if (running == null) {
+            return Future.succeededFuture();
+        }
+        isClosing = true;
+        return pendingRequests
+                .interrupt()
+                .timeout(MAXIMUM_WRITE_MILLIS, TimeUnit.MILLISECONDS)
+                .otherwise(failure -> {
+                    LOGGER.warn("stop leaves responses unwritten number={}", pendingRequests.size());
+                    return null;
+                })
+                .compose(ignored -> running.shutdown(MAXIMUM_CLOSE_MILLIS, TimeUnit.MILLISECONDS));
     }
 
     /** Serves the requests that arrived before the configuration was known. */
@@ -136,15 +185,12 @@
         requests.forEach(Runnable::run);
     }
 
-    private void closeIdleConnections() {
-        LOGGER.info("idle connections closed number={}", connections.closeIdle());
-    }
-
     private void accept(HttpServerRequest request) {
         connections.requestStarted(request.connection());
-        request.response().endHandler(ignored -> connections.requestEnded(request.connection()));
+        pendingRequests.put(request, () -> refuseStopping(request));
+        request.response().closeHandler(ignored -> handleRequestEnded(request));
         long receivedAtMillis = context.clock().millis() - context.pollBarrier().averageWaitMillis();
-        if (context.state().isComplete() || earlyRequests.size() >= MAXIMUM_EARLY_REQUESTS) {
+        if (context.state().isComplete() || isClosing || earlyRequests.size() >= MAXIMUM_EARLY_REQUESTS) {
             handle(request, receivedAtMillis);
             return;
         }
@@ -156,6 +202,11 @@
             handle(request, receivedAtMillis);
         };
         earlyRequests.add(serve);
+        pendingRequests.put(request, () -> {
+            earlyRequests.remove(serve);
+            request.resume();
+            refuseStopping(request);
+        });
         vertx.setTimer(MAXIMUM_EARLY_WAIT_MILLIS, ignored -> {
             if (earlyRequests.remove(serve)) {
                 serve.run();
@@ -164,8 +215,13 @@
     }
 
     private void handle(HttpServerRequest request, long receivedAtMillis) {
-        if (isDraining()) {
-            request.response().putHeader("Connection", "close");
+        if (request.response().closed()) {
+            return;
+        }
+        pendingRequests.put(request, () -> refuseStopping(request));
+        if (isDraining() && !announceClose(request)) {
+            refuseStopping(request);
+            return;
         }
         ForwardingConfiguration configuration = context.state().configuration().orElse(null);
         if (configuration == null || !context.state().isComplete()) {
@@ -196,17 +252,28 @@
         }
         AdmittedRequest admitted = new AdmittedRequest(head, requestId, route.get(), access, receivedAtMillis);
         int maximumBodyBytes = configuration.limits().maximumBodyBytes();
-        runningRequests++;
-        request.body().onFailure(failure -> handleRequestEnded()).onSuccess(body -> {
+        request.body().onFailure(failure -> handleRequestEnded(request)).onSuccess(body -> {
+            if (request.response().ended()) {
+                return;
+            }
             if (body.length() > maximumBodyBytes) {
                 reject(request, CONTENT_TOO_LARGE, "the body is larger than " + maximumBodyBytes + " bytes");
-                handleRequestEnded();
                 return;
             }
-            forward(new CallerExchange(context, request, body, admitted, this::handleRequestEnded));
+            CallerExchange caller =
+                    new CallerExchange(context, request, body, admitted, () -> handleRequestEnded(request));
+            pendingRequests.put(request, () -> caller.interrupt(stopRefusal(request)));
+            forward(caller);
         });
     }
 
+    /** Announces the end of the connection and returns whether the request may still be served. */
+    private boolean announceClose(HttpServerRequest request) {
+        boolean isAnnouncedByThis = request.response().headers().contains("Connection");
+        request.response().putHeader("Connection", "close");
+        return !isClosing && (isAnnouncedByThis || connections.announceClose(request.connection()));
+    }
+
     private void forward(CallerExchange caller) {
         caller.startMonitoring();
         context.pollBarrier().run(() -> {
@@ -222,7 +289,7 @@
             return;
         }
         if (!mayTake(caller)) {
-            caller.refuse(new Refusal(RefusalCause.STOPPING, STOPPING_RETRY_AFTER_MILLIS));
+            caller.refuse(stopRefusal(caller.request()));
             return;
         }
         if (caller.route().kind() == RequestKind.STREAMING) {
@@ -247,23 +314,64 @@
             return admission.mayTakeGeneration(
                     head.expectedSize(), head.maximumOutputTokens(), caller.remainingMillis(), now);
         }
-        return admission.mayTakeCall(
-                context.callDurations().longestMillis(caller.service()), caller.remainingMillis(), now);
+        CallDurations durations = context.callDurations();
+        long unknownMillis = caller.route().latencyObjectiveMillis();
+        return isLastRouterFor(caller.request())
+                ? admission.mayTakeCallAsLastRouter(
+                        durations.typicalMillis(caller.service(), unknownMillis), caller.remainingMillis(), now)
+                : admission.mayTakeCall(
+                        durations.longestMillis(caller.service(), unknownMillis), caller.remainingMillis(), now);
+    }
+
+    /** Whether the caller of a request would reach only routers that stop. */
+    private boolean isLastRouterFor(HttpServerRequest request) {
+        StopTiming timing = stopTiming;
+        return !hasOtherRouters.getAsBoolean()
+                || (timing != null && timing.isOpenedByLastResort(connections.openedAtMillis(request.connection())));
+    }
+
+    private Refusal stopRefusal(HttpServerRequest request) {
+        StopAdmission admission = stopAdmission;
+        long retryAfterMillis = admission == null
+                ? 0
+                : admission.retryAfterMillis(
+                        isLastRouterFor(request), context.clock().millis());
+        return new Refusal(RefusalCause.STOPPING, retryAfterMillis);
+    }
+
+    /** Ends a request after its response was written, because a stopping router then closes the connection. */
+    private void handleRequestEnded(HttpServerRequest request) {
+        if (!pendingRequests.remove(request)) {
+            return;
+        }
+        connections.requestEnded(request.connection());
+        if (isDraining()) {
+            // The next request of the connection, if it has been read, begins before this task.
+            vertx.runOnContext(ignored -> connections.closeAnnounced(request.connection()));
+        }
     }
 
-    private void handleRequestEnded() {
-        runningRequests--;
-        if (isDraining() && runningRequests == 0) {
-            idle.tryComplete();
+    private void refuseStopping(HttpServerRequest request) {
+        if (request.response().ended()) {
+            return;
         }
+        Refusal refusal = stopRefusal(request);
+        LOGGER.info(
+                "request refused cause=stopping status={} retryAfterMillis={} stopEnds={}",
+                refusal.cause().status(),
+                refusal.retryAfterMillis(),
+                isClosing);
+        request.response().putHeader("Retry-After", Double.toString(refusal.retryAfterMillis() / MILLIS_PER_SECOND));
+        reject(request, refusal.cause().status(), "the router stops");
     }
 
-    private static void reject(HttpServerRequest request, int status, String message) {
+    private void reject(HttpServerRequest request, int status, String message) {
         Buffer body = CallerErrors.body("rejected", message).toBuffer();
         request.response()
                 .setStatusCode(status)
                 .putHeader("Content-Type", "application/json")
-                .end(body);
+                .end(body)
+                .onComplete(ignored -> handleRequestEnded(request));
     }
 
     private static String host(HttpServerRequest request) {
