Refuse a request that has not arrived whole when the drain begins

What callers saw: a caller whose body was still arriving at the end of the settle time got no answer, and the router did not exit, not even after drainTimeoutMillis, until the caller hung up or the platform killed the process with everything that still ran.

Cause: a request counts as running from its head on. The drain limit aborts deliveries, and a request becomes one only when its body has been read, so nothing ended a request in between.

Change: the caller server knows which requests are arriving. The drain refuses them as not run (nothing has been sent to an endpoint), and their body, if it still arrives, starts nothing. The begin of the drain is logged with the number of running and arriving requests.

--- a/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
@@ -1,6 +1,10 @@
 package org.redwinghook.router.caller;
 
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -15,10 +19,13 @@
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.runtime.process.ListenErrors;
 import org.redwinghook.runtime.settings.Address;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** HTTP server that accepts callers' requests. */
 public final class CallerServer {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(CallerServer.class);
     private static final long MAXIMUM_BODY_BYTES = 2L * 1024 * 1024;
     private static final long RETRY_AFTER_MILLIS = 1_000;
     private static final int HTTP_INTERNAL_ERROR = 500;
@@ -34,7 +41,8 @@
     private final ServiceCallHandler calls;
     private final Promise<Void> idle = Promise.promise();
     private @Nullable HttpServer server;
-    private int runningRequests;
+    private final Set<RoutingContext> runningRequests = new HashSet<>();
+    private final Set<RoutingContext> arrivingRequests = new LinkedHashSet<>();
     private boolean isDraining;
 
     /**
@@ -61,6 +69,7 @@
         Router routes = Router.router(vertx);
         routes.route().handler(this::trackRequest);
         routes.route().handler(BodyHandler.create(false).setBodyLimit(MAXIMUM_BODY_BYTES));
+        routes.route().handler(this::acceptReceivedRequest);
         routes.post("/v1/completions").handler(context -> completions.handleCompletion(context, CompletionFormat.TEXT));
         routes.post("/v1/chat/completions")
                 .handler(context -> completions.handleCompletion(context, CompletionFormat.CHAT));
@@ -81,15 +90,19 @@
     }
 
     /**
-     * Refuses all new requests and waits for the running ones.
+     * Refuses all new requests and those that have not arrived whole, and waits for the running ones. A caller that
+     * never ends its body would otherwise hold up the stop and get no answer.
      *
      * @return a future that completes when all running requests have ended
      */
     public Future<Void> drain() {
         isDraining = true;
-        if (runningRequests == 0) {
-            idle.tryComplete();
-        }
+        LOGGER.info("drain begins running={} arriving={}", runningRequests.size(), arrivingRequests.size());
+        List.copyOf(arrivingRequests).forEach(context -> {
+            arrivingRequests.remove(context);
+            refuse(context);
+        });
+        completeIfIdle();
         return idle.future();
     }
 
@@ -99,7 +112,7 @@
      * @return the number
      */
     public int runningRequests() {
-        return runningRequests;
+        return runningRequests.size();
     }
 
     /**
@@ -112,24 +125,42 @@
     }
 
     private void trackRequest(RoutingContext context) {
-        CallerResponse response = CallerResponse.of(context);
         if (isDraining) {
-            response.http().putHeader("Connection", "close");
-            CallerErrors.refuse(response, RefusalReason.LEAVING, "the router is leaving", RETRY_AFTER_MILLIS);
+            refuse(context);
             return;
         }
-        runningRequests++;
-        context.addEndHandler(ignored -> response.written().onComplete(written -> handleRequestEnd()));
+        CallerResponse response = CallerResponse.of(context);
+        runningRequests.add(context);
+        arrivingRequests.add(context);
+        context.addEndHandler(ignored -> response.written().onComplete(written -> handleRequestEnd(context)));
         context.next();
     }
 
-    private void handleRequestEnd() {
-        runningRequests--;
-        if (isDraining && runningRequests == 0) {
+    /** Passes on a request whose body has been read, unless it was refused before. */
+    private void acceptReceivedRequest(RoutingContext context) {
+        if (arrivingRequests.remove(context)) {
+            context.next();
+        }
+    }
+
+    private void handleRequestEnd(RoutingContext context) {
+        arrivingRequests.remove(context);
+        runningRequests.remove(context);
+        completeIfIdle();
+    }
+
+    private void completeIfIdle() {
+        if (isDraining && runningRequests.isEmpty()) {
             idle.tryComplete();
         }
     }
 
+    private static void refuse(RoutingContext context) {
+        CallerResponse response = CallerResponse.of(context);
+        response.http().putHeader("Connection", "close");
+        CallerErrors.refuse(response, RefusalReason.LEAVING, "the router is leaving", RETRY_AFTER_MILLIS);
+    }
+
     private static void handleFailure(RoutingContext context) {
         int status = context.statusCode() < 0 ? HTTP_INTERNAL_ERROR : context.statusCode();
         String type = ERROR_TYPES.getOrDefault(status, "internal_error");
--- a/router/src/test/java/org/redwinghook/router/RouterFixture.java
+++ b/router/src/test/java/org/redwinghook/router/RouterFixture.java
@@ -249,6 +249,12 @@
             throw new AssertionError("no metric " + line);
         }
 
+        int runningRequests() throws Exception {
+            return new JsonObject(admin("/state").body())
+                    .getJsonObject("router")
+                    .getInteger("requests");
+        }
+
         int quotaRouters() throws Exception {
             return new JsonObject(admin("/state").body()).getJsonObject("quota").getInteger("routers");
         }
--- a/router/src/test/java/org/redwinghook/router/ShutdownTest.java
+++ b/router/src/test/java/org/redwinghook/router/ShutdownTest.java
@@ -62,6 +62,20 @@
         stopped.await();
     }
 
+    /** Guards against a request whose body is still arriving and that blocks the stop without an answer. */
+    @Test
+    public void requestThatHasNotArrivedWholeIsRefusedAtTheDrain() throws Exception {
+        RunningRouter router = start(new RouterFixture(RouterFixture.ENGINE_SERVICE).stopTimes(0, 50));
+        try (RawCaller caller = new RawCaller(router)) {
+            caller.sendHeadAndHalfOfBody();
+            RouterFixture.eventually(() -> router.runningRequests() == 1);
+            Future<Void> stopped = router.verticle.stopGracefully();
+            Assert.assertTrue(caller.readAnswer().startsWith("HTTP/1.1 503"), "the request was not refused");
+            stopped.await();
+        }
+        sidecar(0).assertNotReceived(Submit.class, 0);
+    }
+
     private ReceivedMessage<Submit> acceptWithTokens(int tokens) throws InterruptedException {
         ReceivedMessage<Submit> submit = sidecar(0).next(Submit.class);
         long exchange = submit.message().exchange();
