Keep the connection of a refused request until its body has arrived

What callers saw: a caller that was sending the body of a request that a draining router had refused lost its connection (broken pipe) as soon as the last running request ended, and through a proxy also the refusal.

Cause: refusals were not counted as running requests, so neither their response nor the rest of their body delayed the close. The same holds for requests that end with an error before their body has been read.

Change: every request that was read counts until its response is written and its body has been received, or 5 s after the response (lingering close).

Test: ShutdownTest.stopWaitsForBodyOfRefusedRequest; it failed with SocketException: Broken pipe. pipelinedRequestsAreAnsweredBeforeTheStop passed before the change as well and stays as a guard.

--- a/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -28,6 +29,13 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(CallerServer.class);
     private static final long MAXIMUM_BODY_BYTES = 2L * 1024 * 1024;
     private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    /**
+     * Time for which a caller may send the body of a request that has been answered, in milliseconds. A close before its
+     * end resets the connection, and the caller may lose the answer.
+     */
+    private static final long BODY_LINGER_MILLIS = 5_000;
+
     private static final int HTTP_INTERNAL_ERROR = 500;
     private static final Map<Integer, String> ERROR_TYPES = Map.of(
             400, "invalid_request",
@@ -125,14 +133,18 @@
     }
 
     private void trackRequest(RoutingContext context) {
+        runningRequests.add(context);
+        CallerResponse response = CallerResponse.of(context);
+        HttpServerRequest request = context.request();
+        Future<Void> received = request.isEnded() ? Future.succeededFuture() : request.end();
+        context.addEndHandler(ignored -> response.written()
+                .eventually(() -> received.timeout(BODY_LINGER_MILLIS, TimeUnit.MILLISECONDS))
+                .onComplete(ended -> handleRequestEnd(context)));
         if (isDraining) {
             refuse(context);
             return;
         }
-        CallerResponse response = CallerResponse.of(context);
-        runningRequests.add(context);
         arrivingRequests.add(context);
-        context.addEndHandler(ignored -> response.written().onComplete(written -> handleRequestEnd(context)));
         context.next();
     }
 
--- a/router/src/test/java/org/redwinghook/router/ShutdownTest.java
+++ b/router/src/test/java/org/redwinghook/router/ShutdownTest.java
@@ -18,6 +18,8 @@
 /** Guards against requests interrupted by a graceful shutdown, and against lost usage counts. */
 public class ShutdownTest extends RouterTestCase {
 
+    private static final long BODY_PAUSE_MILLIS = 300;
+
     /** Guards against a listener that closes before the load balancer notices, truncated streams and lost counts. */
     @Test
     public void drainsInSteps() throws Exception {
@@ -71,11 +73,57 @@
             RouterFixture.eventually(() -> router.runningRequests() == 1);
             Future<Void> stopped = router.verticle.stopGracefully();
             Assert.assertTrue(caller.readAnswer().startsWith("HTTP/1.1 503"), "the request was not refused");
+            caller.sendThirdQuarterOfBody();
+            caller.sendLastQuarterOfBody();
+            caller.assertClosed();
             stopped.await();
         }
         sidecar(0).assertNotReceived(Submit.class, 0);
     }
 
+    /** Guards against a connection that is reset while its caller still sends the body of a refused request. */
+    @Test
+    public void stopWaitsForBodyOfRefusedRequest() throws Exception {
+        RunningRouter router = start(new RouterFixture(RouterFixture.ENGINE_SERVICE).stopTimes(0, 0));
+        CompletableFuture<HttpResponse<String>> running = router.complete(true);
+        ReceivedMessage<Submit> submit = acceptWithTokens(1);
+        Future<Void> stopped = router.verticle.stopGracefully();
+        RouterFixture.eventually(() -> Answers.await(router.get("/v2/other")).statusCode() == 503);
+        try (RawCaller caller = new RawCaller(router)) {
+            caller.sendHeadAndHalfOfBody();
+            String refusal = caller.readAnswer();
+            Assert.assertTrue(refusal.startsWith("HTTP/1.1 503"), refusal);
+            finish(submit, 2);
+            Answers.assertCompleteStream(Answers.await(running), 1, 2);
+            // The first write to a closed connection provokes the reset, the second one fails.
+            Thread.sleep(BODY_PAUSE_MILLIS);
+            caller.sendThirdQuarterOfBody();
+            Thread.sleep(BODY_PAUSE_MILLIS);
+            caller.sendLastQuarterOfBody();
+            caller.assertClosed();
+            stopped.await();
+        }
+    }
+
+    /** Guards against pipelined requests that are read and then dropped when the first of them ends. */
+    @Test
+    public void pipelinedRequestsAreAnsweredBeforeTheStop() throws Exception {
+        RunningRouter router = start(new RouterFixture(RouterFixture.ENGINE_SERVICE).stopTimes(0, 0));
+        try (RawCaller caller = new RawCaller(router)) {
+            caller.sendWholeRequest();
+            ReceivedMessage<Submit> submit = acceptWithTokens(1);
+            caller.send("GET /v2/other HTTP/1.1\r\nHost: router\r\n\r\n");
+            Future<Void> stopped = router.verticle.stopGracefully();
+            RouterFixture.eventually(
+                    () -> Answers.await(router.get("/v2/other")).statusCode() == 503);
+            finish(submit, 2);
+            String answers = caller.readToEnd();
+            Assert.assertTrue(answers.contains("data: [DONE]"), answers);
+            Assert.assertTrue(answers.contains("HTTP/1.1 503"), answers);
+            stopped.await();
+        }
+    }
+
     private ReceivedMessage<Submit> acceptWithTokens(int tokens) throws InterruptedException {
         ReceivedMessage<Submit> submit = sidecar(0).next(Submit.class);
         long exchange = submit.message().exchange();
