Close callers' connections with their next response once a stop begins

What callers saw: a router that had got SIGTERM kept its callers' connections open for the whole settle time, answered on them as usual and closed them at the end, all at once. A request sent at that moment ended without an answer.

Cause: only refusals of the drain carried "Connection: close", and Vert.x does not close a connection because of that header. Keeping callers away was left to the load balancer, which steers new connections only.

Change: from SIGTERM on each response whose header is not yet written has "Connection: close", and the router closes the connection when the response is written. Requests are served as before; one that was pipelined behind such a response is not processed (RFC 9112, 9.6), so that it cannot run unanswered.

Test: ShutdownTest.connectionClosesAfterItsNextResponseOnceTheStopHasBegun; it failed, as the response during the settle time had no such header.

--- a/router/src/main/java/org/redwinghook/router/RouterProcess.java
+++ b/router/src/main/java/org/redwinghook/router/RouterProcess.java
@@ -173,6 +173,7 @@
     @Override
     public Future<Void> stopGracefully() {
         isAccepting = false;
+        callerServer.closeConnectionsAfterNextResponse();
         return delay(settings.settleMillis())
                 .compose(ignored -> drain())
                 .compose(ignored -> usage.stop())
--- a/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
@@ -10,6 +10,8 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -51,6 +53,8 @@
     private @Nullable HttpServer server;
     private final Set<RoutingContext> runningRequests = new HashSet<>();
     private final Set<RoutingContext> arrivingRequests = new LinkedHashSet<>();
+    private final Set<HttpConnection> closingConnections = new HashSet<>();
+    private boolean isStopping;
     private boolean isDraining;
 
     /**
@@ -97,6 +101,14 @@
                 .map(HttpServer::actualPort);
     }
 
+    /**
+     * Begins a stop: each connection closes after its next response, so that its caller opens the next one to another
+     * router. All requests are still served.
+     */
+    public void closeConnectionsAfterNextResponse() {
+        isStopping = true;
+    }
+
     /**
      * Refuses all new requests and those that have not arrived whole, and waits for the running ones. A caller that
      * never ends its body would otherwise hold up the stop and get no answer.
@@ -104,6 +116,7 @@
      * @return a future that completes when all running requests have ended
      */
     public Future<Void> drain() {
+        isStopping = true;
         isDraining = true;
         LOGGER.info("drain begins running={} arriving={}", runningRequests.size(), arrivingRequests.size());
         List.copyOf(arrivingRequests).forEach(context -> {
@@ -133,7 +146,15 @@
     }
 
     private void trackRequest(RoutingContext context) {
+        if (closingConnections.contains(context.request().connection())) {
+            // RFC 9112, section 9.6: what follows the last response must not be processed. Its caller sends it again.
+            LOGGER.info(
+                    "request on closing connection ignored path={}",
+                    context.request().path());
+            return;
+        }
         runningRequests.add(context);
+        context.addHeadersEndHandler(ignored -> announceClose(context));
         CallerResponse response = CallerResponse.of(context);
         HttpServerRequest request = context.request();
         Future<Void> received = request.isEnded() ? Future.succeededFuture() : request.end();
@@ -148,6 +169,13 @@
         context.next();
     }
 
+    private void announceClose(RoutingContext context) {
+        if (isStopping) {
+            context.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+            closingConnections.add(context.request().connection());
+        }
+    }
+
     /** Passes on a request whose body has been read, unless it was refused before. */
     private void acceptReceivedRequest(RoutingContext context) {
         if (arrivingRequests.remove(context)) {
@@ -158,6 +186,10 @@
     private void handleRequestEnd(RoutingContext context) {
         arrivingRequests.remove(context);
         runningRequests.remove(context);
+        HttpConnection connection = context.request().connection();
+        if (closingConnections.contains(connection)) {
+            connection.close();
+        }
         completeIfIdle();
     }
 
@@ -168,9 +200,8 @@
     }
 
     private static void refuse(RoutingContext context) {
-        CallerResponse response = CallerResponse.of(context);
-        response.http().putHeader("Connection", "close");
-        CallerErrors.refuse(response, RefusalReason.LEAVING, "the router is leaving", RETRY_AFTER_MILLIS);
+        CallerErrors.refuse(
+                CallerResponse.of(context), RefusalReason.LEAVING, "the router is leaving", RETRY_AFTER_MILLIS);
     }
 
     private static void handleFailure(RoutingContext context) {
--- a/router/src/test/java/org/redwinghook/router/RawCaller.java
+++ b/router/src/test/java/org/redwinghook/router/RawCaller.java
@@ -46,13 +46,19 @@
 
     /** Reads the head of a response and the body that its Content-Length announces. */
     String readAnswer() throws IOException {
+        String head = readThrough(HEAD_END);
+        byte[] content = socket.getInputStream().readNBytes(contentLength(head));
+        return head + new String(content, StandardCharsets.UTF_8);
+    }
+
+    /** Reads until a text has arrived. */
+    String readThrough(String end) throws IOException {
         ByteArrayOutputStream read = new ByteArrayOutputStream();
-        while (!read.toString(StandardCharsets.UTF_8).endsWith(HEAD_END)) {
+        while (!read.toString(StandardCharsets.UTF_8).endsWith(end)) {
             int next = socket.getInputStream().read();
             Assert.assertTrue(next >= 0, "the connection ended after: " + read);
             read.write(next);
         }
-        read.write(socket.getInputStream().readNBytes(contentLength(read.toString(StandardCharsets.UTF_8))));
         return read.toString(StandardCharsets.UTF_8);
     }
 
--- a/router/src/test/java/org/redwinghook/router/ShutdownTest.java
+++ b/router/src/test/java/org/redwinghook/router/ShutdownTest.java
@@ -3,6 +3,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 
 import io.vertx.core.Future;
@@ -18,7 +19,10 @@
 /** Guards against requests interrupted by a graceful shutdown, and against lost usage counts. */
 public class ShutdownTest extends RouterTestCase {
 
-    private static final long BODY_PAUSE_MILLIS = 300;
+    private static final long CALLER_PAUSE_MILLIS = 300;
+
+    /** Longer than callers wait in tests. */
+    private static final long LONG_SETTLE_MILLIS = 60_000;
 
     /** Guards against a listener that closes before the load balancer notices, truncated streams and lost counts. */
     @Test
@@ -96,15 +100,35 @@
             finish(submit, 2);
             Answers.assertCompleteStream(Answers.await(running), 1, 2);
             // The first write to a closed connection provokes the reset, the second one fails.
-            Thread.sleep(BODY_PAUSE_MILLIS);
+            Thread.sleep(CALLER_PAUSE_MILLIS);
             caller.sendThirdQuarterOfBody();
-            Thread.sleep(BODY_PAUSE_MILLIS);
+            Thread.sleep(CALLER_PAUSE_MILLIS);
             caller.sendLastQuarterOfBody();
             caller.assertClosed();
             stopped.await();
         }
     }
 
+    /** Guards against a caller that sends the next request on a kept connection just when the stop closes it. */
+    @Test
+    public void connectionClosesAfterItsNextResponseOnceTheStopHasBegun() throws Exception {
+        RunningRouter router = start(new RouterFixture(RouterFixture.ENGINE_SERVICE).stopTimes(LONG_SETTLE_MILLIS, 0));
+        try (RawCaller caller = new RawCaller(router)) {
+            caller.send("GET /v2/other HTTP/1.1\r\nHost: router\r\n\r\n");
+            Assert.assertFalse(caller.readAnswer().toLowerCase(Locale.ROOT).contains("connection: close"));
+            router.verticle.stopGracefully();
+            RouterFixture.eventually(() -> router.status("/ready") == 503);
+            // The second of two pipelined requests must not run, as its answer cannot arrive.
+            caller.send("GET /v2/other HTTP/1.1\r\nHost: router\r\n\r\n");
+            caller.sendWholeRequest();
+            String answer = caller.readAnswer();
+            Assert.assertTrue(answer.startsWith("HTTP/1.1 404"), answer);
+            Assert.assertTrue(answer.toLowerCase(Locale.ROOT).contains("connection: close"), answer);
+            caller.assertClosed();
+            sidecar(0).assertNotReceived(Submit.class, CALLER_PAUSE_MILLIS);
+        }
+    }
+
     /** Guards against pipelined requests that are read and then dropped when the first of them ends. */
     @Test
     public void pipelinedRequestsAreAnsweredBeforeTheStop() throws Exception {
@@ -112,6 +136,7 @@
         try (RawCaller caller = new RawCaller(router)) {
             caller.sendWholeRequest();
             ReceivedMessage<Submit> submit = acceptWithTokens(1);
+            RouterFixture.eventually(() -> router.counter("redwinghook_router_first_token_seconds_count") == 1);
             caller.send("GET /v2/other HTTP/1.1\r\nHost: router\r\n\r\n");
             Future<Void> stopped = router.verticle.stopGracefully();
             RouterFixture.eventually(
