Refuse requests that follow the last answer before their connections close

What callers saw: a caller that sent its next request on the connection of a stream that had just ended got no answer if that stream was the last one of a stopping router.

Cause: the header of a stream that began before SIGTERM cannot announce the close, and the router closed all connections as soon as nothing ran.

Change: with connections still open, the drain ends a second after the last running request; requests in that second are refused as not run. Without open connections it ends at once.

Test: ShutdownTest.requestAfterTheLastAnswerIsRefusedBeforeItsConnectionCloses failed: the connection ended without a response to the second request.

--- a/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
@@ -38,6 +38,12 @@
      */
     private static final long BODY_LINGER_MILLIS = 5_000;
 
+    /**
+     * Time for which connections stay open after the last running request, in milliseconds. A caller that sends its next
+     * request right after an answer then gets a refusal in place of a closed connection.
+     */
+    private static final long CONNECTION_LINGER_MILLIS = 1_000;
+
     private static final int HTTP_INTERNAL_ERROR = 500;
     private static final Map<Integer, String> ERROR_TYPES = Map.of(
             400, "invalid_request",
@@ -54,6 +60,9 @@
     private final Set<RoutingContext> runningRequests = new HashSet<>();
     private final Set<RoutingContext> arrivingRequests = new LinkedHashSet<>();
     private final Set<HttpConnection> closingConnections = new HashSet<>();
+    private int openConnections;
+    private boolean isLingering;
+    private boolean hasLingered;
     private boolean isStopping;
     private boolean isDraining;
 
@@ -97,7 +106,11 @@
             request.response().putHeader(Outcome.HEADER, Outcome.NOT_RUN.headerValue());
             HttpServerRequest.DEFAULT_INVALID_REQUEST_HANDLER.handle(request);
         });
-        return ListenErrors.withAddress(address, created.requestHandler(routes).listen(address.port(), address.host()))
+        return ListenErrors.withAddress(
+                        address,
+                        created.connectionHandler(this::trackConnection)
+                                .requestHandler(routes)
+                                .listen(address.port(), address.host()))
                 .map(HttpServer::actualPort);
     }
 
@@ -113,7 +126,8 @@
      * Refuses all new requests and those that have not arrived whole, and waits for the running ones. A caller that
      * never ends its body would otherwise hold up the stop and get no answer.
      *
-     * @return a future that completes when all running requests have ended
+     * @return a future that completes when all running requests have ended and their callers' connections have closed,
+     *     or have stayed open without a request for a moment
      */
     public Future<Void> drain() {
         isStopping = true;
@@ -194,11 +208,32 @@
     }
 
     private void completeIfIdle() {
-        if (isDraining && runningRequests.isEmpty()) {
+        if (!isDraining || !runningRequests.isEmpty()) {
+            return;
+        }
+        if (hasLingered || openConnections == 0) {
             idle.tryComplete();
+            return;
+        }
+        if (!isLingering) {
+            isLingering = true;
+            LOGGER.info("drain lingers connections={} lingerMillis={}", openConnections, CONNECTION_LINGER_MILLIS);
+            vertx.setTimer(CONNECTION_LINGER_MILLIS, ignored -> {
+                hasLingered = true;
+                completeIfIdle();
+            });
         }
     }
 
+    private void trackConnection(HttpConnection connection) {
+        openConnections++;
+        connection.closeHandler(ignored -> {
+            openConnections--;
+            closingConnections.remove(connection);
+            completeIfIdle();
+        });
+    }
+
     private static void refuse(RoutingContext context) {
         CallerErrors.refuse(
                 CallerResponse.of(context), RefusalReason.LEAVING, "the router is leaving", RETRY_AFTER_MILLIS);
--- a/router/src/test/java/org/redwinghook/router/ShutdownTest.java
+++ b/router/src/test/java/org/redwinghook/router/ShutdownTest.java
@@ -129,6 +129,27 @@
         }
     }
 
+    /** Guards against a caller that sends its next request after the last answer and loses the connection. */
+    @Test
+    public void requestAfterTheLastAnswerIsRefusedBeforeItsConnectionCloses() throws Exception {
+        RunningRouter router = start(new RouterFixture(RouterFixture.ENGINE_SERVICE).stopTimes(0, 0));
+        try (RawCaller caller = new RawCaller(router)) {
+            caller.sendWholeRequest();
+            ReceivedMessage<Submit> submit = acceptWithTokens(1);
+            RouterFixture.eventually(() -> router.counter("redwinghook_router_first_token_seconds_count") == 1);
+            Future<Void> stopped = router.verticle.stopGracefully();
+            RouterFixture.eventually(
+                    () -> Answers.await(router.get("/v2/other")).statusCode() == 503);
+            finish(submit, 2);
+            caller.readThrough("data: [DONE]");
+            Thread.sleep(CALLER_PAUSE_MILLIS);
+            caller.sendWholeRequest();
+            String rest = caller.readToEnd();
+            Assert.assertTrue(rest.contains("HTTP/1.1 503"), rest);
+            stopped.await();
+        }
+    }
+
     /** Guards against pipelined requests that are read and then dropped when the first of them ends. */
     @Test
     public void pipelinedRequestsAreAnsweredBeforeTheStop() throws Exception {
