Keep a stopping sidecar until its routers know that it leaves

What callers saw: a call that is not idempotent ended with 502 and an unknown outcome, although it had not run, when its router sent it in the moment in which an idle sidecar got SIGTERM.

Cause: a sidecar refuses new work from SIGTERM on and notifies its routers, but it closed its connections and exited as soon as nothing ran, for an idle one within milliseconds. Submits that a router had sent before it read the notice were dropped with the connection, and the router cannot tell whether they ran. Routers are up to 30 ms away and later when their event loop is late.

Change: a router confirms each heartbeat that takes no new work (leavingAck). As messages keep their order, no submit follows the confirmation. The stopping sidecar sends the notice again and refuses work until all connected routers have confirmed it, at most 5 s, since routers of older versions do not confirm. Confirmations of earlier notices do not count: the endpoint may have taken work in between.

Tests: KeyedCallsTest.callThatCrossesTheStopNoticeIsRefusedAsNotRun failed with "no message from the sidecar" after 10 s with the wait taken out; stopDoesNotWaitForeverForASilentRouter; RefusalTest.confirmsThatAnEndpointLeaves.

--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -20,6 +20,7 @@
     @JsonSubTypes.Type(value = Resume.class, name = "resume"),
     @JsonSubTypes.Type(value = Credit.class, name = "credit"),
     @JsonSubTypes.Type(value = Cancel.class, name = "cancel"),
+    @JsonSubTypes.Type(value = LeavingAcknowledgement.class, name = "leavingAck"),
     @JsonSubTypes.Type(value = Accepted.class, name = "accepted"),
     @JsonSubTypes.Type(value = Refused.class, name = "refused"),
     @JsonSubTypes.Type(value = Tokens.class, name = "tokens"),
--- a/router/src/main/java/org/redwinghook/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointConnection.java
@@ -23,6 +23,7 @@
 import org.redwinghook.core.message.Heartbeat;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.Interrupted;
+import org.redwinghook.core.message.LeavingAcknowledgement;
 import org.redwinghook.core.message.Message;
 import org.redwinghook.core.message.OutcomeUnknown;
 import org.redwinghook.core.message.Refused;
@@ -307,6 +308,7 @@
             handleHello(source, hello);
         } else if (message instanceof Heartbeat heartbeat) {
             updateLoad(heartbeat.load());
+            acknowledgeLeaving(heartbeat);
             dispatchConfiguration(message);
         } else if (message instanceof Accepted accepted) {
             dispatch(accepted.exchange(), message, false);
@@ -330,6 +332,12 @@
         }
     }
 
+    private void acknowledgeLeaving(Heartbeat heartbeat) {
+        if (heartbeat.load() != null && !heartbeat.load().accepting()) {
+            send(new LeavingAcknowledgement(exchanges.size()));
+        }
+    }
+
     private void dispatchConfiguration(Message message) {
         if (peer != null) {
             setup.configuration().handleMessage(peer, message);
--- a/router/src/test/java/org/redwinghook/router/FakeSidecar.java
+++ b/router/src/test/java/org/redwinghook/router/FakeSidecar.java
@@ -122,6 +122,12 @@
         context.runOnContext(ignored -> List.copyOf(connections).forEach(PeerConnection::close));
     }
 
+    /** Reports on all connections that the endpoint takes no new work. */
+    void reportLeaving() {
+        Heartbeat notice = new Heartbeat(0, new EndpointLoad(0, 0, 10, 0, 0, false));
+        context.runOnContext(ignored -> List.copyOf(connections).forEach(connection -> connection.send(notice)));
+    }
+
     /** Simulates a restart as a process without the state of the previous one. */
     void restart() throws Exception {
         stop();
--- a/router/src/test/java/org/redwinghook/router/RefusalTest.java
+++ b/router/src/test/java/org/redwinghook/router/RefusalTest.java
@@ -7,6 +7,7 @@
 import io.vertx.core.json.JsonObject;
 import org.redwinghook.core.message.Accepted;
 import org.redwinghook.core.message.Cancel;
+import org.redwinghook.core.message.LeavingAcknowledgement;
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.core.message.Submit;
 import org.redwinghook.router.FakeSidecar.ReceivedMessage;
@@ -17,6 +18,14 @@
 /** Guards against requests that end with a wrong outcome, and against unclear errors. */
 public class RefusalTest extends RouterTestCase {
 
+    /** Guards against a sidecar that cannot tell when this router has stopped sending it work. */
+    @Test
+    public void confirmsThatAnEndpointLeaves() throws Exception {
+        start(RouterFixture.ENGINE_SERVICE);
+        sidecar(0).reportLeaving();
+        Assert.assertEquals(sidecar(0).next(LeavingAcknowledgement.class).message(), new LeavingAcknowledgement(0));
+    }
+
     /** Guards against endless retries and against a refusal without a retry delay. */
     @Test
     public void refusesWhenAllEndpointsRefuse() throws Exception {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/SidecarProcess.java
@@ -15,6 +15,7 @@
 import org.redwinghook.core.config.ServiceKind;
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.length.LearnedLengths;
+import org.redwinghook.core.message.Heartbeat;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.once.ExecutorIdentity;
@@ -49,6 +50,7 @@
 import org.redwinghook.sidecar.peer.ConfiguredShares;
 import org.redwinghook.sidecar.peer.EndpointGate;
 import org.redwinghook.sidecar.peer.EndpointServices;
+import org.redwinghook.sidecar.peer.LeavingNotice;
 import org.redwinghook.sidecar.peer.RouterSession;
 import org.redwinghook.sidecar.usage.EndpointUsage;
 import org.slf4j.Logger;
@@ -60,6 +62,12 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(SidecarProcess.class);
     private static final int PROTOCOL_VERSION = 1;
 
+    /**
+     * Maximum wait during a graceful stop until all routers know that the endpoint takes no new work. Routers of older
+     * versions do not confirm the notice.
+     */
+    private static final long NOTICE_TIMEOUT_MILLIS = 5_000;
+
     /** Maximum wait for outcomes to reach the log during a graceful stop. */
     private static final long OUTCOME_FLUSH_TIMEOUT_MILLIS = 10_000;
 
@@ -72,6 +80,7 @@
     private final long incarnation = (System.currentTimeMillis() << INCARNATION_RANDOM_BITS)
             | new SecureRandom().nextInt(1 << INCARNATION_RANDOM_BITS);
     private final EndpointGate gate;
+    private final LeavingNotice leavingNotice = new LeavingNotice();
     private final GenerationService generations;
     private final KeyedCallService keyedCalls;
     private final EndpointServices endpointServices;
@@ -144,6 +153,7 @@
         endpointServices = new EndpointServices(
                 settings.service(),
                 gate,
+                leavingNotice,
                 generations,
                 callService,
                 keyedCalls,
@@ -188,14 +198,23 @@
         isStopping = true;
         stopCommander.run();
         gate.setAccepting(false);
+        leavingNotice.send(new Heartbeat(configuration.current().offset(), gate.load()));
+        LOGGER.info("endpoint leaving routers={}", leavingNotice.unconfirmed());
         Promise<Void> idle = Promise.promise();
         gate.whenIdle(() -> idle.tryComplete());
         Future<Void> completed =
                 Future.join(idle.future(), keyedCalls.whenIdle()).compose(ignored -> generations.whenDelivered());
-        Future<Void> drained = withTimeout(completed, settings.shared().drainTimeoutMillis());
+        // Routers may send work until they have read the notice. A call that is not idempotent and finds the connection
+        // closed has an unknown outcome, while a refusal lets the router try another endpoint.
+        Future<Void> noticed = withTimeout("notice", leavingNotice.whenConfirmed(), NOTICE_TIMEOUT_MILLIS);
+        Future<Void> drained = Future.join(
+                        noticed,
+                        withTimeout("drain", completed, settings.shared().drainTimeoutMillis()))
+                .mapEmpty();
         // The wait is limited so that a log outage cannot block the stop. A retry of a call whose outcome is missing is
         // answered "outcome unknown", which is correct.
         return drained.compose(ignored -> withTimeout(
+                        "flush",
                         Future.join(keyedCalls.whenFlushed(), usageReporter.stop())
                                 .mapEmpty(),
                         OUTCOME_FLUSH_TIMEOUT_MILLIS))
@@ -240,12 +259,12 @@
                 new CommandMetrics(metrics));
     }
 
-    private static Future<Void> withTimeout(Future<Void> operation, long timeoutMillis) {
+    private static Future<Void> withTimeout(String step, Future<Void> operation, long timeoutMillis) {
         if (timeoutMillis == 0) {
             return operation;
         }
         return operation.timeout(timeoutMillis, TimeUnit.MILLISECONDS).recover(failure -> {
-            LOGGER.warn("graceful stop step timed out timeoutMillis={}", timeoutMillis);
+            LOGGER.warn("graceful stop step timed out step={} timeoutMillis={}", step, timeoutMillis);
             return Future.succeededFuture();
         });
     }
--- a/sidecar/src/main/java/org/redwinghook/sidecar/peer/EndpointServices.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/EndpointServices.java
@@ -12,6 +12,7 @@
  *
  * @param service service of the endpoint
  * @param gate admits requests to the endpoint
+ * @param leavingNotice tracks which routers know that the endpoint takes no new work
  * @param generations runs generations
  * @param calls runs calls
  * @param keyedCalls answers questions of other sidecars about keyed calls
@@ -21,6 +22,7 @@
 public record EndpointServices(
         String service,
         EndpointGate gate,
+        LeavingNotice leavingNotice,
         GenerationService generations,
         CallService calls,
         KeyedCallService keyedCalls,
--- a/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/RouterSession.java
@@ -14,7 +14,9 @@
 import org.redwinghook.core.message.Heartbeat;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.KeyQuestion;
+import org.redwinghook.core.message.LeavingAcknowledgement;
 import org.redwinghook.core.message.Message;
+import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.core.message.Refused;
 import org.redwinghook.core.message.Resume;
@@ -36,6 +38,7 @@
     private final Supplier<Hello> hello;
     private final String service;
     private final EndpointGate gate;
+    private final LeavingNotice leavingNotice;
     private final GenerationService generations;
     private final CallService calls;
     private final KeyedCallService keyedCalls;
@@ -58,6 +61,7 @@
         this.hello = hello;
         this.service = endpointServices.service();
         this.gate = endpointServices.gate();
+        this.leavingNotice = endpointServices.leavingNotice();
         this.generations = endpointServices.generations();
         this.calls = endpointServices.calls();
         this.keyedCalls = endpointServices.keyedCalls();
@@ -83,9 +87,14 @@
             generations.raiseCredit(connection, credit.exchange(), credit.sendThrough());
         } else if (message instanceof Cancel cancel) {
             cancelExchange(cancel.exchange());
+        } else if (message instanceof LeavingAcknowledgement) {
+            leavingNotice.confirm(connection);
         } else if (message instanceof Hello remoteHello) {
             connection.send(hello.get());
             connection.send(createHeartbeat());
+            if (remoteHello.role() == ProcessRole.ROUTER) {
+                leavingNotice.add(connection);
+            }
             registerPeer(remoteHello);
         } else if (message instanceof KeyQuestion question) {
             connection.send(keyedCalls.answerQuestion(question));
@@ -152,6 +161,7 @@
     }
 
     private void handleClose() {
+        leavingNotice.remove(connection);
         if (peer != null) {
             configuration.handleDisconnected(peer);
         }
--- a/sidecar/src/test/java/org/redwinghook/sidecar/KeyedCallsTest.java
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/KeyedCallsTest.java
@@ -244,6 +244,34 @@
         Assert.assertEquals(service.effects(), 1);
     }
 
+    /** Guards against a call that crosses the notice of a stop, is dropped with the connection and ends as unknown. */
+    @Test
+    public void callThatCrossesTheStopNoticeIsRefusedAsNotRun() {
+        SidecarUnderTest sidecar = sidecar("a");
+        RouterClient router = router(sidecar);
+        router.sendHello();
+        Await.until("the first load", () -> router.isAcceptingReportedAs(true));
+        Future<Void> stopped = sidecar.stopGracefully();
+        Await.pause(200);
+        router.sendCall(1, null, "body", LONG_TIMEOUT_MILLIS);
+        router.sendCall(2, "k", "body", LONG_TIMEOUT_MILLIS);
+        router.confirmLeaving();
+        Assert.assertEquals(router.next(Refused.class).reason(), RefusalReason.LEAVING);
+        Assert.assertEquals(router.next(Refused.class).reason(), RefusalReason.LEAVING);
+        stopped.await();
+        Assert.assertEquals(service.effects(), 0);
+    }
+
+    /** Guards against a stop that waits forever for a router that does not confirm the notice. */
+    @Test(timeOut = 20_000)
+    public void stopDoesNotWaitForeverForASilentRouter() {
+        SidecarUnderTest sidecar = sidecar("a");
+        RouterClient router = router(sidecar);
+        router.sendHello();
+        Await.until("the first load", () -> router.isAcceptingReportedAs(true));
+        sidecar.stopGracefully().await();
+    }
+
     /** Guards against a graceful stop that interrupts a keyed call or does not write its outcome to the log. */
     @Test
     public void gracefulStopFinishesCallsAndFlushesOutcomes() {
--- a/sidecar/src/test/java/org/redwinghook/sidecar/RouterClient.java
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/RouterClient.java
@@ -14,6 +14,7 @@
 import org.redwinghook.core.message.GenerationRequest;
 import org.redwinghook.core.message.Heartbeat;
 import org.redwinghook.core.message.Hello;
+import org.redwinghook.core.message.LeavingAcknowledgement;
 import org.redwinghook.core.message.Message;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.message.Submit;
@@ -63,6 +64,11 @@
         send(new Hello(1, "router", 1, ProcessRole.ROUTER, null, "dc", 0));
     }
 
+    /** Sends the confirmation of a router that has read the notice that the endpoint leaves. */
+    void confirmLeaving() {
+        send(new LeavingAcknowledgement(0));
+    }
+
     /** Whether the last heartbeat reported this value of "accepting"; false before the first heartbeat. */
     boolean isAcceptingReportedAs(boolean accepting) {
         EndpointLoad load = lastLoad;
