Exit when a graceful stop throws an exception

What callers saw: a process whose stop failed with an exception stayed after SIGTERM and went on accepting connections until the platform killed it, with the requests that then ran.

Cause: the exception ended the task on the event loop, and the future on which the shutdown hook waits was never completed. A stop that returned a failed future was handled.

Change: an exception of the stop is its failure, which the launcher logs ("drain failed") before the process exits.

Test: ProcessLauncherTest.processWhoseStopFailsExits; it failed after 20 s with "the process did not exit".

--- a/runtime/src/main/java/org/redwinghook/runtime/process/ProcessVerticle.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessVerticle.java
@@ -33,7 +33,7 @@
     /**
      * Stops the process gracefully. May be called from any thread.
      *
-     * @return a future that completes when the process has stopped
+     * @return a future that completes when the process has stopped, and fails if the stop fails or throws an exception
      */
     public Future<Void> stopGracefully() {
         Promise<Void> stopped = Promise.promise();
@@ -43,7 +43,9 @@
                 stopped.complete();
                 return;
             }
-            running.stopGracefully().onComplete(stopped);
+            Future.succeededFuture()
+                    .compose(started -> running.stopGracefully())
+                    .onComplete(stopped);
         });
         return stopped.future();
     }
--- a/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
@@ -13,6 +13,9 @@
 /** Process for tests, run as a subprocess. It listens on the port that its settings file contains. */
 public final class LaunchedProcess implements ManagedProcess {
 
+    /** Environment variable with the name of a {@link Fault}. */
+    static final String FAULT_VARIABLE = "LAUNCHED_PROCESS_FAULT";
+
     private static final long DRAIN_MILLIS = 500;
 
     private final Vertx vertx;
@@ -55,6 +58,19 @@
 
     @Override
     public Future<Void> stopGracefully() {
+        if (hasFault(Fault.STOP_THROWS)) {
+            throw new IllegalStateException("no drain");
+        }
         return vertx.timer(DRAIN_MILLIS, TimeUnit.MILLISECONDS).mapEmpty();
     }
+
+    private static boolean hasFault(Fault fault) {
+        return fault.name().equals(System.getenv(FAULT_VARIABLE));
+    }
+
+    /** Fault of a process under test. */
+    enum Fault {
+        /** The graceful stop throws an exception. */
+        STOP_THROWS
+    }
 }
--- a/runtime/src/test/java/org/redwinghook/runtime/process/ProcessLauncherTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/ProcessLauncherTest.java
@@ -26,7 +26,20 @@
         return launch(logFormat, settings);
     }
 
+    private static Process launchWithFault(LaunchedProcess.Fault fault) throws IOException {
+        Path settings = Files.createTempFile("launched", ".txt");
+        settings.toFile().deleteOnExit();
+        Files.writeString(settings, "0");
+        ProcessBuilder builder = builder("text", settings);
+        builder.environment().put(LaunchedProcess.FAULT_VARIABLE, fault.name());
+        return builder.start();
+    }
+
     private static Process launch(String logFormat, Path settings) throws IOException {
+        return builder(logFormat, settings).start();
+    }
+
+    private static ProcessBuilder builder(String logFormat, Path settings) {
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx64m",
@@ -36,7 +49,7 @@
                 "--settings",
                 settings.toString());
         builder.environment().put("REDWINGHOOK_LOG", logFormat);
-        return builder.redirectErrorStream(true).start();
+        return builder.redirectErrorStream(true);
     }
 
     private static List<String> remainingLines(BufferedReader output) {
@@ -89,6 +102,26 @@
         assertTrue(rest.get(0).startsWith(linePrefix) && rest.get(0).contains("stopped"), rest.get(0));
     }
 
+    /**
+     * Guards against a process that keeps running and accepting after its graceful stop has failed.
+     *
+     * @throws Exception if the subprocess cannot be run
+     */
+    @Test(timeOut = 60_000)
+    public void processWhoseStopFailsExits() throws Exception {
+        Process process = launchWithFault(LaunchedProcess.Fault.STOP_THROWS);
+        try {
+            BufferedReader output = process.inputReader();
+            assertTrue(output.readLine().contains("started"));
+            process.toHandle().destroy();
+            assertTrue(process.waitFor(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS), "the process did not exit");
+            String rest = String.join("\n", remainingLines(output));
+            assertTrue(rest.contains("drain failed cause=no drain"), rest);
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     /**
      * Guards against a settings file that changes without a signal and is ignored, and against a file with findings
      * that replaces the settings in force.
