Stop gracefully on a SIGTERM during the start

What callers saw: a process that got SIGTERM while it started was ended at once, with the connections that it had accepted. Routers reconnect to a restarted sidecar within half a second, so work can be on its way as soon as its port is open.

Cause: the shutdown hook and the handler of SIGHUP were registered when the start had completed, after the ports were open.

Change: the hook is registered before the start; on a signal it waits for the end of the start, which only opens local ports, and then stops as usual. The handler of SIGHUP is registered while the event loop starts the process, so that the start takes no longer.

Test: ProcessLauncherTest.signalDuringTheStartStopsGracefully; it failed, as the process ended without "draining".

--- a/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
@@ -10,6 +10,7 @@
 
 import io.vavr.control.Either;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import org.jspecify.annotations.Nullable;
@@ -127,27 +128,42 @@
         // With a single event loop, the services of a process run on one thread and need no locks.
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
         ProcessVerticle verticle = new ProcessVerticle(processVertx -> factory.apply(processVertx, settings));
+        Promise<Void> started = Promise.promise();
+        CountDownLatch stopped = new CountDownLatch(1);
+        // Peers and callers connect as soon as a port is open, so the hook is registered before the start.
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(() -> stopWhenStarted(started.future(), vertx, verticle, stopped), "graceful-stop"));
+        vertx.deployVerticle(verticle).<Void>mapEmpty().onComplete(started);
+        // The event loop opens the ports meanwhile.
+        HangupSignal.registerHandler(() -> {
+            // The change that the signal announces needs no second read.
+            watch.hasChanged();
+            reload(file, settings);
+        });
         try {
-            vertx.deployVerticle(verticle).await();
+            started.future().await();
         } catch (Exception exception) {
             // Vert.x rethrows checked exceptions, such as a failure to bind, without declaring them.
             LOGGER.error("{} start failed cause={}", binary, exception.getMessage());
             vertx.close().await();
             return ExitCode.FAILED;
         }
-        CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(vertx, verticle, stopped), "graceful-stop"));
-        HangupSignal.registerHandler(() -> {
-            // The change that the signal announces needs no second read.
-            watch.hasChanged();
-            reload(file, settings);
-        });
-        // Operators and tests send signals once this line is logged, so the handlers must be registered before.
         LOGGER.info("{} started", binary);
         reloadUntilStopped(stopped, watch, () -> reload(file, settings));
         return ExitCode.DONE;
     }
 
+    private void stopWhenStarted(Future<Void> started, Vertx vertx, ProcessVerticle verticle, CountDownLatch stopped) {
+        try {
+            started.await();
+        } catch (Exception exception) {
+            // The launch reports the failure; nothing runs that could be drained.
+            return;
+        }
+        stop(vertx, verticle, stopped);
+    }
+
     private void stop(Vertx vertx, ProcessVerticle verticle, CountDownLatch stopped) {
         LOGGER.info("{} draining", binary);
         Future<Void> drained = verticle.stopGracefully();
--- a/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
@@ -17,6 +17,7 @@
     static final String FAULT_VARIABLE = "LAUNCHED_PROCESS_FAULT";
 
     private static final long DRAIN_MILLIS = 500;
+    private static final long SLOW_START_MILLIS = 1_500;
 
     private final Vertx vertx;
     private final int port;
@@ -52,7 +53,14 @@
     public Future<Void> start() {
         Address address = new Address("127.0.0.1", port);
         NetServer server = vertx.createNetServer().connectHandler(socket -> socket.close());
-        return ListenErrors.withAddress(address, server.listen(port, address.host()))
+        Future<Void> listening = ListenErrors.withAddress(address, server.listen(port, address.host()))
+                .mapEmpty();
+        if (!hasFault(Fault.SLOW_START)) {
+            return listening;
+        }
+        return listening
+                .onSuccess(ignored -> System.out.println("listening"))
+                .compose(ignored -> vertx.timer(SLOW_START_MILLIS, TimeUnit.MILLISECONDS))
                 .mapEmpty();
     }
 
@@ -70,6 +78,8 @@
 
     /** Fault of a process under test. */
     enum Fault {
+        /** The start takes a while after the process listens. */
+        SLOW_START,
         /** The graceful stop throws an exception. */
         STOP_THROWS
     }
--- a/runtime/src/test/java/org/redwinghook/runtime/process/ProcessLauncherTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/ProcessLauncherTest.java
@@ -102,6 +102,23 @@
         assertTrue(rest.get(0).startsWith(linePrefix) && rest.get(0).contains("stopped"), rest.get(0));
     }
 
+    /**
+     * Guards against a process that is ended by SIGTERM while it starts, with the connections that it already accepts.
+     *
+     * @throws Exception if the subprocess cannot be run
+     */
+    @Test(timeOut = 30_000)
+    public void signalDuringTheStartStopsGracefully() throws Exception {
+        Process process = launchWithFault(LaunchedProcess.Fault.SLOW_START);
+        BufferedReader output = process.inputReader();
+        assertEquals(output.readLine(), "listening");
+        process.toHandle().destroy();
+        String rest = String.join("\n", remainingLines(output));
+        assertTrue(process.waitFor(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        assertTrue(rest.contains("draining"), rest);
+        assertTrue(rest.contains("stopped"), rest);
+    }
+
     /**
      * Guards against a process that keeps running and accepting after its graceful stop has failed.
      *
