End the drain at its limit although a caller does not read

What callers saw: with drainTimeoutMillis set, one caller that did not read its stream kept the router from stopping. It stayed after the limit until the platform killed it, without its last usage record.

Cause: the limit aborts the deliveries, but the drain waited without a limit for their last bytes to be written.

Change: callers have 5 s after the limit to read; then the drain ends. Both decisions are logged with the number of deliveries and of unread answers.

Test: CallerConnectionTest.stopWithALimitDoesNotWaitForACallerThatNeverReads; it failed with a timeout of 15 s.

--- a/router/src/main/java/org/redwinghook/router/RouterProcess.java
+++ b/router/src/main/java/org/redwinghook/router/RouterProcess.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -43,12 +44,18 @@
 import org.redwinghook.runtime.wire.FrameCodec;
 import org.redwinghook.runtime.wire.MessageDispatcher;
 import org.redwinghook.runtime.wire.WireMetrics;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Assembles the services of a router and starts and stops them. */
 public final class RouterProcess implements ManagedProcess {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(RouterProcess.class);
     private static final int PROTOCOL_VERSION = 1;
 
+    /** Time for which callers may read the end of their answers after the limit for draining, in milliseconds. */
+    private static final long LAST_READ_MILLIS = 5_000;
+
     private final Vertx vertx;
     private final RouterSettings settings;
     private final ConfigurationService configuration;
@@ -223,9 +230,21 @@
         if (limitMillis == 0 || drained.isComplete()) {
             return drained;
         }
-        long timer = vertx.setTimer(
-                limitMillis, ignored -> runningDeliveries.abortAll("the router reached its limit for draining"));
-        return drained.onComplete(ignored -> vertx.cancelTimer(timer));
+        long timer = vertx.setTimer(limitMillis, ignored -> abortDeliveries());
+        return drained.onComplete(ignored -> vertx.cancelTimer(timer))
+                .timeout(limitMillis + LAST_READ_MILLIS, TimeUnit.MILLISECONDS)
+                .recover(failure -> {
+                    LOGGER.warn(
+                            "drain ends with unread answers requests={} drainTimeoutMillis={}",
+                            callerServer.runningRequests(),
+                            limitMillis);
+                    return Future.succeededFuture();
+                });
+    }
+
+    private void abortDeliveries() {
+        LOGGER.warn("drain reached its limit, aborting deliveries deliveries={}", runningDeliveries.size());
+        runningDeliveries.abortAll("the router reached its limit for draining");
     }
 
     private Future<Void> delay(long millis) {
--- a/router/src/test/java/org/redwinghook/router/CallerConnectionTest.java
+++ b/router/src/test/java/org/redwinghook/router/CallerConnectionTest.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Collections;
+import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
 import org.redwinghook.core.message.Accepted;
@@ -21,6 +22,7 @@
 /** Guards against callers that exhaust the router's memory or leave abandoned work behind. */
 public class CallerConnectionTest extends RouterTestCase {
 
+    private static final long STOP_TIMEOUT_SECONDS = 15;
     private static final int LARGE_TOKEN_CHARACTERS = 64 * 1024;
 
     /** Guards against unbounded memory: no credit may be granted while the caller does not read. */
@@ -87,6 +89,26 @@
         }
     }
 
+    /** Guards against a stop that waits beyond its limit for a caller that never reads, until it is killed. */
+    @Test
+    public void stopWithALimitDoesNotWaitForACallerThatNeverReads() throws Exception {
+        RunningRouter router = start(new RouterFixture(RouterFixture.ENGINE_SERVICE).stopTimes(0, 50));
+        FakeSidecar sidecar = sidecar(0);
+        try (Socket socket = request(router)) {
+            ReceivedMessage<Submit> submit = sidecar.next(Submit.class);
+            long exchange = submit.message().exchange();
+            submit.send(new Accepted(exchange, "vm.1.1.1"));
+            String text = "x".repeat(LARGE_TOKEN_CHARACTERS);
+            for (int sequence = 1; sequence <= 200; sequence++) {
+                submit.send(new Tokens(exchange, sequence, Collections.singletonList(text)));
+            }
+            RouterFixture.eventually(() -> router.counter("redwinghook_router_token_gap_seconds_count") == 199);
+            Future<Void> stopped = router.verticle.stopGracefully();
+            stopped.timeout(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS).await();
+            Assert.assertTrue(socket.isConnected());
+        }
+    }
+
     private static Socket request(RunningRouter router) throws IOException {
         Socket socket = new Socket();
         socket.setReceiveBufferSize(LARGE_TOKEN_CHARACTERS);
