Count only the peer's silence, not a pause of the router, as silence

What callers saw: after a pause of the router (no processor time) a call that is not idempotent ended with 502 and an unknown outcome, although its answer had arrived and waited in the socket.

Cause: the router compared the time of the last message with the clock. After a pause its overdue checks run before the sockets are read, so it closed the connections to its sidecars with their unread answers.

Change: silence is the sum of the times between checks, each counted as one interval at most (PeerSilence). Checks that the timer makes up for after a pause add nothing.

Evidence: LateAnswerTest.deliversAnswerThatWaitedDuringAPauseOfTheRouter failed with "expected [done] but found [unknown]".

--- a/router/src/main/java/org/redwinghook/router/endpoint/DeliveryTiming.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/DeliveryTiming.java
@@ -23,6 +23,9 @@
     /** Values of settings that are absent. */
     public static final DeliveryTiming DEFAULT = new DeliveryTiming(5_000, 15_000, 100, 500, 10_000, 250);
 
+    /** Liveness checks of a connection in each heartbeat interval. */
+    private static final long CHECKS_PER_HEARTBEAT = 5;
+
     private static final long MAXIMUM_MILLIS = 3_600_000;
 
     /**
@@ -42,4 +45,13 @@
         map.rejectUnknownKeys();
         return timing;
     }
+
+    /**
+     * Interval between two liveness checks of a connection.
+     *
+     * @return the interval in milliseconds
+     */
+    public long livenessCheckMillis() {
+        return Math.max(1, heartbeatMillis / CHECKS_PER_HEARTBEAT);
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointConnection.java
@@ -15,6 +15,7 @@
 import io.vertx.core.net.NetClient;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.membership.Member;
+import org.redwinghook.core.membership.PeerSilence;
 import org.redwinghook.core.message.Accepted;
 import org.redwinghook.core.message.CallAnswer;
 import org.redwinghook.core.message.Cancel;
@@ -52,9 +53,9 @@
     private @Nullable PeerConnection connection;
     private @Nullable ConnectionPeer peer;
     private @Nullable EndpointLoad load;
+    private PeerSilence silence;
     private long incarnation;
     private long lastSentNanos;
-    private long lastReceivedNanos;
     private int failedAttempts;
     private int waitingGenerations;
     private boolean isHandshakeComplete;
@@ -77,6 +78,7 @@
         this.timing = setup.timing();
         this.member = member;
         this.exchangeNumbers = exchangeNumbers;
+        this.silence = startMeasuringSilence();
     }
 
     /** Opens the connection and keeps it open until {@link #close}. */
@@ -208,8 +210,8 @@
     }
 
     /**
-     * Sends a heartbeat on an idle connection and closes a connection without incoming messages. Called periodically,
-     * several times per heartbeat interval.
+     * Sends a heartbeat on an idle connection and closes a connection without incoming messages. Called every
+     * {@link DeliveryTiming#livenessCheckMillis}.
      */
     public void checkLiveness() {
         PeerConnection open = connection;
@@ -217,7 +219,7 @@
             return;
         }
         long now = System.nanoTime();
-        if (millisSince(lastReceivedNanos, now) >= timing.silenceMillis()) {
+        if (silence.check(TimeUnit.NANOSECONDS.toMillis(now)) >= timing.silenceMillis()) {
             LOGGER.info("endpoint connection silent vm={} silenceMillis={}", member.vm(), timing.silenceMillis());
             open.close();
             return;
@@ -231,13 +233,17 @@
         return TimeUnit.NANOSECONDS.toMillis(now - nanos);
     }
 
+    private PeerSilence startMeasuringSilence() {
+        return new PeerSilence(timing.livenessCheckMillis(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    }
+
     private void handleOpened(PeerConnection opened) {
         if (isClosed) {
             opened.close();
             return;
         }
         connection = opened;
-        lastReceivedNanos = System.nanoTime();
+        silence = startMeasuringSilence();
         opened.onMessage(message -> handleMessage(opened, message));
         opened.onClose(() -> handleClosed(opened));
         send(setup.hello().get());
@@ -303,7 +309,7 @@
             setup.metrics().recordDroppedMessage();
             return;
         }
-        lastReceivedNanos = System.nanoTime();
+        silence.recordMessage();
         if (message instanceof Hello hello) {
             handleHello(source, hello);
         } else if (message instanceof Heartbeat heartbeat) {
--- a/router/src/test/java/org/redwinghook/router/LateAnswerTest.java
+++ b/router/src/test/java/org/redwinghook/router/LateAnswerTest.java
@@ -55,6 +55,18 @@
         Assert.assertEquals(Answers.outcome(Answers.await(second)), "done");
     }
 
+    /** Guards against a router that takes its own pause for silence and drops the answer that waits to be read. */
+    @Test
+    public void deliversAnswerThatWaitedDuringAPauseOfTheRouter() throws Exception {
+        RunningRouter router = start(RouterFixture.PLAIN_SERVICE);
+        CompletableFuture<HttpResponse<String>> response = router.post("/services/desk/notices", "one");
+        ReceivedMessage<Submit> submit = sidecar(0).next(Submit.class);
+        fixture.pause(2 * RouterFixture.SILENCE_MILLIS);
+        submit.send(answer(submit));
+        Assert.assertEquals(Answers.outcome(Answers.await(response)), "done");
+        Assert.assertEquals(Answers.await(response).body(), "answer to one");
+    }
+
     /** Guards against an answer that arrives after the outcome was reported to the caller as unknown. */
     @Test
     public void dropsAnswerAfterTimeout() throws Exception {
--- a/router/src/test/java/org/redwinghook/router/RouterFixture.java
+++ b/router/src/test/java/org/redwinghook/router/RouterFixture.java
@@ -41,8 +41,11 @@
     static final String ENGINE_SERVICE = "model";
     static final String PLAIN_SERVICE = "desk";
 
+    /** Time without a message after which a router closes the connection to a sidecar. */
+    static final long SILENCE_MILLIS = 300;
+
     private static final long WAIT_SECONDS = 5;
-    private static final DeliveryTiming TIMING = new DeliveryTiming(50, 300, 10, 50, 600, 100);
+    private static final DeliveryTiming TIMING = new DeliveryTiming(50, SILENCE_MILLIS, 10, 50, 600, 100);
 
     final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     final List<FakeSidecar> sidecars = new ArrayList<>();
@@ -111,6 +114,17 @@
         return running;
     }
 
+    /** Blocks the event loop of the routers and sidecars for a while, as on a VM without processor time. */
+    void pause(long millis) {
+        vertx.runOnContext(ignored -> {
+            try {
+                Thread.sleep(millis);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
     /** Publishes all routers in the VM list and waits until they have read it. */
     void publishRouters() throws Exception {
         JsonArray entries = new JsonArray();
