--- a/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CallerServer.java
@@ -1,10 +1,17 @@
 package org.redwinghook.router.caller;
 
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -15,12 +22,28 @@
 import org.redwinghook.core.message.RefusalReason;
 import org.redwinghook.runtime.process.ListenErrors;
 import org.redwinghook.runtime.settings.Address;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** HTTP server that accepts callers' requests. */
 public final class CallerServer {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(CallerServer.class);
     private static final long MAXIMUM_BODY_BYTES = 2L * 1024 * 1024;
     private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    /**
+     * Time for which a caller may send the body of a request that has been answered, in milliseconds. A close before its
+     * end resets the connection, and the caller may lose the answer.
+     */
+    private static final long BODY_LINGER_MILLIS = 5_000;
+
+    /**
+     * Time for which connections stay open after the last running request, in milliseconds. A caller that sends its next
+     * request right after an answer then gets a refusal in place of a closed connection.
+     */
+    private static final long CONNECTION_LINGER_MILLIS = 1_000;
+
     private static final int HTTP_INTERNAL_ERROR = 500;
     private static final Map<Integer, String> ERROR_TYPES = Map.of(
             400, "invalid_request",
@@ -34,7 +57,13 @@
     private final ServiceCallHandler calls;
     private final Promise<Void> idle = Promise.promise();
     private @Nullable HttpServer server;
-    private int runningRequests;
+    private final Set<RoutingContext> runningRequests = new HashSet<>();
+    private final Set<RoutingContext> arrivingRequests = new LinkedHashSet<>();
+    private final Set<HttpConnection> closingConnections = new HashSet<>();
+    private int openConnections;
+    private boolean isLingering;
+    private boolean hasLingered;
+    private boolean isStopping;
     private boolean isDraining;
 
     /**
@@ -61,6 +90,7 @@
         Router routes = Router.router(vertx);
         routes.route().handler(this::trackRequest);
         routes.route().handler(BodyHandler.create(false).setBodyLimit(MAXIMUM_BODY_BYTES));
+        routes.route().handler(this::acceptReceivedRequest);
         routes.post("/v1/completions").handler(context -> completions.handleCompletion(context, CompletionFormat.TEXT));
         routes.post("/v1/chat/completions")
                 .handler(context -> completions.handleCompletion(context, CompletionFormat.CHAT));
@@ -76,20 +106,38 @@
             request.response().putHeader(Outcome.HEADER, Outcome.NOT_RUN.headerValue());
             HttpServerRequest.DEFAULT_INVALID_REQUEST_HANDLER.handle(request);
         });
-        return ListenErrors.withAddress(address, created.requestHandler(routes).listen(address.port(), address.host()))
+        return ListenErrors.withAddress(
+                        address,
+                        created.connectionHandler(this::trackConnection)
+                                .requestHandler(routes)
+                                .listen(address.port(), address.host()))
                 .map(HttpServer::actualPort);
     }
 
     /**
-     * Refuses all new requests and waits for the running ones.
+     * Begins a stop: each connection closes after its next response, so that its caller opens the next one to another
+     * router. All requests are still served.
+     */
+    public void closeConnectionsAfterNextResponse() {
+        isStopping = true;
+    }
+
+    /**
+     * Refuses all new requests and those that have not arrived whole, and waits for the running ones. A caller that
+     * never ends its body would otherwise hold up the stop and get no answer.
      *
-     * @return a future that completes when all running requests have ended
+     * @return a future that completes when all running requests have ended and their callers' connections have closed,
+     *     or have stayed open without a request for a moment
      */
     public Future<Void> drain() {
+        isStopping = true;
         isDraining = true;
-        if (runningRequests == 0) {
-            idle.tryComplete();
-        }
+        LOGGER.info("drain begins running={} arriving={}", runningRequests.size(), arrivingRequests.size());
+        List.copyOf(arrivingRequests).forEach(context -> {
+            arrivingRequests.remove(context);
+            refuse(context);
+        });
+        completeIfIdle();
         return idle.future();
     }
 
@@ -99,7 +147,7 @@
      * @return the number
      */
     public int runningRequests() {
-        return runningRequests;
+        return runningRequests.size();
     }
 
     /**
@@ -112,22 +160,83 @@
     }
 
     private void trackRequest(RoutingContext context) {
+        if (closingConnections.contains(context.request().connection())) {
+            // RFC 9112, section 9.6: what follows the last response must not be processed. Its caller sends it again.
+            LOGGER.info(
+                    "request on closing connection ignored path={}",
+                    context.request().path());
+            return;
+        }
+        runningRequests.add(context);
+        context.addHeadersEndHandler(ignored -> announceClose(context));
         CallerResponse response = CallerResponse.of(context);
+        HttpServerRequest request = context.request();
+        Future<Void> received = request.isEnded() ? Future.succeededFuture() : request.end();
+        context.addEndHandler(ignored -> response.written()
+                .eventually(() -> received.timeout(BODY_LINGER_MILLIS, TimeUnit.MILLISECONDS))
+                .onComplete(ended -> handleRequestEnd(context)));
         if (isDraining) {
-            response.http().putHeader("Connection", "close");
-            CallerErrors.refuse(response, RefusalReason.LEAVING, "the router is leaving", RETRY_AFTER_MILLIS);
+            refuse(context);
             return;
         }
-        runningRequests++;
-        context.addEndHandler(ignored -> response.written().onComplete(written -> handleRequestEnd()));
+        arrivingRequests.add(context);
         context.next();
     }
 
-    private void handleRequestEnd() {
-        runningRequests--;
-        if (isDraining && runningRequests == 0) {
+    private void announceClose(RoutingContext context) {
+        if (isStopping) {
+            context.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+            closingConnections.add(context.request().connection());
+        }
+    }
+
+    /** Passes on a request whose body has been read, unless it was refused before. */
+    private void acceptReceivedRequest(RoutingContext context) {
+        if (arrivingRequests.remove(context)) {
+            context.next();
+        }
+    }
+
+    private void handleRequestEnd(RoutingContext context) {
+        arrivingRequests.remove(context);
+        runningRequests.remove(context);
+        HttpConnection connection = context.request().connection();
+        if (closingConnections.contains(connection)) {
+            connection.close();
+        }
+        completeIfIdle();
+    }
+
+    private void completeIfIdle() {
+        if (!isDraining || !runningRequests.isEmpty()) {
+            return;
+        }
+        if (hasLingered || openConnections == 0) {
             idle.tryComplete();
+            return;
         }
+        if (!isLingering) {
+            isLingering = true;
+            LOGGER.info("drain lingers connections={} lingerMillis={}", openConnections, CONNECTION_LINGER_MILLIS);
+            vertx.setTimer(CONNECTION_LINGER_MILLIS, ignored -> {
+                hasLingered = true;
+                completeIfIdle();
+            });
+        }
+    }
+
+    private void trackConnection(HttpConnection connection) {
+        openConnections++;
+        connection.closeHandler(ignored -> {
+            openConnections--;
+            closingConnections.remove(connection);
+            completeIfIdle();
+        });
+    }
+
+    private static void refuse(RoutingContext context) {
+        CallerErrors.refuse(
+                CallerResponse.of(context), RefusalReason.LEAVING, "the router is leaving", RETRY_AFTER_MILLIS);
     }
 
     private static void handleFailure(RoutingContext context) {
--- a/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
@@ -13,7 +13,11 @@
 /** Process for tests, run as a subprocess. It listens on the port that its settings file contains. */
 public final class LaunchedProcess implements ManagedProcess {
 
+    /** Environment variable with the name of a {@link Fault}. */
+    static final String FAULT_VARIABLE = "LAUNCHED_PROCESS_FAULT";
+
     private static final long DRAIN_MILLIS = 500;
+    private static final long SLOW_START_MILLIS = 1_500;
 
     private final Vertx vertx;
     private final int port;
@@ -49,12 +53,34 @@
     public Future<Void> start() {
         Address address = new Address("127.0.0.1", port);
         NetServer server = vertx.createNetServer().connectHandler(socket -> socket.close());
-        return ListenErrors.withAddress(address, server.listen(port, address.host()))
+        Future<Void> listening = ListenErrors.withAddress(address, server.listen(port, address.host()))
+                .mapEmpty();
+        if (!hasFault(Fault.SLOW_START)) {
+            return listening;
+        }
+        return listening
+                .onSuccess(ignored -> System.out.println("listening"))
+                .compose(ignored -> vertx.timer(SLOW_START_MILLIS, TimeUnit.MILLISECONDS))
                 .mapEmpty();
     }
 
     @Override
     public Future<Void> stopGracefully() {
+        if (hasFault(Fault.STOP_THROWS)) {
+            throw new IllegalStateException("no drain");
+        }
         return vertx.timer(DRAIN_MILLIS, TimeUnit.MILLISECONDS).mapEmpty();
     }
+
+    private static boolean hasFault(Fault fault) {
+        return fault.name().equals(System.getenv(FAULT_VARIABLE));
+    }
+
+    /** Fault of a process under test. */
+    enum Fault {
+        /** The start takes a while after the process listens. */
+        SLOW_START,
+        /** The graceful stop throws an exception. */
+        STOP_THROWS
+    }
 }
