Count the stop time of a router from the stop signal

Callers of a router that got SIGTERM during its start, or whose event loop was late, could lose their connections without an answer: the router drained for its whole stop time from the moment in which the drain began, while the platform kills it that time after the signal.

Cause: stopGracefully did not know when the signal came; since a stop waits for the start, the difference is up to the duration of a start.

Change: ProcessLauncher takes the time in the shutdown hook; the forwarding router subtracts the signal's age from its drain. The load balancer's notice still counts from the failed readiness.

Test: ProcessLauncherTest.stopTimeCountsFromTheSignal.

--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -113,13 +113,15 @@
      * Lets running requests finish. New requests are served, as the load balancer sends connections until it has noticed
      * the stop; each connection closes after its next response. Requests that would not end in time are refused.
      *
+     * @param signalAgeMillis time since the stop signal, in milliseconds
      * @param drainMillis time until the server stops, in milliseconds
      * @return completes when no caller depends on the server any more, or when the time is over
      */
-    Future<Void> drain(long drainMillis) {
+    Future<Void> drain(long signalAgeMillis, long drainMillis) {
         long now = context.clock().millis();
-        stopAdmission = new StopAdmission(now, now + drainMillis);
+        stopAdmission = new StopAdmission(now - signalAgeMillis, now + drainMillis);
         pendingRequests.announceClose(connections);
+        // Readiness fails from now on, however long ago the signal came.
         StopTiming timing = new StopTiming(now, now + drainMillis);
         stopTiming = timing;
         vertx.setPeriodic(STOP_CHECK_INTERVAL_MILLIS, timer -> {
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -219,14 +219,25 @@
 
     @Override
     public Future<Void> stopGracefully() {
+        return stopGracefully(0);
+    }
+
+    @Override
+    public Future<Void> stopGracefully(long signalAgeMillis) {
         accepting = false;
-        long drainMillis = Math.max(1, reloadable.current().stopMillis() - CONNECTION_CLOSE_MILLIS);
-        LOGGER.info("stop begins running={} drainMillis={}", server.runningRequests(), drainMillis);
+        long drainMillis = Math.max(1, reloadable.current().stopMillis() - CONNECTION_CLOSE_MILLIS - signalAgeMillis);
+        LOGGER.info(
+                "stop begins running={} drainMillis={} signalAgeMillis={}",
+                server.runningRequests(),
+                drainMillis,
+                signalAgeMillis);
         membership.leave();
-        return server.drain(drainMillis).compose(ignored -> server.stop()).onComplete(ignored -> {
-            followers.forEach(RecordFollower::stop);
-            mesh.stop();
-        });
+        return server.drain(signalAgeMillis, drainMillis)
+                .compose(ignored -> server.stop())
+                .onComplete(ignored -> {
+                    followers.forEach(RecordFollower::stop);
+                    mesh.stop();
+                });
     }
 
     private boolean hasOtherRouters() {
--- a/runtime/src/main/java/org/redwinghook/runtime/process/ManagedProcess.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ManagedProcess.java
@@ -18,4 +18,15 @@
      * @return a future that completes when the process has stopped
      */
     Future<Void> stopGracefully();
+
+    /**
+     * Stops as {@link #stopGracefully()} does. A process whose time to stop is limited from the stop signal on subtracts
+     * the time that has passed since.
+     *
+     * @param signalAgeMillis time since the stop signal, in milliseconds
+     * @return a future that completes when the process has stopped
+     */
+    default Future<Void> stopGracefully(long signalAgeMillis) {
+        return stopGracefully();
+    }
 }
--- a/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
@@ -155,18 +155,19 @@
     }
 
     private void stopWhenStarted(Future<Void> started, Vertx vertx, ProcessVerticle verticle, CountDownLatch stopped) {
+        long signalledAtNanos = System.nanoTime();
         try {
             started.await();
         } catch (Exception exception) {
             // The launch reports the failure; nothing runs that could be drained.
             return;
         }
-        stop(vertx, verticle, stopped);
+        stop(vertx, verticle, stopped, signalledAtNanos);
     }
 
-    private void stop(Vertx vertx, ProcessVerticle verticle, CountDownLatch stopped) {
+    private void stop(Vertx vertx, ProcessVerticle verticle, CountDownLatch stopped, long signalledAtNanos) {
         LOGGER.info("{} draining", binary);
-        Future<Void> drained = verticle.stopGracefully();
+        Future<Void> drained = verticle.stopGracefully(signalledAtNanos);
         try {
             drained.await();
         } catch (Exception exception) {
--- a/runtime/src/main/java/org/redwinghook/runtime/process/ProcessVerticle.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessVerticle.java
@@ -1,5 +1,6 @@
 package org.redwinghook.runtime.process;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 import io.vertx.core.Future;
@@ -36,6 +37,16 @@
      * @return a future that completes when the process has stopped, and fails if the stop fails or throws an exception
      */
     public Future<Void> stopGracefully() {
+        return stopGracefully(System.nanoTime());
+    }
+
+    /**
+     * Stops the process gracefully. May be called from any thread.
+     *
+     * @param signalledAtNanos time of the stop signal, of {@link System#nanoTime()}
+     * @return a future that completes when the process has stopped, and fails if the stop fails or throws an exception
+     */
+    Future<Void> stopGracefully(long signalledAtNanos) {
         Promise<Void> stopped = Promise.promise();
         context.runOnContext(ignored -> {
             ManagedProcess running = process;
@@ -44,7 +55,8 @@
                 return;
             }
             Future.succeededFuture()
-                    .compose(started -> running.stopGracefully())
+                    .compose(started ->
+                            running.stopGracefully(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledAtNanos)))
                     .onComplete(stopped);
         });
         return stopped.future();
--- a/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
@@ -17,7 +17,8 @@
     static final String FAULT_VARIABLE = "LAUNCHED_PROCESS_FAULT";
 
     private static final long DRAIN_MILLIS = 500;
-    private static final long SLOW_START_MILLIS = 1_500;
+    /** Time that a slow start takes after the process listens, in milliseconds. */
+    static final long SLOW_START_MILLIS = 1_500;
 
     private final Vertx vertx;
     private final int port;
@@ -72,6 +73,14 @@
         return vertx.timer(DRAIN_MILLIS, TimeUnit.MILLISECONDS).mapEmpty();
     }
 
+    @Override
+    public Future<Void> stopGracefully(long signalAgeMillis) {
+        if (hasFault(Fault.SLOW_START)) {
+            System.out.println("signalAgeMillis=" + signalAgeMillis);
+        }
+        return stopGracefully();
+    }
+
     private static boolean hasFault(Fault fault) {
         return fault.name().equals(System.getenv(FAULT_VARIABLE));
     }
--- a/runtime/src/test/java/org/redwinghook/runtime/process/ProcessLauncherTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/ProcessLauncherTest.java
@@ -119,6 +119,31 @@
         assertTrue(rest.contains("stopped"), rest);
     }
 
+    /**
+     * Guards against a process that is killed in the middle of its stop, because it counts its time from the end of its
+     * start and the platform from the signal.
+     *
+     * @throws Exception if the subprocess cannot be run
+     */
+    @Test(timeOut = 30_000)
+    public void stopTimeCountsFromTheSignal() throws Exception {
+        Process process = launchWithFault(LaunchedProcess.Fault.SLOW_START);
+        BufferedReader output = process.inputReader();
+        assertEquals(output.readLine(), "listening");
+        long signalledAtNanos = System.nanoTime();
+        process.toHandle().destroy();
+        String line = output.readLine();
+        long latestAgeMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledAtNanos);
+        while (line != null && !line.startsWith("signalAgeMillis=")) {
+            line = output.readLine();
+            latestAgeMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledAtNanos);
+        }
+        assertTrue(process.waitFor(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        long ageMillis = Long.parseLong(line.substring(line.indexOf('=') + 1));
+        assertTrue(ageMillis > 0 && ageMillis <= latestAgeMillis, line);
+        assertTrue(ageMillis >= LaunchedProcess.SLOW_START_MILLIS / 2, line);
+    }
+
     /**
      * Guards against a process that keeps running and accepting after its graceful stop has failed.
      *
