Keep the port of a stopping router open while it is sent connections again

When fewer than half of a data centre's routers are ready, the load balancer uses all of them, also those that stop. Found by a reviewer reading the change.

Change: after the load balancer has noticed the stop, a new connection keeps the port open for another second, at most to the end of the stop.

Test: StopTimingTest.portIsOpenWhileTheLoadBalancerSendsConnectionsAgain (the port closed at once before).

--- a/core/src/main/java/org/redwinghook/core/forward/StopTiming.java
+++ b/core/src/main/java/org/redwinghook/core/forward/StopTiming.java
@@ -16,6 +16,12 @@
     /** Time in which the first request of a new connection arrives, in milliseconds: a few round trips between regions. */
     private static final long FIRST_REQUEST_MILLIS = 500;
 
+    /**
+     * Time without new connections after which a port closes, in milliseconds. A load balancer that has too few other
+     * routers sends connections to a stopping one again.
+     */
+    private static final long NO_CONNECTION_MILLIS = 1_000;
+
     private final long noticedAtMillis;
     private final long stopsAtMillis;
 
@@ -42,7 +48,7 @@
     }
 
     /**
-     * Whether a connection shows that the load balancer has no router left that does not stop.
+     * Whether a connection shows that the load balancer has too few routers left that do not stop.
      *
      * @param openedAtMillis time at which the connection was opened
      * @return whether it was opened although the load balancer has noticed the stop
@@ -56,11 +62,18 @@
      *
      * @param runningRequests requests without a complete response
      * @param openConnections connections of callers
+     * @param lastOpenedAtMillis time at which the newest connection was opened
      * @param nowMillis current time
      * @return false if callers still depend on the router
      */
-    public boolean mayClosePort(int runningRequests, int openConnections, long nowMillis) {
-        return isOver(nowMillis) || (nowMillis >= noticedAtMillis && runningRequests == 0 && openConnections == 0);
+    public boolean mayClosePort(int runningRequests, int openConnections, long lastOpenedAtMillis, long nowMillis) {
+        if (isOver(nowMillis)) {
+            return true;
+        }
+        boolean isUnused = runningRequests == 0 && openConnections == 0;
+        boolean isChosenAgain =
+                lastOpenedAtMillis >= noticedAtMillis && nowMillis - lastOpenedAtMillis < NO_CONNECTION_MILLIS;
+        return nowMillis >= noticedAtMillis && isUnused && !isChosenAgain;
     }
 
     /**
--- a/router/src/main/java/org/redwinghook/router/forward/CallerConnections.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerConnections.java
@@ -12,6 +12,7 @@
 
     private final MonotonicClock clock;
     private final Map<HttpConnection, Usage> usages = new HashMap<>();
+    private long lastOpenedAtMillis = Long.MIN_VALUE;
 
     CallerConnections(MonotonicClock clock) {
         this.clock = clock;
@@ -19,6 +20,7 @@
 
     void add(HttpConnection connection) {
         long now = clock.millis();
+        lastOpenedAtMillis = now;
         usages.put(connection, new Usage(0, now, now, false));
         connection.closeHandler(ignored -> usages.remove(connection));
     }
@@ -42,6 +44,15 @@
         return usage == null ? Long.MIN_VALUE : usage.openedAtMillis;
     }
 
+    /**
+     * Time at which the newest connection was opened.
+     *
+     * @return the time, in the distant past if there was none
+     */
+    long lastOpenedAtMillis() {
+        return lastOpenedAtMillis;
+    }
+
     /**
      * Records that a response announces the end of its connection.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -140,7 +140,7 @@
         if (closed > 0) {
             LOGGER.info("idle connections closed number={} open={}", closed, connections.size());
         }
-        if (!timing.mayClosePort(pendingRequests.size(), connections.size(), now)) {
+        if (!timing.mayClosePort(pendingRequests.size(), connections.size(), connections.lastOpenedAtMillis(), now)) {
             return false;
         }
         if (timing.isOver(now)) {
