Refuse late calls that may run only once, also at the last router

A call of a route without repetition that the last router takes and cannot end is answered 502 with an unknown outcome; nobody may send it again. Found by a reviewer reading the change.

Change: the rule holds for routes whose requests may run again; other calls are taken only if nearly none is longer than the time left, and are refused as not run.

--- a/core/src/main/java/org/redwinghook/core/forward/StopAdmission.java
+++ b/core/src/main/java/org/redwinghook/core/forward/StopAdmission.java
@@ -81,8 +81,8 @@
     }
 
     /**
-     * Whether a call is taken while no other router takes new connections. A refused caller would only reach another
-     * stopping router, so the call is taken if it is more likely to end in time than not.
+     * Whether a call that may run again is taken while no other router takes new connections. A refused caller would only
+     * reach another stopping router, so the call is taken if it is more likely to end in time than not.
      *
      * @param typicalMillis learned duration of a typical call of the service
      * @param remainingMillis time after which the caller or the route gives up
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -318,7 +318,8 @@
         }
         CallDurations durations = context.callDurations();
         long unknownMillis = caller.route().latencyObjectiveMillis();
-        return isLastRouterFor(caller.request())
+        // A call that may run once only gets an unknown outcome if it is interrupted, which is worse than a refusal.
+        return caller.route().mayRunAgain() && isLastRouterFor(caller.request())
                 ? admission.mayTakeCallAsLastRouter(
                         durations.typicalMillis(caller.service(), unknownMillis), caller.remainingMillis(), now)
                 : admission.mayTakeCall(
