Keep the connection of a refused request open for the rest of its body

A caller that still sent the body of a request that a stopping router had answered (401, 404, 413 or 503) could lose the answer: the router closed the connection with unread bytes, which resets it.

Change: a connection counts as in use until its request has arrived whole, at most 1 s after the response.

Test: ForwardingTest.Stops.connectionOfARefusedRequestStaysOpenForTheRestOfItsBody.

--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -56,6 +56,9 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** Time for which a caller may go on to send the body of a request that has been answered, in milliseconds. */
+    private static final long MAXIMUM_BODY_LINGER_MILLIS = 1_000;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(ForwardServer.class);
 
     /** Maximum size of a request head, in bytes; above the limits that configurations may set. */
@@ -347,11 +350,17 @@
         if (!pendingRequests.remove(request)) {
             return;
         }
-        connections.requestEnded(request.connection());
-        if (isDraining()) {
-            // The next request of the connection, if it has been read, begins before this task.
-            vertx.runOnContext(ignored -> connections.closeAnnounced(request.connection()));
-        }
+        // Closing a connection with unread bytes resets it, and the caller may lose the response.
+        Future<Void> received = request.isEnded() || request.response().closed()
+                ? Future.succeededFuture()
+                : request.end().timeout(MAXIMUM_BODY_LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        received.onComplete(ended -> {
+            connections.requestEnded(request.connection());
+            if (isDraining()) {
+                // The next request of the connection, if it has been read, begins before this task.
+                vertx.runOnContext(ignored -> connections.closeAnnounced(request.connection()));
+            }
+        });
     }
 
     private void refuseStopping(HttpServerRequest request) {
