--- a/core/src/main/java/org/redwinghook/core/forward/EndpointEntry.java
+++ b/core/src/main/java/org/redwinghook/core/forward/EndpointEntry.java
@@ -33,6 +33,15 @@
         return host + ":" + port;
     }
 
+    /**
+     * Identifier of this start of the endpoint.
+     *
+     * @return identifier and time of its start
+     */
+    public String incarnation() {
+        return id + "@" + startedAtMillis;
+    }
+
     /**
      * Whether another entry belongs to the same endpoint and the same start of it.
      *
--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -37,7 +37,8 @@
     @JsonSubTypes.Type(value = QuotaGrant.class, name = "quotaGrant"),
     @JsonSubTypes.Type(value = QuotaUse.class, name = "quotaUse"),
     @JsonSubTypes.Type(value = WorkReport.class, name = "workReport"),
-    @JsonSubTypes.Type(value = RelayedRecords.class, name = "relayedRecords")
+    @JsonSubTypes.Type(value = RelayedRecords.class, name = "relayedRecords"),
+    @JsonSubTypes.Type(value = QuarantineReport.class, name = "quarantineReport")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/quarantine/CrashHistory.java
@@ -0,0 +1,173 @@
+package org.redwinghook.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.jspecify.annotations.Nullable;
+
+/** Crashes of endpoints, with an index by the parts of the suspect requests. */
+final class CrashHistory {
+
+    /** Maximum number of crashes that are remembered. */
+    static final int MAXIMUM_CRASHES = 256;
+
+    /** Maximum number of suspect requests of one crash; the waiting requests of a large endpoint. */
+    static final int MAXIMUM_SUSPECTS = 128;
+
+    private static final Comparator<EndpointCrash> IN_ORDER =
+            Comparator.comparingLong(EndpointCrash::atMillis).thenComparing(EndpointCrash::endpoint);
+
+    private final Map<String, EndpointCrash> crashes = new LinkedHashMap<>();
+    private final Map<String, PartCrashes> crashesByPart = new HashMap<>();
+    private final Set<String> repeatedParts = new HashSet<>();
+
+    /** Crashes with a part: the last time at which a request with it was sent to each endpoint. */
+    private static final class PartCrashes {
+        private final Map<String, Long> lastSentByEndpoint = new HashMap<>();
+        private int position;
+    }
+
+    /**
+     * Adds what a report has beyond the known crashes.
+     *
+     * @param reported a valid report
+     * @return the crash with the suspects that were unknown, null if nothing was unknown
+     */
+    @Nullable
+    EndpointCrash add(EndpointCrash reported) {
+        EndpointCrash known = crashes.getOrDefault(
+                reported.endpoint(), new EndpointCrash(reported.endpoint(), reported.atMillis(), List.of(), false));
+        long atMillis = Math.min(reported.atMillis(), known.atMillis());
+        Map<String, SuspectRequest> suspects = new LinkedHashMap<>();
+        known.suspects().forEach(suspect -> suspects.put(suspect.requestId(), suspect));
+        List<SuspectRequest> added = new ArrayList<>();
+        for (SuspectRequest suspect : reported.suspects()) {
+            if (suspects.size() < MAXIMUM_SUSPECTS && suspects.putIfAbsent(suspect.requestId(), suspect) == null) {
+                added.add(suspect);
+            }
+        }
+        boolean refuted = reported.refuted() || known.refuted();
+        EndpointCrash merged =
+                new EndpointCrash(reported.endpoint(), atMillis, List.copyOf(suspects.values()), refuted);
+        crashes.put(merged.endpoint(), merged);
+        if (refuted && !known.refuted()) {
+            rebuildIndex();
+            return new EndpointCrash(merged.endpoint(), atMillis, added, true);
+        }
+        if (!refuted) {
+            added.forEach(suspect -> index(merged, suspect));
+        }
+        return added.isEmpty() ? null : new EndpointCrash(merged.endpoint(), atMillis, added, refuted);
+    }
+
+    /**
+     * Forgets crashes.
+     *
+     * @param isOutdated whether a crash is too old
+     * @param isNeeded whether a crash is to be forgotten last
+     */
+    void limit(Predicate<EndpointCrash> isOutdated, Predicate<EndpointCrash> isNeeded) {
+        boolean changed = crashes.values().removeIf(isOutdated);
+        if (crashes.size() > MAXIMUM_CRASHES) {
+            changed = true;
+            List<EndpointCrash> removable = new ArrayList<>(crashes.values());
+            removable.sort(Comparator.comparing(isNeeded::test));
+            removable.subList(0, crashes.size() - MAXIMUM_CRASHES).forEach(crash -> crashes.remove(crash.endpoint()));
+        }
+        if (changed) {
+            rebuildIndex();
+        }
+    }
+
+    boolean isEmpty() {
+        return crashes.isEmpty();
+    }
+
+    @Nullable
+    EndpointCrash find(String endpoint) {
+        return crashes.get(endpoint);
+    }
+
+    Collection<EndpointCrash> all() {
+        return crashes.values();
+    }
+
+    Set<String> parts() {
+        return crashesByPart.keySet();
+    }
+
+    /** Parts with more than one crash. */
+    Set<String> repeatedParts() {
+        return repeatedParts;
+    }
+
+    /** Largest position of a part in a prompt. */
+    int position(String part) {
+        PartCrashes found = crashesByPart.get(part);
+        return found == null ? 0 : found.position;
+    }
+
+    /** Time of the last crash with a part, the smallest number if there is none. */
+    long lastCrashMillis(String part) {
+        List<EndpointCrash> with = crashesWith(part);
+        return with.isEmpty() ? Long.MIN_VALUE : with.get(with.size() - 1).atMillis();
+    }
+
+    /**
+     * Crashes that are not refuted, with a part.
+     *
+     * @param part the part
+     * @return the crashes in order
+     */
+    List<EndpointCrash> crashesWith(String part) {
+        PartCrashes found = crashesByPart.get(part);
+        if (found == null) {
+            return List.of();
+        }
+        List<EndpointCrash> with = new ArrayList<>();
+        found.lastSentByEndpoint.keySet().forEach(endpoint -> {
+            EndpointCrash crash = crashes.get(endpoint);
+            if (crash != null) {
+                with.add(crash);
+            }
+        });
+        with.sort(IN_ORDER);
+        return with;
+    }
+
+    /** Last time at which a request with a part was sent to an endpoint that crashed then. */
+    long lastSentMillis(String part, EndpointCrash crash) {
+        PartCrashes found = crashesByPart.get(part);
+        return found == null ? Long.MIN_VALUE : found.lastSentByEndpoint.getOrDefault(crash.endpoint(), Long.MIN_VALUE);
+    }
+
+    private void rebuildIndex() {
+        crashesByPart.clear();
+        repeatedParts.clear();
+        for (EndpointCrash crash : crashes.values()) {
+            if (!crash.refuted()) {
+                crash.suspects().forEach(suspect -> index(crash, suspect));
+            }
+        }
+    }
+
+    private void index(EndpointCrash crash, SuspectRequest suspect) {
+        for (int position = 0; position < suspect.parts().size(); position++) {
+            String part = suspect.parts().get(position);
+            PartCrashes entry = crashesByPart.computeIfAbsent(part, ignored -> new PartCrashes());
+            entry.position = Math.max(entry.position, position);
+            entry.lastSentByEndpoint.merge(crash.endpoint(), suspect.sentAtMillis(), Math::max);
+            if (entry.lastSentByEndpoint.size() > 1) {
+                repeatedParts.add(part);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/quarantine/EndpointCrash.java
@@ -0,0 +1,29 @@
+package org.redwinghook.core.quarantine;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+/**
+ * An endpoint that closed the connections of requests whose answers had not begun.
+ *
+ * @param endpoint the endpoint and the start of it
+ * @param atMillis time of the first closed connection
+ * @param suspects the requests
+ * @param refuted whether the endpoint was found to be running afterwards
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record EndpointCrash(String endpoint, long atMillis, List<SuspectRequest> suspects, boolean refuted) {
+
+    public EndpointCrash {
+        suspects = List.copyOf(suspects);
+    }
+
+    EndpointCrash shiftedBy(long millis) {
+        return new EndpointCrash(
+                endpoint,
+                atMillis + millis,
+                suspects.stream().map(suspect -> suspect.shiftedBy(millis)).toList(),
+                refuted);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
@@ -0,0 +1,378 @@
+package org.redwinghook.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.routing.RendezvousHash;
+
+/**
+ * Learns from the results of requests which parts of prompts crash endpoints, and admits requests with such a part only
+ * as trials, one at a time and less and less often. Routers that have merged the same evidence reach the same
+ * conclusions. Times are milliseconds of a monotonic clock.
+ */
+public final class PromptQuarantine {
+
+    /** Maximum length of identifiers. Requests with longer ones are not judged. */
+    public static final int MAXIMUM_ID_LENGTH = 96;
+
+    /** Maximum number of parts of a request that are judged. */
+    public static final int MAXIMUM_PARTS = 32;
+
+    /** Maximum number of trials that are remembered. */
+    static final int MAXIMUM_TRIALS = 256;
+
+    /** Maximum number of parts whose last success is remembered. */
+    static final int MAXIMUM_SUCCESSES = 8_192;
+
+    /** Time after which evidence is forgotten; longer than the longest pause between trials. */
+    static final long MEMORY_MILLIS = 600_000;
+
+    /** Pause before the first trial; doubles with each trial. */
+    static final long FIRST_TRIAL_DELAY_MILLIS = 20_000;
+
+    /** Number of times that the pause between trials doubles. */
+    static final int MAXIMUM_DOUBLINGS = 4;
+
+    /**
+     * Time over which the routers' trials are spread, so that the one that begins first can announce its trial to the
+     * others.
+     */
+    static final long TRIAL_SPREAD_MILLIS = 4_000;
+
+    /** Time after a crash until which responses of the endpoint may still arrive from its connections. */
+    static final long RESPONSE_DELAY_MILLIS = 500;
+
+    /**
+     * A success that is newer than the known one by less than this changes nothing; its time varies with each relay by the
+     * time of transmission.
+     */
+    static final long SUCCESS_RESOLUTION_MILLIS = 1_000;
+
+    private final String router;
+    private final CrashHistory history = new CrashHistory();
+    private final CrashAttribution attribution = new CrashAttribution(history, this::lastSuccessMillis);
+    private final Map<String, Long> successes = leastRecentlyUsed();
+    private final Map<PartTrial, Boolean> trials = new LinkedHashMap<>();
+    private Map<String, QuarantinedPart> quarantined = Map.of();
+
+    /**
+     * Creates a quarantine without evidence.
+     *
+     * @param router name of the router, which determines when its trials begin
+     */
+    public PromptQuarantine(String router) {
+        this.router = router;
+    }
+
+    private static Map<String, Long> leastRecentlyUsed() {
+        return new LinkedHashMap<>(16, 0.75f, true) {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+                return size() > MAXIMUM_SUCCESSES;
+            }
+        };
+    }
+
+    /**
+     * Decides whether a request may be sent. A request with a quarantined part whose pause is over becomes its trial.
+     *
+     * @param requestId identifier of the request
+     * @param parts shared parts of its prompt
+     * @param nowMillis current time
+     * @return the decision
+     */
+    public PromptAdmission admit(String requestId, List<String> parts, long nowMillis) {
+        if (quarantined.isEmpty()) {
+            return PromptAdmission.ADMITTED;
+        }
+        List<PartTrial> begun = new ArrayList<>();
+        QuarantinedPart rejectedFor = null;
+        long waitMillis = 0;
+        for (String part : new LinkedHashSet<>(parts)) {
+            QuarantinedPart candidate = quarantined.get(part);
+            if (candidate == null) {
+                continue;
+            }
+            begun.add(new PartTrial(part, requestId, nowMillis));
+            long candidateWaitMillis = candidate.nextTrialMillis() + trialOffsetMillis(part) - nowMillis;
+            if (candidateWaitMillis > waitMillis) {
+                waitMillis = candidateWaitMillis;
+                rejectedFor = candidate;
+            }
+        }
+        if (rejectedFor != null) {
+            return new PromptAdmission(rejectedFor, waitMillis, List.of());
+        }
+        if (begun.isEmpty()) {
+            return PromptAdmission.ADMITTED;
+        }
+        begun.forEach(this::addTrial);
+        update(nowMillis);
+        return new PromptAdmission(null, 0, begun);
+    }
+
+    private long trialOffsetMillis(String part) {
+        return (long) (TRIAL_SPREAD_MILLIS * RendezvousHash.position(RendezvousHash.hash(router), part));
+    }
+
+    /**
+     * Records that an endpoint closed the connection of a request whose answer had not begun.
+     *
+     * @param endpoint the endpoint and the start of it
+     * @param suspect the request
+     * @param nowMillis current time
+     * @return evidence for the other routers
+     */
+    public QuarantineEvidence recordCrash(String endpoint, SuspectRequest suspect, long nowMillis) {
+        if (suspect.parts().isEmpty()) {
+            return QuarantineEvidence.NONE;
+        }
+        EndpointCrash crash = new EndpointCrash(endpoint, nowMillis, List.of(suspect), false);
+        if (mergeCrash(crash, nowMillis) == null) {
+            return QuarantineEvidence.NONE;
+        }
+        update(nowMillis);
+        return new QuarantineEvidence(List.of(crash), knownSuccesses(suspect.parts(), nowMillis), List.of());
+    }
+
+    /**
+     * Records that an endpoint produced an answer.
+     *
+     * @param parts shared parts of the prompt
+     * @param nowMillis current time
+     * @return evidence for the other routers, empty unless a part was under suspicion
+     */
+    public QuarantineEvidence recordSuccess(List<String> parts, long nowMillis) {
+        List<PartSuccess> cleared = new ArrayList<>();
+        for (String part : parts) {
+            if (history.lastCrashMillis(part) > lastSuccessMillis(part)) {
+                cleared.add(new PartSuccess(part, nowMillis));
+            }
+            successes.put(part, nowMillis);
+        }
+        if (cleared.isEmpty()) {
+            return QuarantineEvidence.NONE;
+        }
+        update(nowMillis);
+        return new QuarantineEvidence(List.of(), cleared, List.of());
+    }
+
+    /**
+     * Records a part of a response. Refutes the crash of an endpoint that still works on a request from before it: it has
+     * closed single connections only.
+     *
+     * @param endpoint the endpoint and the start of it
+     * @param sentAtMillis time at which the request was sent
+     * @param nowMillis current time
+     * @return evidence for the other routers, empty unless a crash was refuted
+     */
+    public QuarantineEvidence recordResponse(String endpoint, long sentAtMillis, long nowMillis) {
+        EndpointCrash crash = history.find(endpoint);
+        if (crash == null
+                || crash.refuted()
+                || sentAtMillis > crash.atMillis()
+                || nowMillis - crash.atMillis() < RESPONSE_DELAY_MILLIS) {
+            return QuarantineEvidence.NONE;
+        }
+        EndpointCrash refuted = new EndpointCrash(endpoint, crash.atMillis(), List.of(), true);
+        mergeCrash(refuted, nowMillis);
+        update(nowMillis);
+        return new QuarantineEvidence(List.of(refuted), List.of(), List.of());
+    }
+
+    /**
+     * Merges evidence of another router.
+     *
+     * @param evidence the evidence
+     * @param nowMillis current time
+     * @return what was new, and what this router knows about the parts concerned
+     */
+    public MergedEvidence merge(QuarantineEvidence evidence, long nowMillis) {
+        List<EndpointCrash> newCrashes = new ArrayList<>();
+        Set<String> concerned = new LinkedHashSet<>();
+        for (EndpointCrash crash : evidence.crashes()) {
+            EndpointCrash added = mergeCrash(crash, nowMillis);
+            if (added != null) {
+                newCrashes.add(added);
+                added.suspects().forEach(suspect -> concerned.addAll(suspect.parts()));
+            }
+        }
+        List<PartSuccess> newSuccesses = new ArrayList<>();
+        for (PartSuccess success : evidence.successes()) {
+            concerned.remove(success.part());
+            if (mergeSuccess(success, nowMillis)) {
+                newSuccesses.add(success);
+            }
+        }
+        List<PartTrial> newTrials = new ArrayList<>();
+        for (PartTrial trial : evidence.trials()) {
+            if (isValid(trial, nowMillis) && !trials.containsKey(key(trial))) {
+                addTrial(trial);
+                newTrials.add(trial);
+            }
+        }
+        update(nowMillis);
+        return new MergedEvidence(
+                new QuarantineEvidence(newCrashes, newSuccesses, newTrials),
+                new QuarantineEvidence(List.of(), knownSuccesses(concerned, nowMillis), List.of()));
+    }
+
+    /**
+     * All that a router needs to reach the same conclusions.
+     *
+     * @param nowMillis current time
+     * @return the evidence
+     */
+    public QuarantineEvidence evidence(long nowMillis) {
+        update(nowMillis);
+        return new QuarantineEvidence(
+                List.copyOf(history.all()), knownSuccesses(history.parts(), nowMillis), List.copyOf(trials.keySet()));
+    }
+
+    /**
+     * Parts in quarantine.
+     *
+     * @return the parts
+     */
+    public Collection<QuarantinedPart> quarantinedParts() {
+        return quarantined.values();
+    }
+
+    /**
+     * Whether any crash is known.
+     *
+     * @return false if no part is under suspicion
+     */
+    public boolean hasCrashes() {
+        return !history.isEmpty();
+    }
+
+    /**
+     * Forgets evidence that is too old.
+     *
+     * @param nowMillis current time
+     */
+    public void expire(long nowMillis) {
+        if (!history.isEmpty() || !trials.isEmpty()) {
+            update(nowMillis);
+        }
+    }
+
+    /** Adds what a crash report has beyond the known ones; null if nothing. */
+    private @Nullable EndpointCrash mergeCrash(EndpointCrash reported, long nowMillis) {
+        if (!isValidId(reported.endpoint()) || isOutdated(reported.atMillis(), nowMillis)) {
+            return null;
+        }
+        return history.add(new EndpointCrash(
+                reported.endpoint(),
+                Math.min(reported.atMillis(), nowMillis),
+                reported.suspects().stream().filter(PromptQuarantine::isValid).toList(),
+                reported.refuted()));
+    }
+
+    private boolean mergeSuccess(PartSuccess success, long nowMillis) {
+        if (!isValidId(success.part()) || isOutdated(success.atMillis(), nowMillis)) {
+            return false;
+        }
+        long atMillis = Math.min(success.atMillis(), nowMillis);
+        long known = lastSuccessMillis(success.part());
+        long lastCrash = history.lastCrashMillis(success.part());
+        boolean clears = known <= lastCrash && lastCrash < atMillis;
+        if (known != CrashAttribution.NEVER && !clears && atMillis < known + SUCCESS_RESOLUTION_MILLIS) {
+            return false;
+        }
+        successes.put(success.part(), atMillis);
+        return true;
+    }
+
+    private void addTrial(PartTrial trial) {
+        trials.put(key(trial), true);
+    }
+
+    /** A trial is known by its part and its request. */
+    private PartTrial key(PartTrial trial) {
+        for (PartTrial known : trials.keySet()) {
+            if (known.part().equals(trial.part()) && known.requestId().equals(trial.requestId())) {
+                return known;
+            }
+        }
+        return trial;
+    }
+
+    private List<PartSuccess> knownSuccesses(Collection<String> parts, long nowMillis) {
+        List<PartSuccess> known = new ArrayList<>();
+        for (String part : parts) {
+            long atMillis = lastSuccessMillis(part);
+            if (atMillis != CrashAttribution.NEVER && !isOutdated(atMillis, nowMillis)) {
+                known.add(new PartSuccess(part, atMillis));
+            }
+        }
+        return known;
+    }
+
+    private long lastSuccessMillis(String part) {
+        return successes.getOrDefault(part, CrashAttribution.NEVER);
+    }
+
+    private void update(long nowMillis) {
+        history.limit(crash -> isOutdated(crash.atMillis(), nowMillis), crash -> quarantined.keySet().stream()
+                .anyMatch(part -> history.lastSentMillis(part, crash) > Long.MIN_VALUE));
+        trials.keySet().removeIf(trial -> isOutdated(trial.startedAtMillis(), nowMillis));
+        removeEldest(trials, MAXIMUM_TRIALS);
+        Map<String, QuarantinedPart> found = new LinkedHashMap<>();
+        attribution.explain().forEach((part, counted) -> found.put(part, quarantinedPart(part, counted)));
+        quarantined = found;
+    }
+
+    private static <K> void removeEldest(Map<K, ?> entries, int maximumSize) {
+        while (entries.size() > maximumSize) {
+            entries.remove(entries.keySet().iterator().next());
+        }
+    }
+
+    private QuarantinedPart quarantinedPart(String part, List<EndpointCrash> counted) {
+        long lastAttempt = history.lastCrashMillis(part);
+        int started = 0;
+        for (PartTrial trial : trials.keySet()) {
+            if (trial.part().equals(part)) {
+                started++;
+                lastAttempt = Math.max(lastAttempt, trial.startedAtMillis());
+            }
+        }
+        long delayMillis = FIRST_TRIAL_DELAY_MILLIS << Math.min(started, MAXIMUM_DOUBLINGS);
+        return new QuarantinedPart(
+                part,
+                counted.stream().map(EndpointCrash::endpoint).toList(),
+                counted.get(0).atMillis(),
+                started,
+                lastAttempt + delayMillis);
+    }
+
+    private static boolean isOutdated(long atMillis, long nowMillis) {
+        return atMillis < nowMillis - MEMORY_MILLIS;
+    }
+
+    private static boolean isValid(SuspectRequest suspect) {
+        return isValidId(suspect.requestId())
+                && !suspect.parts().isEmpty()
+                && suspect.parts().size() <= MAXIMUM_PARTS
+                && suspect.parts().stream().allMatch(PromptQuarantine::isValidId);
+    }
+
+    private static boolean isValid(PartTrial trial, long nowMillis) {
+        return isValidId(trial.part())
+                && isValidId(trial.requestId())
+                && !isOutdated(trial.startedAtMillis(), nowMillis)
+                && trial.startedAtMillis() <= nowMillis;
+    }
+
+    private static boolean isValidId(@Nullable String id) {
+        return id != null && !id.isEmpty() && id.length() <= MAXIMUM_ID_LENGTH;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/quarantine/package-info.java
@@ -0,0 +1,5 @@
+/** Quarantine of prompt parts that crash endpoints: decisions without I/O or clock. */
+@NullMarked
+package org.redwinghook.core.quarantine;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
@@ -0,0 +1,324 @@
+package org.redwinghook.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a prompt part that crashes one endpoint after the other, and against sound requests that are refused
+ * because they share a caller or a part with it.
+ */
+public class PromptQuarantineTest {
+
+    private static final String CRASHING = "crashing";
+    private static final String SHARED = "shared";
+    private static final long TRANSMISSION_MILLIS = 30;
+
+    private PromptQuarantine quarantine = new PromptQuarantine("router-1");
+    private int requests;
+
+    @BeforeMethod
+    public void start() {
+        quarantine = new PromptQuarantine("router-1");
+        requests = 0;
+    }
+
+    private SuspectRequest suspect(long sentAtMillis, String... parts) {
+        requests++;
+        return new SuspectRequest("request-" + requests, List.of(parts), sentAtMillis);
+    }
+
+    private QuarantineEvidence crash(String endpoint, long atMillis, long sentAtMillis, String... parts) {
+        return quarantine.recordCrash(endpoint, suspect(sentAtMillis, parts), atMillis);
+    }
+
+    private boolean isRejected(PromptQuarantine judge, long nowMillis, String... parts) {
+        requests++;
+        return judge.admit("request-" + requests, List.of(parts), nowMillis).rejectedFor() != null;
+    }
+
+    private boolean isRejected(long nowMillis, String... parts) {
+        return isRejected(quarantine, nowMillis, parts);
+    }
+
+    /** Engines crash one after the other on requests with a part, among sound requests of the same caller. */
+    @Test
+    public void partIsQuarantinedAfterASecondCrashAndSoundPartsAreNot() {
+        quarantine.recordSuccess(List.of(SHARED, "caller-1"), 500);
+        crash("engine-1", 1_000, 700, SHARED, CRASHING);
+        crash("engine-1", 1_002, 600, "other", "caller-2");
+        Assert.assertFalse(isRejected(1_100, SHARED, CRASHING));
+        crash("engine-2", 2_000, 1_200, SHARED, CRASHING);
+        crash("engine-2", 2_001, 1_300, SHARED, "caller-1");
+        Assert.assertTrue(isRejected(2_010, SHARED, CRASHING));
+        Assert.assertFalse(isRejected(2_010, SHARED, "caller-1"));
+        Assert.assertFalse(isRejected(2_010, "other", "caller-2"));
+    }
+
+    /** The part is found at any position of the prompt. */
+    @Test
+    public void firstPartIsQuarantinedIfThePartsThatFollowDiffer() {
+        crash("engine-1", 1_000, 700, CRASHING, "caller-1");
+        crash("engine-2", 2_000, 1_200, CRASHING, "caller-2");
+        Assert.assertTrue(isRejected(2_010, CRASHING, "caller-3"));
+        Assert.assertFalse(isRejected(2_010, "caller-1"));
+    }
+
+    /** Further crashes of a part in quarantine, by requests sent before, are not attributed to the parts beside it. */
+    @Test
+    public void crashesThatAreExplainedDoNotCountAgainstOtherParts() {
+        quarantine.recordSuccess(List.of(SHARED), 100);
+        for (int engine = 1; engine <= 6; engine++) {
+            crash("engine-" + engine, engine * 1_000L, engine * 1_000L - 300, SHARED, CRASHING);
+        }
+        Assert.assertTrue(isRejected(6_100, SHARED, CRASHING));
+        Assert.assertFalse(isRejected(6_100, SHARED, "caller-1"));
+    }
+
+    @Test
+    public void successBetweenCrashesClearsAPart() {
+        crash("engine-1", 1_000, 700, "part");
+        quarantine.recordSuccess(List.of("part"), 1_500);
+        crash("engine-2", 2_000, 1_600, "part");
+        Assert.assertFalse(isRejected(2_010, "part"));
+    }
+
+    /** Loss of a zone: many endpoints at the same moment, with the requests of all callers. */
+    @Test
+    public void simultaneousCrashesCountOnce() {
+        for (int engine = 0; engine < 8; engine++) {
+            crash("engine-" + engine, 1_000 + engine, 800 + engine, SHARED, "caller-" + engine % 2);
+        }
+        Assert.assertFalse(isRejected(1_100, SHARED, "caller-1"));
+        crash("engine-9", 4_000, 900, SHARED, "caller-1");
+        Assert.assertFalse(isRejected(4_100, SHARED, "caller-1"));
+    }
+
+    /** An endpoint that resets single connections has not crashed. */
+    @Test
+    public void crashOfAnEndpointThatGoesOnIsRefuted() {
+        crash("engine-1", 1_000, 700, "part");
+        Assert.assertTrue(quarantine.recordResponse("engine-1", 900, 1_100).isEmpty());
+        Assert.assertTrue(quarantine.recordResponse("engine-1", 1_200, 1_700).isEmpty());
+        Assert.assertFalse(quarantine.recordResponse("engine-1", 900, 1_700).isEmpty());
+        crash("engine-2", 2_000, 1_600, "part");
+        Assert.assertFalse(isRejected(2_010, "part"));
+    }
+
+    /** One endpoint that resets many requests counts once. */
+    @Test
+    public void crashesOfOneEndpointCountOnce() {
+        for (int request = 1; request < 20; request++) {
+            crash("engine-1", request * 1_000L, request * 1_000L - 300, "part");
+        }
+        Assert.assertFalse(isRejected(20_000, "part"));
+    }
+
+    /** Each trial may crash an endpoint: four in five minutes, the first three within 140 seconds. */
+    @Test
+    public void trialsBecomeRarer() {
+        crash("engine-1", 1_000, 700, CRASHING);
+        crash("engine-2", 2_000, 1_200, CRASHING);
+        List<Long> trials = new ArrayList<>();
+        for (long now = 2_010; now < 320_000; now += 50) {
+            if (!isRejected(now, SHARED, CRASHING)) {
+                trials.add(now);
+                crash("engine-after-" + now, now + 20, now, SHARED, CRASHING);
+            }
+        }
+        Assert.assertEquals(trials.size(), 4, trials.toString());
+        Assert.assertTrue(trials.get(0) >= 22_000 && trials.get(0) <= 26_100, trials.toString());
+        Assert.assertTrue(trials.get(1) - trials.get(0) >= 40_000, trials.toString());
+        Assert.assertFalse(isRejected(320_000, SHARED));
+    }
+
+    /** A trial that ends without a verdict is not repeated at once. */
+    @Test
+    public void trialWithoutVerdictIsFollowedByAPause() {
+        crash("engine-1", 1_000, 700, CRASHING);
+        crash("engine-2", 2_000, 1_200, CRASHING);
+        Assert.assertFalse(isRejected(27_000, CRASHING));
+        Assert.assertTrue(isRejected(27_050, CRASHING));
+        Assert.assertTrue(isRejected(60_000, CRASHING));
+    }
+
+    @Test
+    public void retryAfterIsTheTimeUntilTheNextTrial() {
+        crash("engine-1", 1_000, 700, CRASHING);
+        crash("engine-2", 2_000, 1_200, CRASHING);
+        PromptAdmission rejected = quarantine.admit("request", List.of(CRASHING), 12_000);
+        Assert.assertEquals(
+                quarantine
+                        .admit("request", List.of(CRASHING), 12_000 + rejected.retryAfterMillis())
+                        .trials()
+                        .size(),
+                1);
+    }
+
+    @Test
+    public void successfulTrialReleasesThePartOnAllRouters() {
+        PromptQuarantine other = new PromptQuarantine("router-2");
+        other.merge(crash("engine-1", 1_000, 700, CRASHING), 1_030);
+        other.merge(crash("engine-2", 2_000, 1_200, CRASHING), 2_030);
+        Assert.assertTrue(isRejected(other, 2_040, CRASHING));
+        PromptAdmission trial = quarantine.admit("trial", List.of(CRASHING), 27_000);
+        other.merge(new QuarantineEvidence(List.of(), List.of(), trial.trials()), 27_030);
+        Assert.assertTrue(isRejected(other, 27_040, CRASHING));
+        other.merge(quarantine.recordSuccess(List.of(CRASHING), 28_000), 28_030);
+        Assert.assertFalse(isRejected(other, 28_040, CRASHING));
+        Assert.assertFalse(isRejected(28_040, CRASHING));
+    }
+
+    @Test
+    public void evidenceIsForgotten() {
+        crash("engine-1", 1_000, 700, CRASHING);
+        crash("engine-2", 2_000, 1_200, CRASHING);
+        quarantine.expire(2_001 + PromptQuarantine.MEMORY_MILLIS);
+        Assert.assertFalse(quarantine.hasCrashes());
+        Assert.assertTrue(quarantine.quarantinedParts().isEmpty());
+    }
+
+    /** Exchange between routers. */
+    public static class Exchange {
+
+        /** Each router sees other requests at the endpoints that crash. */
+        @Test
+        public void routersThatSawOneCrashEachQuarantineThePart() {
+            PromptQuarantine first = new PromptQuarantine("router-1");
+            PromptQuarantine second = new PromptQuarantine("router-2");
+            second.merge(first.recordCrash("engine-1", request("a", 700, SHARED, CRASHING), 1_000), 1_030);
+            first.merge(second.recordCrash("engine-2", request("b", 1_700, SHARED, CRASHING), 2_000), 2_030);
+            Assert.assertEquals(first.quarantinedParts().size(), 1);
+            Assert.assertEquals(second.quarantinedParts().size(), 1);
+        }
+
+        /** Only another router has served requests with the shared part. */
+        @Test
+        public void routerThatKnowsASuccessSaysSo() {
+            PromptQuarantine first = new PromptQuarantine("router-1");
+            PromptQuarantine second = new PromptQuarantine("router-2");
+            second.recordSuccess(List.of(SHARED), 500);
+            for (int crash = 1; crash <= 2; crash++) {
+                QuarantineEvidence evidence = first.recordCrash(
+                        "engine-" + crash,
+                        request("r-" + crash, crash * 1_000 - 200, SHARED, "caller-" + crash),
+                        crash * 1_000);
+                first.merge(
+                        second.merge(evidence, crash * 1_000 + TRANSMISSION_MILLIS)
+                                .reply(),
+                        crash * 1_000 + 60);
+            }
+            Assert.assertTrue(first.quarantinedParts().isEmpty());
+            Assert.assertTrue(second.quarantinedParts().isEmpty());
+        }
+
+        @Test
+        public void duplicatesAndReorderingDoNotMatter() {
+            PromptQuarantine source = new PromptQuarantine("router-1");
+            List<QuarantineEvidence> evidence = new ArrayList<>();
+            for (int crash = 1; crash <= 3; crash++) {
+                for (int request = 0; request < 3; request++) {
+                    evidence.add(source.recordCrash(
+                            "engine-" + crash,
+                            request(crash + "-" + request, crash * 1_000 - 300, CRASHING, "caller-" + crash + request),
+                            crash * 1_000 + request));
+                }
+            }
+            evidence.add(source.recordSuccess(List.of("caller-10", "caller-11"), 3_500));
+            evidence.addAll(List.copyOf(evidence));
+            for (int seed = 0; seed < 50; seed++) {
+                Collections.shuffle(evidence, new Random(seed));
+                PromptQuarantine copy = new PromptQuarantine("router-2");
+                evidence.forEach(item -> copy.merge(item, 4_000));
+                Assert.assertEquals(
+                        List.copyOf(copy.quarantinedParts()), List.copyOf(source.quarantinedParts()), "seed " + seed);
+            }
+        }
+
+        @Test
+        public void routerThatConnectsLaterLearnsAll() {
+            PromptQuarantine source = new PromptQuarantine("router-1");
+            source.recordCrash("engine-1", request("a", 700, CRASHING), 1_000);
+            source.recordCrash("engine-2", request("b", 1_700, CRASHING), 2_000);
+            source.admit("trial", List.of(CRASHING), 27_000);
+            PromptQuarantine late = new PromptQuarantine("router-2");
+            late.merge(source.evidence(27_500), 27_500);
+            Assert.assertEquals(List.copyOf(late.quarantinedParts()), List.copyOf(source.quarantinedParts()));
+        }
+
+        /** Relays take time, so times shift; evidence that circulates between routers has to come to rest. */
+        @Test
+        public void relayedEvidenceComesToRest() {
+            PromptQuarantine first = new PromptQuarantine("router-1");
+            PromptQuarantine second = new PromptQuarantine("router-2");
+            first.recordSuccess(List.of(SHARED), 100);
+            QuarantineEvidence circulating = first.recordCrash("engine-1", request("a", 700, SHARED, "x"), 1_000)
+                    .plus(first.recordSuccess(List.of(SHARED), 1_500));
+            long now = 1_500;
+            int relays = 0;
+            while (!circulating.isEmpty() && relays < 10) {
+                now += TRANSMISSION_MILLIS;
+                circulating = (relays % 2 == 0 ? second : first)
+                        .merge(circulating.shiftedBy(TRANSMISSION_MILLIS), now)
+                        .added();
+                relays++;
+            }
+            Assert.assertTrue(relays <= 2, "relays " + relays);
+        }
+
+        /** Damaged messages must not fill the memory. */
+        @Test
+        public void memoryIsBounded() {
+            PromptQuarantine quarantine = new PromptQuarantine("router-1");
+            List<SuspectRequest> many = IntStream.range(0, 1_000)
+                    .mapToObj(number -> request("r-" + number, 0, "part-" + number))
+                    .toList();
+            for (int number = 0; number < 400; number++) {
+                quarantine.merge(
+                        new QuarantineEvidence(
+                                List.of(new EndpointCrash("engine-" + number, number, many, false)),
+                                List.of(new PartSuccess("other-" + number, number)),
+                                List.of(new PartTrial("part", "trial-" + number, number))),
+                        1_000);
+            }
+            String longId = "x".repeat(PromptQuarantine.MAXIMUM_ID_LENGTH + 1);
+            quarantine.merge(
+                    new QuarantineEvidence(
+                            List.of(
+                                    new EndpointCrash(longId, 0, many, false),
+                                    new EndpointCrash("engine", 900, List.of(request("r", 0, longId)), false)),
+                            List.of(new PartSuccess(longId, 0)),
+                            List.of(new PartTrial(longId, "r", 0))),
+                    1_000);
+            QuarantineEvidence evidence = quarantine.evidence(1_000);
+            Assert.assertTrue(evidence.crashes().size() <= CrashHistory.MAXIMUM_CRASHES);
+            Assert.assertTrue(evidence.trials().size() <= PromptQuarantine.MAXIMUM_TRIALS);
+            for (EndpointCrash crash : evidence.crashes()) {
+                Assert.assertNotEquals(crash.endpoint(), longId);
+                Assert.assertTrue(crash.suspects().size() <= CrashHistory.MAXIMUM_SUSPECTS);
+            }
+        }
+
+        /** A flood of other crashes must not release a part. */
+        @Test
+        public void crashesOfAQuarantinedPartAreForgottenLast() {
+            PromptQuarantine quarantine = new PromptQuarantine("router-1");
+            quarantine.recordCrash("engine-1", request("a", 700, CRASHING), 1_000);
+            quarantine.recordCrash("engine-2", request("b", 1_700, CRASHING), 2_000);
+            for (int number = 0; number < 400; number++) {
+                quarantine.recordCrash("lost-" + number, request("r-" + number, 900, "part-" + number), 3_000);
+            }
+            Assert.assertEquals(quarantine.quarantinedParts().size(), 1);
+        }
+
+        private static SuspectRequest request(String id, long sentAtMillis, String... parts) {
+            return new SuspectRequest(id, List.of(parts), sentAtMillis);
+        }
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -60,7 +60,7 @@
             fail("no endpoint left for a repeated request", false);
             return;
         }
-        caller.refuse(new Refusal(cause, RETRY_AFTER_MILLIS));
+        caller.refuse(attempts.refusal(cause, RETRY_AFTER_MILLIS));
     }
 
     /** Fails a request that may have run. An error response from an endpoint is forwarded if there was one. */
@@ -155,6 +155,7 @@
                 return;
             }
             long now = context.clock().millis();
+            attempts.recordAnswer();
             if (head.status() < FIRST_SERVER_ERROR) {
                 endpoint.health().recordSuccess(now);
             } else {
@@ -200,7 +201,7 @@
                     endpointAttempt.endpointId(),
                     endpointAttempt.isSent(),
                     failure.toString());
-            attempts.recordFailure(endpointAttempt);
+            attempts.recordFailure(endpointAttempt, failure);
             if (!endpointAttempt.isSent() || (caller.route().mayRunAgain() && attempts.tryRetry(0))) {
                 startNextAttempt();
                 return;
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -21,6 +21,7 @@
     private final KnownEndpoint endpoint;
     private final EndpointExchange exchange;
     private final RunningRequest runningRequest;
+    private long startedAtMillis;
     private boolean isEnded;
 
     EndpointAttempt(
@@ -46,6 +47,7 @@
 
     /** Adds the request to the work of the endpoint. */
     void recordStart() {
+        startedAtMillis = context.clock().millis();
         context.ledger().add(runningRequest);
         endpoint.pacing().recordRequest(context.clock().millis());
     }
@@ -82,6 +84,7 @@
      * @return its head
      */
     ResponseHead readResponseHead(HttpClientResponse response) {
+        recordResponse();
         ResponseHead head = context.protocol().readResponseHead(response);
         if (head.waitingRequests() >= 0) {
             endpoint.recordWaitingRequests(
@@ -90,6 +93,11 @@
         return head;
     }
 
+    /** Records that a part of the response has arrived. */
+    void recordResponse() {
+        context.promptGuard().recordResponse(endpoint.entry(), startedAtMillis);
+    }
+
     /**
      * Whether a response is intact so far and belongs to the request.
      *
@@ -122,6 +130,15 @@
         }
     }
 
+    /**
+     * Time at which the attempt began.
+     *
+     * @return the time, not after that of sending the request
+     */
+    long startedAtMillis() {
+        return startedAtMillis;
+    }
+
     boolean isEnded() {
         return isEnded;
     }
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointExchange.java
@@ -1,5 +1,6 @@
 package org.redwinghook.router.forward;
 
+import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
@@ -10,6 +11,7 @@
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpClosedException;
 import io.vertx.core.http.HttpConnectOptions;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -94,7 +96,8 @@
                         responsePromise.tryFail("cancelled");
                         return;
                     }
-                    connected.closeHandler(ignored -> responsePromise.tryFail("the endpoint closed the connection"));
+                    connected.closeHandler(ignored ->
+                            responsePromise.tryFail(new HttpClosedException("the endpoint closed the connection")));
                     connected
                             .request(new RequestOptions()
                                     .setMethod(method)
@@ -117,6 +120,16 @@
         return isSent;
     }
 
+    /**
+     * Whether a failure means that the endpoint closed the connection, as its process does when it crashes.
+     *
+     * @param failure the failure of a request that was sent
+     * @return false if the endpoint sent something that is not a response
+     */
+    static boolean isClosedConnection(Throwable failure) {
+        return failure instanceof HttpClosedException || failure instanceof IOException;
+    }
+
     /**
      * Endpoint of the exchange.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
@@ -19,6 +19,7 @@
  * @param memoryMover moves the memory of runs between engines
  * @param metrics counters and histograms
  * @param callDurations learned durations of calls
+ * @param promptGuard keeps prompts that crash endpoints away from them
  * @param pollBarrier delays work while the event loop is late
  * @param reportWork reports changes of this router's work to the other routers at once
  */
@@ -34,5 +35,6 @@
         MemoryMover memoryMover,
         ForwardMetrics metrics,
         CallDurations callDurations,
+        PromptGuard promptGuard,
         PollBarrier pollBarrier,
         Runnable reportWork) {}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -60,6 +60,15 @@
         registry.counter("redwinghook.forward.moves", "outcome", outcome).increment();
     }
 
+    /**
+     * Counts an event of the quarantine of prompt parts.
+     *
+     * @param event kind of event: suspect, quarantined, trial or released
+     */
+    void recordQuarantine(String event) {
+        registry.counter("redwinghook.forward.quarantine", "event", event).increment();
+    }
+
     private Timer timer(String name, String service) {
         return Timer.builder(name)
                 .tag("service", service)
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -18,6 +18,7 @@
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.placement.WorkLedger;
+import org.redwinghook.core.quarantine.PromptQuarantine;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.router.peer.MeshSetup;
 import org.redwinghook.router.peer.MeshTiming;
@@ -99,6 +100,9 @@
                 new HttpClientOptions().setTcpNoDelay(true).setKeepAlive(true).setDecompressionSupported(false));
         RunningStreams streams = new RunningStreams();
         pollBarrier = new PollBarrier(vertx, clock);
+        ForwardMetrics metrics = new ForwardMetrics(meters);
+        PromptGuard promptGuard = new PromptGuard(new PromptQuarantine(settings.process()), clock, metrics);
+        promptGuard.onQuarantine(streams::withdraw);
         ForwardContext context = new ForwardContext(
                 vertx,
                 clock,
@@ -111,13 +115,14 @@
                                 .nextDouble()),
                 new ServiceRetryBudgets(() -> reloadable.current().retries(), this::routerCount),
                 memoryMover,
-                new ForwardMetrics(meters),
+                metrics,
                 new CallDurations(),
+                promptGuard,
                 pollBarrier,
                 this::reportWork);
         server = new ForwardServer(vertx, settings.caller(), context, streams);
         readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
-        routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock);
+        routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock, promptGuard);
         state.onEndpointLeaving(new RunRelocator(context, streams, settings.process())::handleEndpointLeaving);
         WireMetrics wireMetrics = new WireMetrics(meters);
         mesh = new RouterMesh(
--- a/router/src/main/java/org/redwinghook/router/forward/RefusalCause.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RefusalCause.java
@@ -11,7 +11,9 @@
     /** The deadline passed before the request was sent to an endpoint. */
     NO_TIME(503),
     /** The router stops before the request could end; other routers take it. */
-    STOPPING(503);
+    STOPPING(503),
+    /** A part of the prompt crashes endpoints. */
+    PROMPT_PART_QUARANTINED(503);
 
     private final int status;
 
--- a/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
@@ -4,9 +4,12 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.KnownEndpoint;
 import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
+import org.redwinghook.core.quarantine.PromptAdmission;
+import org.redwinghook.core.quarantine.QuarantinedPart;
 
 /** Tracks the endpoints tried for one request and decides whether another one may be tried. */
 final class RequestAttempts {
@@ -22,6 +25,9 @@
     private int endedAttempts;
     private int triedEndpoints;
     private boolean mayHaveRun;
+    private boolean isTrial;
+    private boolean hasAnswered;
+    private @Nullable Refusal quarantineRefusal;
 
     RequestAttempts(ForwardContext context, CallerExchange caller, PlacementPolicy policy, PlacementQuery query) {
         this.context = context;
@@ -39,6 +45,9 @@
         if (triedEndpoints >= MAXIMUM_TRIED_ENDPOINTS) {
             return Optional.empty();
         }
+        if (!isAdmitted()) {
+            return Optional.empty();
+        }
         Optional<KnownEndpoint> chosen = context.selector().choose(caller, policy, query, excluded);
         if (chosen.isPresent()) {
             triedEndpoints++;
@@ -46,6 +55,55 @@
         return chosen;
     }
 
+    /**
+     * Whether the request may crash its endpoint.
+     *
+     * @param part part of prompts that crashes endpoints
+     * @return true if the request has the part, is no trial and its answer has not begun
+     */
+    boolean mayCrashEndpoint(String part) {
+        return !isTrial && !hasAnswered && caller.head().sharedParts().contains(part);
+    }
+
+    /**
+     * Records that the request is withdrawn from its endpoint, because a part of its prompt was quarantined.
+     *
+     * @param attempt the attempt
+     * @param part the part
+     */
+    void recordWithdrawal(EndpointAttempt attempt, QuarantinedPart part) {
+        mayHaveRun |= attempt.isSent();
+        quarantineRefusal = new Refusal(
+                RefusalCause.PROMPT_PART_QUARANTINED,
+                Math.max(0, part.nextTrialMillis() - context.clock().millis()));
+    }
+
+    /** Whether no part of the prompt is in quarantine; a trial may go on until an endpoint has received it. */
+    private boolean isAdmitted() {
+        if (isTrial && !mayHaveRun) {
+            return true;
+        }
+        PromptAdmission admission = context.promptGuard().admit(caller);
+        if (admission.rejectedFor() != null) {
+            quarantineRefusal = new Refusal(RefusalCause.PROMPT_PART_QUARANTINED, admission.retryAfterMillis());
+            return false;
+        }
+        isTrial = !admission.trials().isEmpty();
+        return true;
+    }
+
+    /**
+     * Refusal when no further endpoint can be chosen.
+     *
+     * @param cause cause to report unless a part of the prompt is in quarantine
+     * @param retryAfterMillis suggested retry delay with this cause
+     * @return the refusal to report to the caller
+     */
+    Refusal refusal(RefusalCause cause, long retryAfterMillis) {
+        Refusal ofQuarantine = quarantineRefusal;
+        return ofQuarantine != null ? ofQuarantine : new Refusal(cause, retryAfterMillis);
+    }
+
     /**
      * Cause of a refusal when no further endpoint can be chosen.
      *
@@ -127,12 +185,22 @@
         endpoint.health().recordFailure(context.clock().millis());
     }
 
+    /** Records that the answer of an endpoint has begun and goes on, so that the request did not crash it. */
+    void recordAnswer() {
+        if (!hasAnswered) {
+            hasAnswered = true;
+            context.promptGuard().recordSuccess(caller);
+        }
+    }
+
     /**
      * Records that the exchange with an endpoint failed.
      *
      * @param attempt the failed attempt
+     * @param failure the failure
      */
-    void recordFailure(EndpointAttempt attempt) {
+    void recordFailure(EndpointAttempt attempt, Throwable failure) {
+        recordSuspicion(attempt, failure);
         context.metrics().recordEndpointFailure(caller.service(), attempt.isSent() ? "failed" : "unreachable");
         if (attempt.isSent()) {
             recordAbandonment(attempt.endpoint());
@@ -141,4 +209,14 @@
         exclude(attempt.endpoint());
         attempt.endpoint().health().recordUnreachable(context.clock().millis());
     }
+
+    /** An endpoint that closes the connection before it answers may have been crashed by the request. */
+    private void recordSuspicion(EndpointAttempt attempt, Throwable failure) {
+        if (attempt.isSent()
+                && !hasAnswered
+                && !attempt.endpoint().isLeaving()
+                && EndpointExchange.isClosedConnection(failure)) {
+            context.promptGuard().recordCrash(caller, attempt.endpoint().entry(), attempt.startedAtMillis());
+        }
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
@@ -4,6 +4,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.placement.PlacementQuery;
+import org.redwinghook.core.quarantine.PromptQuarantine;
 
 /**
  * Values from the head of a caller's request.
@@ -34,6 +35,21 @@
         return new PlacementQuery(promptTokens, expectedOutputTokens > 0 ? expectedOutputTokens : maximumOutputTokens);
     }
 
+    /**
+     * Parts that other requests may share: all but the last one, which belongs to the request or its session.
+     *
+     * @return their identifiers, empty if the prompt has too many parts or parts with too long identifiers
+     */
+    List<String> sharedParts() {
+        if (promptParts.size() < 2 || promptParts.size() > PromptQuarantine.MAXIMUM_PARTS) {
+            return List.of();
+        }
+        List<String> shared = promptParts.subList(0, promptParts.size() - 1).stream()
+                .map(PromptPart::id)
+                .toList();
+        return shared.stream().allMatch(id -> id.length() <= PromptQuarantine.MAXIMUM_ID_LENGTH) ? shared : List.of();
+    }
+
     /**
      * A part of a prompt that may be shared with other prompts.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -16,11 +16,14 @@
 import org.redwinghook.core.message.EndpointWork;
 import org.redwinghook.core.message.KeyedRecord;
 import org.redwinghook.core.message.Message;
+import org.redwinghook.core.message.QuarantineReport;
 import org.redwinghook.core.message.RelayedRecords;
 import org.redwinghook.core.message.WorkReport;
 import org.redwinghook.core.placement.ReportInterval;
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.placement.WorkTotals;
+import org.redwinghook.core.quarantine.MergedEvidence;
+import org.redwinghook.core.quarantine.QuarantineEvidence;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.ReplicaRepairPolicy;
 import org.redwinghook.core.replica.StoreReaders;
@@ -50,6 +53,15 @@
      */
     private static final long OPERATOR_RECORDS_INTERVAL_MILLIS = 400;
 
+    /** Interval at which outdated evidence about prompt parts is forgotten, in milliseconds. */
+    private static final long QUARANTINE_EXPIRY_INTERVAL_MILLIS = 10_000;
+
+    /**
+     * Time for which evidence about prompt parts is collected into one message, in milliseconds. The requests at a crashed
+     * endpoint fail within it.
+     */
+    private static final long EVIDENCE_DELAY_MILLIS = 5;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(RouterExchange.class);
 
     private final Vertx vertx;
@@ -57,11 +69,13 @@
     private final ForwardingState state;
     private final WorkLedger ledger;
     private final MonotonicClock clock;
+    private final PromptGuard promptGuard;
     private final Set<ConfigurationPeer> peers = new LinkedHashSet<>();
     private final Map<String, Boolean> storeAccessByRouter = new HashMap<>();
     private final Map<RecordTopic, ReplicaRepairPolicy> repairPolicies = new EnumMap<>(RecordTopic.class);
     private final Map<String, VersionedRecord> pendingOperatorRecords = new LinkedHashMap<>();
     private final Map<String, WorkTotals> lastReportedTotals = new HashMap<>();
+    private QuarantineEvidence pendingEvidence = QuarantineEvidence.NONE;
     private boolean lastReportedStoreAccess = true;
     private BooleanSupplier canReadStore = () -> true;
     private BooleanSupplier storeWasUnavailable = () -> false;
@@ -70,12 +84,20 @@
     private long operatorRecordsSentAtMillis = Long.MIN_VALUE / 2;
     private long lastReportAtMillis;
 
-    RouterExchange(Vertx vertx, String self, ForwardingState state, WorkLedger ledger, MonotonicClock clock) {
+    RouterExchange(
+            Vertx vertx,
+            String self,
+            ForwardingState state,
+            WorkLedger ledger,
+            MonotonicClock clock,
+            PromptGuard promptGuard) {
         this.vertx = vertx;
         this.self = self;
         this.state = state;
         this.ledger = ledger;
         this.clock = clock;
+        this.promptGuard = promptGuard;
+        promptGuard.onEvidence(this::share);
         for (RecordTopic topic : RecordTopic.values()) {
             repairPolicies.put(topic, new ReplicaRepairPolicy());
         }
@@ -114,6 +136,7 @@
                 report();
             }
         });
+        vertx.setPeriodic(QUARANTINE_EXPIRY_INTERVAL_MILLIS, ignored -> promptGuard.expire());
     }
 
     /**
@@ -185,6 +208,10 @@
         }
         Map<String, WorkTotals> own = ledger.ownWork();
         peer.send(new WorkReport(self, toEndpointWork(own), true, canReadStore.getAsBoolean(), recordOffsetSums()));
+        QuarantineEvidence evidence = promptGuard.evidence();
+        if (!evidence.isEmpty()) {
+            peer.send(toReport(evidence));
+        }
     }
 
     @Override
@@ -213,6 +240,13 @@
         if (message instanceof RelayedRecords relayed) {
             handleRelayedRecords(peer, relayed);
         }
+        if (message instanceof QuarantineReport report) {
+            MergedEvidence merged = promptGuard.merge(report.evidence());
+            if (!isFullyConnected && !merged.added().isEmpty()) {
+                broadcast(peer, toReport(merged.added()));
+            }
+            share(merged.reply());
+        }
     }
 
     @Override
@@ -303,6 +337,25 @@
         return work;
     }
 
+    /** Sends evidence to all routers, together with what follows at once. */
+    private void share(QuarantineEvidence evidence) {
+        if (evidence.isEmpty()) {
+            return;
+        }
+        boolean isScheduled = !pendingEvidence.isEmpty();
+        pendingEvidence = pendingEvidence.plus(evidence);
+        if (!isScheduled) {
+            vertx.setTimer(EVIDENCE_DELAY_MILLIS, ignored -> {
+                broadcast(null, toReport(pendingEvidence));
+                pendingEvidence = QuarantineEvidence.NONE;
+            });
+        }
+    }
+
+    private QuarantineReport toReport(QuarantineEvidence evidence) {
+        return new QuarantineReport(evidence.shiftedBy(-clock.millis()));
+    }
+
     private void broadcast(@Nullable ConfigurationPeer except, Message message) {
         Set<String> reached = new LinkedHashSet<>();
         for (ConfigurationPeer peer : List.copyOf(peers)) {
--- a/router/src/main/java/org/redwinghook/router/forward/RunningStreams.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunningStreams.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Set;
 
+import org.redwinghook.core.quarantine.QuarantinedPart;
+
 /** Streams that this router is forwarding. */
 final class RunningStreams {
 
@@ -24,6 +26,15 @@
         return streams.remove(stream);
     }
 
+    /**
+     * Withdraws the streams that may crash their endpoints.
+     *
+     * @param part part of prompts that crashes endpoints
+     */
+    void withdraw(QuarantinedPart part) {
+        List.copyOf(streams).forEach(stream -> stream.withdraw(part));
+    }
+
     /**
      * Streams that an endpoint runs.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -4,6 +4,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpClosedException;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.EndpointEntry;
 import org.redwinghook.core.forward.KnownEndpoint;
@@ -11,6 +12,7 @@
 import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.RunningRequest;
+import org.redwinghook.core.quarantine.QuarantinedPart;
 import org.redwinghook.core.relocation.RunAtEngine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,6 +28,9 @@
     /** Retry delay suggested to a refused caller, in milliseconds: about the time in which an engine reads a prompt. */
     private static final long RETRY_AFTER_MILLIS = 500;
 
+    /** Time from the first event after which an endpoint has survived the beginning of the answer, in milliseconds. */
+    private static final long ANSWER_BEGUN_MILLIS = 250;
+
     /** Output tokens per event; from the engines' data sheet. */
     private static final long TOKENS_PER_EVENT = 4;
 
@@ -198,7 +203,7 @@
             caller.fail("no endpoint left for a repeated request", false);
             return;
         }
-        caller.refuse(new Refusal(cause, RETRY_AFTER_MILLIS));
+        caller.refuse(attempts.refusal(cause, RETRY_AFTER_MILLIS));
     }
 
     private void handleTimeout() {
@@ -216,6 +221,30 @@
         caller.fail("the time ran out", true);
     }
 
+    /**
+     * Withdraws the request from its endpoint if it has a part that crashes endpoints and its answer has not begun.
+     *
+     * @param part the part
+     */
+    void withdraw(QuarantinedPart part) {
+        StreamAttempt attempt = currentAttempt;
+        if (attempt == null
+                || attempt.endpointAttempt.isEnded()
+                || caller.isEnded()
+                || !attempts.mayCrashEndpoint(part.part())) {
+            return;
+        }
+        LOGGER.info(
+                "request withdrawn id={} endpoint={} part={} sent={}",
+                caller.requestId(),
+                attempt.endpointAttempt.endpointId(),
+                part.part(),
+                attempt.endpointAttempt.isSent());
+        attempts.recordWithdrawal(attempt.endpointAttempt, part);
+        cancel();
+        refuseOrFail(RefusalCause.PROMPT_PART_QUARANTINED);
+    }
+
     private void abort(String cause) {
         end();
         caller.abort(cause);
@@ -263,6 +292,8 @@
         private final RunningRequest runningRequest;
         private final EventSplitter splitter = new EventSplitter();
         private @Nullable HttpClientResponse currentResponse;
+        private long eventsOfAttempt;
+        private long firstEventOfAttemptMillis;
         private boolean isStopping;
 
         StreamAttempt(KnownEndpoint endpoint, @Nullable MemoryCopy copy) {
@@ -328,6 +359,7 @@
                         .addAll(context.protocol().callerHeaders(response));
             }
             recordEventTime();
+            recordProgress();
             caller.response().write(event.bytes());
             forwardedEvents++;
             runningRequest.recordProducedTokens(forwardedEvents * TOKENS_PER_EVENT);
@@ -336,16 +368,30 @@
             }
         }
 
+        private void recordProgress() {
+            endpointAttempt.recordResponse();
+            if (eventsOfAttempt == 0) {
+                firstEventOfAttemptMillis = lastEventMillis;
+            } else if (lastEventMillis - firstEventOfAttemptMillis >= ANSWER_BEGUN_MILLIS) {
+                attempts.recordAnswer();
+            }
+            eventsOfAttempt++;
+        }
+
         private void handleEnd() {
             if (endpointAttempt.isEnded()) {
                 return;
             }
             if ((isStopping && !isFramed()) || splitter.hasPartialEvent() || !responseStarted) {
-                handleFailure(new IllegalStateException("the stream ended before its last event"));
+                handleFailure(
+                        isFramed()
+                                ? new IllegalStateException("the stream ended before its last event")
+                                : new HttpClosedException("the stream ended before its last event"));
                 return;
             }
             endpointAttempt.end();
             end();
+            attempts.recordAnswer();
             endpoint.health().recordSuccess(context.clock().millis());
             caller.complete(endpoint.entry().id());
         }
@@ -424,7 +470,7 @@
                     lastEventId,
                     endpointAttempt.isSent(),
                     failure.toString());
-            attempts.recordFailure(endpointAttempt);
+            attempts.recordFailure(endpointAttempt, failure);
             if (!endpointAttempt.isSent() && copy != null) {
                 handleUnusedCopy(copy);
                 return;
--- a/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
@@ -5,13 +5,19 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
 import io.vertx.core.Vertx;
 import org.redwinghook.core.forward.EndpointEntry;
 import org.redwinghook.core.message.KeyedRecord;
 import org.redwinghook.core.message.Message;
+import org.redwinghook.core.message.QuarantineReport;
 import org.redwinghook.core.message.RelayedRecords;
 import org.redwinghook.core.message.WorkReport;
 import org.redwinghook.core.placement.WorkLedger;
+import org.redwinghook.core.quarantine.EndpointCrash;
+import org.redwinghook.core.quarantine.PromptQuarantine;
+import org.redwinghook.core.quarantine.QuarantineEvidence;
+import org.redwinghook.core.quarantine.SuspectRequest;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.VersionedRecord;
 import org.redwinghook.runtime.config.ConfigurationPeer;
@@ -58,6 +64,10 @@
             sent.add(message);
         }
 
+        long quarantineReports() {
+            return sent.stream().filter(QuarantineReport.class::isInstance).count();
+        }
+
         long relayedMessages() {
             return sent.stream().filter(RelayedRecords.class::isInstance).count();
         }
@@ -107,8 +117,40 @@
         Assert.assertEquals(otherPeer.relayedMessages(), 1);
     }
 
+    /** Each router sees the crashes of other requests; a router that connects later has to know them, too. */
+    @Test
+    public void evidenceOfCrashesReachesRoutersThatConnectLater() {
+        connect(FEW_ROUTERS);
+        exchange.handleMessage(firstPeer, crashReport("endpoint-1"));
+        Assert.assertEquals(otherPeer.quarantineReports(), 0);
+        RecordingPeer latePeer = new RecordingPeer("router-d");
+        exchange.handleConnected(latePeer);
+        Assert.assertEquals(latePeer.quarantineReports(), 1);
+    }
+
+    @Test
+    public void evidenceOfCrashesIsRelayedOnceInLargeDeployments() {
+        connect(MANY_ROUTERS);
+        exchange.handleMessage(firstPeer, crashReport("endpoint-1"));
+        exchange.handleMessage(otherPeer, crashReport("endpoint-1"));
+        Assert.assertEquals(otherPeer.quarantineReports(), 1);
+        Assert.assertEquals(firstPeer.quarantineReports(), 0);
+    }
+
+    private static QuarantineReport crashReport(String endpoint) {
+        SuspectRequest suspect = new SuspectRequest("request-1", List.of("part-1"), -500);
+        return new QuarantineReport(new QuarantineEvidence(
+                List.of(new EndpointCrash(endpoint, -10, List.of(suspect), false)), List.of(), List.of()));
+    }
+
     private RouterExchange exchange() {
-        return new RouterExchange(vertx, "router-b", state, new WorkLedger(), MonotonicClock.system());
+        MonotonicClock clock = MonotonicClock.system();
+        return new RouterExchange(vertx, "router-b", state, new WorkLedger(), clock, guard(clock));
+    }
+
+    private static PromptGuard guard(MonotonicClock clock) {
+        return new PromptGuard(
+                new PromptQuarantine("router-b"), clock, new ForwardMetrics(new CompositeMeterRegistry()));
     }
 
     private void connect(int routers) {
--- a/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
@@ -13,9 +13,15 @@
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.Message;
 import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.message.QuarantineReport;
 import org.redwinghook.core.message.Submit;
 import org.redwinghook.core.message.TokenUsage;
 import org.redwinghook.core.message.Tokens;
+import org.redwinghook.core.quarantine.EndpointCrash;
+import org.redwinghook.core.quarantine.PartSuccess;
+import org.redwinghook.core.quarantine.PartTrial;
+import org.redwinghook.core.quarantine.QuarantineEvidence;
+import org.redwinghook.core.quarantine.SuspectRequest;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -39,6 +45,13 @@
             {new Heartbeat(42, null)},
             {new Tokens(9, 100, List.of("a", "b"))},
             {new Finished(9, FinishReason.LENGTH, new TokenUsage(5, 101), 101, LOAD)},
+            {
+                new QuarantineReport(new QuarantineEvidence(
+                        List.of(new EndpointCrash(
+                                "e-1@7", -20, List.of(new SuspectRequest("r-1", List.of("p-1", "p-2"), -900)), false)),
+                        List.of(new PartSuccess("p-1", -4_000)),
+                        List.of(new PartTrial("p-2", "r-2", 0))))
+            },
             {new Submit(9, "copy", "parna", "retail", 5, 30_000, 256, new GenerationRequest("copy", "Hi", 1, 64), null)
             },
         };
@@ -69,6 +82,15 @@
         Assert.assertTrue(codec.decode(Buffer.buffer(unknown)).isFailure());
     }
 
+    /** Missing lists must not reach the routers' decisions. */
+    @Test
+    public void damagedQuarantineReportIsFailure() throws Exception {
+        for (List<?> fields : List.of(List.of(), List.of(List.of(List.of())))) {
+            byte[] damaged = mapper.writeValueAsBytes(List.of("quarantineReport", fields));
+            Assert.assertTrue(codec.decode(Buffer.buffer(damaged)).isFailure(), "fields " + fields);
+        }
+    }
+
     private Buffer body(Message message) {
         Buffer frame = codec.encode(message);
         return frame.getBuffer(FrameCodec.LENGTH_BYTES, frame.length());
