--- a/core/src/main/java/org/redwinghook/core/quarantine/CrashHistory.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/CrashHistory.java
@@ -33,6 +33,9 @@
     private static final class PartCrashes {
         private final Map<String, Long> lastSentByEndpoint = new HashMap<>();
         private int position;
+        private long firstCrashMillis = Long.MAX_VALUE;
+        private long lastCrashMillis = Long.MIN_VALUE;
+        private long lastSentMillis = Long.MIN_VALUE;
     }
 
     /**
@@ -58,13 +61,14 @@
         EndpointCrash merged =
                 new EndpointCrash(reported.endpoint(), atMillis, List.copyOf(suspects.values()), refuted);
         crashes.put(merged.endpoint(), merged);
-        if (refuted && !known.refuted()) {
+        if (atMillis < known.atMillis() || (refuted && !known.refuted())) {
             rebuildIndex();
-            return new EndpointCrash(merged.endpoint(), atMillis, added, true);
-        }
-        if (!refuted) {
+        } else if (!refuted) {
             added.forEach(suspect -> index(merged, suspect));
         }
+        if (refuted && !known.refuted()) {
+            return new EndpointCrash(merged.endpoint(), atMillis, added, true);
+        }
         return added.isEmpty() ? null : new EndpointCrash(merged.endpoint(), atMillis, added, refuted);
     }
 
@@ -73,8 +77,9 @@
      *
      * @param isOutdated whether a crash is too old
      * @param isNeeded whether a crash is to be forgotten last
+     * @return whether any was forgotten
      */
-    void limit(Predicate<EndpointCrash> isOutdated, Predicate<EndpointCrash> isNeeded) {
+    boolean limit(Predicate<EndpointCrash> isOutdated, Predicate<EndpointCrash> isNeeded) {
         boolean changed = crashes.values().removeIf(isOutdated);
         if (crashes.size() > MAXIMUM_CRASHES) {
             changed = true;
@@ -85,6 +90,7 @@
         if (changed) {
             rebuildIndex();
         }
+        return changed;
     }
 
     boolean isEmpty() {
@@ -104,7 +110,7 @@
         return crashesByPart.keySet();
     }
 
-    /** Parts with more than one crash. */
+    /** Parts with a crash, and with another one of a request that was sent after it. */
     Set<String> repeatedParts() {
         return repeatedParts;
     }
@@ -117,8 +123,8 @@
 
     /** Time of the last crash with a part, the smallest number if there is none. */
     long lastCrashMillis(String part) {
-        List<EndpointCrash> with = crashesWith(part);
-        return with.isEmpty() ? Long.MIN_VALUE : with.get(with.size() - 1).atMillis();
+        PartCrashes found = crashesByPart.get(part);
+        return found == null ? Long.MIN_VALUE : found.lastCrashMillis;
     }
 
     /**
@@ -165,7 +171,10 @@
             PartCrashes entry = crashesByPart.computeIfAbsent(part, ignored -> new PartCrashes());
             entry.position = Math.max(entry.position, position);
             entry.lastSentByEndpoint.merge(crash.endpoint(), suspect.sentAtMillis(), Math::max);
-            if (entry.lastSentByEndpoint.size() > 1) {
+            entry.firstCrashMillis = Math.min(entry.firstCrashMillis, crash.atMillis());
+            entry.lastCrashMillis = Math.max(entry.lastCrashMillis, crash.atMillis());
+            entry.lastSentMillis = Math.max(entry.lastSentMillis, suspect.sentAtMillis());
+            if (entry.lastSentByEndpoint.size() > 1 && entry.lastSentMillis > entry.firstCrashMillis) {
                 repeatedParts.add(part);
             }
         }
--- a/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
@@ -184,6 +184,17 @@
         Assert.assertTrue(quarantine.quarantinedParts().isEmpty());
     }
 
+    /** A zone with 100 engines is lost in a large deployment; the routers' reports must not occupy a processor. */
+    @Test(timeOut = 10_000)
+    public void lossOfALargeZoneIsMergedQuickly() {
+        for (int router = 0; router < 27; router++) {
+            for (int engine = 0; engine < 100; engine++) {
+                crash("engine-" + engine, 1_000 + engine, 700, "shared-" + engine % 40, "caller-" + router * engine);
+            }
+        }
+        Assert.assertTrue(quarantine.quarantinedParts().isEmpty());
+    }
+
     /** Exchange between routers. */
     public static class Exchange {
 
