Let routers take turns with trials, and try less often over hours

More trials reached engines than intended. Now 16 groups of routers take turns of 250 ms (fewRoutersMayBeginATrialAtTheSameTime).

The pause between trials stopped doubling at 320 s, because the evidence was forgotten after 10 min. Evidence of a quarantined part is now kept until 10 min after its next trial was due, and the pause doubles up to 43 min (trialsBecomeRarer: 7 trials in an hour).

--- a/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
@@ -30,20 +30,26 @@
     /** Maximum number of parts whose last success is remembered. */
     static final int MAXIMUM_SUCCESSES = 8_192;
 
-    /** Time after which evidence is forgotten; longer than the longest pause between trials. */
+    /** Time after which evidence is forgotten; that of a quarantined part, after its next trial was due. */
     static final long MEMORY_MILLIS = 600_000;
 
+    /** Maximum age of reported evidence; longer than the longest pause between trials. */
+    static final long MAXIMUM_AGE_MILLIS = 7_200_000;
+
     /** Pause before the first trial; doubles with each trial. */
     static final long FIRST_TRIAL_DELAY_MILLIS = 20_000;
 
     /** Number of times that the pause between trials doubles. */
-    static final int MAXIMUM_DOUBLINGS = 4;
+    static final int MAXIMUM_DOUBLINGS = 7;
 
     /**
-     * Time over which the routers' trials are spread, so that the one that begins first can announce its trial to the
-     * others.
+     * Number of groups of routers that may begin a trial in turn, so that the router that begins first can announce its
+     * trial to the others.
      */
-    static final long TRIAL_SPREAD_MILLIS = 4_000;
+    static final int TRIAL_GROUPS = 16;
+
+    /** Time for which one group may begin a trial; longer than the transmission of an announcement. */
+    static final long TRIAL_TURN_MILLIS = 250;
 
     /** Time after a crash until which responses of the endpoint may still arrive from its connections. */
     static final long RESPONSE_DELAY_MILLIS = 500;
@@ -100,7 +106,7 @@
                 continue;
             }
             begun.add(new PartTrial(part, requestId, nowMillis));
-            long candidateWaitMillis = candidate.nextTrialMillis() + trialOffsetMillis(part) - nowMillis;
+            long candidateWaitMillis = trialWaitMillis(candidate, nowMillis);
             if (candidateWaitMillis > waitMillis) {
                 waitMillis = candidateWaitMillis;
                 rejectedFor = candidate;
@@ -117,8 +123,17 @@
         return new PromptAdmission(null, 0, begun);
     }
 
-    private long trialOffsetMillis(String part) {
-        return (long) (TRIAL_SPREAD_MILLIS * RendezvousHash.position(RendezvousHash.hash(router), part));
+    /** Time until this router may begin a trial, 0 or less if it may now. */
+    private long trialWaitMillis(QuarantinedPart part, long nowMillis) {
+        long group = (long) (TRIAL_GROUPS * RendezvousHash.position(RendezvousHash.hash(router), part.part()));
+        long turnMillis = group * TRIAL_TURN_MILLIS;
+        long elapsedMillis = nowMillis - part.nextTrialMillis();
+        if (elapsedMillis < 0) {
+            return turnMillis - elapsedMillis;
+        }
+        long roundMillis = TRIAL_GROUPS * TRIAL_TURN_MILLIS;
+        long sinceTurnMillis = Math.floorMod(elapsedMillis - turnMillis, roundMillis);
+        return sinceTurnMillis < TRIAL_TURN_MILLIS ? 0 : roundMillis - sinceTurnMillis;
     }
 
     /**
@@ -321,10 +336,31 @@
     }
 
     private void update(long nowMillis) {
-        history.limit(crash -> isOutdated(crash.atMillis(), nowMillis), crash -> quarantined.keySet().stream()
-                .anyMatch(part -> history.lastSentMillis(part, crash) > Long.MIN_VALUE));
-        trials.keySet().removeIf(trial -> isOutdated(trial.startedAtMillis(), nowMillis));
+        attribute();
+        boolean changed = history.limit(
+                crash -> crash.atMillis() < nowMillis - MEMORY_MILLIS && !isNeeded(crash, nowMillis),
+                crash -> isNeeded(crash, nowMillis));
+        trials.keySet()
+                .removeIf(trial ->
+                        trial.startedAtMillis() < nowMillis - MEMORY_MILLIS && !quarantined.containsKey(trial.part()));
         removeEldest(trials, MAXIMUM_TRIALS);
+        if (changed) {
+            attribute();
+        }
+    }
+
+    /** Whether a crash belongs to a part that is still waiting for its next trial. */
+    private boolean isNeeded(EndpointCrash crash, long nowMillis) {
+        for (QuarantinedPart part : quarantined.values()) {
+            if (nowMillis < part.nextTrialMillis() + MEMORY_MILLIS
+                    && history.lastSentMillis(part.part(), crash) > Long.MIN_VALUE) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void attribute() {
         Map<String, QuarantinedPart> found = new LinkedHashMap<>();
         attribution.explain().forEach((part, counted) -> found.put(part, quarantinedPart(part, counted)));
         quarantined = found;
@@ -355,7 +391,7 @@
     }
 
     private static boolean isOutdated(long atMillis, long nowMillis) {
-        return atMillis < nowMillis - MEMORY_MILLIS;
+        return atMillis < nowMillis - MAXIMUM_AGE_MILLIS;
     }
 
     private static boolean isValid(SuspectRequest suspect) {
