Say why a call was refused

Seen: GuaranteesUnderFailureTest.lateAnswersReachNobodyElse failed with NOT_RUN, and nothing told which part had refused: a full queue and a wait beyond the timeout had the same text, the router logged neither the load of the endpoint that refused nor why no further endpoint was tried, and a denied quota left no line.

Change: the admission controller decides QUEUE_FULL or WAIT_TOO_LONG instead of REFUSED, and the refusal's text says which. Router, level DEBUG: "attempt refused" with the load that came with the refusal, "no endpoint left", "retry budget exhausted", "quota denied". The caller of the system tests logs the answer of a call that did not complete.

The tests of admission name the kind of refusal now and are stricter by that.

--- a/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/redwinghook/core/admission/AdmissionController.java
@@ -67,9 +67,11 @@
             start(item, quick, nowMillis);
             return AdmissionDecision.ADMITTED;
         }
-        if (!hasQueuePlace(item, quick)
-                || nowMillis + expectedWaitMillis(quick, queue.position(item, quick)) > item.deadlineMillis()) {
-            return AdmissionDecision.REFUSED;
+        if (!hasQueuePlace(item, quick)) {
+            return AdmissionDecision.QUEUE_FULL;
+        }
+        if (nowMillis + expectedWaitMillis(quick, queue.position(item, quick)) > item.deadlineMillis()) {
+            return AdmissionDecision.WAIT_TOO_LONG;
         }
         queue.enter(item);
         queue.enqueue(item, quick);
--- a/core/src/test/java/org/redwinghook/core/admission/EndpointDriver.java
+++ b/core/src/test/java/org/redwinghook/core/admission/EndpointDriver.java
@@ -93,7 +93,7 @@
     void warmUp(int limit, long gapMillis) {
         for (int step = 0; step < 10_000 && limit() < limit; step++) {
             while (running.size() < limit()
-                    && offer("warm", "warm", 10, 32, 32).decision() != AdmissionDecision.REFUSED) {
+                    && !offer("warm", "warm", 10, 32, 32).decision().isRefusal()) {
                 if (controller.load(true, nowMillis).queued() > 0) {
                     break;
                 }
--- a/core/src/test/java/org/redwinghook/core/admission/FairQueueingTest.java
+++ b/core/src/test/java/org/redwinghook/core/admission/FairQueueingTest.java
@@ -74,7 +74,7 @@
             last = driver.offer("owner", "runaway", 10, 4_000, 300).decision();
             queued++;
         }
-        Assert.assertEquals(last, AdmissionDecision.REFUSED);
+        Assert.assertEquals(last, AdmissionDecision.QUEUE_FULL);
         Assert.assertTrue(queued <= 16 * 4 + 1, "queued " + queued);
         Assert.assertEquals(driver.offer("owner", "usual", 10, 4_000, 300).decision(), AdmissionDecision.QUEUED);
     }
@@ -88,7 +88,7 @@
         long now = driver.nowMillis();
         long wait = controller.load(true, now).expectedWaitMillis();
         Assert.assertTrue(wait > 1, "expected wait " + wait);
-        Assert.assertEquals(controller.offer(draft(9_001, now, wait / 2)), AdmissionDecision.REFUSED);
+        Assert.assertEquals(controller.offer(draft(9_001, now, wait / 2)), AdmissionDecision.WAIT_TOO_LONG);
         Assert.assertEquals(controller.offer(draft(9_002, now, wait * 2)), AdmissionDecision.QUEUED);
         Assert.assertTrue(controller.cancelWaiting(9_002));
         Assert.assertFalse(controller.cancelWaiting(9_002));
--- a/experiments/src/main/java/org/redwinghook/experiments/policy/SimulatedEndpoint.java
+++ b/experiments/src/main/java/org/redwinghook/experiments/policy/SimulatedEndpoint.java
@@ -68,7 +68,7 @@
         switch (decision) {
             case ADMITTED -> fakeEndpoint.start(run);
             case QUEUED -> waitingRuns.put(run.request().identifier(), run);
-            case REFUSED -> listener.onRefused(this, run);
+            case QUEUE_FULL, WAIT_TOO_LONG -> listener.onRefused(this, run);
             default -> throw new IllegalStateException("unknown admission decision");
         }
     }
--- a/router/src/main/java/org/redwinghook/router/call/CallDelivery.java
+++ b/router/src/main/java/org/redwinghook/router/call/CallDelivery.java
@@ -6,6 +6,7 @@
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.message.CallAnswer;
 import org.redwinghook.core.message.CallRequest;
+import org.redwinghook.core.message.EndpointLoad;
 import org.redwinghook.core.message.Message;
 import org.redwinghook.core.message.OutcomeUnknown;
 import org.redwinghook.core.message.RefusalReason;
@@ -15,6 +16,8 @@
 import org.redwinghook.router.endpoint.EndpointCandidates;
 import org.redwinghook.router.endpoint.EndpointConnection;
 import org.redwinghook.router.endpoint.ExchangeListener;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Delivers the answer of a plain service to one caller. A call that is not idempotent is retried at another endpoint
@@ -23,6 +26,7 @@
  */
 public final class CallDelivery {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(CallDelivery.class);
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
     private final DeliveryContext context;
@@ -120,6 +124,7 @@
     }
 
     private void handleRefused(Refused refused) {
+        logRefusedAttempt(refused);
         currentAttempt = null;
         lastRefusal = refused;
         if (refused.reason().isRetryableElsewhere()) {
@@ -131,6 +136,26 @@
         }
     }
 
+    private void logRefusedAttempt(Refused refused) {
+        Attempt attempt = currentAttempt;
+        EndpointLoad load = refused.load();
+        if (!LOGGER.isDebugEnabled() || attempt == null || load == null) {
+            return;
+        }
+        LOGGER.debug(
+                "attempt refused vm={} exchange={} elapsedMillis={} running={} queued={} concurrencyLimit={} "
+                        + "expectedWaitMillis={} reason={} detail={}",
+                attempt.connection.member().vm(),
+                attempt.exchange,
+                elapsedMillis(),
+                load.running(),
+                load.queued(),
+                load.concurrencyLimit(),
+                load.expectedWaitMillis(),
+                refused.reason(),
+                refused.detail());
+    }
+
     private void handleLostAttempt(String detail) {
         currentAttempt = null;
         mayHaveRun = true;
@@ -142,19 +167,22 @@
     }
 
     private Submit createSubmit(long exchange) {
-        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
         return new Submit(
                 exchange,
                 template.service(),
                 template.owner(),
                 template.customer(),
                 template.priority(),
-                Math.max(1, template.timeoutMillis() - elapsedMillis),
+                Math.max(1, template.timeoutMillis() - elapsedMillis()),
                 0,
                 null,
                 call);
     }
 
+    private long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
+    }
+
     private void reportUnknownOutcome(String detail) {
         context.metrics().recordUnknownOutcome();
         close();
--- a/router/src/main/java/org/redwinghook/router/endpoint/EndpointCandidates.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointCandidates.java
@@ -6,10 +6,14 @@
 
 import org.redwinghook.core.routing.EndpointView;
 import org.redwinghook.core.routing.RoutingQuery;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Selects the endpoints that a request tries in turn, limited by its attempts and by the retry budget. */
 public final class EndpointCandidates {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(EndpointCandidates.class);
+
     private final DeliveryContext context;
     private final String service;
     private final RoutingQuery query;
@@ -44,7 +48,12 @@
                     new RoutingQuery(query.affinityHash(), query.pinned(), query.promptTokens(), triedVms);
             Optional<EndpointView> selected =
                     context.selector().select(context.directory().views(service), nextQuery);
-            if (selected.isEmpty() || (attempts > 0 && !context.retries().tryRetry(attempts))) {
+            if (selected.isEmpty()) {
+                LOGGER.debug("no endpoint left service={} attempts={} tried={}", service, attempts, triedVms);
+                return Optional.empty();
+            }
+            if (attempts > 0 && !context.retries().tryRetry(attempts)) {
+                LOGGER.debug("retry budget exhausted service={} attempts={} tried={}", service, attempts, triedVms);
                 return Optional.empty();
             }
             if (attempts > 0) {
--- a/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
+++ b/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
@@ -33,6 +33,8 @@
 import org.redwinghook.runtime.wire.MessageDispatcher;
 import org.redwinghook.runtime.wire.PeerConnection;
 import org.redwinghook.runtime.wire.PeerDirectory;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Acquires customers' quota from their owner routers, and grants it for the customers that this router owns. A request
@@ -41,6 +43,8 @@
  */
 public final class QuotaClient implements StateSource {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(QuotaClient.class);
+
     /** Time after which an owner router without an answer counts as unresponsive, in milliseconds. */
     public static final long OWNER_TIMEOUT_MILLIS = 50;
 
@@ -252,6 +256,12 @@
             requestQuota(account);
             return;
         }
+        LOGGER.debug(
+                "quota denied customer={} exchange={} waiting={} retryAfterMillis={}",
+                account.customer,
+                grant.exchange(),
+                account.waiters.size(),
+                grant.retryAfterMillis());
         Refusal refusal = rateLimitRefusal(Math.max(1, grant.retryAfterMillis()));
         List.copyOf(account.waiters).forEach(waiter -> complete(account, waiter, Optional.of(refusal)));
     }
--- a/sidecar/src/main/java/org/redwinghook/sidecar/peer/EndpointGate.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/peer/EndpointGate.java
@@ -54,7 +54,8 @@
         switch (admission.offer(item)) {
             case ADMITTED -> run(item, start);
             case QUEUED -> queuedRequests.put(item.identifier(), new QueuedRequest(start, refuse));
-            case REFUSED -> refuse.accept("the endpoint's queue is full");
+            case QUEUE_FULL -> refuse.accept("the endpoint's queue is full");
+            case WAIT_TOO_LONG -> refuse.accept("the expected wait at the endpoint exceeds the timeout");
             default -> throw new IllegalStateException("unknown admission decision");
         }
     }
--- a/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Caller.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Caller.java
@@ -21,10 +21,13 @@
 import org.redwinghook.standins.engine.GeneratedToken;
 import org.redwinghook.systemtests.history.Event;
 import org.redwinghook.systemtests.history.History;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** A caller that records its requests and their outcomes. Methods block until the outcome is known. */
 public final class Caller {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(Caller.class);
     private static final String OUTCOME_HEADER = "Redwinghook-Outcome";
     private static final Duration HEADER_TIMEOUT = Duration.ofSeconds(15);
     private static final int HTTP_OK = 200;
@@ -173,6 +176,12 @@
         HttpResponse<String> response = client.send(httpRequest.build(), HttpResponse.BodyHandlers.ofString());
         RequestOutcome refusal = findRefusal(request, response);
         if (refusal != null) {
+            LOGGER.info(
+                    "call not completed request={} outcome={} status={} body={}",
+                    request,
+                    refusal,
+                    response.statusCode(),
+                    response.body());
             return refusal;
         }
         String echoedRequest = new JsonObject(response.body()).getString("request", "");
