Ask for quota again when a settlement answers while requests wait

Seen: GuaranteesUnderFailureTest.lateAnswersReachNobodyElse, known red: lookups that follow 2.1 s after the first ones are refused as "not run", with load and without.

Cause: a lease ends 2 s after its grant, and every 500 ms a router returns what is left of ended leases with a quota request for 0 requests. A request that arrives before the owner answers waits, as one quota request is pending. The grant of 0 requests then admitted nobody, and handleQuotaGrant took a grant that admits no waiting request for a denial. The owner denies with a retry time only.

Ruled out: late answers that hold the endpoints (those are refused with 503 by the sidecar), the owner's bucket (it grants 0 requests with no retry time), the local share (the refusals came before its 50 ms).

Change: a grant without a retry time is never a denial; the router asks again for the requests that still wait. Each of them waits at most 50 ms, then the local share decides, as before.

Test that failed before: QuotaClientTest.asksAgainForRequestThatWaitsForSettlement (RATE_LIMITED, retryAfterMillis=1).

--- a/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
+++ b/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
@@ -244,7 +244,6 @@
         }
         account.isRequestPending = false;
         account.lease.applyGrant(nowMillis(), account.requestedAtMillis, grant);
-        int waitersBefore = account.waiters.size();
         while (!account.waiters.isEmpty()
                 && account.lease.tryAcquire(nowMillis(), account.waiters.peek().reservation)) {
             complete(account, account.waiters.remove(), Optional.empty());
@@ -252,7 +251,8 @@
         if (account.waiters.isEmpty()) {
             return;
         }
-        if (account.waiters.size() < waitersBefore && grant.retryAfterMillis() == 0) {
+        if (grant.retryAfterMillis() == 0) {
+            // The answered request was sent before these requests came, perhaps only to settle an expired batch.
             requestQuota(account);
             return;
         }
@@ -262,7 +262,7 @@
                 grant.exchange(),
                 account.waiters.size(),
                 grant.retryAfterMillis());
-        Refusal refusal = rateLimitRefusal(Math.max(1, grant.retryAfterMillis()));
+        Refusal refusal = rateLimitRefusal(grant.retryAfterMillis());
         List.copyOf(account.waiters).forEach(waiter -> complete(account, waiter, Optional.of(refusal)));
     }
 
--- a/router/src/test/java/org/redwinghook/router/limit/QuotaClientTest.java
+++ b/router/src/test/java/org/redwinghook/router/limit/QuotaClientTest.java
@@ -41,6 +41,11 @@
     private static final String OWNER = QuotaOwner.findOwner("retail", ROUTERS).orElseThrow();
     private static final String OTHER =
             ROUTERS.stream().filter(name -> !name.equals(OWNER)).findFirst().orElseThrow();
+    private static final long SHORT_LEASE_MILLIS = 200;
+    private static final int MAXIMUM_ROUNDS = 20;
+    /** Time in which a batch expires and is settled. */
+    private static final long SETTLEMENT_MILLIS = 1_000;
+
     private static final Customer RETAIL = new Customer("retail", "owner", List.of(), 20, 60_000, 1, 1);
 
     private Vertx vertx = Vertx.vertx();
@@ -121,6 +126,34 @@
         Assert.assertEquals(dropped.count(), 1.0);
     }
 
+    /** Guards against the refusal of a request that arrives while the return of an expired batch is settled. */
+    @Test
+    public void asksAgainForRequestThatWaitsForSettlement() throws InterruptedException {
+        MessageDispatcher ownersDispatcher = new MessageDispatcher();
+        Peers peers = new Peers();
+        MessageDispatcher dispatcher = new MessageDispatcher();
+        peers.connect(OWNER, ownersDispatcher, dispatcher);
+        QuotaClient other = client(OTHER, peers, dispatcher);
+        Promise<Optional<Refusal>> duringSettlement = Promise.promise();
+        ownersDispatcher.on(QuotaRequest.class, (connection, request) -> {
+            long granted = request.requests() == 0 ? 0 : request.requests() + 1;
+            if (granted == 0) {
+                other.acquire(RETAIL, 1).onSuccess(duringSettlement::tryComplete);
+            }
+            connection.send(new QuotaGrant(request.exchange(), "retail", granted, granted, SHORT_LEASE_MILLIS, 0));
+        });
+        run(() -> {
+            other.start();
+            return other;
+        });
+        // The owner may time out while the JVM is cold; then no batch is held that could be settled.
+        for (int round = 0; round < MAXIMUM_ROUNDS && !duringSettlement.future().isComplete(); round++) {
+            acquire(other);
+            Thread.sleep(SETTLEMENT_MILLIS);
+        }
+        Assert.assertEquals(duringSettlement.future().result(), Optional.empty());
+    }
+
     /**
      * Guards against requests that hang or are admitted without a limit when another router takes over from a lost
      * owner.
