Make late answers late in their test

Seen: lateAnswersReachNobodyElse passed after 0.4 s or failed after 2.18 s with NOT_RUN.

Cause: the test took the delay of the answers back once all lookups were registered in the caller, before they were sent. In the runs that passed no answer was late, so the guarantee was not tested. When the delay did apply, answers after 2.1 s arrived before the router gives up (2 s and 250 ms grace), so the callers received them. The next ten lookups then met two cold slots at each endpoint, which the sidecar refuses truthfully as "expected wait exceeds the timeout" once it has learned hold times of 2.1 s (running=2 queued=1 concurrencyLimit=2 expectedWaitMillis=1505), and the retry budget was spent on the refused late ones.

Change: answers take 3 s, the delay stays until all late lookups have an outcome, at least one must be UNKNOWN and none COMPLETED. The next lookups are sent while late ones hold the slots. All ten must be COMPLETED with their own answer; one that was refused as not run is sent again after 1 s, as docs/callers.md asks for. A refusal because of the customer's limit has an outcome of its own, is not repeated and fails the test.

--- a/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Caller.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Caller.java
@@ -32,6 +32,7 @@
     private static final Duration HEADER_TIMEOUT = Duration.ofSeconds(15);
     private static final int HTTP_OK = 200;
     private static final int HTTP_NOT_FOUND = 404;
+    private static final int HTTP_TOO_MANY_REQUESTS = 429;
     private static final int MAXIMUM_RECONNECTIONS = 40;
     private static final long RECONNECT_DELAY_MILLIS = 50;
     private static final Pattern WORD = Pattern.compile("[^ ]+ ");
@@ -161,7 +162,9 @@
             case "done", "streaming" -> null;
             case "not-run" -> {
                 history.add(new Event.RequestRefused(Deployment.nowMillis(), request));
-                yield RequestOutcome.NOT_RUN;
+                yield response.statusCode() == HTTP_TOO_MANY_REQUESTS
+                        ? RequestOutcome.RATE_LIMITED
+                        : RequestOutcome.NOT_RUN;
             }
             case "unknown" -> {
                 history.add(new Event.OutcomeUnknown(Deployment.nowMillis(), request));
@@ -255,6 +258,8 @@
         DISCONNECTED,
         /** The request was refused and did not run. */
         NOT_RUN,
+        /** The request was refused because of the customer's limit and did not run. */
+        RATE_LIMITED,
         /** The request may have run. */
         UNKNOWN,
         /** No connection could be opened. */
--- a/system-tests/src/test/java/org/redwinghook/systemtests/deployment/GuaranteesUnderFailureTest.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/GuaranteesUnderFailureTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntFunction;
 import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
@@ -26,6 +27,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /** Tests each guarantee, in the order of {@link Guarantee}, under the failures that may violate it. */
@@ -33,6 +35,11 @@
 public final class GuaranteesUnderFailureTest {
 
     private static final long ANSWER_TIMEOUT_MILLIS = 20_000;
+    /** Delay of an answer, longer than the time after which a router gives up waiting for it. */
+    private static final long LATE_ANSWER_MILLIS = 3_000;
+    /** Delay that refusals ask for in Retry-After. */
+    private static final long RETRY_DELAY_MILLIS = 1_000;
+
     private static final int LONG_ANSWER_TOKENS = 500;
     private static final int SHORT_ANSWER_TOKENS = 5;
 
@@ -118,22 +125,19 @@
         assertGuarantees();
     }
 
-    /** Guards against late answers that are delivered to another request. */
+    /**
+     * Guards against late answers that are delivered to another request. The answers arrive after their callers have
+     * given up and while the next lookups wait for the slots that the late ones hold.
+     */
     @Test
     public void lateAnswersReachNobodyElse() {
-        deployment
-                .vms(ServiceKind.PLAIN)
-                .forEach(vm ->
-                        deployment.plainService(vm).faults().update(faults -> faults.withAnswerDelayMillis(2_100)));
-        List<Future<RequestOutcome>> lateLookups = sendLookups("late-");
-        assertTrue(Deployment.await(
-                ANSWER_TIMEOUT_MILLIS, () -> caller.runningRequests().size() == lateLookups.size()));
-        deployment
-                .vms(ServiceKind.PLAIN)
-                .forEach(vm -> deployment.plainService(vm).faults().update(faults -> faults.withAnswerDelayMillis(0)));
-        lateLookups.forEach(GuaranteesUnderFailureTest::getResult);
-        for (Future<RequestOutcome> lookup : sendLookups("next-")) {
-            assertEquals(getResult(lookup), RequestOutcome.COMPLETED);
+        setAnswerDelay(LATE_ANSWER_MILLIS);
+        List<RequestOutcome> lateOutcomes = sendLookups(number -> caller.lookUp("late-" + number, number));
+        setAnswerDelay(0);
+        assertTrue(lateOutcomes.contains(RequestOutcome.UNKNOWN), "no answer was late: " + lateOutcomes);
+        assertFalse(lateOutcomes.contains(RequestOutcome.COMPLETED), "an answer was not late: " + lateOutcomes);
+        for (RequestOutcome outcome : sendLookups(this::lookUpUntilRun)) {
+            assertEquals(outcome, RequestOutcome.COMPLETED);
         }
         assertGuarantees();
     }
@@ -312,14 +316,32 @@
         deployment.stopGracefully(vm);
     }
 
-    private List<Future<RequestOutcome>> sendLookups(String prefix) {
+    private void setAnswerDelay(long millis) {
+        deployment
+                .vms(ServiceKind.PLAIN)
+                .forEach(vm ->
+                        deployment.plainService(vm).faults().update(faults -> faults.withAnswerDelayMillis(millis)));
+    }
+
+    /** Sends lookups at once through both routers and waits for their outcomes. */
+    private List<RequestOutcome> sendLookups(IntFunction<RequestOutcome> lookUp) {
         List<Future<RequestOutcome>> lookups = new ArrayList<>();
         for (int number = 0; number < 10; number++) {
-            String request = prefix + number;
-            int router = number;
-            lookups.add(executor.submit(() -> caller.lookUp(request, router)));
+            int currentNumber = number;
+            lookups.add(executor.submit(() -> lookUp.apply(currentNumber)));
         }
-        return lookups;
+        return lookups.stream().map(GuaranteesUnderFailureTest::getResult).toList();
+    }
+
+    /** Repeats a lookup that was not run, since an endpoint refuses what it expects to wait too long. */
+    private RequestOutcome lookUpUntilRun(int number) {
+        long deadlineMillis = Deployment.nowMillis() + ANSWER_TIMEOUT_MILLIS / 2;
+        RequestOutcome outcome = caller.lookUp("next-" + number + "-0", number);
+        for (int attempt = 1; outcome == RequestOutcome.NOT_RUN && Deployment.nowMillis() < deadlineMillis; attempt++) {
+            Deployment.sleep(RETRY_DELAY_MILLIS);
+            outcome = caller.lookUp("next-" + number + "-" + attempt, number);
+        }
+        return outcome;
     }
 
     private RequestOutcome orderWithRetries(String order, int router) {
