Do not take a pause of the router for silence of its sidecars

Cause: the router compares the time of the last message with the clock in a timer. The tokens on the closed connection are dropped. A router that is paused for 15 s loses all its sidecars in this way. The sidecar's LivenessMonitor already counts timer intervals for this reason.

Change: PeerSilence in core counts at most two check intervals between two checks, so neither the pause nor the checks that a timer catches up with count as silence. EndpointConnection uses it.

Tests that failed before: ResumeTest.keepsConnectionAfterPauseOfRouter (pause of 600 ms at a timeout of 300 ms).

--- a/router/src/main/java/org/redwinghook/router/endpoint/DeliveryTiming.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/DeliveryTiming.java
@@ -24,6 +24,7 @@
     public static final DeliveryTiming DEFAULT = new DeliveryTiming(5_000, 15_000, 100, 500, 10_000, 250);
 
     private static final long MAXIMUM_MILLIS = 3_600_000;
+    private static final long LIVENESS_CHECKS_PER_HEARTBEAT = 5;
 
     /**
      * Reads the intervals and timeouts.
@@ -42,4 +43,13 @@
         map.rejectUnknownKeys();
         return timing;
     }
+
+    /**
+     * Interval of the liveness checks of a connection.
+     *
+     * @return the interval in milliseconds
+     */
+    public long livenessCheckMillis() {
+        return Math.max(1, heartbeatMillis / LIVENESS_CHECKS_PER_HEARTBEAT);
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointConnection.java
@@ -15,6 +15,7 @@
 import io.vertx.core.net.NetClient;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.membership.Member;
+import org.redwinghook.core.membership.PeerSilence;
 import org.redwinghook.core.message.Accepted;
 import org.redwinghook.core.message.CallAnswer;
 import org.redwinghook.core.message.Cancel;
@@ -53,7 +54,7 @@
     private @Nullable EndpointLoad load;
     private long incarnation;
     private long lastSentNanos;
-    private long lastReceivedNanos;
+    private PeerSilence silence;
     private int failedAttempts;
     private int waitingGenerations;
     private boolean isHandshakeComplete;
@@ -76,6 +77,7 @@
         this.timing = setup.timing();
         this.member = member;
         this.exchangeNumbers = exchangeNumbers;
+        this.silence = createSilence();
     }
 
     /** Opens the connection and keeps it open until {@link #close}. */
@@ -216,7 +218,7 @@
             return;
         }
         long now = System.nanoTime();
-        if (millisSince(lastReceivedNanos, now) >= timing.silenceMillis()) {
+        if (silence.check(TimeUnit.NANOSECONDS.toMillis(now))) {
             LOGGER.info("endpoint connection silent vm={} silenceMillis={}", member.vm(), timing.silenceMillis());
             open.close();
             return;
@@ -226,6 +228,11 @@
         }
     }
 
+    private PeerSilence createSilence() {
+        long nowMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        return new PeerSilence(nowMillis, timing.livenessCheckMillis(), timing.silenceMillis());
+    }
+
     private static long millisSince(long nanos, long now) {
         return TimeUnit.NANOSECONDS.toMillis(now - nanos);
     }
@@ -236,7 +243,7 @@
             return;
         }
         connection = opened;
-        lastReceivedNanos = System.nanoTime();
+        silence = createSilence();
         opened.onMessage(message -> handleMessage(opened, message));
         opened.onClose(() -> handleClosed(opened));
         send(setup.hello().get());
@@ -302,7 +309,7 @@
             setup.metrics().recordDroppedMessage();
             return;
         }
-        lastReceivedNanos = System.nanoTime();
+        silence.recordMessage();
         if (message instanceof Hello hello) {
             handleHello(source, hello);
         } else if (message instanceof Heartbeat heartbeat) {
--- a/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
+++ b/router/src/main/java/org/redwinghook/router/endpoint/EndpointDirectory.java
@@ -27,9 +27,6 @@
 public final class EndpointDirectory implements StateSource {
 
     private static final long VM_LIST_POLL_MILLIS = 1_000;
-    /** Liveness checks of the connections in each heartbeat interval. */
-    private static final long CHECKS_PER_HEARTBEAT = 5;
-
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
     private final Vertx vertx;
@@ -75,9 +72,8 @@
     public void start() {
         pollVmList();
         vertx.setPeriodic(VM_LIST_POLL_MILLIS, ignored -> pollVmList());
-        vertx.setPeriodic(
-                Math.max(1, setup.timing().heartbeatMillis() / CHECKS_PER_HEARTBEAT),
-                ignored -> List.copyOf(connections.values()).forEach(EndpointConnection::checkLiveness));
+        vertx.setPeriodic(setup.timing().livenessCheckMillis(), ignored -> List.copyOf(connections.values())
+                .forEach(EndpointConnection::checkLiveness));
     }
 
     /**
--- a/router/src/test/java/org/redwinghook/router/ResumeTest.java
+++ b/router/src/test/java/org/redwinghook/router/ResumeTest.java
@@ -40,6 +40,20 @@
         Assert.assertEquals(router.counter("redwinghook_router_interruptions_total"), 1.0);
     }
 
+    /** Guards against a router that takes its own pause for silence of the sidecars and loses all connections. */
+    @Test
+    public void keepsConnectionAfterPauseOfRouter() throws Exception {
+        RunningRouter router = start(RouterFixture.ENGINE_SERVICE);
+        FakeSidecar sidecar = sidecar(0);
+        CompletableFuture<HttpResponse<String>> response = router.complete(true);
+        ReceivedMessage<Submit> submit = sidecar.next(Submit.class);
+        long exchange = submit.message().exchange();
+        fixture.pauseEventLoop(2 * RouterFixture.SILENCE_MILLIS);
+        submit.send(new Accepted(exchange, GENERATION), Answers.tokens(exchange, 1, 2), Answers.finished(exchange, 2));
+        Answers.assertCompleteStream(Answers.await(response), 1, 2);
+        sidecar.assertNotReceived(Resume.class, 0);
+    }
+
     /** Guards against resuming a generation of another incarnation with the same identifier. */
     @Test
     public void interruptsWhenSidecarRestarted() throws Exception {
--- a/router/src/test/java/org/redwinghook/router/RouterFixture.java
+++ b/router/src/test/java/org/redwinghook/router/RouterFixture.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 
 import com.google.common.hash.Hashing;
 import io.vertx.core.Vertx;
@@ -38,11 +39,14 @@
 
     private static final long LOG_RETENTION_MILLIS = 604_800_000;
 
+    /** Time without a message after which a router closes its connection to a sidecar. */
+    static final long SILENCE_MILLIS = 300;
+
     static final String ENGINE_SERVICE = "model";
     static final String PLAIN_SERVICE = "desk";
 
     private static final long WAIT_SECONDS = 5;
-    private static final DeliveryTiming TIMING = new DeliveryTiming(50, 300, 10, 50, 600, 100);
+    private static final DeliveryTiming TIMING = new DeliveryTiming(50, SILENCE_MILLIS, 10, 50, 600, 100);
 
     final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     final List<FakeSidecar> sidecars = new ArrayList<>();
@@ -145,6 +149,16 @@
                 .getJsonArray("records");
     }
 
+    /** Blocks the event loop of all routers and fake sidecars, as a pause of the process does. */
+    void pauseEventLoop(long millis) {
+        vertx.getOrCreateContext().runOnContext(ignored -> {
+            long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+            while (System.nanoTime() < endNanos) {
+                LockSupport.parkNanos(endNanos - System.nanoTime());
+            }
+        });
+    }
+
     static void eventually(Condition condition) throws Exception {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
         while (!condition.isMet()) {
