--- a/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
+++ b/router/src/main/java/org/redwinghook/router/limit/QuotaClient.java
@@ -33,6 +33,8 @@
 import org.redwinghook.runtime.wire.MessageDispatcher;
 import org.redwinghook.runtime.wire.PeerConnection;
 import org.redwinghook.runtime.wire.PeerDirectory;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Acquires customers' quota from their owner routers, and grants it for the customers that this router owns. A request
@@ -41,6 +43,8 @@
  */
 public final class QuotaClient implements StateSource {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(QuotaClient.class);
+
     /** Time after which an owner router without an answer counts as unresponsive, in milliseconds. */
     public static final long OWNER_TIMEOUT_MILLIS = 50;
 
@@ -240,7 +244,6 @@
         }
         account.isRequestPending = false;
         account.lease.applyGrant(nowMillis(), account.requestedAtMillis, grant);
-        int waitersBefore = account.waiters.size();
         while (!account.waiters.isEmpty()
                 && account.lease.tryAcquire(nowMillis(), account.waiters.peek().reservation)) {
             complete(account, account.waiters.remove(), Optional.empty());
@@ -248,11 +251,18 @@
         if (account.waiters.isEmpty()) {
             return;
         }
-        if (account.waiters.size() < waitersBefore && grant.retryAfterMillis() == 0) {
+        if (grant.retryAfterMillis() == 0) {
+            // The answered request was sent before these requests came, perhaps only to settle an expired batch.
             requestQuota(account);
             return;
         }
-        Refusal refusal = rateLimitRefusal(Math.max(1, grant.retryAfterMillis()));
+        LOGGER.debug(
+                "quota denied customer={} exchange={} waiting={} retryAfterMillis={}",
+                account.customer,
+                grant.exchange(),
+                account.waiters.size(),
+                grant.retryAfterMillis());
+        Refusal refusal = rateLimitRefusal(grant.retryAfterMillis());
         List.copyOf(account.waiters).forEach(waiter -> complete(account, waiter, Optional.of(refusal)));
     }
 
--- a/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Caller.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Caller.java
@@ -21,14 +21,18 @@
 import org.redwinghook.standins.engine.GeneratedToken;
 import org.redwinghook.systemtests.history.Event;
 import org.redwinghook.systemtests.history.History;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** A caller that records its requests and their outcomes. Methods block until the outcome is known. */
 public final class Caller {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(Caller.class);
     private static final String OUTCOME_HEADER = "Redwinghook-Outcome";
     private static final Duration HEADER_TIMEOUT = Duration.ofSeconds(15);
     private static final int HTTP_OK = 200;
     private static final int HTTP_NOT_FOUND = 404;
+    private static final int HTTP_TOO_MANY_REQUESTS = 429;
     private static final int MAXIMUM_RECONNECTIONS = 40;
     private static final long RECONNECT_DELAY_MILLIS = 50;
     private static final Pattern WORD = Pattern.compile("[^ ]+ ");
@@ -158,7 +162,9 @@
             case "done", "streaming" -> null;
             case "not-run" -> {
                 history.add(new Event.RequestRefused(Deployment.nowMillis(), request));
-                yield RequestOutcome.NOT_RUN;
+                yield response.statusCode() == HTTP_TOO_MANY_REQUESTS
+                        ? RequestOutcome.RATE_LIMITED
+                        : RequestOutcome.NOT_RUN;
             }
             case "unknown" -> {
                 history.add(new Event.OutcomeUnknown(Deployment.nowMillis(), request));
@@ -173,6 +179,12 @@
         HttpResponse<String> response = client.send(httpRequest.build(), HttpResponse.BodyHandlers.ofString());
         RequestOutcome refusal = findRefusal(request, response);
         if (refusal != null) {
+            LOGGER.info(
+                    "call not completed request={} outcome={} status={} body={}",
+                    request,
+                    refusal,
+                    response.statusCode(),
+                    response.body());
             return refusal;
         }
         String echoedRequest = new JsonObject(response.body()).getString("request", "");
@@ -246,6 +258,8 @@
         DISCONNECTED,
         /** The request was refused and did not run. */
         NOT_RUN,
+        /** The request was refused because of the customer's limit and did not run. */
+        RATE_LIMITED,
         /** The request may have run. */
         UNKNOWN,
         /** No connection could be opened. */
