--- a/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Relay.java
+++ b/standins/src/main/java/org/redwinghook/standins/relay/Relay.java
@@ -1,13 +1,15 @@
-package org.redwinghook.systemtests.deployment;
+package org.redwinghook.standins.relay;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
 
+import io.netty.channel.ChannelOption;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
@@ -64,6 +66,11 @@
         });
     }
 
+    /** Resets all open connections. May be called from any thread. */
+    public void reset() {
+        context.runOnContext(ignored -> Set.copyOf(connections).forEach(RelayedConnection::reset));
+    }
+
     private void handleConnection(NetSocket clientSocket) {
         if (mode == Mode.DISCONNECT) {
             clientSocket.close();
@@ -136,6 +143,21 @@
             serverSocket.close();
         }
 
+        void reset() {
+            discardOnClose(clientSocket);
+            discardOnClose(serverSocket);
+            close();
+        }
+
+        /** Makes the socket close with a reset in place of an orderly end. */
+        private void discardOnClose(NetSocket socket) {
+            ((NetSocketInternal) socket)
+                    .channelHandlerContext()
+                    .channel()
+                    .config()
+                    .setOption(ChannelOption.SO_LINGER, 0);
+        }
+
         private void setReading(NetSocket socket, boolean isReading) {
             if (isReading) {
                 socket.resume();
--- a/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Deployment.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Deployment.java
@@ -51,6 +51,7 @@
 import org.redwinghook.standins.log.LogStandIn;
 import org.redwinghook.standins.plain.Effect;
 import org.redwinghook.standins.plain.PlainServiceStandIn;
+import org.redwinghook.standins.relay.Relay;
 import org.redwinghook.standins.vmlist.VmListStandIn;
 import org.redwinghook.systemtests.history.Event;
 import org.redwinghook.systemtests.history.History;
--- a/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Fault.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/Fault.java
@@ -5,6 +5,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.config.ServiceKind;
+import org.redwinghook.standins.relay.Relay;
 import org.redwinghook.systemtests.history.Event;
 import org.redwinghook.systemtests.history.History;
 
--- a/system-tests/src/test/java/org/redwinghook/systemtests/deployment/GuaranteesUnderFailureTest.java
+++ b/system-tests/src/test/java/org/redwinghook/systemtests/deployment/GuaranteesUnderFailureTest.java
@@ -16,6 +16,7 @@
 import org.redwinghook.core.config.ServiceKind;
 import org.redwinghook.standins.engine.ColdOverload;
 import org.redwinghook.standins.engine.ColdStart;
+import org.redwinghook.standins.relay.Relay;
 import org.redwinghook.systemtests.deployment.Caller.RequestOutcome;
 import org.redwinghook.systemtests.history.Event;
 import org.redwinghook.systemtests.history.Guarantee;
