Handle SIGHUP before the services of a process are created

A router that got SIGHUP about 1 s after its start exited with status 129: the handler was registered only after the deployment had begun.

Change: the handler is registered as soon as the settings have been read, before the event loop is created. Before main runs, SIGHUP still ends the virtual machine.

Test: ProcessLauncherTest.hangupDuringTheStartDoesNotEndTheProcess.

--- a/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
@@ -125,6 +125,12 @@
     private ExitCode launch(S initialSettings, Path file) {
         ReloadableSettings<S> settings = new ReloadableSettings<>(initialSettings);
         SettingsFileWatch watch = new SettingsFileWatch(file);
+        // SIGHUP ends a process that has no handler yet, so it is registered before the event loop is created.
+        HangupSignal.registerHandler(() -> {
+            // The change that the signal announces needs no second read.
+            watch.hasChanged();
+            reload(file, settings);
+        });
         // With a single event loop, the services of a process run on one thread and need no locks.
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
         ProcessVerticle verticle = new ProcessVerticle(processVertx -> factory.apply(processVertx, settings));
@@ -135,12 +141,6 @@
                 .addShutdownHook(
                         new Thread(() -> stopWhenStarted(started.future(), vertx, verticle, stopped), "graceful-stop"));
         vertx.deployVerticle(verticle).<Void>mapEmpty().onComplete(started);
-        // The event loop opens the ports meanwhile.
-        HangupSignal.registerHandler(() -> {
-            // The change that the signal announces needs no second read.
-            watch.hasChanged();
-            reload(file, settings);
-        });
         try {
             started.future().await();
         } catch (Exception exception) {
--- a/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/LaunchedProcess.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import io.vavr.control.Either;
 import io.vertx.core.Future;
@@ -39,7 +40,15 @@
 
     static ProcessLauncher<Integer> launcher() {
         return new ProcessLauncher<>(
-                "launched", LaunchedProcess::readPort, (vertx, port) -> new LaunchedProcess(vertx, port.current()));
+                "launched", LaunchedProcess::readPort, (vertx, port) -> create(vertx, port.current()));
+    }
+
+    private static LaunchedProcess create(Vertx vertx, int port) {
+        if (hasFault(Fault.SLOW_CREATION)) {
+            System.out.println("creating");
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SLOW_START_MILLIS));
+        }
+        return new LaunchedProcess(vertx, port);
     }
 
     private static Either<List<Finding>, Integer> readPort(String file, String text) {
@@ -89,6 +98,8 @@
     enum Fault {
         /** The start takes a while after the process listens. */
         SLOW_START,
+        /** The creation of the services takes a while. */
+        SLOW_CREATION,
         /** The graceful stop throws an exception. */
         STOP_THROWS
     }
--- a/runtime/src/test/java/org/redwinghook/runtime/process/ProcessLauncherTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/process/ProcessLauncherTest.java
@@ -119,6 +119,32 @@
         assertTrue(rest.contains("stopped"), rest);
     }
 
+    /**
+     * Guards against a process that SIGHUP ends while it creates its services.
+     *
+     * @throws Exception if the subprocess cannot be run
+     */
+    @Test(timeOut = 30_000)
+    public void hangupDuringTheStartDoesNotEndTheProcess() throws Exception {
+        Process process = launchWithFault(LaunchedProcess.Fault.SLOW_CREATION);
+        try {
+            BufferedReader output = process.inputReader();
+            assertEquals(output.readLine(), "creating");
+            assertEquals(
+                    new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid()))
+                            .start()
+                            .waitFor(),
+                    0);
+            String line = output.readLine();
+            while (line != null && !line.contains("launched started")) {
+                line = output.readLine();
+            }
+            assertTrue(line != null, "the process ended with " + (process.isAlive() ? "no line" : process.exitValue()));
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     /**
      * Guards against a process that is killed in the middle of its stop, because it counts its time from the end of its
      * start and the platform from the signal.
