--- a/router/src/test/java/org/redwinghook/router/ResumeTest.java
+++ b/router/src/test/java/org/redwinghook/router/ResumeTest.java
@@ -48,7 +48,7 @@
         CompletableFuture<HttpResponse<String>> response = router.complete(true);
         ReceivedMessage<Submit> submit = sidecar.next(Submit.class);
         long exchange = submit.message().exchange();
-        fixture.pauseEventLoop(2 * RouterFixture.SILENCE_MILLIS);
+        fixture.pause(2 * RouterFixture.SILENCE_MILLIS);
         submit.send(new Accepted(exchange, GENERATION), Answers.tokens(exchange, 1, 2), Answers.finished(exchange, 2));
         Answers.assertCompleteStream(Answers.await(response), 1, 2);
         sidecar.assertNotReceived(Resume.class, 0);
--- a/router/src/test/java/org/redwinghook/router/RouterFixture.java
+++ b/router/src/test/java/org/redwinghook/router/RouterFixture.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.concurrent.locks.LockSupport;
 
 import com.google.common.hash.Hashing;
 import io.vertx.core.Vertx;
@@ -45,9 +44,6 @@
     static final String ENGINE_SERVICE = "model";
     static final String PLAIN_SERVICE = "desk";
 
-    /** Time without a message after which a router closes the connection to a sidecar. */
-    static final long SILENCE_MILLIS = 300;
-
     private static final long WAIT_SECONDS = 5;
     private static final DeliveryTiming TIMING = new DeliveryTiming(50, SILENCE_MILLIS, 10, 50, 600, 100);
 
@@ -163,16 +159,6 @@
                 .getJsonArray("records");
     }
 
-    /** Blocks the event loop of all routers and fake sidecars, as a pause of the process does. */
-    void pauseEventLoop(long millis) {
-        vertx.getOrCreateContext().runOnContext(ignored -> {
-            long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
-            while (System.nanoTime() < endNanos) {
-                LockSupport.parkNanos(endNanos - System.nanoTime());
-            }
-        });
-    }
-
     static void eventually(Condition condition) throws Exception {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
         while (!condition.isMet()) {
