--- a/core/src/main/java/org/redwinghook/core/forward/StopTiming.java
+++ b/core/src/main/java/org/redwinghook/core/forward/StopTiming.java
@@ -53,7 +53,7 @@
      * @param openedAtMillis time at which the connection was opened
      * @return whether it was opened although the load balancer has noticed the stop
      */
-    public boolean isOpenedByLastResort(long openedAtMillis) {
+    public boolean isOpenedAfterNotice(long openedAtMillis) {
         return openedAtMillis >= noticedAtMillis;
     }
 
--- a/core/src/test/java/org/redwinghook/core/forward/StopTimingTest.java
+++ b/core/src/test/java/org/redwinghook/core/forward/StopTimingTest.java
@@ -67,7 +67,7 @@
     /** Guards against refusing callers whose next try reaches another stopping router. */
     @Test
     public void connectionsAfterTheNoticeShowThatNoOtherRouterIsLeft() {
-        Assert.assertFalse(timing.isOpenedByLastResort(2_400));
-        Assert.assertTrue(timing.isOpenedByLastResort(2_500));
+        Assert.assertFalse(timing.isOpenedAfterNotice(2_400));
+        Assert.assertTrue(timing.isOpenedAfterNotice(2_500));
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -322,7 +322,7 @@
         CallDurations durations = context.callDurations();
         long unknownMillis = caller.route().latencyObjectiveMillis();
         // A call that may run once only gets an unknown outcome if it is interrupted, which is worse than a refusal.
-        return caller.route().mayRunAgain() && isLastRouterFor(caller.request())
+        return caller.route().mayRunAgain() && reachesOnlyStoppingRouters(caller.request())
                 ? admission.mayTakeCallAsLastRouter(
                         durations.typicalMillis(caller.service(), unknownMillis), caller.remainingMillis(), now)
                 : admission.mayTakeCall(
@@ -330,10 +330,10 @@
     }
 
     /** Whether the caller of a request would reach only routers that stop. */
-    private boolean isLastRouterFor(HttpServerRequest request) {
+    private boolean reachesOnlyStoppingRouters(HttpServerRequest request) {
         StopTiming timing = stopTiming;
         return !hasOtherRouters.getAsBoolean()
-                || (timing != null && timing.isOpenedByLastResort(connections.openedAtMillis(request.connection())));
+                || (timing != null && timing.isOpenedAfterNotice(connections.openedAtMillis(request.connection())));
     }
 
     private Refusal stopRefusal(HttpServerRequest request) {
@@ -341,7 +341,7 @@
         long retryAfterMillis = admission == null
                 ? 0
                 : admission.retryAfterMillis(
-                        isLastRouterFor(request), context.clock().millis());
+                        reachesOnlyStoppingRouters(request), context.clock().millis());
         return new Refusal(RefusalCause.STOPPING, retryAfterMillis);
     }
 
