Count a crash of an endpoint that reset a single connection before

An engine resets one channel, another stream of it answers 500 ms later, which refutes the crash, and from then on no crash of this start of the engine counts. Without a refutation the crash gets the time of the old reset, and a success of the part in between hides it.

Cause, found by a reviewer reading the change: CrashHistory merged all reports of one start of an endpoint into one, with the earliest time.

Change: a report more than 2 s later replaces the earlier event, as a start of an endpoint ends with its first crash. Reports of the replaced event are ignored, so duplicates and reordering of the two change nothing.

Tests, failed before: PromptQuarantineTest.crashAfterARefutedOneCounts, crashCountsFromItsOwnTimeAfterAnEarlierReset, repeatedReportsOfAnEarlierResetChangeNothing.

--- a/core/src/main/java/org/redwinghook/core/quarantine/CrashHistory.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/CrashHistory.java
@@ -22,10 +22,17 @@
     /** Maximum number of suspect requests of one crash; the waiting requests of a large endpoint. */
     static final int MAXIMUM_SUSPECTS = 128;
 
+    /**
+     * Time between reports of one endpoint from which they belong to different events; longer than routers differ in
+     * noticing the same one. As an endpoint crashes once per start, only the last event can be a crash.
+     */
+    static final long SEPARATE_EVENT_MILLIS = 2_000;
+
     private static final Comparator<EndpointCrash> IN_ORDER =
             Comparator.comparingLong(EndpointCrash::atMillis).thenComparing(EndpointCrash::endpoint);
 
     private final Map<String, EndpointCrash> crashes = new LinkedHashMap<>();
+    private final Map<String, Long> replacedMillis = new HashMap<>();
     private final Map<String, PartCrashes> crashesByPart = new HashMap<>();
     private final Set<String> repeatedParts = new HashSet<>();
 
@@ -46,6 +53,15 @@
      */
     @Nullable
     EndpointCrash add(EndpointCrash reported) {
+        if (isOfReplacedCrash(reported)) {
+            return null;
+        }
+        EndpointCrash earlier = crashes.get(reported.endpoint());
+        if (earlier != null && isSeparate(earlier.atMillis(), reported.atMillis())) {
+            replacedMillis.put(reported.endpoint(), earlier.atMillis());
+            crashes.remove(reported.endpoint());
+            rebuildIndex();
+        }
         EndpointCrash known = crashes.getOrDefault(
                 reported.endpoint(), new EndpointCrash(reported.endpoint(), reported.atMillis(), List.of(), false));
         long atMillis = Math.min(reported.atMillis(), known.atMillis());
@@ -72,6 +88,21 @@
         return added.isEmpty() ? null : new EndpointCrash(merged.endpoint(), atMillis, added, refuted);
     }
 
+    /** Whether a report belongs to an event before the known crash. */
+    private boolean isOfReplacedCrash(EndpointCrash reported) {
+        EndpointCrash known = crashes.get(reported.endpoint());
+        if (known == null) {
+            return false;
+        }
+        Long replaced = replacedMillis.get(reported.endpoint());
+        return isSeparate(reported.atMillis(), known.atMillis())
+                || (replaced != null && !isSeparate(replaced, reported.atMillis()));
+    }
+
+    private static boolean isSeparate(long earlierMillis, long laterMillis) {
+        return laterMillis - earlierMillis > SEPARATE_EVENT_MILLIS;
+    }
+
     /**
      * Forgets crashes.
      *
@@ -88,6 +119,7 @@
             removable.subList(0, crashes.size() - MAXIMUM_CRASHES).forEach(crash -> crashes.remove(crash.endpoint()));
         }
         if (changed) {
+            replacedMillis.keySet().retainAll(crashes.keySet());
             rebuildIndex();
         }
         return changed;
--- a/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
@@ -112,6 +112,39 @@
         Assert.assertFalse(isRejected(2_010, "part"));
     }
 
+    /** An endpoint that reset a single connection crashes later. */
+    @Test
+    public void crashAfterARefutedOneCounts() {
+        crash("engine-1", 1_000, 700, "part");
+        QuarantineEvidence refutation = quarantine.recordResponse("engine-1", 900, 1_700);
+        Assert.assertFalse(refutation.isEmpty());
+        crash("engine-1", 30_000, 29_000, CRASHING);
+        quarantine.merge(refutation, 30_010);
+        crash("engine-2", 31_000, 30_500, CRASHING);
+        Assert.assertTrue(isRejected(31_010, CRASHING));
+    }
+
+    /** A success between the reset of a single connection and the crash must not hide the crash. */
+    @Test
+    public void crashCountsFromItsOwnTimeAfterAnEarlierReset() {
+        crash("engine-1", 1_000, 700, CRASHING);
+        quarantine.recordSuccess(List.of(CRASHING), 10_000);
+        for (int engine = 1; engine <= 3; engine++) {
+            crash("engine-" + engine, 30_000 + engine * 1_000, 29_900 + engine * 1_000, CRASHING);
+        }
+        Assert.assertTrue(isRejected(33_010, CRASHING));
+    }
+
+    /** Reports of an earlier reset that arrive again must not replace the crash by turns. */
+    @Test
+    public void repeatedReportsOfAnEarlierResetChangeNothing() {
+        QuarantineEvidence reports = crash("engine-1", 1_000, 700, "first")
+                .plus(crash("engine-1", 2_500, 1_200, "second"))
+                .plus(crash("engine-1", 3_500, 3_000, "third"));
+        Assert.assertEquals(quarantine.evidence(4_000).crashes().get(0).atMillis(), 3_500);
+        Assert.assertTrue(quarantine.merge(reports, 4_000).added().isEmpty());
+    }
+
     /** One endpoint that resets many requests counts once. */
     @Test
     public void crashesOfOneEndpointCountOnce() {
