--- a/router/src/test/java/org/redwinghook/router/RouterFixture.java
+++ b/router/src/test/java/org/redwinghook/router/RouterFixture.java
@@ -45,9 +45,6 @@
     static final String ENGINE_SERVICE = "model";
     static final String PLAIN_SERVICE = "desk";
 
-    /** Time without a message after which a router closes the connection to a sidecar. */
-    static final long SILENCE_MILLIS = 300;
-
     private static final long WAIT_SECONDS = 5;
     private static final DeliveryTiming TIMING = new DeliveryTiming(50, SILENCE_MILLIS, 10, 50, 600, 100);
 
