Do not double the pause after a trial that no endpoint received

What callers see: requests with a quarantined part that no longer crashes engines are refused 20, 40, 80 s and longer, although no engine was asked.

Cause, found by a reviewer reading the change: a trial counts from its admission, before an endpoint is chosen. When there is no endpoint, all are full or unreachable, the caller left, or the answer was "not run", nothing was learned.

Change: a request that ends that way marks its trial as unused, on all routers. An unused trial still starts the pause again, but doesn't double it.

Tests: PromptQuarantineTest.trialWithoutASendDoesNotDoubleThePause, failed with unused trials counted (trials 1 instead of 0); FrameCodecTest covers the field. The calls in RequestAttempts have no test of their own.

--- a/core/src/main/java/org/redwinghook/core/quarantine/PartTrial.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/PartTrial.java
@@ -9,11 +9,12 @@
  * @param part the part
  * @param requestId identifier of the request
  * @param startedAtMillis time at which it was admitted
+ * @param unused whether no endpoint has received or run it, so that it says nothing about the part
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record PartTrial(String part, String requestId, long startedAtMillis) {
+public record PartTrial(String part, String requestId, long startedAtMillis, boolean unused) {
 
     PartTrial shiftedBy(long millis) {
-        return new PartTrial(part, requestId, startedAtMillis + millis);
+        return new PartTrial(part, requestId, startedAtMillis + millis, unused);
     }
 }
--- a/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
@@ -64,9 +64,12 @@
     private final CrashHistory history = new CrashHistory();
     private final CrashAttribution attribution = new CrashAttribution(history, this::lastSuccessMillis);
     private final Map<String, Long> successes = leastRecentlyUsed();
-    private final Map<PartTrial, Boolean> trials = new LinkedHashMap<>();
+    private final Map<TrialKey, PartTrial> trials = new LinkedHashMap<>();
     private Map<String, QuarantinedPart> quarantined = Map.of();
 
+    /** A trial is known by its part and its request. */
+    private record TrialKey(String part, String requestId) {}
+
     /**
      * Creates a quarantine without evidence.
      *
@@ -105,7 +108,7 @@
             if (candidate == null) {
                 continue;
             }
-            begun.add(new PartTrial(part, requestId, nowMillis));
+            begun.add(new PartTrial(part, requestId, nowMillis, false));
             long candidateWaitMillis = trialWaitMillis(candidate, nowMillis);
             if (candidateWaitMillis > waitMillis) {
                 waitMillis = candidateWaitMillis;
@@ -136,6 +139,28 @@
         return sinceTurnMillis < TRIAL_TURN_MILLIS ? 0 : roundMillis - sinceTurnMillis;
     }
 
+    /**
+     * Records that a request that was admitted as a trial ended without an endpoint that received or ran it. The next
+     * trial begins after the same pause again.
+     *
+     * @param requestId identifier of the request
+     * @param parts shared parts of its prompt
+     * @param nowMillis current time
+     * @return evidence for the other routers, empty if the request was no trial
+     */
+    public QuarantineEvidence recordUnusedTrial(String requestId, List<String> parts, long nowMillis) {
+        List<PartTrial> unused = new ArrayList<>();
+        for (String part : parts) {
+            PartTrial known = trials.get(new TrialKey(part, requestId));
+            if (known != null && !known.unused()) {
+                unused.add(new PartTrial(part, requestId, known.startedAtMillis(), true));
+            }
+        }
+        unused.forEach(this::addTrial);
+        update(nowMillis);
+        return new QuarantineEvidence(List.of(), List.of(), unused);
+    }
+
     /**
      * Records that an endpoint closed the connection of a request whose answer had not begun.
      *
@@ -227,8 +252,7 @@
         }
         List<PartTrial> newTrials = new ArrayList<>();
         for (PartTrial trial : evidence.trials()) {
-            if (isValid(trial, nowMillis) && !trials.containsKey(key(trial))) {
-                addTrial(trial);
+            if (isValid(trial, nowMillis) && addTrial(trial)) {
                 newTrials.add(trial);
             }
         }
@@ -247,7 +271,7 @@
     public QuarantineEvidence evidence(long nowMillis) {
         update(nowMillis);
         return new QuarantineEvidence(
-                List.copyOf(history.all()), knownSuccesses(history.parts(), nowMillis), List.copyOf(trials.keySet()));
+                List.copyOf(history.all()), knownSuccesses(history.parts(), nowMillis), List.copyOf(trials.values()));
     }
 
     /**
@@ -306,18 +330,18 @@
         return true;
     }
 
-    private void addTrial(PartTrial trial) {
-        trials.put(key(trial), true);
-    }
-
-    /** A trial is known by its part and its request. */
-    private PartTrial key(PartTrial trial) {
-        for (PartTrial known : trials.keySet()) {
-            if (known.part().equals(trial.part()) && known.requestId().equals(trial.requestId())) {
-                return known;
-            }
+    /** Adds a trial, or that it was unused; returns whether that was unknown. */
+    private boolean addTrial(PartTrial trial) {
+        TrialKey key = new TrialKey(trial.part(), trial.requestId());
+        PartTrial known = trials.putIfAbsent(key, trial);
+        if (known == null) {
+            return true;
         }
-        return trial;
+        if (known.unused() || !trial.unused()) {
+            return false;
+        }
+        trials.put(key, new PartTrial(known.part(), known.requestId(), known.startedAtMillis(), true));
+        return true;
     }
 
     private List<PartSuccess> knownSuccesses(Collection<String> parts, long nowMillis) {
@@ -340,7 +364,7 @@
         boolean changed = history.limit(
                 crash -> crash.atMillis() < nowMillis - MEMORY_MILLIS && !isNeeded(crash, nowMillis),
                 crash -> isNeeded(crash, nowMillis));
-        trials.keySet()
+        trials.values()
                 .removeIf(trial ->
                         trial.startedAtMillis() < nowMillis - MEMORY_MILLIS && !quarantined.containsKey(trial.part()));
         removeEldest(trials, MAXIMUM_TRIALS);
@@ -375,9 +399,9 @@
     private QuarantinedPart quarantinedPart(String part, List<EndpointCrash> counted) {
         long lastAttempt = history.lastCrashMillis(part);
         int started = 0;
-        for (PartTrial trial : trials.keySet()) {
+        for (PartTrial trial : trials.values()) {
             if (trial.part().equals(part)) {
-                started++;
+                started += trial.unused() ? 0 : 1;
                 lastAttempt = Math.max(lastAttempt, trial.startedAtMillis());
             }
         }
--- a/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
@@ -191,6 +191,31 @@
         Assert.assertTrue(isRejected(trialMillis + 39_000, CRASHING));
     }
 
+    /** A trial that no endpoint has received says nothing about its part. */
+    @Test
+    public void trialWithoutASendDoesNotDoubleThePause() {
+        crash("engine-1", 1_000, 700, CRASHING);
+        crash("engine-2", 2_000, 1_200, CRASHING);
+        PromptQuarantine other = new PromptQuarantine("router-2");
+        long trialMillis = 2_000;
+        for (int trial = 0; trial < 3; trial++) {
+            String id = "trial-" + trial;
+            trialMillis = beginTrial(quarantine, id, trialMillis + PromptQuarantine.FIRST_TRIAL_DELAY_MILLIS);
+            QuarantineEvidence announced = quarantine.evidence(trialMillis);
+            QuarantineEvidence unused = quarantine.recordUnusedTrial(id, List.of(SHARED, CRASHING), trialMillis);
+            other.merge(unused, trialMillis);
+            other.merge(announced, trialMillis);
+            for (PromptQuarantine router : List.of(quarantine, other)) {
+                QuarantinedPart part = router.quarantinedParts().iterator().next();
+                Assert.assertEquals(part.trials(), 0);
+                Assert.assertEquals(
+                        part.nextTrialMillis(), trialMillis + PromptQuarantine.FIRST_TRIAL_DELAY_MILLIS);
+            }
+        }
+        Assert.assertTrue(
+                quarantine.recordUnusedTrial("other", List.of(CRASHING), trialMillis).isEmpty());
+    }
+
     /** Two routers begin a trial before either has heard of the other's. */
     @Test
     public void fewRoutersMayBeginATrialAtTheSameTime() {
@@ -210,8 +235,12 @@
     }
 
     private static long beginTrial(PromptQuarantine router, long fromMillis) {
+        return beginTrial(router, "trial", fromMillis);
+    }
+
+    private static long beginTrial(PromptQuarantine router, String requestId, long fromMillis) {
         for (long now = fromMillis; now < fromMillis + 2 * ROUND_MILLIS; now += 10) {
-            if (!router.admit("trial", List.of(CRASHING), now).trials().isEmpty()) {
+            if (!router.admit(requestId, List.of(CRASHING), now).trials().isEmpty()) {
                 return now;
             }
         }
@@ -379,7 +408,7 @@
                         new QuarantineEvidence(
                                 List.of(new EndpointCrash("engine-" + number, number, many, false)),
                                 List.of(new PartSuccess("other-" + number, number)),
-                                List.of(new PartTrial("part", "trial-" + number, number))),
+                                List.of(new PartTrial("part", "trial-" + number, number, false))),
                         1_000);
             }
             String longId = "x".repeat(PromptQuarantine.MAXIMUM_ID_LENGTH + 1);
@@ -389,7 +418,7 @@
                                     new EndpointCrash(longId, 0, many, false),
                                     new EndpointCrash("engine", 900, List.of(request("r", 0, longId)), false)),
                             List.of(new PartSuccess(longId, 0)),
-                            List.of(new PartTrial(longId, "r", 0))),
+                            List.of(new PartTrial(longId, "r", 0, false))),
                     1_000);
             QuarantineEvidence evidence = quarantine.evidence(1_000);
             Assert.assertTrue(evidence.crashes().size() <= CrashHistory.MAXIMUM_CRASHES);
--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -40,7 +40,7 @@
     }
 
     void start() {
-        caller.onDisconnect(this::cancel);
+        caller.onDisconnect(this::handleDisconnect);
         caller.onTimeout(this::handleTimeout);
         caller.onInterruption(this::handleInterruption);
         context.retryBudgets().requestStarted(caller.service(), context.clock().millis());
@@ -63,6 +63,7 @@
             fail("no endpoint left for a repeated request", false);
             return;
         }
+        attempts.recordEnd();
         caller.refuse(attempts.refusal(cause, RETRY_AFTER_MILLIS));
     }
 
@@ -88,12 +89,21 @@
         boolean sent = currentAttempt != null && currentAttempt.endpointAttempt.isInProgress();
         cancel();
         if (!attempts.mayHaveRun() && !sent) {
+            attempts.recordEnd();
             caller.refuse(refusal);
             return;
         }
         fail(cause, timedOut);
     }
 
+    private void handleDisconnect() {
+        if (currentAttempt != null && currentAttempt.endpointAttempt.isInProgress()) {
+            attempts.recordPossibleExecution();
+        }
+        cancel();
+        attempts.recordEnd();
+    }
+
     private void cancel() {
         CallAttempt attempt = currentAttempt;
         if (attempt != null) {
--- a/router/src/main/java/org/redwinghook/router/forward/PromptGuard.java
+++ b/router/src/main/java/org/redwinghook/router/forward/PromptGuard.java
@@ -84,6 +84,21 @@
         return admission;
     }
 
+    /**
+     * Records that a trial ended without an endpoint that received or ran it.
+     *
+     * @param caller exchange with the caller
+     */
+    void recordUnusedTrial(CallerExchange caller) {
+        QuarantineEvidence evidence =
+                quarantine.recordUnusedTrial(caller.requestId(), caller.head().sharedParts(), clock.millis());
+        if (evidence.isEmpty()) {
+            return;
+        }
+        LOGGER.info("quarantine trial unused id={}", caller.requestId());
+        share(evidence);
+    }
+
     /**
      * Records that an endpoint closed the connection of a request whose answer had not begun.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
@@ -149,6 +149,14 @@
         mayHaveRun = true;
     }
 
+    /** Records that the request ends without a further attempt. */
+    void recordEnd() {
+        if (isTrial && !mayHaveRun && !hasAnswered) {
+            isTrial = false;
+            context.promptGuard().recordUnusedTrial(caller);
+        }
+    }
+
     /** Records that an endpoint responded. */
     void recordResponse() {
         endedAttempts++;
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -62,7 +62,7 @@
     }
 
     void start() {
-        caller.onDisconnect(this::cancel);
+        caller.onDisconnect(this::handleDisconnect);
         caller.onTimeout(this::handleTimeout);
         caller.onInterruption(this::handleInterruption);
         runningStreams.add(this);
@@ -204,6 +204,7 @@
             caller.fail("no endpoint left for a repeated request", false);
             return;
         }
+        attempts.recordEnd();
         caller.refuse(attempts.refusal(cause, RETRY_AFTER_MILLIS));
     }
 
@@ -224,6 +225,7 @@
         }
         end();
         if (!attempts.mayHaveRun() && !sent) {
+            attempts.recordEnd();
             caller.refuse(refusal);
             return;
         }
@@ -272,6 +274,14 @@
         }
     }
 
+    private void handleDisconnect() {
+        if (currentAttempt != null && currentAttempt.endpointAttempt.isInProgress()) {
+            attempts.recordPossibleExecution();
+        }
+        cancel();
+        attempts.recordEnd();
+    }
+
     private void cancel() {
         StreamAttempt attempt = currentAttempt;
         if (attempt != null) {
--- a/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
@@ -50,7 +50,7 @@
                         List.of(new EndpointCrash(
                                 "e-1@7", -20, List.of(new SuspectRequest("r-1", List.of("p-1", "p-2"), -900)), false)),
                         List.of(new PartSuccess("p-1", -4_000)),
-                        List.of(new PartTrial("p-2", "r-2", 0))))
+                        List.of(new PartTrial("p-2", "r-2", 0, true))))
             },
             {new Submit(9, "copy", "parna", "retail", 5, 30_000, 256, new GenerationRequest("copy", "Hi", 1, 64), null)
             },
