Let any router begin a trial after a round without one

What callers see: rare requests with a part that is sound again are refused long after the pause, with a Retry-After that suits only one of the routers.

Cause, found by a reviewer reading the change: a router may begin a trial only in its 250 ms of every 4 s, without end, and a retry reaches another router.

Change: routers take turns only in the first 4 s after the pause. When these passed without a trial, any router admits the next request as the trial.

Test, failed before: PromptQuarantineTest.anyRouterBeginsTheTrialAfterARoundWithoutOne.

--- a/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
@@ -48,7 +48,7 @@
      */
     static final int TRIAL_GROUPS = 16;
 
-    /** Time for which one group may begin a trial; longer than the transmission of an announcement. */
+    /** Time for which one group may begin a trial in the first round after a pause; longer than the transmission of an announcement. */
     static final long TRIAL_TURN_MILLIS = 250;
 
     /** Time after a crash until which responses of the endpoint may still arrive from its connections. */
@@ -134,9 +134,12 @@
         if (elapsedMillis < 0) {
             return turnMillis - elapsedMillis;
         }
-        long roundMillis = TRIAL_GROUPS * TRIAL_TURN_MILLIS;
-        long sinceTurnMillis = Math.floorMod(elapsedMillis - turnMillis, roundMillis);
-        return sinceTurnMillis < TRIAL_TURN_MILLIS ? 0 : roundMillis - sinceTurnMillis;
+        if (elapsedMillis < turnMillis) {
+            return turnMillis - elapsedMillis;
+        }
+        // After a round without a trial requests are too rare to arrive in the turn of their router.
+        boolean isTurnOver = elapsedMillis >= turnMillis + TRIAL_TURN_MILLIS;
+        return isTurnOver ? Math.max(0, TRIAL_GROUPS * TRIAL_TURN_MILLIS - elapsedMillis) : 0;
     }
 
     /**
--- a/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
@@ -234,6 +234,21 @@
         }
     }
 
+    /** Few requests with the part arrive, each at another router than the one whose turn it is. */
+    @Test
+    public void anyRouterBeginsTheTrialAfterARoundWithoutOne() {
+        crash("engine-1", 1_000, 700, CRASHING);
+        crash("engine-2", 2_000, 1_200, CRASHING);
+        long roundEndMillis = 2_000 + PromptQuarantine.FIRST_TRIAL_DELAY_MILLIS + ROUND_MILLIS;
+        for (int number = 0; number < 64; number++) {
+            PromptQuarantine router = new PromptQuarantine("router-" + number);
+            router.merge(quarantine.evidence(2_000), 2_000);
+            PromptAdmission early = router.admit("early", List.of(CRASHING), 2_010);
+            Assert.assertTrue(2_010 + early.retryAfterMillis() <= roundEndMillis);
+            Assert.assertFalse(isRejected(router, roundEndMillis + number * 100, CRASHING));
+        }
+    }
+
     private static long beginTrial(PromptQuarantine router, long fromMillis) {
         return beginTrial(router, "trial", fromMillis);
     }
