Do not take an error answer or an empty response for a success of a part

What callers see: a part that crashes endpoints reaches more of them than it should, because an error answer or a response without content in between clears it.

Cause, found by a reviewer reading the change: CallForwarding recorded the success before it looked at the status. An unframed response that ends before its first byte is a success too, though the endpoint may have ended with it.

Change: a call is evidence of a success only with a status below 500 and, when its response is unframed, with content.

--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -176,8 +176,10 @@
                 return;
             }
             long now = context.clock().millis();
-            attempts.recordAnswer();
             if (head.status() < FIRST_SERVER_ERROR) {
+                if (body.length() > 0 || EndpointAttempt.isFramed(response)) {
+                    attempts.recordAnswer();
+                }
                 endpoint.health().recordSuccess(now);
             } else {
                 endpoint.health().recordFailure(now);
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -108,6 +108,16 @@
         return head.intact() && head.belongsTo(caller.requestId());
     }
 
+    /**
+     * Whether a response marks the end of its body.
+     *
+     * @param response the response
+     * @return false if its body ends with its connection
+     */
+    static boolean isFramed(HttpClientResponse response) {
+        return response.getHeader("Transfer-Encoding") != null || response.getHeader("Content-Length") != null;
+    }
+
     /**
      * Forwards a complete response to the caller.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -418,9 +418,7 @@
         /** Whether the response marks the end of its body; the stream of a stopped run ends without such a mark. */
         private boolean isFramed() {
             HttpClientResponse response = currentResponse;
-            return response != null
-                    && (response.getHeader("Transfer-Encoding") != null
-                            || response.getHeader("Content-Length") != null);
+            return response != null && EndpointAttempt.isFramed(response);
         }
 
         private void handleRefusal(HttpClientResponse response, ResponseHead head, Buffer body) {
