Treat an unframed continuation without an event as broken off

What callers see: a stream that was broken off looks complete. Its first attempt sent events and broke; the continuation got an unframed head and ended before its first event.

Cause, found by a reviewer reading the change: handleEnd asked whether the response to the caller had started, not whether this attempt had sent any event.

Change: an unframed response of an attempt without an event of its own is handled as a failure.

Test, failed before: ForwardingTest.UnframedResponses continuationThatEndsBeforeItsFirstEventIsNotComplete.

--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -401,7 +401,8 @@
             if (endpointAttempt.isEnded()) {
                 return;
             }
-            if ((isStopping && !isFramed()) || splitter.hasPartialEvent() || !responseStarted) {
+            boolean isCutOff = !isFramed() && (isStopping || eventsOfAttempt == 0);
+            if (isCutOff || splitter.hasPartialEvent() || !responseStarted) {
                 handleFailure(
                         isFramed()
                                 ? new IllegalStateException("the stream ended before its last event")
