Do not report a run that an engine stopped as not run

What callers see: 503 (not run) for a stream that an engine had worked on. The engine stopped the run for a move before its first event, and the time ran out or the router stopped before the continuation was sent.

Cause, found by a reviewer reading the change: a stopped attempt is not recorded as a failure, so nothing said that the request may have run.

Change: the end of a stopped attempt that was sent records a possible execution, also when the continuation replaces it.

Test, failed before (503 instead of 502): ForwardingTest.Moves runStoppedBeforeItsFirstEventIsNotReportedAsNotRun.

--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -175,6 +175,9 @@
         if (caller.isEnded()) {
             return;
         }
+        if (currentAttempt != null && currentAttempt.endpointAttempt.isInProgress()) {
+            attempts.recordPossibleExecution();
+        }
         cancel();
         stoppedSource = source;
         continuations++;
@@ -475,6 +478,10 @@
             endpointAttempt.end();
             if (!isStopping) {
                 handleBrokenStream(failure);
+                return;
+            }
+            if (endpointAttempt.isSent()) {
+                attempts.recordPossibleExecution();
             }
         }
 
