Judge prompts with many parts or an over-long identifier

What callers see: endpoints crash one after the other on requests with a quarantined part, if the prompt has more than 32 parts or one identifier of more than 96 characters.

Cause, found by a reviewer reading the change: such prompts had no shared parts at all.

Change: the first 32 shared parts with valid identifiers are judged.

--- a/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
@@ -38,16 +38,15 @@
     /**
      * Parts that other requests may share: all but the last one, which belongs to the request or its session.
      *
-     * @return their identifiers, empty if the prompt has too many parts or parts with too long identifiers
+     * @return the identifiers of the first ones, without those that are too long to be judged
      */
     List<String> sharedParts() {
-        if (promptParts.size() < 2 || promptParts.size() > PromptQuarantine.MAXIMUM_PARTS) {
-            return List.of();
-        }
-        List<String> shared = promptParts.subList(0, promptParts.size() - 1).stream()
+        return promptParts.stream()
+                .limit(Math.max(0, promptParts.size() - 1))
                 .map(PromptPart::id)
+                .filter(id -> !id.isEmpty() && id.length() <= PromptQuarantine.MAXIMUM_ID_LENGTH)
+                .limit(PromptQuarantine.MAXIMUM_PARTS)
                 .toList();
-        return shared.stream().allMatch(id -> id.length() <= PromptQuarantine.MAXIMUM_ID_LENGTH) ? shared : List.of();
     }
 
     /**
