Limit the send time in a crash report to the time of the crash

What callers see: a part may be quarantined after a simultaneous loss of endpoints, if a router reports a request as sent later than the crash.

Change: a suspect request counts as sent not after its crash.

Test, failed before: PromptQuarantineTest.Exchange.requestCountsAsSentNotAfterItsCrash.

--- a/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
@@ -311,10 +311,14 @@
         if (!isValidId(reported.endpoint()) || isOutdated(reported.atMillis(), nowMillis)) {
             return null;
         }
+        long atMillis = Math.min(reported.atMillis(), nowMillis);
         return history.add(new EndpointCrash(
                 reported.endpoint(),
-                Math.min(reported.atMillis(), nowMillis),
-                reported.suspects().stream().filter(PromptQuarantine::isValid).toList(),
+                atMillis,
+                reported.suspects().stream()
+                        .filter(PromptQuarantine::isValid)
+                        .map(suspect -> suspect.sentUntil(atMillis))
+                        .toList(),
                 reported.refuted()));
     }
 
--- a/core/src/main/java/org/redwinghook/core/quarantine/SuspectRequest.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/SuspectRequest.java
@@ -18,6 +18,11 @@
         parts = List.copyOf(parts);
     }
 
+    /** The same request, sent not after a time. */
+    SuspectRequest sentUntil(long millis) {
+        return sentAtMillis <= millis ? this : new SuspectRequest(requestId, parts, millis);
+    }
+
     SuspectRequest shiftedBy(long millis) {
         return new SuspectRequest(requestId, parts, sentAtMillis + millis);
     }
--- a/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
@@ -208,12 +208,12 @@
             for (PromptQuarantine router : List.of(quarantine, other)) {
                 QuarantinedPart part = router.quarantinedParts().iterator().next();
                 Assert.assertEquals(part.trials(), 0);
-                Assert.assertEquals(
-                        part.nextTrialMillis(), trialMillis + PromptQuarantine.FIRST_TRIAL_DELAY_MILLIS);
+                Assert.assertEquals(part.nextTrialMillis(), trialMillis + PromptQuarantine.FIRST_TRIAL_DELAY_MILLIS);
             }
         }
-        Assert.assertTrue(
-                quarantine.recordUnusedTrial("other", List.of(CRASHING), trialMillis).isEmpty());
+        Assert.assertTrue(quarantine
+                .recordUnusedTrial("other", List.of(CRASHING), trialMillis)
+                .isEmpty());
     }
 
     /** Two routers begin a trial before either has heard of the other's. */
@@ -411,6 +411,18 @@
             Assert.assertTrue(relays <= 2, "relays " + relays);
         }
 
+        /** A damaged report of a request that was sent after its crash. */
+        @Test
+        public void requestCountsAsSentNotAfterItsCrash() {
+            PromptQuarantine quarantine = new PromptQuarantine("router-1");
+            for (int engine = 1; engine <= 2; engine++) {
+                EndpointCrash crash =
+                        new EndpointCrash("engine-" + engine, 1_000, List.of(request("r", 5_000, CRASHING)), false);
+                quarantine.merge(new QuarantineEvidence(List.of(crash), List.of(), List.of()), 6_000);
+            }
+            Assert.assertTrue(quarantine.quarantinedParts().isEmpty());
+        }
+
         /** Damaged messages must not fill the memory. */
         @Test
         public void memoryIsBounded() {
