--- a/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
@@ -18,7 +18,7 @@
  */
 public final class PromptQuarantine {
 
-    /** Maximum length of identifiers. Requests with longer ones are not judged. */
+    /** Maximum length of identifiers. Parts with longer ones are not judged. */
     public static final int MAXIMUM_ID_LENGTH = 96;
 
     /** Maximum number of parts of a request that are judged. */
