--- a/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
@@ -112,6 +112,39 @@
         Assert.assertFalse(isRejected(2_010, "part"));
     }
 
+    /** An endpoint that reset a single connection crashes later. */
+    @Test
+    public void crashAfterARefutedOneCounts() {
+        crash("engine-1", 1_000, 700, "part");
+        QuarantineEvidence refutation = quarantine.recordResponse("engine-1", 900, 1_700);
+        Assert.assertFalse(refutation.isEmpty());
+        crash("engine-1", 30_000, 29_000, CRASHING);
+        quarantine.merge(refutation, 30_010);
+        crash("engine-2", 31_000, 30_500, CRASHING);
+        Assert.assertTrue(isRejected(31_010, CRASHING));
+    }
+
+    /** A success between the reset of a single connection and the crash must not hide the crash. */
+    @Test
+    public void crashCountsFromItsOwnTimeAfterAnEarlierReset() {
+        crash("engine-1", 1_000, 700, CRASHING);
+        quarantine.recordSuccess(List.of(CRASHING), 10_000);
+        for (int engine = 1; engine <= 3; engine++) {
+            crash("engine-" + engine, 30_000 + engine * 1_000, 29_900 + engine * 1_000, CRASHING);
+        }
+        Assert.assertTrue(isRejected(33_010, CRASHING));
+    }
+
+    /** Reports of an earlier reset that arrive again must not replace the crash by turns. */
+    @Test
+    public void repeatedReportsOfAnEarlierResetChangeNothing() {
+        QuarantineEvidence reports = crash("engine-1", 1_000, 700, "first")
+                .plus(crash("engine-1", 2_500, 1_200, "second"))
+                .plus(crash("engine-1", 3_500, 3_000, "third"));
+        Assert.assertEquals(quarantine.evidence(4_000).crashes().get(0).atMillis(), 3_500);
+        Assert.assertTrue(quarantine.merge(reports, 4_000).added().isEmpty());
+    }
+
     /** One endpoint that resets many requests counts once. */
     @Test
     public void crashesOfOneEndpointCountOnce() {
@@ -158,6 +191,31 @@
         Assert.assertTrue(isRejected(trialMillis + 39_000, CRASHING));
     }
 
+    /** A trial that no endpoint has received says nothing about its part. */
+    @Test
+    public void trialWithoutASendDoesNotDoubleThePause() {
+        crash("engine-1", 1_000, 700, CRASHING);
+        crash("engine-2", 2_000, 1_200, CRASHING);
+        PromptQuarantine other = new PromptQuarantine("router-2");
+        long trialMillis = 2_000;
+        for (int trial = 0; trial < 3; trial++) {
+            String id = "trial-" + trial;
+            trialMillis = beginTrial(quarantine, id, trialMillis + PromptQuarantine.FIRST_TRIAL_DELAY_MILLIS);
+            QuarantineEvidence announced = quarantine.evidence(trialMillis);
+            QuarantineEvidence unused = quarantine.recordUnusedTrial(id, List.of(SHARED, CRASHING), trialMillis);
+            other.merge(unused, trialMillis);
+            other.merge(announced, trialMillis);
+            for (PromptQuarantine router : List.of(quarantine, other)) {
+                QuarantinedPart part = router.quarantinedParts().iterator().next();
+                Assert.assertEquals(part.trials(), 0);
+                Assert.assertEquals(part.nextTrialMillis(), trialMillis + PromptQuarantine.FIRST_TRIAL_DELAY_MILLIS);
+            }
+        }
+        Assert.assertTrue(quarantine
+                .recordUnusedTrial("other", List.of(CRASHING), trialMillis)
+                .isEmpty());
+    }
+
     /** Two routers begin a trial before either has heard of the other's. */
     @Test
     public void fewRoutersMayBeginATrialAtTheSameTime() {
@@ -176,9 +234,28 @@
         }
     }
 
+    /** Few requests with the part arrive, each at another router than the one whose turn it is. */
+    @Test
+    public void anyRouterBeginsTheTrialAfterARoundWithoutOne() {
+        crash("engine-1", 1_000, 700, CRASHING);
+        crash("engine-2", 2_000, 1_200, CRASHING);
+        long roundEndMillis = 2_000 + PromptQuarantine.FIRST_TRIAL_DELAY_MILLIS + ROUND_MILLIS;
+        for (int number = 0; number < 64; number++) {
+            PromptQuarantine router = new PromptQuarantine("router-" + number);
+            router.merge(quarantine.evidence(2_000), 2_000);
+            PromptAdmission early = router.admit("early", List.of(CRASHING), 2_010);
+            Assert.assertTrue(2_010 + early.retryAfterMillis() <= roundEndMillis);
+            Assert.assertFalse(isRejected(router, roundEndMillis + number * 100, CRASHING));
+        }
+    }
+
     private static long beginTrial(PromptQuarantine router, long fromMillis) {
+        return beginTrial(router, "trial", fromMillis);
+    }
+
+    private static long beginTrial(PromptQuarantine router, String requestId, long fromMillis) {
         for (long now = fromMillis; now < fromMillis + 2 * ROUND_MILLIS; now += 10) {
-            if (!router.admit("trial", List.of(CRASHING), now).trials().isEmpty()) {
+            if (!router.admit(requestId, List.of(CRASHING), now).trials().isEmpty()) {
                 return now;
             }
         }
@@ -334,6 +411,18 @@
             Assert.assertTrue(relays <= 2, "relays " + relays);
         }
 
+        /** A damaged report of a request that was sent after its crash. */
+        @Test
+        public void requestCountsAsSentNotAfterItsCrash() {
+            PromptQuarantine quarantine = new PromptQuarantine("router-1");
+            for (int engine = 1; engine <= 2; engine++) {
+                EndpointCrash crash =
+                        new EndpointCrash("engine-" + engine, 1_000, List.of(request("r", 5_000, CRASHING)), false);
+                quarantine.merge(new QuarantineEvidence(List.of(crash), List.of(), List.of()), 6_000);
+            }
+            Assert.assertTrue(quarantine.quarantinedParts().isEmpty());
+        }
+
         /** Damaged messages must not fill the memory. */
         @Test
         public void memoryIsBounded() {
@@ -346,7 +435,7 @@
                         new QuarantineEvidence(
                                 List.of(new EndpointCrash("engine-" + number, number, many, false)),
                                 List.of(new PartSuccess("other-" + number, number)),
-                                List.of(new PartTrial("part", "trial-" + number, number))),
+                                List.of(new PartTrial("part", "trial-" + number, number, false))),
                         1_000);
             }
             String longId = "x".repeat(PromptQuarantine.MAXIMUM_ID_LENGTH + 1);
@@ -356,7 +445,7 @@
                                     new EndpointCrash(longId, 0, many, false),
                                     new EndpointCrash("engine", 900, List.of(request("r", 0, longId)), false)),
                             List.of(new PartSuccess(longId, 0)),
-                            List.of(new PartTrial(longId, "r", 0))),
+                            List.of(new PartTrial(longId, "r", 0, false))),
                     1_000);
             QuarantineEvidence evidence = quarantine.evidence(1_000);
             Assert.assertTrue(evidence.crashes().size() <= CrashHistory.MAXIMUM_CRASHES);
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -62,7 +62,7 @@
     }
 
     void start() {
-        caller.onDisconnect(this::cancel);
+        caller.onDisconnect(this::handleDisconnect);
         caller.onTimeout(this::handleTimeout);
         caller.onInterruption(this::handleInterruption);
         runningStreams.add(this);
@@ -175,6 +175,9 @@
         if (caller.isEnded()) {
             return;
         }
+        if (currentAttempt != null && currentAttempt.endpointAttempt.isInProgress()) {
+            attempts.recordPossibleExecution();
+        }
         cancel();
         stoppedSource = source;
         continuations++;
@@ -204,6 +207,7 @@
             caller.fail("no endpoint left for a repeated request", false);
             return;
         }
+        attempts.recordEnd();
         caller.refuse(attempts.refusal(cause, RETRY_AFTER_MILLIS));
     }
 
@@ -224,6 +228,7 @@
         }
         end();
         if (!attempts.mayHaveRun() && !sent) {
+            attempts.recordEnd();
             caller.refuse(refusal);
             return;
         }
@@ -272,6 +277,14 @@
         }
     }
 
+    private void handleDisconnect() {
+        if (currentAttempt != null && currentAttempt.endpointAttempt.isInProgress()) {
+            attempts.recordPossibleExecution();
+        }
+        cancel();
+        attempts.recordEnd();
+    }
+
     private void cancel() {
         StreamAttempt attempt = currentAttempt;
         if (attempt != null) {
@@ -391,7 +404,8 @@
             if (endpointAttempt.isEnded()) {
                 return;
             }
-            if ((isStopping && !isFramed()) || splitter.hasPartialEvent() || !responseStarted) {
+            boolean isCutOff = !isFramed() && (isStopping || eventsOfAttempt == 0);
+            if (isCutOff || splitter.hasPartialEvent() || !responseStarted) {
                 handleFailure(
                         isFramed()
                                 ? new IllegalStateException("the stream ended before its last event")
@@ -408,9 +422,7 @@
         /** Whether the response marks the end of its body; the stream of a stopped run ends without such a mark. */
         private boolean isFramed() {
             HttpClientResponse response = currentResponse;
-            return response != null
-                    && (response.getHeader("Transfer-Encoding") != null
-                            || response.getHeader("Content-Length") != null);
+            return response != null && EndpointAttempt.isFramed(response);
         }
 
         private void handleRefusal(HttpClientResponse response, ResponseHead head, Buffer body) {
@@ -466,6 +478,10 @@
             endpointAttempt.end();
             if (!isStopping) {
                 handleBrokenStream(failure);
+                return;
+            }
+            if (endpointAttempt.isSent()) {
+                attempts.recordPossibleExecution();
             }
         }
 
