--- a/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
@@ -90,7 +90,7 @@
         Assert.assertFalse(isRejected(2_010, "part"));
     }
 
-    /** Loss of a zone: many endpoints at the same moment, with the requests of all callers. */
+    /** Loss of a data centre: many endpoints at the same moment, with the requests of all callers. */
     @Test
     public void simultaneousCrashesCountOnce() {
         for (int engine = 0; engine < 8; engine++) {
@@ -312,9 +312,9 @@
         Assert.assertFalse(quarantine.hasCrashes());
     }
 
-    /** A zone with 100 engines is lost in a large deployment; the routers' reports must not occupy a processor. */
+    /** A data centre with 100 engines is lost in a large deployment; the routers' reports must not occupy a processor. */
     @Test(timeOut = 10_000)
-    public void lossOfALargeZoneIsMergedQuickly() {
+    public void lossOfALargeDataCentreIsMergedQuickly() {
         for (int router = 0; router < 27; router++) {
             for (int engine = 0; engine < 100; engine++) {
                 crash("engine-" + engine, 1_000 + engine, 700, "shared-" + engine % 40, "caller-" + router * engine);
