--- a/core/src/main/java/org/redwinghook/core/quarantine/CrashAttribution.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/CrashAttribution.java
@@ -37,7 +37,7 @@
     /** A part and the crashes that count against it. */
     private record Candidate(String part, int position, boolean hasSucceeded, List<EndpointCrash> crashes) {
 
-        boolean isConvicted() {
+        boolean hasEnoughCrashes() {
             return crashes.size() >= (hasSucceeded ? CRASHES_AFTER_SUCCESS : CRASHES_WITHOUT_SUCCESS);
         }
     }
@@ -64,7 +64,7 @@
         while (true) {
             Optional<Candidate> found = history.repeatedParts().stream()
                     .map(part -> candidate(part, explainedEndpoints))
-                    .filter(Candidate::isConvicted)
+                    .filter(Candidate::hasEnoughCrashes)
                     .min(MOST_LIKELY_FIRST);
             if (found.isEmpty()) {
                 return explanation;
