--- a/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
@@ -131,9 +131,6 @@
         long group = (long) (TRIAL_GROUPS * RendezvousHash.position(RendezvousHash.hash(router), part.part()));
         long turnMillis = group * TRIAL_TURN_MILLIS;
         long elapsedMillis = nowMillis - part.nextTrialMillis();
-        if (elapsedMillis < 0) {
-            return turnMillis - elapsedMillis;
-        }
         if (elapsedMillis < turnMillis) {
             return turnMillis - elapsedMillis;
         }
@@ -159,6 +156,9 @@
                 unused.add(new PartTrial(part, requestId, known.startedAtMillis(), true));
             }
         }
+        if (unused.isEmpty()) {
+            return QuarantineEvidence.NONE;
+        }
         unused.forEach(this::addTrial);
         update(nowMillis);
         return new QuarantineEvidence(List.of(), List.of(), unused);
