--- a/review/1/UnreadableEntry.java
+++ b/review/1/UnreadableEntry.java
@@ -25,13 +25,13 @@
             long drainedAt = acknowledgedNanos.get();
             boolean isLate =
                     self.id.equals("i-1") && drainedAt != Long.MAX_VALUE && now - drainedAt > DRAIN_MILLIS * 1_000_000;
-            journal.add("server " + self.id + " runs " + request.header("Redwinghook-Attempt-Id")
+            journal.add("server " + self.id + " runs " + request.header(Wire.REQUEST_ID)
                     + (isLate ? ", " + (now - drainedAt) / 1_000_000 + " ms after it reported draining" : ""));
             late.addAndGet(isLate ? 1 : 0);
             Thread.sleep(15);
             self.answer(request, output, "filed");
         };
-        deployment.store.put("keyed.op", "config", Configuration.of(1, Map.of("huka270", List.of(Configuration.KEY))));
+        deployment.store.put(Wire.OPERATORS, "config", Configuration.of(1, Map.of("huka270", List.of(Configuration.KEY))));
         EndpointStandIn leaving = deployment.addEndpoint("i-1", "desk-app", behaviour);
         deployment.addEndpoint("i-2", "desk-app", behaviour);
         deployment.addEndpoint("i-3", "desk-app", behaviour);
@@ -45,11 +45,11 @@
             Thread.sleep(5_000);
             if (withTrouble) {
                 String nested = "{\"a\":".repeat(DEPTH) + "1" + "}".repeat(DEPTH);
-                deployment.store.put("keyed.servers", "i-foreign", "{\"service\":" + nested + "}");
+                deployment.store.put(Wire.ENDPOINTS, "i-foreign", "{\"service\":" + nested + "}");
             }
             Thread.sleep(3_000);
             leaving.drain();
-            deployment.store.put("keyed.servers", "i-1", leaving.entry());
+            deployment.store.put(Wire.ENDPOINTS, "i-1", leaving.entry());
             acknowledgedNanos.set(System.nanoTime());
             // A new server takes the place of the one that leaves, which goes on serving for some seconds.
             deployment.addEndpoint("i-4", "desk-app", behaviour);
--- a/review/2/KeysWithdrawn.java
+++ b/review/2/KeysWithdrawn.java
@@ -21,8 +21,8 @@
         AtomicInteger foreignRuns = new AtomicInteger();
         AtomicInteger withdrawnRuns = new AtomicInteger();
         EndpointStandIn.Behaviour behaviour = (self, request, output) -> {
-            String id = request.header("Redwinghook-Attempt-Id");
-            journal.add("server " + self.id + " runs " + id + " tenant=" + request.header("Redwinghook-Tenant"));
+            String id = request.header(Wire.REQUEST_ID);
+            journal.add("server " + self.id + " runs " + id + " tenant=" + request.header(Wire.CUSTOMER));
             foreignRuns.addAndGet(id.startsWith("foreign") ? 1 : 0);
             withdrawnRuns.addAndGet(id.startsWith("withdrawn") ? 1 : 0);
             Thread.sleep(15);
@@ -32,7 +32,7 @@
         keys.put("huka270", List.of("key-of-huka270"));
         keys.put("dore118", List.of("key-of-dore118"));
         keys.put("wilo904", List.of("key-of-wilo904"));
-        deployment.store.put("keyed.op", "config", Configuration.of(1, keys));
+        deployment.store.put(Wire.OPERATORS, "config", Configuration.of(1, keys));
         deployment.addEndpoint("i-1", "desk-app", behaviour);
         deployment.addEndpoint("i-2", "desk-app", behaviour);
         Deployment.Router first = deployment.addRouter("edge-1", "127.0.0.1");
@@ -50,7 +50,7 @@
             int version = 1;
             for (String tenant : List.copyOf(keys.keySet())) {
                 keys.put(tenant, List.of());
-                deployment.store.put("keyed.op", "config", Configuration.of(++version, keys));
+                deployment.store.put(Wire.OPERATORS, "config", Configuration.of(++version, keys));
                 Thread.sleep(100);
             }
         }
--- a/review/5/FailedContinuation.java
+++ b/review/5/FailedContinuation.java
@@ -68,7 +68,7 @@
     }
 
     private boolean run() throws Exception {
-        deployment.store.put("keyed.op", "config", Configuration.of(1, Map.of("huka270", List.of(Configuration.KEY))));
+        deployment.store.put(Wire.OPERATORS, "config", Configuration.of(1, Map.of("huka270", List.of(Configuration.KEY))));
         for (int place = 0; place < SERVERS; place++) {
             startServer(place);
         }
@@ -114,7 +114,7 @@
         Thread thread = new Thread(() -> {
             try {
                 Thread.sleep(3_600);
-                deployment.store.put("keyed.servers", server.id, "");
+                deployment.store.put(Wire.ENDPOINTS, server.id, "");
             } catch (InterruptedException exception) {
                 Thread.currentThread().interrupt();
             }
@@ -124,7 +124,7 @@
     }
 
     private void serve(EndpointStandIn self, Http.Message request, java.io.OutputStream output) throws Exception {
-        String id = request.header("Redwinghook-Attempt-Id");
+        String id = request.header(Wire.REQUEST_ID);
         String last = request.header("Last-Event-Id");
         int first = last == null ? 1 : Integer.parseInt(last) + 1;
         if (self.id.equals(greyId) && fails()) {
@@ -175,9 +175,9 @@
     }
 
     private static String head(String id) {
-        return "POST /triage/1 HTTP/1.1\r\nHost: " + Configuration.HOST + "\r\nRedwinghook-Attempt-Id: " + id
-                + "\r\nRedwinghook-Model: m\r\nRedwinghook-Token-Count: 200,120\r\nRedwinghook-Prompt-Prefix: "
-                + Integer.toHexString(id.hashCode()) + ":200\r\nRedwinghook-Deadline-Ms: " + DEADLINE_MILLIS
+        return "POST /triage/1 HTTP/1.1\r\nHost: " + Configuration.HOST + "\r\n" + Wire.REQUEST_ID + ": " + id + "\r\n"
+                + Wire.MODEL + ": m\r\n" + Wire.TOKENS + ": 200,120\r\n" + Wire.PROMPT_PARTS + ": "
+                + Integer.toHexString(id.hashCode()) + ":200\r\n" + Wire.DEADLINE + ": " + DEADLINE_MILLIS
                 + "\r\nAuthorization: Token " + Configuration.KEY + "\r\nContent-Length: 0\r\n\r\n";
     }
 
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -156,7 +156,7 @@
     EndpointStandIn addEndpoint(String id, String service, EndpointStandIn.Behaviour behaviour) throws IOException {
         EndpointStandIn endpoint = new EndpointStandIn(journal, id, service, behaviour);
         endpoints.add(endpoint);
-        store.put("keyed.servers", id, endpoint.entry());
+        store.put(Wire.ENDPOINTS, id, endpoint.entry());
         return endpoint;
     }
 
@@ -167,7 +167,7 @@
                 for (EndpointStandIn endpoint : endpoints) {
                     String entry = endpoint.entry();
                     if (!entry.isEmpty()) {
-                        store.heartbeat("keyed.servers", endpoint.id, entry);
+                        store.heartbeat(Wire.ENDPOINTS, endpoint.id, entry);
                     }
                 }
             }
--- a/review/standins/EndlessAnswers.java
+++ b/review/standins/EndlessAnswers.java
@@ -30,7 +30,7 @@
     static boolean run(Deployment deployment, Journal journal, boolean withTrouble, String status) throws Exception {
         AtomicInteger endless = new AtomicInteger();
         EndpointStandIn.Behaviour behaviour = (self, request, output) -> {
-            String id = request.header("Redwinghook-Attempt-Id");
+            String id = request.header(Wire.REQUEST_ID);
             journal.add("server " + self.id + " runs " + id);
             if (withTrouble && id.equals("unlucky") && endless.incrementAndGet() == 1) {
                 sendWithoutEnd(journal, self, request, output, status);
@@ -43,7 +43,7 @@
             Thread.sleep(15);
             self.answer(request, output, "filed");
         };
-        deployment.store.put("keyed.op", "config", Configuration.of(1, Map.of("huka270", List.of(Configuration.KEY))));
+        deployment.store.put(Wire.OPERATORS, "config", Configuration.of(1, Map.of("huka270", List.of(Configuration.KEY))));
         for (String id : List.of("i-1", "i-2", "i-3")) {
             deployment.addEndpoint(id, "desk-app", behaviour);
         }
--- a/review/standins/EndpointStandIn.java
+++ b/review/standins/EndpointStandIn.java
@@ -51,9 +51,9 @@
         if (state.isEmpty()) {
             return "";
         }
-        return "{\"service\":\"" + service + "\",\"address\":\"" + ip + ":" + port + "\",\"zone\":\"zone-a\","
-                + "\"version\":\"v1\",\"slots\":32,\"state\":\"" + state + "\",\"cold-left-ms\":0,\"sequence\":"
-                + sequence.incrementAndGet() + ",\"born\":" + bornMillis + "}";
+        return Wire.fill(
+                "entry", "service", service, "address", ip + ":" + port, "state", state, "sequence",
+                sequence.incrementAndGet(), "born", bornMillis);
     }
 
     private void accept() {
@@ -76,10 +76,10 @@
             InputStream input = new BufferedInputStream(socket.getInputStream());
             OutputStream output = socket.getOutputStream();
             for (Http.Message request = Http.readRequest(input); request != null; request = Http.readRequest(input)) {
-                String expected = request.header("Redwinghook-Expect-Instance");
+                String expected = request.header(Wire.EXPECTED_ENDPOINT);
                 if (expected != null && !expected.equals(id)) {
                     journal.add("server " + id + " rejects with 421 " + request.firstLine);
-                    output.write(("HTTP/1.1 421 Misdirected Request\r\nRedwinghook-Instance-Id: " + id
+                    output.write(("HTTP/1.1 421 Misdirected Request\r\n" + Wire.IDENTITY + ": " + id
                             + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
                     continue;
                 }
@@ -114,8 +114,8 @@
 
     /** Head of a success, up to the framing. */
     String successHead(Http.Message request) {
-        return "HTTP/1.1 200 OK\r\nRedwinghook-Attempt-Id: " + request.header("Redwinghook-Attempt-Id")
-                + "\r\nRedwinghook-Server-Stamp: stamp-" + id + "\r\nRedwinghook-Server-Load: 1,0,32\r\n";
+        return "HTTP/1.1 200 OK\r\n" + Wire.REQUEST_ID + ": " + request.header(Wire.REQUEST_ID) + "\r\n"
+                + Wire.SIGNATURE + ": stamp-" + id + "\r\n" + Wire.LOAD + ": 1,0,32\r\n";
     }
 
     void answer(Http.Message request, OutputStream output, String body) throws IOException {
--- a/review/standins/StoreStandIn.java
+++ b/review/standins/StoreStandIn.java
@@ -91,16 +91,16 @@
 
     private byte[] handle(String uri, Map<String, String> parameters, Http.Message request) throws Exception {
         String topic = parameters.getOrDefault("topic", "");
-        if (uri.startsWith("/log-newest")) {
+        if (uri.startsWith(Wire.SNAPSHOT_CALL)) {
             return newest(topic);
         }
-        if (uri.startsWith("/log-read")) {
+        if (uri.startsWith(Wire.READ_CALL)) {
             return read(
                     topic,
                     Integer.parseInt(parameters.get("from")),
                     Long.parseLong(parameters.getOrDefault("wait-ms", "0")));
         }
-        if (uri.startsWith("/log-append")) {
+        if (uri.startsWith(Wire.APPEND_CALL)) {
             ByteBuffer records = ByteBuffer.wrap(request.body);
             int first = -1;
             while (records.remaining() > 4) {
@@ -112,7 +112,7 @@
                 int offset = append(topic, key, value);
                 first = first < 0 ? offset : first;
             }
-            return ("{\"offset\":" + first + ",\"end-offset\":" + (first + 1) + "}").getBytes(StandardCharsets.UTF_8);
+            return Wire.fill("appended", "first", first, "end", first + 1).getBytes(StandardCharsets.UTF_8);
         }
         return null;
     }
@@ -124,14 +124,12 @@
             Entry entry = entries.get(offset);
             newest.remove(entry.key());
             if (entry.value().length > 0) {
+                String value = Base64.getEncoder().encodeToString(entry.value());
                 newest.put(
-                        entry.key(),
-                        "{\"key\":\"" + entry.key() + "\",\"value\":\""
-                                + Base64.getEncoder().encodeToString(entry.value()) + "\",\"offset\":" + offset + "}");
+                        entry.key(), Wire.fill("snapshot.entry", "key", entry.key(), "value", value, "offset", offset));
             }
         }
-        return ("{\"entries\":[" + String.join(",", newest.values()) + "],\"has-more\":false,\"end-offset\":"
-                        + entries.size() + "}")
+        return Wire.fill("snapshot", "entries", String.join(",", newest.values()), "end", entries.size())
                 .getBytes(StandardCharsets.UTF_8);
     }
 
