Move the review's stand-ins beside its cases

The sources and wire.properties stand in review/ itself now; nothing else in them has changed but the path of that file.

--- a/review/standins/Wire.java
+++ b/review/Wire.java
@@ -8,7 +8,7 @@
 /** Names and messages of the users' platform, from a file, as they stand in no source outside the adapter. */
 final class Wire {
 
-    private static final Path FILE = Path.of("review/standins/wire.properties");
+    private static final Path FILE = Path.of("review/wire.properties");
     private static final Properties TEXTS = load();
 
     static final String OPERATORS = text("topic.operators");
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review
 mkdir -p target/review
-javac -Xlint:all,-try -Werror -d target/review review/standins/*.java review/[1-5]/*.java
+javac -Xlint:all,-try -Werror -d target/review review/*.java review/[1-5]/*.java
