--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/receive/ReceiveLimits.java
@@ -0,0 +1,10 @@
+package org.redwinghook.core.receive;
+
+/** Limits on a single message of another process. */
+public final class ReceiveLimits {
+
+    /** Maximum nesting depth of JSON. Parsers recurse once for each level, and event loops have small stacks. */
+    public static final int MAXIMUM_NESTING_DEPTH = 64;
+
+    private ReceiveLimits() {}
+}
--- a/router/src/main/java/org/redwinghook/router/caller/CompletionRequest.java
+++ b/router/src/main/java/org/redwinghook/router/caller/CompletionRequest.java
@@ -9,6 +9,7 @@
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.runtime.json.UntrustedJson;
 
 /**
  * Request of a caller for a completion.
@@ -30,8 +31,8 @@
     public static Either<List<String>, CompletionRequest> read(@Nullable Buffer body, CompletionFormat format) {
         JsonObject json;
         try {
-            json = body == null ? new JsonObject() : new JsonObject(body);
-        } catch (DecodeException | ClassCastException exception) {
+            json = body == null ? new JsonObject() : UntrustedJson.parseObject(body);
+        } catch (DecodeException exception) {
             return Either.left(List.of("the body is not a JSON object"));
         }
         List<String> findings = new ArrayList<>();
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.EndpointEntry;
@@ -143,7 +144,7 @@
             RecordTopic topic, List<VersionedRecord> changed, boolean storeWasUnavailable) {
         for (VersionedRecord record : changed) {
             if (topic == RecordTopic.OPERATORS) {
-                decoder.decodeOperatorRecord(record).ifPresent(this::applyOperatorRecord);
+                decode(topic, record, decoder::decodeOperatorRecord).ifPresent(this::applyOperatorRecord);
             }
             if (topic == RecordTopic.ENDPOINTS) {
                 applyEndpointRecord(record, storeWasUnavailable);
@@ -155,6 +156,18 @@
         return changed;
     }
 
+    /** Decodes a record. An error concerns only this record: the replica has merged the others, so none is read again. */
+    private static <T> Optional<T> decode(
+            RecordTopic topic, VersionedRecord record, Function<VersionedRecord, Optional<T>> decoding) {
+        try {
+            return decoding.apply(record);
+        } catch (RuntimeException exception) {
+            LOGGER.error(
+                    "record not decoded topic={} key={} offset={}", topic, record.key(), record.offset(), exception);
+            return Optional.empty();
+        }
+    }
+
     private void applyOperatorRecord(OperatorRecord record) {
         if (record instanceof OperatorRecord.Configuration newest) {
             applyConfiguration(newest.configuration());
@@ -181,7 +194,7 @@
         long now = clock.millis();
         Optional<KnownEndpoint> before = endpoints.find(record.key());
         boolean wasDraining = before.map(known -> known.entry().draining()).orElse(false);
-        Optional<EndpointEntry> entry = decoder.decodeEndpoint(record);
+        Optional<EndpointEntry> entry = decode(RecordTopic.ENDPOINTS, record, decoder::decodeEndpoint);
         if (entry.isPresent()) {
             endpoints.put(entry.get(), now);
         } else {
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -125,18 +125,24 @@
     private void handleSnapshot(RecordPage page) {
         snapshotNeeded = false;
         recordSuccess();
-        relay.relay(
-                topic,
-                state.applySnapshot(topic, page.records(), page.endOffset(), storeWasUnavailable()),
-                storeWasUnavailable());
-        readAfterPause();
+        try {
+            relay.relay(
+                    topic,
+                    state.applySnapshot(topic, page.records(), page.endOffset(), storeWasUnavailable()),
+                    storeWasUnavailable());
+        } finally {
+            readAfterPause();
+        }
     }
 
     private void handleRecords(RecordPage page) {
         recordSuccess();
-        relay.relay(topic, state.apply(topic, page.records(), storeWasUnavailable()), storeWasUnavailable());
-        state.replica(topic).advanceTo(page.endOffset());
-        readAfterPause();
+        try {
+            relay.relay(topic, state.apply(topic, page.records(), storeWasUnavailable()), storeWasUnavailable());
+        } finally {
+            state.replica(topic).advanceTo(page.endOffset());
+            readAfterPause();
+        }
     }
 
     private void readAfterPause() {
--- a/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
@@ -12,6 +12,7 @@
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.VersionedRecord;
 import org.redwinghook.router.peer.RouterMesh;
+import org.redwinghook.runtime.json.UntrustedJson;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -97,7 +98,7 @@
 
     private static void addMember(VersionedRecord record, List<Member> members) {
         try {
-            JsonObject entry = new JsonObject(Buffer.buffer(record.value()));
+            JsonObject entry = UntrustedJson.parseObject(Buffer.buffer(record.value()));
             members.add(new Member(
                     record.key(),
                     entry.getString("dataCentre"),
--- /dev/null
+++ b/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
@@ -0,0 +1,109 @@
+package org.redwinghook.router.forward;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import org.redwinghook.core.forward.EndpointEntry;
+import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.StoreRole;
+import org.redwinghook.core.replica.VersionedRecord;
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against one record, or one error, that ends the reading of all later records. */
+public class ForwardingStateTest {
+
+    private static final String MALFORMED = "malformed";
+    private static final long READ_TIMEOUT_MILLIS = 5_000;
+
+    private static final RecordDecoder FAILING_ON_MALFORMED = new RecordDecoder() {
+        @Override
+        public Optional<OperatorRecord> decodeOperatorRecord(VersionedRecord record) {
+            throw new IllegalStateException("undecodable");
+        }
+
+        @Override
+        public Optional<EndpointEntry> decodeEndpoint(VersionedRecord record) {
+            if (record.key().equals(MALFORMED)) {
+                throw new IllegalStateException("undecodable");
+            }
+            return Optional.of(new EndpointEntry(record.key(), "calls", "127.0.0.1", 1, "dc", 1, false, 0, 0));
+        }
+    };
+
+    private ForwardingState state = new ForwardingState(FAILING_ON_MALFORMED, MonotonicClock.system());
+
+    @BeforeMethod
+    public void createState() {
+        state = new ForwardingState(FAILING_ON_MALFORMED, MonotonicClock.system());
+    }
+
+    private static VersionedRecord record(String key, long offset) {
+        return new VersionedRecord(key, offset, new byte[] {1});
+    }
+
+    @Test
+    public void recordsBehindAMalformedOneAreApplied() {
+        List<String> changed = new ArrayList<>();
+        state.onChange((topic, records) -> records.forEach(record -> changed.add(record.key())));
+        state.apply(RecordTopic.ENDPOINTS, List.of(record("e-1", 0), record(MALFORMED, 1), record("e-2", 2)), false);
+        Assert.assertTrue(state.endpoints().find("e-1").isPresent());
+        Assert.assertTrue(state.endpoints().find("e-2").isPresent());
+        Assert.assertTrue(state.endpoints().find(MALFORMED).isEmpty());
+        Assert.assertEquals(changed, List.of("e-1", MALFORMED, "e-2"));
+        state.apply(RecordTopic.OPERATORS, List.of(record("config", 0)), false);
+        Assert.assertTrue(state.configuration().isEmpty());
+    }
+
+    @Test
+    public void readingContinuesAfterAnErrorOfAListener() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        try {
+            CountingStore store = new CountingStore();
+            vertx.runOnContext(ignored -> new RecordFollower(
+                            vertx,
+                            store,
+                            state,
+                            RecordTopic.ENDPOINTS,
+                            MonotonicClock.system(),
+                            (topic, records, mayHaveLapsed) -> {
+                                throw new IllegalStateException("listener failed");
+                            },
+                            () -> StoreRole.FIRST_READER)
+                    .start());
+            long end = System.nanoTime() + READ_TIMEOUT_MILLIS * 1_000_000;
+            while (store.reads < 3 && System.nanoTime() < end) {
+                Thread.sleep(10);
+            }
+            Assert.assertTrue(store.reads >= 3, "reads " + store.reads);
+        } finally {
+            vertx.close().await();
+        }
+    }
+
+    /** Store whose reads return one record each. */
+    private static final class CountingStore implements RecordStore {
+
+        private volatile int reads;
+
+        @Override
+        public Future<RecordPage> read(RecordTopic topic, long firstOffset, long waitMillis) {
+            reads++;
+            return Future.succeededFuture(new RecordPage(List.of(record("e-" + reads, firstOffset)), firstOffset + 1));
+        }
+
+        @Override
+        public Future<RecordPage> snapshot(RecordTopic topic) {
+            return Future.succeededFuture(new RecordPage(List.of(), 0));
+        }
+
+        @Override
+        public Future<Void> write(RecordTopic topic, String key, byte[] value) {
+            return Future.succeededFuture();
+        }
+    }
+}
--- a/runtime/src/main/java/org/redwinghook/runtime/config/ConfigurationAdmin.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/config/ConfigurationAdmin.java
@@ -13,6 +13,7 @@
 import org.redwinghook.core.config.PlaceKind;
 import org.redwinghook.core.config.SectionVersion;
 import org.redwinghook.core.config.Withdrawal;
+import org.redwinghook.runtime.json.UntrustedJson;
 
 /** Serves GET /configuration and POST /withdrawals to the operators' command-line tool. */
 public final class ConfigurationAdmin {
@@ -58,7 +59,7 @@
     private void handleWithdrawal(RoutingContext context) {
         Withdrawal withdrawal;
         try {
-            JsonObject body = context.body().asJsonObject();
+            JsonObject body = UntrustedJson.parseObject(context.body().buffer());
             withdrawal =
                     new Withdrawal(parseKind(body.getString("kind")), body.getString("name"), body.getLong("basedOn"));
         } catch (RuntimeException exception) {
--- a/runtime/src/main/java/org/redwinghook/runtime/platform/LogClient.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/LogClient.java
@@ -15,6 +15,7 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import org.redwinghook.runtime.json.UntrustedJson;
 import org.redwinghook.runtime.settings.Address;
 
 /**
@@ -60,7 +61,7 @@
                     return request.send(data);
                 })
                 .compose(LogClient::readBody)
-                .map(body -> new JsonObject(body).getLong("offset"))
+                .map(body -> UntrustedJson.parseObject(body).getLong("offset"))
                 .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -92,7 +93,7 @@
     }
 
     private static LogPage parsePage(Buffer body) {
-        JsonObject page = new JsonObject(body);
+        JsonObject page = UntrustedJson.parseObject(body);
         List<LogRecord> records = new ArrayList<>();
         JsonArray items = page.getJsonArray("records", new JsonArray());
         for (int index = 0; index < items.size(); index++) {
--- a/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
@@ -16,6 +16,7 @@
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.membership.Member;
 import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.runtime.json.UntrustedJson;
 import org.redwinghook.runtime.settings.Address;
 
 /**
@@ -90,7 +91,7 @@
 
     private static List<Member> parseMembers(Buffer body) {
         List<Member> members = new ArrayList<>();
-        JsonArray items = body.toJsonArray();
+        JsonArray items = UntrustedJson.parseArray(body);
         for (int index = 0; index < items.size(); index++) {
             JsonObject item = items.getJsonObject(index);
             members.add(new Member(
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineStateCodec.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineStateCodec.java
@@ -7,6 +7,7 @@
 import io.vertx.core.json.JsonObject;
 import org.redwinghook.core.engine.EngineCommand;
 import org.redwinghook.core.engine.ReportedState;
+import org.redwinghook.runtime.json.UntrustedJson;
 
 /** Decodes states and encodes commands of the engine's HTTP interface. */
 final class EngineStateCodec {
@@ -14,7 +15,7 @@
     private EngineStateCodec() {}
 
     static ReportedState decode(Buffer body) {
-        JsonObject state = new JsonObject(body);
+        JsonObject state = UntrustedJson.parseObject(body);
         List<String> adapters = state.getJsonArray("adapters", new JsonArray()).stream()
                 .map(String::valueOf)
                 .toList();
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineStream.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineStream.java
@@ -3,11 +3,12 @@
 import io.vavr.control.Try;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.json.JsonObject;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.message.FinishReason;
 import org.redwinghook.runtime.http.ServerSentEventParser;
+import org.redwinghook.runtime.json.UntrustedJson;
 
 /**
  * Token stream of one generation. If its connection breaks, the stream is reopened after the last received token; the
@@ -105,7 +106,7 @@
             complete();
             return;
         }
-        Try<EngineEvent> event = Try.of(() -> EngineEvent.parse(new JsonObject(data)));
+        Try<EngineEvent> event = Try.of(() -> EngineEvent.parse(UntrustedJson.parseObject(Buffer.buffer(data))));
         if (event.isFailure()) {
             failOnMalformedEvent();
             return;
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/LoadMonitor.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/LoadMonitor.java
@@ -6,9 +6,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.json.JsonObject;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.runtime.admin.StateSource;
+import org.redwinghook.runtime.json.UntrustedJson;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -72,7 +72,9 @@
     }
 
     private static @Nullable LoadReport parseReport(HttpClientResponse response, Buffer body) {
-        return response.statusCode() == HTTP_OK ? new JsonObject(body).mapTo(LoadReport.class) : null;
+        return response.statusCode() == HTTP_OK
+                ? UntrustedJson.parseObject(body).mapTo(LoadReport.class)
+                : null;
     }
 
     private void handleUnreachable() {
