--- a/router/src/main/java/org/redwinghook/router/forward/EventSplitter.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EventSplitter.java
@@ -6,13 +6,17 @@
 
 import io.vertx.core.buffer.Buffer;
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.receive.ReceiveLimits;
 
 /** Splits a stream of server-sent events into complete events without changing their bytes. */
 final class EventSplitter {
 
-    private static final String ID_FIELD = "id:";
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private Buffer pending = Buffer.buffer();
+    private int scannedBytes;
+    private int lineStart;
+    private @Nullable String id;
 
     /**
      * An event.
@@ -32,23 +36,53 @@
         pending.appendBuffer(bytes);
         List<Event> events = new ArrayList<>();
         int start = 0;
-        int lineStart = 0;
-        for (int index = 0; index < pending.length(); index++) {
-            if (pending.getByte(index) != '\n') {
+        for (; scannedBytes < pending.length(); scannedBytes++) {
+            if (pending.getByte(scannedBytes) != '\n') {
                 continue;
             }
-            boolean empty = index == lineStart || (index == lineStart + 1 && pending.getByte(lineStart) == '\r');
-            lineStart = index + 1;
-            if (empty) {
-                Buffer event = pending.getBuffer(start, lineStart);
-                events.add(new Event(event, id(event)));
-                start = lineStart;
+            if (isEmptyLine()) {
+                events.add(new Event(pending.getBuffer(start, scannedBytes + 1), id));
+                id = null;
+                start = scannedBytes + 1;
+            } else if (id == null && isIdLine()) {
+                id = pending.getString(lineStart + ID_FIELD.length, scannedBytes, StandardCharsets.UTF_8.name())
+                        .strip();
             }
+            lineStart = scannedBytes + 1;
+        }
+        if (start > 0) {
+            pending = pending.getBuffer(start, pending.length());
+            scannedBytes -= start;
+            lineStart -= start;
         }
-        pending = pending.getBuffer(start, pending.length());
         return events;
     }
 
+    private boolean isEmptyLine() {
+        return scannedBytes == lineStart || (scannedBytes == lineStart + 1 && pending.getByte(lineStart) == '\r');
+    }
+
+    private boolean isIdLine() {
+        if (scannedBytes - lineStart < ID_FIELD.length) {
+            return false;
+        }
+        for (int index = 0; index < ID_FIELD.length; index++) {
+            if (pending.getByte(lineStart + index) != ID_FIELD[index]) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Whether the bytes of an unfinished event exceed {@link ReceiveLimits#MAXIMUM_MESSAGE_BYTES}.
+     *
+     * @return true if the stream must not be read any further
+     */
+    boolean isTooLarge() {
+        return pending.length() > ReceiveLimits.MAXIMUM_MESSAGE_BYTES;
+    }
+
     /**
      * Whether the bytes so far end within an event.
      *
@@ -57,13 +91,4 @@
     boolean hasPartialEvent() {
         return pending.length() > 0;
     }
-
-    private static @Nullable String id(Buffer event) {
-        for (String line : event.toString(StandardCharsets.UTF_8).split("\r?\n")) {
-            if (line.startsWith(ID_FIELD)) {
-                return line.substring(ID_FIELD.length()).strip();
-            }
-        }
-        return null;
-    }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -13,6 +13,7 @@
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.RunningRequest;
 import org.redwinghook.core.quarantine.QuarantinedPart;
+import org.redwinghook.core.receive.ReceiveLimits;
 import org.redwinghook.core.relocation.RunAtEngine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -364,6 +365,11 @@
             for (EventSplitter.Event event : splitter.add(bytes)) {
                 forwardEvent(response, event);
             }
+            if (splitter.isTooLarge()) {
+                handleFailure(new IllegalStateException(
+                        "an event is larger than " + ReceiveLimits.MAXIMUM_MESSAGE_BYTES + " bytes"));
+                return;
+            }
             if (caller.response().writeQueueFull()) {
                 response.pause();
                 caller.response().drainHandler(ignored -> response.resume());
--- a/router/src/test/java/org/redwinghook/router/forward/EventSplitterTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/EventSplitterTest.java
@@ -5,6 +5,7 @@
 import java.util.Random;
 
 import io.vertx.core.buffer.Buffer;
+import org.redwinghook.core.receive.ReceiveLimits;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
@@ -42,4 +43,24 @@
                 splitter.add(Buffer.buffer("id: 1\ndata: a\n\nid: 2\nda")).size(), 1);
         Assert.assertTrue(splitter.hasPartialEvent());
     }
+
+    /** Guards against work that grows with the square of the size of an event. */
+    @Test(timeOut = 5_000)
+    public void eventWithoutEndIsReadOnceAndTooLarge() {
+        EventSplitter splitter = new EventSplitter();
+        Buffer piece = Buffer.buffer("x".repeat(1_024));
+        for (int bytes = 0; bytes <= ReceiveLimits.MAXIMUM_MESSAGE_BYTES; bytes += piece.length()) {
+            Assert.assertFalse(splitter.isTooLarge());
+            Assert.assertTrue(splitter.add(piece).isEmpty());
+        }
+        Assert.assertTrue(splitter.isTooLarge());
+    }
+
+    @Test
+    public void identifierIsTheFirstOneOfItsEvent() {
+        List<EventSplitter.Event> events =
+                new EventSplitter().add(Buffer.buffer("data: id: 1\nid: 2 \r\nid: 3\n\ndata: a\n\n"));
+        Assert.assertEquals(events.get(0).id(), "2");
+        Assert.assertNull(events.get(1).id());
+    }
 }
--- a/runtime/src/main/java/org/redwinghook/runtime/http/ServerSentEventParser.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/ServerSentEventParser.java
@@ -5,12 +5,12 @@
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.parsetools.RecordParser;
+import org.redwinghook.core.receive.ReceiveLimits;
 
 /** Parses the data fields of a stream of server-sent events. */
 public final class ServerSentEventParser implements Handler<Buffer> {
 
     private static final String DATA_FIELD = "data:";
-    private static final int MAXIMUM_LINE_BYTES = 1024 * 1024;
 
     private final RecordParser lineParser;
 
@@ -26,7 +26,7 @@
                 onData.accept(text.substring(DATA_FIELD.length()).strip());
             }
         });
-        lineParser.maxRecordSize(MAXIMUM_LINE_BYTES);
+        lineParser.maxRecordSize(ReceiveLimits.MAXIMUM_MESSAGE_BYTES);
     }
 
     @Override
--- a/runtime/src/main/java/org/redwinghook/runtime/wire/FrameCodec.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/FrameCodec.java
@@ -10,6 +10,7 @@
 import io.vertx.core.buffer.Buffer;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.redwinghook.core.message.Message;
+import org.redwinghook.core.receive.ReceiveLimits;
 
 /**
  * Encodes messages as frames and decodes them. A frame is the length of its body in four bytes in network byte order,
@@ -18,7 +19,7 @@
 public final class FrameCodec {
 
     /** Maximum length of the body of a frame, in bytes. */
-    public static final int MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+    public static final int MAXIMUM_BODY_BYTES = ReceiveLimits.MAXIMUM_MESSAGE_BYTES;
 
     /** Size of the length field at the start of each frame, in bytes. */
     public static final int LENGTH_BYTES = 4;
