--- a/operator/src/main/java/org/redwinghook/operator/AdminClient.java
+++ b/operator/src/main/java/org/redwinghook/operator/AdminClient.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
 import org.redwinghook.core.config.Withdrawal;
+import org.redwinghook.runtime.http.MessageBody;
 import org.redwinghook.runtime.settings.Address;
 
 /** HTTP client for the admin ports of processes. */
@@ -77,10 +78,10 @@
 
     private static Future<Buffer> readBody(HttpClientResponse response, int expectedStatus) {
         if (response.statusCode() != expectedStatus) {
-            return response.body()
+            return MessageBody.read(response, REQUEST_TIMEOUT_MILLIS)
                     .compose(body -> Future.failedFuture("status " + response.statusCode() + " "
                             + body.toString().strip()));
         }
-        return response.body();
+        return MessageBody.read(response, REQUEST_TIMEOUT_MILLIS);
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -157,7 +157,10 @@
                 return;
             }
             ResponseHead head = endpointAttempt.readResponseHead(response);
-            response.body().onSuccess(body -> handleBody(response, head, body)).onFailure(this::handleFailure);
+            endpointAttempt
+                    .readBody(response)
+                    .onSuccess(body -> handleBody(response, head, body))
+                    .onFailure(this::handleFailure);
         }
 
         private void handleBody(HttpClientResponse response, ResponseHead head, Buffer body) {
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -6,6 +6,8 @@
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.KnownEndpoint;
 import org.redwinghook.core.placement.RunningRequest;
+import org.redwinghook.core.receive.ReceiveLimits;
+import org.redwinghook.runtime.http.MessageBody;
 
 /** One attempt of a request at one endpoint: its exchange and its entry in the work ledger. */
 final class EndpointAttempt {
@@ -108,6 +110,16 @@
         return head.intact() && head.belongsTo(caller.requestId());
     }
 
+    /**
+     * Reads the body of a response that is forwarded as a whole.
+     *
+     * @param response the response
+     * @return the body; fails if it is truncated or larger than {@link ReceiveLimits#MAXIMUM_MESSAGE_BYTES}
+     */
+    Future<Buffer> readBody(HttpClientResponse response) {
+        return MessageBody.read(response, ReceiveLimits.MAXIMUM_MESSAGE_BYTES, ignored -> {});
+    }
+
     /**
      * Whether a response marks the end of its body.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -347,7 +347,8 @@
                 return;
             }
             if (!head.isSuccess()) {
-                response.body()
+                endpointAttempt
+                        .readBody(response)
                         .onSuccess(body -> handleRefusal(response, head, body))
                         .onFailure(this::handleFailure);
                 return;
--- /dev/null
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/MessageBody.java
@@ -0,0 +1,59 @@
+package org.redwinghook.runtime.http;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.streams.ReadStream;
+import org.redwinghook.core.receive.ReceiveLimits;
+
+/** Reads the bodies of messages of other processes into memory, up to a limit. */
+public final class MessageBody {
+
+    private MessageBody() {}
+
+    /**
+     * Reads a body. After a failure the rest of the message is discarded; the caller closes its connection.
+     *
+     * @param message the message, none of whose body has been read
+     * @param maximumBytes maximum size of the body, in bytes
+     * @param onReceived receives the size of each part of the body, in bytes
+     * @return the whole body; fails with a {@link MessageTooLargeException} as soon as it exceeds the maximum, or if the
+     *     message ends early
+     */
+    public static Future<Buffer> read(ReadStream<Buffer> message, int maximumBytes, IntConsumer onReceived) {
+        Promise<Buffer> promise = Promise.promise();
+        Buffer body = Buffer.buffer();
+        message.exceptionHandler(promise::tryFail);
+        message.endHandler(ignored -> promise.tryComplete(body));
+        message.handler(part -> {
+            if (promise.future().isComplete()) {
+                return;
+            }
+            if (part.length() > maximumBytes - body.length()) {
+                promise.fail(new MessageTooLargeException(maximumBytes));
+                return;
+            }
+            body.appendBuffer(part);
+            onReceived.accept(part.length());
+        });
+        return promise.future();
+    }
+
+    /**
+     * Reads the body of a response of at most {@link ReceiveLimits#MAXIMUM_MESSAGE_BYTES}. If that fails, the connection
+     * is closed, so that the rest of the body takes no more time and belongs to no later request.
+     *
+     * @param response the response
+     * @param timeoutMillis maximum time from the head of the response to the end of its body, in milliseconds
+     * @return the whole body
+     */
+    public static Future<Buffer> read(HttpClientResponse response, long timeoutMillis) {
+        return read(response, ReceiveLimits.MAXIMUM_MESSAGE_BYTES, ignored -> {})
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                .onFailure(failure -> response.request().connection().close());
+    }
+}
--- a/runtime/src/main/java/org/redwinghook/runtime/platform/LogClient.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/LogClient.java
@@ -15,6 +15,8 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import org.redwinghook.runtime.http.MessageBody;
+import org.redwinghook.runtime.http.MessageTooLargeException;
 import org.redwinghook.runtime.json.UntrustedJson;
 import org.redwinghook.runtime.settings.Address;
 
@@ -66,7 +68,7 @@
     }
 
     /**
-     * Reads records.
+     * Reads records, fewer at once if the page would exceed the size of a message.
      *
      * @param stream name of the stream
      * @param firstOffset offset to read from; offsets start at 1
@@ -82,14 +84,17 @@
                 })
                 .compose(LogClient::readBody)
                 .map(LogClient::parsePage)
-                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .recover(failure -> failure instanceof MessageTooLargeException && maximumRecords > 1
+                        ? read(stream, firstOffset, maximumRecords / 2)
+                        : Future.failedFuture(failure));
     }
 
     private static Future<Buffer> readBody(HttpClientResponse response) {
         if (response.statusCode() != HTTP_OK && response.statusCode() != HTTP_GONE) {
             return Future.failedFuture("log service answered with status " + response.statusCode());
         }
-        return response.body();
+        return MessageBody.read(response, TIMEOUT_MILLIS);
     }
 
     private static LogPage parsePage(Buffer body) {
--- a/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
@@ -16,6 +16,7 @@
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.membership.Member;
 import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.runtime.http.MessageBody;
 import org.redwinghook.runtime.json.UntrustedJson;
 import org.redwinghook.runtime.settings.Address;
 
@@ -81,12 +82,14 @@
     private Future<List<Member>> handleResponse(HttpClientResponse response, @Nullable CachedList cached) {
         // The response refers to the list whose tag was sent; another read may have replaced the cached list meanwhile.
         if (response.statusCode() == HTTP_NOT_MODIFIED && cached != null) {
-            return response.body().map(ignored -> cached.members());
+            return MessageBody.read(response, timeoutMillis).map(ignored -> cached.members());
         }
         String tag = response.getHeader(HttpHeaders.ETAG);
-        return response.body().map(VmListClient::parseMembers).onSuccess(members -> {
-            cachedList = tag == null ? null : new CachedList(tag, members);
-        });
+        return MessageBody.read(response, timeoutMillis)
+                .map(VmListClient::parseMembers)
+                .onSuccess(members -> {
+                    cachedList = tag == null ? null : new CachedList(tag, members);
+                });
     }
 
     private static List<Member> parseMembers(Buffer body) {
--- a/runtime/src/main/java/org/redwinghook/runtime/wire/FrameCodec.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/FrameCodec.java
@@ -18,8 +18,11 @@
  */
 public final class FrameCodec {
 
+    /** Size of the fields of a message beside the body of a call or an answer that it carries, in bytes. */
+    private static final int ENVELOPE_BYTES = 64 * 1024;
+
     /** Maximum length of the body of a frame, in bytes. */
-    public static final int MAXIMUM_BODY_BYTES = ReceiveLimits.MAXIMUM_MESSAGE_BYTES;
+    public static final int MAXIMUM_BODY_BYTES = ReceiveLimits.MAXIMUM_MESSAGE_BYTES + ENVELOPE_BYTES;
 
     /** Size of the length field at the start of each frame, in bytes. */
     public static final int LENGTH_BYTES = 4;
--- a/sidecar/src/main/java/org/redwinghook/sidecar/call/CallService.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/call/CallService.java
@@ -22,6 +22,7 @@
 import org.redwinghook.core.once.OperationKey;
 import org.redwinghook.core.once.OutcomeKind;
 import org.redwinghook.core.once.StoredAnswer;
+import org.redwinghook.runtime.http.MessageBody;
 import org.redwinghook.runtime.settings.Address;
 import org.redwinghook.runtime.wire.PeerConnection;
 import org.redwinghook.sidecar.once.ClaimListener;
@@ -39,6 +40,10 @@
     private static final int MAXIMUM_CONNECTIONS = 10_000;
 
     private static final long RETRY_AFTER_MILLIS = 500;
+
+    /** Maximum time from the head of an answer to the end of its body, in milliseconds. */
+    private static final long BODY_TIMEOUT_MILLIS = 30_000;
+
     private static final String CONNECTION_BROKEN_DETAIL = "the connection to the service broke during the call";
 
     private final HttpClient client;
@@ -146,7 +151,8 @@
             request.putHeader("idempotency-key", call.idempotencyKey());
         }
         request.send(Buffer.buffer(call.body()))
-                .compose(response -> response.body().map(body -> toStoredAnswer(response, body)))
+                .compose(response ->
+                        MessageBody.read(response, BODY_TIMEOUT_MILLIS).map(body -> toStoredAnswer(response, body)))
                 .onSuccess(answer -> reportResult.accept(new CallResult(OutcomeKind.DONE, answer)))
                 .onFailure(failure -> reportResult.accept(new CallResult(OutcomeKind.UNKNOWN, null)));
     }
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineCommander.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineCommander.java
@@ -19,6 +19,7 @@
 import org.redwinghook.core.engine.ReportedState;
 import org.redwinghook.runtime.admin.StateSource;
 import org.redwinghook.runtime.config.ConfigurationSource;
+import org.redwinghook.runtime.http.MessageBody;
 import org.redwinghook.sidecar.peer.EndpointGate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -114,7 +115,7 @@
         isReading = true;
         engine.readState()
                 .timeout(timings.intervalMillis(), TimeUnit.MILLISECONDS)
-                .compose(EngineCommander::parseState)
+                .compose(this::parseState)
                 .onComplete(ignored -> isReading = false)
                 .onFailure(failure -> metrics.recordReadFailure())
                 .onSuccess(state -> {
@@ -124,11 +125,11 @@
                 });
     }
 
-    private static Future<ReportedState> parseState(HttpClientResponse response) {
+    private Future<ReportedState> parseState(HttpClientResponse response) {
         if (response.statusCode() != HTTP_OK) {
             return Future.failedFuture("the engine answered GET /state with status " + response.statusCode());
         }
-        return response.body().map(EngineStateCodec::decode);
+        return MessageBody.read(response, timings.intervalMillis()).map(EngineStateCodec::decode);
     }
 
     private void sendNextCommand() {
@@ -149,7 +150,8 @@
         lastCommand = command;
         metrics.recordSent();
         engine.sendCommand(EngineStateCodec.encode(command))
-                .compose(response -> response.body().map(ignored -> toResult(response.statusCode())))
+                .compose(response -> MessageBody.read(response, timings.commandTimeoutMillis())
+                        .map(ignored -> toResult(response.statusCode())))
                 .timeout(timings.commandTimeoutMillis(), TimeUnit.MILLISECONDS)
                 .onSuccess(this::handleResult)
                 .onFailure(failure -> handleResult(CommandResult.FAILED));
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/LoadMonitor.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/LoadMonitor.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.runtime.admin.StateSource;
+import org.redwinghook.runtime.http.MessageBody;
 import org.redwinghook.runtime.json.UntrustedJson;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -65,7 +66,7 @@
         isPolling = true;
         engine.readLoad()
                 .onFailure(failure -> handleUnreachable())
-                .compose(response -> response.body().map(body -> parseReport(response, body)))
+                .compose(response -> MessageBody.read(response, timeoutMillis).map(body -> parseReport(response, body)))
                 .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
                 .onSuccess(this::handleReport)
                 .onComplete(ignored -> isPolling = false);
