--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -157,7 +157,7 @@
      * @param endpointId endpoint that responded, for the log
      */
     void forward(int status, MultiMap headers, Buffer responseBody, String endpointId) {
-        if (!tryEnd("forwarded", status, endpointId)) {
+        if (abortIfStarted("a complete response") || !tryEnd("forwarded", status, endpointId)) {
             return;
         }
         response().setStatusCode(status).headers().addAll(headers);
@@ -172,7 +172,7 @@
     void refuse(Refusal refusal) {
         String outcome = refusal.cause().name().toLowerCase(Locale.ROOT);
         String retry = refusal.retryAfterMillis() > 0 ? "retryAfterMillis=" + refusal.retryAfterMillis() : "none";
-        if (!tryEnd(outcome, refusal.cause().status(), "none", retry)) {
+        if (abortIfStarted("a refusal") || !tryEnd(outcome, refusal.cause().status(), "none", retry)) {
             return;
         }
         if (refusal.retryAfterMillis() > 0) {
@@ -189,7 +189,7 @@
      */
     void fail(String cause, boolean timedOut) {
         int status = timedOut ? GATEWAY_TIMEOUT : BAD_GATEWAY;
-        if (tryEnd(timedOut ? "timed_out" : "failed", status, "none", cause)) {
+        if (!abortIfStarted(cause) && tryEnd(timedOut ? "timed_out" : "failed", status, "none", cause)) {
             sendError(status, "unknown_outcome", cause);
         }
     }
@@ -218,6 +218,15 @@
         }
     }
 
+    /** Aborts a response that has begun, since no other response can take its place. */
+    private boolean abortIfStarted(String replacement) {
+        boolean isStarted = response().headWritten();
+        if (isStarted) {
+            abort("the response has begun and cannot be replaced by: " + replacement);
+        }
+        return isStarted;
+    }
+
     /**
      * Ends the exchange after the write, because a stopping router closes the connection once the exchange has ended.
      */
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -346,6 +346,10 @@
                 handleFailure(new IllegalStateException("the answer is not the request's own"));
                 return;
             }
+            if (!head.isSuccess() && responseStarted) {
+                handleRefusal(response, head, Buffer.buffer());
+                return;
+            }
             if (!head.isSuccess()) {
                 endpointAttempt
                         .readBody(response)
@@ -464,6 +468,10 @@
                 startNextAttempt();
                 return;
             }
+            if (responseStarted) {
+                abort("an endpoint failed the continuation of the stream");
+                return;
+            }
             end();
             endpointAttempt.forward(response, body);
         }
