Bound what callers may hold: bodies, connections and unread responses

The body of a caller's request was collected whole before its size was checked, was awaited without a bound, and many large messages at once could fill the heap although each is limited. Silent connections were never closed, since idle-timeout-ms was not enforced; with HTTP/2 without TLS enabled the HTTP library does not even report a connection before its first request. A response that its caller did not read was kept for ever.

Change: bodies are read up to max-body-bytes (413 at once above it, 408 at the request's deadline, the connection closes). ReceiveBudget gives the messages of all requests a quarter of the heap and gives up the largest request when it is full, as not run if it has not been sent. Connections without a request and unread responses end after idle-timeout-ms. Rejections are logged.

--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/receive/ReceiveBudgetTest.java
@@ -0,0 +1,44 @@
+package org.redwinghook.core.receive;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards against messages without end that together fill the heap, and against giving up small ones for them. */
+public class ReceiveBudgetTest {
+
+    private static final int MEBIBYTE = 1024 * 1024;
+
+    private final ReceiveBudget budget = new ReceiveBudget(8 * MEBIBYTE);
+    private final List<String> evicted = new ArrayList<>();
+
+    private ReceiveBudget.Share open(String name) {
+        return budget.open(() -> evicted.add(name));
+    }
+
+    @Test
+    public void largestRequestIsEvictedWhenTheBudgetIsExhausted() {
+        ReceiveBudget.Share small = open("small");
+        small.add(1_000);
+        List<ReceiveBudget.Share> endless = new ArrayList<>();
+        for (int number = 1; number <= 3; number++) {
+            endless.add(open("endless-" + number));
+        }
+        for (int part = 0; part < 64; part++) {
+            for (ReceiveBudget.Share share : endless) {
+                share.add(MEBIBYTE / 16);
+                Assert.assertTrue(budget.heldBytes() <= 8 * MEBIBYTE);
+            }
+        }
+        Assert.assertFalse(evicted.isEmpty());
+        Assert.assertFalse(evicted.contains("small"));
+        endless.forEach(ReceiveBudget.Share::close);
+        Assert.assertEquals(budget.heldBytes(), 1_000);
+        small.add(-1_000);
+        small.close();
+        small.close();
+        Assert.assertEquals(budget.heldBytes(), 0);
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/forward/AdmittedRequest.java
+++ b/router/src/main/java/org/redwinghook/router/forward/AdmittedRequest.java
@@ -1,6 +1,7 @@
 package org.redwinghook.router.forward;
 
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.forward.CallerLimits;
 import org.redwinghook.core.forward.CustomerAccess;
 import org.redwinghook.core.forward.Route;
 
@@ -11,6 +12,7 @@
  * @param requestId identifier of the request
  * @param route matched route
  * @param access access granted by the API key, null if the route needs none
+ * @param limits limits on the caller
  * @param receivedAtMillis monotonic arrival time, in milliseconds
  */
 record AdmittedRequest(
@@ -18,4 +20,18 @@
         String requestId,
         Route route,
         @Nullable CustomerAccess access,
-        long receivedAtMillis) {}
+        CallerLimits limits,
+        long receivedAtMillis) {
+
+    /**
+     * Monotonic time at which the caller no longer waits for an answer.
+     *
+     * @return the time, in milliseconds
+     */
+    long deadlineMillis() {
+        long timeoutMillis = head.timeoutMillis() > 0
+                ? Math.min(head.timeoutMillis(), route.timeoutMillis())
+                : route.timeoutMillis();
+        return receivedAtMillis + timeoutMillis;
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -82,7 +82,7 @@
     }
 
     private void handleInterruption(Refusal refusal) {
-        endUnanswered(refusal, "the router stops", false);
+        endUnanswered(refusal, refusal.cause().description(), false);
     }
 
     private void endUnanswered(Refusal refusal, String cause, boolean timedOut) {
--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -1,6 +1,7 @@
 package org.redwinghook.router.forward;
 
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.vertx.core.Future;
@@ -12,6 +13,7 @@
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.CustomerAccess;
 import org.redwinghook.core.forward.Route;
+import org.redwinghook.core.receive.ReceiveBudget;
 import org.redwinghook.router.caller.CallerErrors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -27,6 +29,9 @@
     private static final int GATEWAY_TIMEOUT = 504;
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** Retry delay suggested when the memory for messages is exhausted, in milliseconds. */
+    static final long MEMORY_RETRY_AFTER_MILLIS = 500;
+
     private final Vertx vertx;
     private final MonotonicClock clock;
     private final ForwardMetrics metrics;
@@ -39,6 +44,8 @@
     private final Buffer body;
     private final long receivedAtMillis;
     private final long deadlineMillis;
+    private final long maximumWriteMillis;
+    private final ReceiveBudget.Share heldBytes;
     private final Runnable onEnd;
     private Runnable disconnectHandler = () -> {};
     private Runnable timeoutHandler = () -> refuse(new Refusal(RefusalCause.NO_TIME, 0));
@@ -53,10 +60,16 @@
      * @param request the request, whose body has been read
      * @param body body of the request
      * @param admitted head, route and access of the request
+     * @param heldBytes memory of the request's messages, released when the response has ended
      * @param onEnd called once when the response has ended
      */
     CallerExchange(
-            ForwardContext context, HttpServerRequest request, Buffer body, AdmittedRequest admitted, Runnable onEnd) {
+            ForwardContext context,
+            HttpServerRequest request,
+            Buffer body,
+            AdmittedRequest admitted,
+            ReceiveBudget.Share heldBytes,
+            Runnable onEnd) {
         this.vertx = context.vertx();
         this.clock = context.clock();
         this.metrics = context.metrics();
@@ -68,11 +81,11 @@
         this.service = route.selectService(requestId);
         this.body = body;
         this.receivedAtMillis = admitted.receivedAtMillis();
-        long timeoutMillis = head.timeoutMillis() > 0
-                ? Math.min(head.timeoutMillis(), route.timeoutMillis())
-                : route.timeoutMillis();
-        this.deadlineMillis = receivedAtMillis + timeoutMillis;
+        this.deadlineMillis = admitted.deadlineMillis();
+        this.maximumWriteMillis = admitted.limits().idleTimeoutMillis();
+        this.heldBytes = heldBytes;
         this.onEnd = onEnd;
+        heldBytes.onEviction(this::giveUpMessages);
     }
 
     /** Registers for the caller's disconnection and starts the timeout. */
@@ -103,6 +116,25 @@
         interruptionHandler.accept(refusal);
     }
 
+    /**
+     * Records that messages of endpoints are held until the response has ended.
+     *
+     * @param change their size in bytes, negative if bytes were released
+     */
+    void recordHeldBytes(int change) {
+        heldBytes.add(change);
+    }
+
+    /** Releases the messages of this request, which need most of the memory for all requests. */
+    private void giveUpMessages() {
+        if (isEnded) {
+            LOGGER.warn("response given up id={} cause={}", requestId, RefusalCause.MEMORY_EXHAUSTED);
+            request.connection().close();
+            return;
+        }
+        interrupt(new Refusal(RefusalCause.MEMORY_EXHAUSTED, MEMORY_RETRY_AFTER_MILLIS));
+    }
+
     HttpServerRequest request() {
         return request;
     }
@@ -203,7 +235,7 @@
     void abort(String cause) {
         if (tryEnd("aborted", 0, "none", cause)) {
             request.connection().close();
-            onEnd.run();
+            end();
         }
     }
 
@@ -231,7 +263,25 @@
      * Ends the exchange after the write, because a stopping router closes the connection once the exchange has ended.
      */
     private void endAfterWrite(Future<Void> write) {
-        write.onComplete(ignored -> onEnd.run());
+        if (write.isComplete()) {
+            end();
+            return;
+        }
+        write.timeout(maximumWriteMillis, TimeUnit.MILLISECONDS).onComplete(written -> {
+            if (written.failed()) {
+                LOGGER.info(
+                        "response not written id={} cause={}",
+                        requestId,
+                        written.cause().toString());
+                request.connection().close();
+            }
+            end();
+        });
+    }
+
+    private void end() {
+        heldBytes.close();
+        onEnd.run();
     }
 
     private void sendError(int status, String type, String message) {
@@ -244,7 +294,7 @@
     private void handleDisconnect() {
         if (tryEnd("caller_left", 0, "none")) {
             disconnectHandler.run();
-            onEnd.run();
+            end();
         }
     }
 
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -117,7 +117,7 @@
      * @return the body; fails if it is truncated or larger than {@link ReceiveLimits#MAXIMUM_MESSAGE_BYTES}
      */
     Future<Buffer> readBody(HttpClientResponse response) {
-        return MessageBody.read(response, ReceiveLimits.MAXIMUM_MESSAGE_BYTES, ignored -> {});
+        return MessageBody.read(response, ReceiveLimits.MAXIMUM_MESSAGE_BYTES, caller::recordHeldBytes);
     }
 
     /**
--- a/router/src/main/java/org/redwinghook/router/forward/EventSplitter.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EventSplitter.java
@@ -83,6 +83,10 @@
         return pending.length() > ReceiveLimits.MAXIMUM_MESSAGE_BYTES;
     }
 
+    int pendingBytes() {
+        return pending.length();
+    }
+
     /**
      * Whether the bytes so far end within an event.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpClientAgent;
 import org.redwinghook.core.forward.CallDurations;
 import org.redwinghook.core.placement.WorkLedger;
+import org.redwinghook.core.receive.ReceiveBudget;
 
 /**
  * Services shared by all requests.
@@ -21,6 +22,7 @@
  * @param callDurations learned durations of calls
  * @param promptGuard keeps prompts that crash endpoints away from them
  * @param pollBarrier delays work while the event loop is late
+ * @param receiveBudget memory for received messages
  * @param reportWork reports changes of this router's work to the other routers at once
  */
 record ForwardContext(
@@ -37,4 +39,5 @@
         CallDurations callDurations,
         PromptGuard promptGuard,
         PollBarrier pollBarrier,
+        ReceiveBudget receiveBudget,
         Runnable reportWork) {}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Future;
@@ -21,7 +22,10 @@
 import org.redwinghook.core.forward.Route;
 import org.redwinghook.core.forward.StopAdmission;
 import org.redwinghook.core.forward.StopTiming;
+import org.redwinghook.core.receive.ReceiveBudget;
 import org.redwinghook.router.caller.CallerErrors;
+import org.redwinghook.runtime.http.MessageBody;
+import org.redwinghook.runtime.http.MessageTooLargeException;
 import org.redwinghook.runtime.process.ListenErrors;
 import org.redwinghook.runtime.settings.Address;
 import org.slf4j.Logger;
@@ -33,6 +37,7 @@
     private static final int BAD_REQUEST = 400;
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
+    private static final int REQUEST_TIMEOUT = 408;
     private static final int CONTENT_TOO_LARGE = 413;
     private static final int SERVICE_UNAVAILABLE = 503;
 
@@ -45,6 +50,9 @@
     /** Retry-After of a router that has no configuration yet, in seconds. */
     private static final String RETRY_AFTER_SECONDS = "0.5";
 
+    /** Interval of checks for connections that have been idle for too long, in milliseconds. */
+    private static final long IDLE_CHECK_INTERVAL_MILLIS = 1_000;
+
     /** Interval at which a stopping router checks what it may close, in milliseconds. */
     private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
 
@@ -100,10 +108,13 @@
     Future<Integer> start() {
         HttpServer created = vertx.createHttpServer(new HttpServerOptions()
                 .setTcpNoDelay(true)
+                // With it, connections are reported with their first request only, and silent ones never.
+                .setHttp2ClearTextEnabled(false)
                 .setMaxHeaderSize(MAXIMUM_HEAD_BYTES)
                 .setMaxInitialLineLength(MAXIMUM_HEAD_BYTES)
                 .setHandle100ContinueAutomatically(true));
         server = created;
+        vertx.setPeriodic(IDLE_CHECK_INTERVAL_MILLIS, ignored -> closeIdleConnections());
         return ListenErrors.withAddress(
                         address,
                         created.connectionHandler(connections::add)
@@ -112,6 +123,18 @@
                 .map(HttpServer::actualPort);
     }
 
+    /** Closes the connections on which no request was received for longer than the configuration allows. */
+    private void closeIdleConnections() {
+        context.state().configuration().ifPresent(configuration -> {
+            long oldestMillis =
+                    context.clock().millis() - configuration.limits().idleTimeoutMillis();
+            int closed = connections.closeIdle(idleSinceMillis -> idleSinceMillis < oldestMillis);
+            if (closed > 0) {
+                LOGGER.info("idle connections closed number={} open={}", closed, connections.size());
+            }
+        });
+    }
+
     /**
      * Lets running requests finish. New requests are served, as the load balancer sends connections until it has noticed
      * the stop; each connection closes after its next response. Requests that would not end in time are refused.
@@ -255,21 +278,59 @@
             reject(request, BAD_REQUEST, "the request has no identifier");
             return;
         }
-        AdmittedRequest admitted = new AdmittedRequest(head, requestId, route.get(), access, receivedAtMillis);
-        int maximumBodyBytes = configuration.limits().maximumBodyBytes();
-        request.body().onFailure(failure -> handleRequestEnded(request)).onSuccess(body -> {
-            if (request.response().ended()) {
-                return;
-            }
-            if (body.length() > maximumBodyBytes) {
-                reject(request, CONTENT_TOO_LARGE, "the body is larger than " + maximumBodyBytes + " bytes");
-                return;
-            }
-            CallerExchange caller =
-                    new CallerExchange(context, request, body, admitted, () -> handleRequestEnded(request));
-            pendingRequests.put(request, () -> caller.interrupt(stopRefusal(request)));
-            forward(caller);
-        });
+        readBody(
+                request,
+                new AdmittedRequest(head, requestId, route.get(), access, configuration.limits(), receivedAtMillis));
+    }
+
+    private void readBody(HttpServerRequest request, AdmittedRequest admitted) {
+        ReceiveBudget.Share heldBytes = context.receiveBudget().open(() -> rejectForMemory(request));
+        MessageBody.read(request, admitted.limits().maximumBodyBytes(), heldBytes::add)
+                .timeout(Math.max(1, admitted.deadlineMillis() - context.clock().millis()), TimeUnit.MILLISECONDS)
+                .onFailure(failure -> {
+                    heldBytes.close();
+                    handleIncompleteBody(request, failure);
+                })
+                .onSuccess(body -> {
+                    if (request.response().ended()) {
+                        heldBytes.close();
+                        return;
+                    }
+                    CallerExchange caller = new CallerExchange(
+                            context, request, body, admitted, heldBytes, () -> handleRequestEnded(request));
+                    pendingRequests.put(request, () -> caller.interrupt(stopRefusal(request)));
+                    forward(caller);
+                });
+    }
+
+    private void handleIncompleteBody(HttpServerRequest request, Throwable failure) {
+        if (request.response().ended() || request.response().closed()) {
+            handleRequestEnded(request);
+            return;
+        }
+        request.response().putHeader("Connection", "close");
+        if (failure instanceof MessageTooLargeException) {
+            reject(request, CONTENT_TOO_LARGE, String.valueOf(failure.getMessage()));
+            return;
+        }
+        if (failure instanceof TimeoutException) {
+            reject(request, REQUEST_TIMEOUT, "the body did not arrive in time");
+            return;
+        }
+        handleRequestEnded(request);
+    }
+
+    private void rejectForMemory(HttpServerRequest request) {
+        if (request.response().ended()) {
+            return;
+        }
+        MessageBody.discard(request);
+        RefusalCause cause = RefusalCause.MEMORY_EXHAUSTED;
+        request.response()
+                .putHeader("Connection", "close")
+                .putHeader(
+                        "Retry-After", Double.toString(CallerExchange.MEMORY_RETRY_AFTER_MILLIS / MILLIS_PER_SECOND));
+        reject(request, cause.status(), cause.description());
     }
 
     /** Announces the end of the connection and returns whether the request may still be served. */
@@ -356,6 +417,10 @@
                 : request.end().timeout(MAXIMUM_BODY_LINGER_MILLIS, TimeUnit.MILLISECONDS);
         received.onComplete(ended -> {
             connections.requestEnded(request.connection());
+            if (ended.failed()) {
+                request.connection().close();
+                return;
+            }
             if (isDraining()) {
                 // The next request of the connection, if it has been read, begins before this task.
                 vertx.runOnContext(ignored -> connections.closeAnnounced(request.connection()));
@@ -378,6 +443,11 @@
     }
 
     private void reject(HttpServerRequest request, int status, String message) {
+        LOGGER.info(
+                "request rejected id={} status={} cause=\"{}\"",
+                context.protocol().readRequestHead(request).requestId(),
+                status,
+                message);
         Buffer body = CallerErrors.body("rejected", message).toBuffer();
         request.response()
                 .setStatusCode(status)
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -18,6 +18,7 @@
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.quarantine.PromptQuarantine;
+import org.redwinghook.core.receive.ReceiveBudget;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.router.peer.MeshSetup;
 import org.redwinghook.router.peer.MeshTiming;
@@ -52,6 +53,9 @@
      */
     private static final long SECONDARY_SERVICES_DELAY_MILLIS = 300;
 
+    /** Ratio of the heap to the part of it that received messages may fill. */
+    private static final int HEAP_PER_RECEIVED_MESSAGES = 4;
+
     private static final int PROTOCOL_VERSION = 1;
 
     private static final Logger LOGGER = LoggerFactory.getLogger(ForwardingProcess.class);
@@ -118,6 +122,7 @@
                 new CallDurations(),
                 promptGuard,
                 pollBarrier,
+                new ReceiveBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_RECEIVED_MESSAGES),
                 this::reportWork);
         server = new ForwardServer(vertx, settings.caller(), context, streams, this::hasOtherRouters);
         readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
--- a/router/src/main/java/org/redwinghook/router/forward/RefusalCause.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RefusalCause.java
@@ -3,22 +3,26 @@
 /** Cause for which a request was refused without having run. */
 public enum RefusalCause {
     /** The router has no configuration or no endpoints yet. */
-    NOT_READY(503),
+    NOT_READY(503, "the router is not ready"),
     /** No endpoint may take the request. */
-    NO_ENDPOINT(503),
+    NO_ENDPOINT(503, "no endpoint may take the request"),
     /** All endpoints that were tried reported that they did not run the request, or could not be reached. */
-    ENDPOINTS_FULL(503),
+    ENDPOINTS_FULL(503, "no endpoint took the request"),
     /** The deadline passed before the request was sent to an endpoint. */
-    NO_TIME(503),
+    NO_TIME(503, "the time ran out"),
     /** The router stops before the request could end; other routers take it. */
-    STOPPING(503),
+    STOPPING(503, "the router stops"),
+    /** The messages of all requests need too much memory, and those of this request most of it. */
+    MEMORY_EXHAUSTED(503, "the messages of the request need too much memory"),
     /** A part of the prompt crashes endpoints. */
-    PROMPT_PART_QUARANTINED(503);
+    PROMPT_PART_QUARANTINED(503, "a part of the prompt crashes endpoints");
 
     private final int status;
+    private final String description;
 
-    RefusalCause(int status) {
+    RefusalCause(int status, String description) {
         this.status = status;
+        this.description = description;
     }
 
     /**
@@ -29,4 +33,13 @@
     public int status() {
         return status;
     }
+
+    /**
+     * Description for logs and for callers.
+     *
+     * @return the description
+     */
+    public String description() {
+        return description;
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -1,5 +1,6 @@
 package org.redwinghook.router.forward;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.vertx.core.buffer.Buffer;
@@ -217,7 +218,7 @@
     }
 
     private void handleInterruption(Refusal refusal) {
-        endIncomplete(refusal, "the router stops", false);
+        endIncomplete(refusal, refusal.cause().description(), false);
     }
 
     private void endIncomplete(Refusal refusal, String cause, boolean timedOut) {
@@ -367,7 +368,13 @@
             if (endpointAttempt.isEnded()) {
                 return;
             }
-            for (EventSplitter.Event event : splitter.add(bytes)) {
+            int pendingBytes = splitter.pendingBytes();
+            List<EventSplitter.Event> events = splitter.add(bytes);
+            caller.recordHeldBytes(splitter.pendingBytes() - pendingBytes);
+            if (endpointAttempt.isEnded()) {
+                return;
+            }
+            for (EventSplitter.Event event : events) {
                 forwardEvent(response, event);
             }
             if (splitter.isTooLarge()) {
--- a/runtime/src/main/java/org/redwinghook/runtime/http/MessageBody.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/MessageBody.java
@@ -43,6 +43,16 @@
         return promise.future();
     }
 
+    /**
+     * Releases the part of a body that has been read and discards the rest.
+     *
+     * @param message the message, whose end has not been read
+     */
+    public static void discard(ReadStream<Buffer> message) {
+        message.endHandler(null);
+        message.handler(ignored -> {});
+    }
+
     /**
      * Reads the body of a response of at most {@link ReceiveLimits#MAXIMUM_MESSAGE_BYTES}. If that fails, the connection
      * is closed, so that the rest of the body takes no more time and belongs to no later request.
