--- a/router/src/main/java/org/redwinghook/router/forward/EndpointExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointExchange.java
@@ -57,8 +57,10 @@
             return existing;
         }
         connectionLost = false;
-        Future<HttpClientConnection> opening =
-                client.connect(new HttpConnectOptions().setHost(endpoint.host()).setPort(endpoint.port()));
+        // An address that the client rejects fails the future like one that cannot be reached.
+        Future<HttpClientConnection> opening = Future.succeededFuture()
+                .compose(ignored -> client.connect(
+                        new HttpConnectOptions().setHost(endpoint.host()).setPort(endpoint.port())));
         connectionFuture = opening;
         opening.onSuccess(this::handleConnected);
         return opening;
@@ -87,27 +89,24 @@
         Promise<HttpClientResponse> responsePromise = Promise.promise();
         connect(client)
                 .timeout(connectTimeoutMillis, TimeUnit.MILLISECONDS)
-                .onFailure(failure -> {
-                    cancelled = true;
-                    responsePromise.tryFail(failure);
-                })
-                .onSuccess(connected -> {
+                .compose(connected -> {
                     if (cancelled) {
-                        responsePromise.tryFail("cancelled");
-                        return;
+                        return Future.failedFuture("cancelled");
                     }
                     connected.closeHandler(ignored ->
                             responsePromise.tryFail(new HttpClosedException("the endpoint closed the connection")));
-                    connected
-                            .request(new RequestOptions()
-                                    .setMethod(method)
-                                    .setHost(endpoint.host())
-                                    .setPort(endpoint.port())
-                                    .setURI(uri)
-                                    .setHeaders(headers))
-                            .onFailure(responsePromise::tryFail)
-                            .onSuccess(request -> barrier.run(() -> write(request, body, responsePromise)));
-                });
+                    return connected.request(new RequestOptions()
+                            .setMethod(method)
+                            .setHost(endpoint.host())
+                            .setPort(endpoint.port())
+                            .setURI(uri)
+                            .setHeaders(headers));
+                })
+                .onFailure(failure -> {
+                    cancelled = true;
+                    responsePromise.tryFail(failure);
+                })
+                .onSuccess(request -> barrier.run(() -> write(request, body, responsePromise)));
         return responsePromise.future();
     }
 
--- a/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
@@ -13,6 +13,7 @@
 import org.redwinghook.core.replica.VersionedRecord;
 import org.redwinghook.router.peer.RouterMesh;
 import org.redwinghook.runtime.json.UntrustedJson;
+import org.redwinghook.runtime.settings.Address;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -99,16 +100,19 @@
     private static void addMember(VersionedRecord record, List<Member> members) {
         try {
             JsonObject entry = UntrustedJson.parseObject(Buffer.buffer(record.value()));
+            Address address = Address.parse(entry.getString("host") + ":" + entry.getValue("port"))
+                    .filter(Address::isConnectable)
+                    .orElseThrow(() -> new IllegalArgumentException("the address cannot be used"));
             members.add(new Member(
                     record.key(),
                     entry.getString("dataCentre"),
                     ProcessRole.ROUTER,
-                    entry.getString("host"),
-                    entry.getInteger("port"),
+                    address.host(),
+                    address.port(),
                     0,
                     null,
                     false));
-        } catch (DecodeException | ClassCastException | NullPointerException exception) {
+        } catch (DecodeException | ClassCastException | IllegalArgumentException | NullPointerException exception) {
             LOGGER.warn("router entry unreadable key={} cause={}", record.key(), exception.toString());
         }
     }
--- a/runtime/src/main/java/org/redwinghook/runtime/settings/Address.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/settings/Address.java
@@ -1,5 +1,8 @@
 package org.redwinghook.runtime.settings;
 
+import java.util.Optional;
+import java.util.regex.Pattern;
+
 import org.redwinghook.core.document.YamlMap;
 
 /**
@@ -11,6 +14,8 @@
 public record Address(String host, int port) {
 
     private static final int MAXIMUM_PORT = 65_535;
+    private static final Pattern HOST = Pattern.compile("[!-~]+");
+    private static final Pattern PORT = Pattern.compile("\\d{1,5}");
 
     /**
      * Reads an address from a mapping with the keys host and port.
@@ -33,14 +38,39 @@
      * @return the address
      */
     public static Address readText(YamlMap map, String key) {
-        String text = map.text(key);
-        int colon = text.lastIndexOf(':');
-        String port = text.substring(colon + 1);
-        if (colon <= 0 || !port.matches("\\d{1,5}") || Integer.parseInt(port) > MAXIMUM_PORT) {
+        Optional<Address> address = parse(map.text(key));
+        if (address.isEmpty()) {
             map.reportAt(key, "must be HOST:PORT");
             return new Address("127.0.0.1", 0);
         }
-        return new Address(text.substring(0, colon), Integer.parseInt(port));
+        return address.get();
+    }
+
+    /**
+     * Parses a text of the form HOST:PORT.
+     *
+     * @param text the text
+     * @return the address, empty if the text has another form or the port is out of range
+     */
+    public static Optional<Address> parse(String text) {
+        int colon = text.lastIndexOf(':');
+        String port = text.substring(colon + 1);
+        if (colon <= 0 || !PORT.matcher(port).matches()) {
+            return Optional.empty();
+        }
+        Address address = new Address(text.substring(0, colon), Integer.parseInt(port));
+        return HOST.matcher(address.host).matches() && address.port <= MAXIMUM_PORT
+                ? Optional.of(address)
+                : Optional.empty();
+    }
+
+    /**
+     * Whether a connection to the address can be opened.
+     *
+     * @return false if the port is 0, which only means an address to listen on
+     */
+    public boolean isConnectable() {
+        return port > 0;
     }
 
     @Override
