Take no answer of an endpoint for the answer to another call

Report of other operators: an endpoint wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run that had.

The calls that move a run's memory used kept connections and their answers name no request: a repeated 503 was taken for the answer to the next copy. An endpoint's 408, 429 or 503 without the statement that the request had not run was passed on to the caller, who may repeat a request that must not run twice.

Such a status becomes 502 for requests that must not run twice.

--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -1,5 +1,7 @@
 package org.redwinghook.router.forward;
 
+import java.util.Set;
+
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
@@ -15,6 +17,9 @@
     /** HTTP status of an endpoint that is not the one named in the request. */
     static final int MISDIRECTED_REQUEST = 421;
 
+    /** HTTP statuses by which callers understand that their request has not run and may be sent again. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 429, 503);
+
     /** Timeout for connecting to an endpoint, in milliseconds: several round trips between regions. */
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
 
@@ -131,12 +136,18 @@
     }
 
     /**
-     * Forwards a complete response to the caller.
+     * Forwards a complete response to the caller. A status that tells the caller that its request has not run is not
+     * forwarded if the endpoint has not stated this and the request must not run twice.
      *
      * @param response head of the response
      * @param body its body
      */
     void forward(HttpClientResponse response, Buffer body) {
+        int status = response.statusCode();
+        if (NOT_RUN_STATUSES.contains(status) && !caller.route().mayRunAgain()) {
+            caller.fail("the endpoint answered " + status + " without stating that it did not run the request", false);
+            return;
+        }
         caller.forward(response.statusCode(), context.protocol().callerHeaders(response), body, endpointId());
     }
 
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineClient.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineClient.java
@@ -37,7 +37,8 @@
         this.vertx = vertx;
         this.address = address;
         this.client = vertx.createHttpClient(
-                new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
+                // Answers name no request; on a kept connection a repeated one would be taken for the next one's.
+                new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setKeepAlive(false),
                 new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS));
     }
 
