Continue a stream only with events of its own media type

Report of other operators: when a stream broke off and the next endpoint answered with an error, callers found its text or head in the middle of their stream, or the stream ended as if it were complete.

Change: a continuation must have the media type with which the stream began, and once a stream has begun each line of an event must be a comment or a field. Otherwise the stream has broken off: it continues elsewhere where its route allows it, or its connection closes.

--- a/router/src/main/java/org/redwinghook/router/forward/EventSplitter.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EventSplitter.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 import io.vertx.core.buffer.Buffer;
 import org.jspecify.annotations.Nullable;
@@ -11,20 +12,23 @@
 /** Splits a stream of server-sent events into complete events without changing their bytes. */
 final class EventSplitter {
 
+    private static final Set<String> FIELDS_WITHOUT_VALUE = Set.of("data", "id", "event", "retry");
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private Buffer pending = Buffer.buffer();
     private int scannedBytes;
     private int lineStart;
     private @Nullable String id;
+    private boolean isWellFormed = true;
 
     /**
      * An event.
      *
      * @param bytes bytes of the event, including the empty line at its end
      * @param id identifier of the event, null if it has none
+     * @param isWellFormed whether each line is a comment or a field, unlike an error text or the head of a response
      */
-    record Event(Buffer bytes, @Nullable String id) {}
+    record Event(Buffer bytes, @Nullable String id, boolean isWellFormed) {}
 
     /**
      * Adds the next bytes of the stream.
@@ -41,10 +45,15 @@
                 continue;
             }
             if (isEmptyLine()) {
-                events.add(new Event(pending.getBuffer(start, scannedBytes + 1), id));
+                events.add(new Event(pending.getBuffer(start, scannedBytes + 1), id, isWellFormed));
                 id = null;
+                isWellFormed = true;
                 start = scannedBytes + 1;
-            } else if (id == null && isIdLine()) {
+                lineStart = start;
+                continue;
+            }
+            isWellFormed = isWellFormed && isCommentOrField();
+            if (id == null && isIdLine()) {
                 id = pending.getString(lineStart + ID_FIELD.length, scannedBytes, StandardCharsets.UTF_8.name())
                         .strip();
             }
@@ -62,6 +71,25 @@
         return scannedBytes == lineStart || (scannedBytes == lineStart + 1 && pending.getByte(lineStart) == '\r');
     }
 
+    /** Whether the line begins with the name of a field and a colon, with a colon, or is a field without a value. */
+    private boolean isCommentOrField() {
+        for (int index = lineStart; index < scannedBytes; index++) {
+            byte character = pending.getByte(index);
+            if (character == ':') {
+                return true;
+            }
+            boolean isNameCharacter = (character >= 'a' && character <= 'z')
+                    || (character >= '0' && character <= '9')
+                    || character == '-'
+                    || character == '_';
+            if (!isNameCharacter && !(character == '\r' && index == scannedBytes - 1)) {
+                return false;
+            }
+        }
+        return FIELDS_WITHOUT_VALUE.contains(
+                pending.getString(lineStart, scannedBytes).strip());
+    }
+
     private boolean isIdLine() {
         if (scannedBytes - lineStart < ID_FIELD.length) {
             return false;
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -1,6 +1,7 @@
 package org.redwinghook.router.forward;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 import io.vertx.core.buffer.Buffer;
@@ -46,6 +47,7 @@
     private final RequestAttempts attempts;
     private @Nullable StreamAttempt currentAttempt;
     private boolean responseStarted;
+    private String startedMediaType = "";
     private long forwardedEvents;
     private @Nullable String lastEventId;
     private @Nullable KnownEndpoint stoppedSource;
@@ -297,6 +299,11 @@
         }
     }
 
+    private static String mediaType(HttpClientResponse response) {
+        String contentType = response.getHeader("Content-Type");
+        return contentType == null ? "" : contentType.split(";", 2)[0].strip().toLowerCase(Locale.ROOT);
+    }
+
     private void recordEventTime() {
         long now = context.clock().millis();
         if (forwardedEvents == 0) {
@@ -358,6 +365,10 @@
                         .onFailure(this::handleFailure);
                 return;
             }
+            if (responseStarted && !mediaType(response).equals(startedMediaType)) {
+                handleFailure(new IllegalStateException("the continuation has another media type"));
+                return;
+            }
             currentResponse = response;
             response.exceptionHandler(this::handleFailure);
             response.endHandler(ignored -> handleEnd());
@@ -375,6 +386,10 @@
                 return;
             }
             for (EventSplitter.Event event : events) {
+                if (responseStarted && !event.isWellFormed()) {
+                    handleFailure(new IllegalStateException("the stream has bytes that are no event"));
+                    return;
+                }
                 forwardEvent(response, event);
             }
             if (splitter.isTooLarge()) {
@@ -391,6 +406,7 @@
         private void forwardEvent(HttpClientResponse response, EventSplitter.Event event) {
             if (!responseStarted) {
                 responseStarted = true;
+                startedMediaType = mediaType(response);
                 context.metrics().recordFirstEvent(caller.service(), caller.elapsedMillis());
                 caller.response()
                         .setStatusCode(response.statusCode())
--- a/router/src/test/java/org/redwinghook/router/forward/EventSplitterTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/EventSplitterTest.java
@@ -63,4 +63,19 @@
         Assert.assertEquals(events.get(0).id(), "2");
         Assert.assertNull(events.get(1).id());
     }
+
+    /** Guards against an error text or the head of a response that is passed on in a stream. */
+    @Test
+    public void onlyCommentsAndFieldsAreWellFormed() {
+        String wellFormed = "id: 1\ndata: x\n\n: ping\n\ndata\r\n\r\nweight-versions: 3\r\ndata:HTTP/1.1 500\r\n\r\n\n";
+        new EventSplitter()
+                .add(Buffer.buffer(wellFormed))
+                .forEach(event -> Assert.assertTrue(event.isWellFormed(), event.toString()));
+        for (String text :
+                List.of("failed", "HTTP/1.1 500 Failed\r\nContent-Length: 6", "{\"error\": 1}", "data: x\nERROR")) {
+            List<EventSplitter.Event> events = new EventSplitter().add(Buffer.buffer(text + "\n\ndata: y\n\n"));
+            Assert.assertFalse(events.get(0).isWellFormed(), text);
+            Assert.assertTrue(events.get(1).isWellFormed(), text);
+        }
+    }
 }
