Count repeats within a millisecond, and keep streams that have begun

Two known failures of crashing prompts. A request went to a third endpoint after its repeats had crashed two; and sound streams that had begun were broken off when a part of theirs was quarantined.

Causes: a crash counted only if a request with the part was sent in a later millisecond than the crash before; a repeat may be sent in the same one. A request was withdrawn until 250 ms after its first event, although its endpoint had crashed or survived by the first event.

Change: a request that was at both endpoints counts also within the millisecond of the first crash; other requests do not, so the simultaneous loss of endpoints still counts once. An answer that has begun is not withdrawn.

--- a/core/src/main/java/org/redwinghook/core/quarantine/CrashAttribution.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/CrashAttribution.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.function.ToLongFunction;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Attributes crashes of endpoints to parts of prompts. Each crash is attributed to one part, so that sound parts that
  * accompany it do not count: first to parts that never succeeded, then to those with the most crashes, then to the part
@@ -77,20 +79,31 @@
 
     /**
      * Adds up the crashes that count against a part. One counts only if a request with the part was sent after the one
-     * before, so that the simultaneous loss of many endpoints counts once.
+     * before, so that the simultaneous loss of many endpoints counts once. A request that was at both endpoints was sent to
+     * the second one after the crash of the first, also within the same millisecond.
      */
     private Candidate candidate(String part, Set<String> explainedEndpoints) {
-        long lastCounted = Long.MIN_VALUE;
         List<EndpointCrash> counted = new ArrayList<>();
         for (EndpointCrash crash : crashesSinceSuccess(part)) {
-            if (!explainedEndpoints.contains(crash.endpoint()) && history.lastSentMillis(part, crash) > lastCounted) {
+            EndpointCrash lastCounted = counted.isEmpty() ? null : counted.get(counted.size() - 1);
+            if (!explainedEndpoints.contains(crash.endpoint()) && wasSentAfter(lastCounted, part, crash)) {
                 counted.add(crash);
-                lastCounted = crash.atMillis();
             }
         }
         return new Candidate(part, history.position(part), lastSuccessMillis.applyAsLong(part) > NEVER, counted);
     }
 
+    private boolean wasSentAfter(@Nullable EndpointCrash earlier, String part, EndpointCrash crash) {
+        if (earlier == null) {
+            return true;
+        }
+        long sentMillis = history.lastSentMillis(part, crash);
+        if (sentMillis != earlier.atMillis()) {
+            return sentMillis > earlier.atMillis();
+        }
+        return crash.atMillis() > earlier.atMillis() && crash.sharesSuspectWith(earlier);
+    }
+
     private List<EndpointCrash> crashesSinceSuccess(String part) {
         long lastSuccess = lastSuccessMillis.applyAsLong(part);
         return history.crashesWith(part).stream()
--- a/core/src/main/java/org/redwinghook/core/quarantine/CrashHistory.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/CrashHistory.java
@@ -142,7 +142,7 @@
         return crashesByPart.keySet();
     }
 
-    /** Parts with a crash, and with another one of a request that was sent after it. */
+    /** Parts with a crash, and with another one of a request that may have been sent after it. */
     Set<String> repeatedParts() {
         return repeatedParts;
     }
@@ -206,7 +206,7 @@
             entry.firstCrashMillis = Math.min(entry.firstCrashMillis, crash.atMillis());
             entry.lastCrashMillis = Math.max(entry.lastCrashMillis, crash.atMillis());
             entry.lastSentMillis = Math.max(entry.lastSentMillis, suspect.sentAtMillis());
-            if (entry.lastSentByEndpoint.size() > 1 && entry.lastSentMillis > entry.firstCrashMillis) {
+            if (entry.lastSentByEndpoint.size() > 1 && entry.lastSentMillis >= entry.firstCrashMillis) {
                 repeatedParts.add(part);
             }
         }
--- a/core/src/main/java/org/redwinghook/core/quarantine/EndpointCrash.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/EndpointCrash.java
@@ -19,6 +19,12 @@
         suspects = List.copyOf(suspects);
     }
 
+    /** Whether a request is a suspect of both crashes. */
+    boolean sharesSuspectWith(EndpointCrash other) {
+        return suspects.stream().anyMatch(suspect -> other.suspects.stream()
+                .anyMatch(otherSuspect -> otherSuspect.requestId().equals(suspect.requestId())));
+    }
+
     EndpointCrash shiftedBy(long millis) {
         return new EndpointCrash(
                 endpoint,
--- a/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
@@ -101,6 +101,22 @@
         Assert.assertFalse(isRejected(4_100, SHARED, "caller-1"));
     }
 
+    /** Guards against a repeat within the millisecond of the crash before, which did not count. */
+    @Test
+    public void repeatInTheMillisecondOfTheCrashBeforeCounts() {
+        SuspectRequest first = suspect(990, SHARED, CRASHING);
+        quarantine.recordCrash("engine-1", first, 1_000);
+        quarantine.recordCrash("engine-2", new SuspectRequest(first.requestId(), first.parts(), 1_000), 1_003);
+        Assert.assertTrue(isRejected(1_010, CRASHING));
+    }
+
+    @Test
+    public void anotherRequestInTheMillisecondOfACrashDoesNotCount() {
+        crash("engine-1", 1_000, 990, SHARED, CRASHING);
+        crash("engine-2", 1_003, 1_000, SHARED, CRASHING);
+        Assert.assertFalse(isRejected(1_010, CRASHING));
+    }
+
     /** An endpoint that resets single connections has not crashed. */
     @Test
     public void crashOfAnEndpointThatGoesOnIsRefuted() {
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -240,7 +240,8 @@
     }
 
     /**
-     * Withdraws the request from its endpoint if it has a part that crashes endpoints and its answer has not begun.
+     * Withdraws the request from its endpoint if it has a part that crashes endpoints and its answer has not begun. A
+     * begun answer is not broken off, as the endpoint has crashed or survived by then.
      *
      * @param part the part
      */
@@ -249,6 +250,7 @@
         if (attempt == null
                 || attempt.endpointAttempt.isEnded()
                 || caller.isEnded()
+                || attempt.eventsOfAttempt > 0
                 || !attempts.mayCrashEndpoint(part.part())) {
             return;
         }
