--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineClient.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineClient.java
@@ -38,7 +38,9 @@
         this.address = address;
         this.client = vertx.createHttpClient(
                 // Answers name no request; on a kept connection a repeated one would be taken for the next one's.
-                new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setKeepAlive(false),
+                new HttpClientOptions()
+                        .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                        .setKeepAlive(false),
                 new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS));
     }
 
