--- a/standins/src/test/java/org/redwinghook/standins/log/LogStandInTest.java
+++ b/standins/src/test/java/org/redwinghook/standins/log/LogStandInTest.java
@@ -4,6 +4,9 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
+import org.redwinghook.runtime.platform.LogClient;
+import org.redwinghook.runtime.platform.LogPage;
+import org.redwinghook.runtime.settings.Address;
 import org.redwinghook.standins.StandInClient;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
@@ -18,6 +21,7 @@
     private Vertx vertx;
     private LogStandIn log;
     private StandInClient client;
+    private int port;
 
     @BeforeMethod
     public void open() {
@@ -60,6 +64,23 @@
         Assert.assertEquals(append(), 2);
     }
 
+    /** Guards against a reader that never gets past a page that is larger than a message may be. */
+    @Test
+    public void clientReadsFewerRecordsWhenAPageIsTooLarge() throws Exception {
+        startLog(new LogSettings(1_000, 100, 3_600_000));
+        String record = "x".repeat(64 * 1024);
+        for (int number = 0; number < 80; number++) {
+            client.send("POST", RECORDS, record);
+        }
+        LogPage page = new LogClient(vertx, new Address("127.0.0.1", port))
+                .read("s", 1, 500)
+                .await();
+        Assert.assertEquals(page.nextOffset(), 81);
+        Assert.assertTrue(
+                page.records().size() > 1 && page.records().size() < 80,
+                "" + page.records().size());
+    }
+
     @Test
     public void limitsAppendRate() throws Exception {
         startLog(new LogSettings(2, 100, 3_600_000));
@@ -104,7 +125,8 @@
 
     private void startLog(LogSettings settings) {
         log = new LogStandIn(vertx, 0, settings);
-        client = new StandInClient(log.start().await());
+        port = log.start().await();
+        client = new StandInClient(port);
     }
 
     private long append() throws IOException, InterruptedException {
