Read bodies in the same event as their response arrives

Cause: the steps of a read were added to its future one after the other. A thread that is not the event loop may add the last one after the response, a 304 without a body here, has ended; its body cannot be read any more then. response.body() did not fail in that case but never completed, so the read timed out.

Change: VmListClient, LogClient and AdminClient read the body in the step that receives the response; a 304 has no body to read.

--- a/operator/src/main/java/org/redwinghook/operator/AdminClient.java
+++ b/operator/src/main/java/org/redwinghook/operator/AdminClient.java
@@ -43,8 +43,7 @@
      */
     public Future<Buffer> get(Address adminAddress, String path) {
         return client.request(HttpMethod.GET, adminAddress.port(), adminAddress.host(), path)
-                .compose(request -> request.send())
-                .compose(response -> readBody(response, HTTP_OK))
+                .compose(request -> request.send().compose(response -> readBody(response, HTTP_OK)))
                 .timeout(REQUEST_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -71,8 +70,8 @@
                 .put("name", withdrawal.name())
                 .put("basedOn", withdrawal.basedOn());
         return client.request(HttpMethod.POST, adminAddress.port(), adminAddress.host(), "/withdrawals")
-                .compose(request -> request.send(body.toBuffer()))
-                .compose(response -> readBody(response, HTTP_ACCEPTED))
+                .compose(
+                        request -> request.send(body.toBuffer()).compose(response -> readBody(response, HTTP_ACCEPTED)))
                 .timeout(REQUEST_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/runtime/src/main/java/org/redwinghook/runtime/http/MessageBody.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/MessageBody.java
@@ -16,7 +16,8 @@
     private MessageBody() {}
 
     /**
-     * Reads a body. After a failure the rest of the message is discarded; the caller closes its connection.
+     * Reads a body. It must be called on the message's event loop as soon as the message has arrived, since the rest of it
+     * may arrive with the next event. After a failure the rest of the message is discarded; the caller closes its connection.
      *
      * @param message the message, none of whose body has been read
      * @param maximumBytes maximum size of the body, in bytes
--- a/runtime/src/main/java/org/redwinghook/runtime/platform/LogClient.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/LogClient.java
@@ -60,9 +60,8 @@
         return client.request(HttpMethod.POST, address.port(), address.host(), "/streams/" + stream + "/records")
                 .compose(request -> {
                     request.idleTimeout(TIMEOUT_MILLIS);
-                    return request.send(data);
+                    return request.send(data).compose(LogClient::readBody);
                 })
-                .compose(LogClient::readBody)
                 .map(body -> UntrustedJson.parseObject(body).getLong("offset"))
                 .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -80,9 +79,8 @@
         return client.request(HttpMethod.GET, address.port(), address.host(), path)
                 .compose(request -> {
                     request.idleTimeout(TIMEOUT_MILLIS);
-                    return request.send();
+                    return request.send().compose(LogClient::readBody);
                 })
-                .compose(LogClient::readBody)
                 .map(LogClient::parsePage)
                 .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .recover(failure -> failure instanceof MessageTooLargeException && maximumRecords > 1
--- a/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
@@ -73,16 +73,15 @@
                     if (cached != null) {
                         request.putHeader(HttpHeaders.IF_NONE_MATCH, cached.tag());
                     }
-                    return request.send();
+                    return request.send().compose(response -> handleResponse(response, cached));
                 })
-                .compose(response -> handleResponse(response, cached))
                 .timeout(timeoutMillis, TimeUnit.MILLISECONDS);
     }
 
     private Future<List<Member>> handleResponse(HttpClientResponse response, @Nullable CachedList cached) {
         // The response refers to the list whose tag was sent; another read may have replaced the cached list meanwhile.
         if (response.statusCode() == HTTP_NOT_MODIFIED && cached != null) {
-            return MessageBody.read(response, timeoutMillis).map(ignored -> cached.members());
+            return Future.succeededFuture(cached.members());
         }
         String tag = response.getHeader(HttpHeaders.ETAG);
         return MessageBody.read(response, timeoutMillis)
