--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -108,7 +108,7 @@
     Future<Integer> start() {
         HttpServer created = vertx.createHttpServer(new HttpServerOptions()
                 .setTcpNoDelay(true)
-                // With it, connections are reported with their first request only, and silent ones never.
+                // With HTTP/2 enabled, the server would not report a connection before its first request.
                 .setHttp2ClearTextEnabled(false)
                 .setMaxHeaderSize(MAXIMUM_HEAD_BYTES)
                 .setMaxInitialLineLength(MAXIMUM_HEAD_BYTES)
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -53,8 +53,8 @@
      */
     private static final long SECONDARY_SERVICES_DELAY_MILLIS = 300;
 
-    /** Ratio of the heap to the part of it that received messages may fill. */
-    private static final int HEAP_PER_RECEIVED_MESSAGES = 4;
+    /** The part 1/n of the heap that received messages may fill. */
+    private static final int RECEIVE_BUDGET_HEAP_DIVISOR = 4;
 
     private static final int PROTOCOL_VERSION = 1;
 
@@ -122,7 +122,7 @@
                 new CallDurations(),
                 promptGuard,
                 pollBarrier,
-                new ReceiveBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_RECEIVED_MESSAGES),
+                new ReceiveBudget(Runtime.getRuntime().maxMemory() / RECEIVE_BUDGET_HEAP_DIVISOR),
                 this::reportWork);
         server = new ForwardServer(vertx, settings.caller(), context, streams, this::hasOtherRouters);
         readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
