--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -148,7 +148,7 @@
             caller.fail("the endpoint answered " + status + " without stating that it did not run the request", false);
             return;
         }
-        caller.forward(response.statusCode(), context.protocol().callerHeaders(response), body, endpointId());
+        caller.forward(status, context.protocol().callerHeaders(response), body, endpointId());
     }
 
     /** Ends the attempt and closes its connection, which makes the endpoint stop work on the request. */
--- a/router/src/main/java/org/redwinghook/router/forward/EventSplitter.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EventSplitter.java
@@ -54,7 +54,7 @@
             }
             isWellFormed = isWellFormed && isCommentOrField();
             if (id == null && isIdLine()) {
-                id = pending.getString(lineStart + ID_FIELD.length, scannedBytes, StandardCharsets.UTF_8.name())
+                id = pending.getString(lineStart + ID_FIELD.length, scannedBytes)
                         .strip();
             }
             lineStart = scannedBytes + 1;
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -326,10 +326,8 @@
         }
         MessageBody.discard(request);
         RefusalCause cause = RefusalCause.MEMORY_EXHAUSTED;
-        request.response()
-                .putHeader("Connection", "close")
-                .putHeader(
-                        "Retry-After", Double.toString(CallerExchange.MEMORY_RETRY_AFTER_MILLIS / MILLIS_PER_SECOND));
+        request.response().putHeader("Connection", "close");
+        putRetryAfter(request, CallerExchange.MEMORY_RETRY_AFTER_MILLIS);
         reject(request, cause.status(), cause.description());
     }
 
@@ -438,8 +436,12 @@
                 refusal.cause().status(),
                 refusal.retryAfterMillis(),
                 isClosing);
-        request.response().putHeader("Retry-After", Double.toString(refusal.retryAfterMillis() / MILLIS_PER_SECOND));
-        reject(request, refusal.cause().status(), "the router stops");
+        putRetryAfter(request, refusal.retryAfterMillis());
+        sendError(request, refusal.cause().status(), refusal.cause().description());
+    }
+
+    private static void putRetryAfter(HttpServerRequest request, long millis) {
+        request.response().putHeader("Retry-After", Double.toString(millis / MILLIS_PER_SECOND));
     }
 
     private void reject(HttpServerRequest request, int status, String message) {
@@ -448,6 +450,10 @@
                 context.protocol().readRequestHead(request).requestId(),
                 status,
                 message);
+        sendError(request, status, message);
+    }
+
+    private void sendError(HttpServerRequest request, int status, String message) {
         Buffer body = CallerErrors.body("rejected", message).toBuffer();
         request.response()
                 .setStatusCode(status)
--- a/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -100,7 +101,8 @@
     private static void addMember(VersionedRecord record, List<Member> members) {
         try {
             JsonObject entry = UntrustedJson.parseObject(Buffer.buffer(record.value()));
-            Address address = Address.parse(entry.getString("host") + ":" + entry.getValue("port"))
+            Address address = Address.parse(
+                            Objects.requireNonNull(entry.getString("host")) + ":" + entry.getValue("port"))
                     .filter(Address::isConnectable)
                     .orElseThrow(() -> new IllegalArgumentException("the address cannot be used"));
             members.add(new Member(
