--- a/core/src/main/java/org/redwinghook/core/forward/ForwardingConfiguration.java
+++ b/core/src/main/java/org/redwinghook/core/forward/ForwardingConfiguration.java
@@ -12,6 +12,7 @@
 
     private final long version;
     private final Map<String, List<Route>> routesByHost;
+    private final boolean needsKeys;
     private final Map<String, CustomerAccess> accessByKey;
     private final Map<String, ServiceSettings> services;
     private final CallerLimits limits;
@@ -21,13 +22,16 @@
      *
      * @param version its version
      * @param routes all routes
-     * @param accessByKey access that each API key grants; empty if no request needs a key
+     * @param needsKeys whether requests need a key, which holds for any configuration with customers, also if none of
+     *     them has a key left
+     * @param accessByKey access that each API key grants
      * @param services services by name
      * @param limits limits on callers
      */
     public ForwardingConfiguration(
             long version,
             List<Route> routes,
+            boolean needsKeys,
             Map<String, CustomerAccess> accessByKey,
             Map<String, ServiceSettings> services,
             CallerLimits limits) {
@@ -38,6 +42,7 @@
                                 (Route route) -> route.pathPrefix().length())
                         .reversed())
                 .toList());
+        this.needsKeys = needsKeys;
         this.accessByKey = Map.copyOf(accessByKey);
         this.services = Map.copyOf(services);
         this.limits = limits;
@@ -74,7 +79,7 @@
      * @return true if there are customers
      */
     public boolean needsKeys() {
-        return !accessByKey.isEmpty();
+        return needsKeys;
     }
 
     /**
--- a/core/src/test/java/org/redwinghook/core/forward/ForwardingConfigurationTest.java
+++ b/core/src/test/java/org/redwinghook/core/forward/ForwardingConfigurationTest.java
@@ -16,6 +16,7 @@
         ForwardingConfiguration configuration = new ForwardingConfiguration(
                 1,
                 List.of(route("short", "/a/"), route("long", "/a/b/")),
+                false,
                 Map.of(),
                 Map.of(),
                 new CallerLimits(1, 1, 1, 1));
