Combine the conditions on endpoints in one decision, and add points where parts attach

EndpointEligibility now answers whether a request may go to an endpoint (table, regions, cold pace, rules that are added). Attempts report their course to observers, messages between routers can be registered by their type, and PlacementPolicy gives its estimate as first result, completion and missing memory. Placement is unchanged: the slowdown of each endpoint is 1. One difference: an endpoint that was unreachable is now tried if all reachable ones are cold and have received their share.

--- a/core/src/main/java/org/redwinghook/core/forward/EndpointTable.java
+++ b/core/src/main/java/org/redwinghook/core/forward/EndpointTable.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Registered endpoints and withdrawn data centres. Entries may lapse while the store is unavailable although their
  * endpoints are live; such an endpoint stays usable for the time in which a live one registers again. Times are
@@ -104,16 +106,39 @@
      * @return the endpoints
      */
     public List<KnownEndpoint> usableEndpoints(String service) {
-        List<KnownEndpoint> usable = new ArrayList<>();
+        return endpointsOf(service).stream()
+                .filter(endpoint -> exclusion(endpoint.entry()) == null)
+                .toList();
+    }
+
+    /**
+     * Known endpoints of a service, whether they may receive requests or not.
+     *
+     * @param service name of the service
+     * @return the endpoints
+     */
+    List<KnownEndpoint> endpointsOf(String service) {
+        List<KnownEndpoint> found = new ArrayList<>();
         for (KnownEndpoint endpoint : endpoints.values()) {
-            EndpointEntry entry = endpoint.entry();
-            if (entry.service().equals(service)
-                    && !entry.draining()
-                    && !withdrawnDataCentres.contains(entry.dataCentre())) {
-                usable.add(endpoint);
+            if (endpoint.entry().service().equals(service)) {
+                found.add(endpoint);
             }
         }
-        return usable;
+        return found;
+    }
+
+    /**
+     * Why no request may go to an endpoint, according to its entry and the operators.
+     *
+     * @param entry entry of the endpoint
+     * @return the reason, null if requests may go there
+     */
+    @Nullable
+    Exclusion exclusion(EndpointEntry entry) {
+        if (entry.draining()) {
+            return Exclusion.LEAVING;
+        }
+        return withdrawnDataCentres.contains(entry.dataCentre()) ? Exclusion.DATA_CENTRE_WITHDRAWN : null;
     }
 
     /**
--- a/core/src/main/java/org/redwinghook/core/placement/Candidate.java
+++ b/core/src/main/java/org/redwinghook/core/placement/Candidate.java
@@ -10,6 +10,8 @@
  * @param reportedWaitingRequests number of waiting requests that the endpoint last reported
  * @param distance network distance of the endpoint
  * @param failureShare recent share of requests that failed there, 0 to 1
+ * @param slowdown how long work takes there, relative to a usual endpoint of its service: 1 is usual, 2 takes twice as
+ *     long
  * @param cold whether it is cold after its start
  * @param jitterMillis random delay below {@link #MAXIMUM_JITTER_MILLIS}, so that routers with the same information do
  *     not all choose the same endpoint
@@ -22,6 +24,7 @@
         int reportedWaitingRequests,
         Distance distance,
         double failureShare,
+        double slowdown,
         boolean cold,
         double jitterMillis) {
 
@@ -30,4 +33,7 @@
      * generation adds.
      */
     public static final double MAXIMUM_JITTER_MILLIS = 30;
+
+    /** Slowdown of an endpoint of which nothing else is known. */
+    public static final double USUAL_SLOWDOWN = 1;
 }
--- a/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
@@ -13,14 +13,32 @@
     GENERATION {
         @Override
         double delayMillis(Candidate candidate, PlacementQuery query) {
+            double far = candidate.distance() == Distance.FAR ? CROSS_REGION_GENERATION_MILLIS : 0;
+            return firstTokenMillis(candidate, query)
+                    + far
+                    + overflowTokens(candidate, query) * OVERFLOW_MILLIS_PER_TOKEN;
+        }
+
+        @Override
+        public DelayEstimate estimate(Candidate candidate, PlacementQuery query) {
+            double first =
+                    firstTokenMillis(candidate, query) + candidate.distance().latencyMillis();
+            double output = EngineSpeed.outputMillis(query.expectedOutputTokens()) * candidate.slowdown();
+            return new DelayEstimate(first, first + output, overflowTokens(candidate, query));
+        }
+
+        private static double firstTokenMillis(Candidate candidate, PlacementQuery query) {
             WorkTotals work = candidate.work();
             double prefill = EngineSpeed.prefillMillis(work.waitingTokens() + query.promptTokens());
-            double steps = work.running() * DELAY_PER_GENERATION_MILLIS;
-            double needed = work.residentTokens() + query.promptTokens() + query.expectedOutputTokens();
-            double free = candidate.memoryTokens() * USABLE_MEMORY_SHARE;
-            double overflow = candidate.memoryTokens() == 0 ? 0 : Math.max(0, needed - free);
-            double far = candidate.distance() == Distance.FAR ? CROSS_REGION_GENERATION_MILLIS : 0;
-            return prefill + steps + far + overflow * OVERFLOW_MILLIS_PER_TOKEN;
+            return (prefill + work.running() * DELAY_PER_GENERATION_MILLIS) * candidate.slowdown();
+        }
+
+        private static double overflowTokens(Candidate candidate, PlacementQuery query) {
+            if (candidate.memoryTokens() == 0) {
+                return 0;
+            }
+            double needed = candidate.work().residentTokens() + query.promptTokens() + query.expectedOutputTokens();
+            return Math.max(0, needed - candidate.memoryTokens() * USABLE_MEMORY_SHARE);
         }
     },
     /**
@@ -37,20 +55,33 @@
 
         @Override
         double delayMillis(Candidate candidate, PlacementQuery query) {
-            double prefill = EngineSpeed.prefillMillis(query.promptTokens());
+            double prefill = EngineSpeed.prefillMillis(query.promptTokens()) * candidate.slowdown();
             double copy = candidate.distance() == Distance.LOCAL ? 0 : CROSS_DATA_CENTRE_COPY_MILLIS;
             if (candidate.distance() == Distance.FAR) {
                 return Double.POSITIVE_INFINITY;
             }
             return GENERATION.delayMillis(candidate, query) - prefill + copy;
         }
+
+        @Override
+        public DelayEstimate estimate(Candidate candidate, PlacementQuery query) {
+            return GENERATION.estimate(candidate, query);
+        }
     },
     /** Calls of plain services, which have few slots: in a burst, the delay is the wait for a slot. */
     CALL {
         @Override
         double delayMillis(Candidate candidate, PlacementQuery query) {
             double load = (double) candidate.work().running() / Math.max(1, candidate.slots());
-            return load * TYPICAL_CALL_MILLIS * (load >= 1 ? FULL_ENDPOINT_FACTOR : 1);
+            return load * TYPICAL_CALL_MILLIS * (load >= 1 ? FULL_ENDPOINT_FACTOR : 1) * candidate.slowdown();
+        }
+
+        @Override
+        public DelayEstimate estimate(Candidate candidate, PlacementQuery query) {
+            double rounds = 1 + (double) candidate.work().running() / Math.max(1, candidate.slots());
+            double millis = rounds * TYPICAL_CALL_MILLIS * candidate.slowdown()
+                    + candidate.distance().latencyMillis();
+            return new DelayEstimate(millis, millis, 0);
         }
     };
 
@@ -106,6 +137,15 @@
 
     abstract double delayMillis(Candidate candidate, PlacementQuery query);
 
+    /**
+     * Expected course of a request at an endpoint, on which waiting and placement agree.
+     *
+     * @param candidate the endpoint
+     * @param query the request
+     * @return the estimate, without preferences such as those for near endpoints
+     */
+    public abstract DelayEstimate estimate(Candidate candidate, PlacementQuery query);
+
     /**
      * Chooses an endpoint.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -107,7 +107,7 @@
     private void cancel() {
         CallAttempt attempt = currentAttempt;
         if (attempt != null) {
-            attempt.end();
+            attempt.end(AttemptOutcome.WITHDRAWN);
         }
     }
 
@@ -138,15 +138,15 @@
             endpointAttempt.send(null, null).onSuccess(this::handleResponse).onFailure(this::handleFailure);
         }
 
-        void end() {
+        void end(AttemptOutcome outcome) {
             context.vertx().cancelTimer(slowResponseTimer);
-            endpointAttempt.end();
+            endpointAttempt.end(outcome);
         }
 
         /** Abandons a slow endpoint, although it may still respond, and tries another one. */
         private void handleSlowResponse() {
             if (!endpointAttempt.isEnded() && caller.remainingMillis() > 0 && attempts.tryRetry(1)) {
-                end();
+                end(AttemptOutcome.BROKEN);
                 attempts.recordAbandonment(endpoint);
                 startNextAttempt();
             }
@@ -171,7 +171,7 @@
                 handleFailure(new IllegalStateException("the answer is not the request's own"));
                 return;
             }
-            end();
+            end(outcomeOf(head));
             attempts.recordResponse();
             context.callDurations().record(caller.service(), context.clock().millis() - startedAtMillis);
             if (head.notRun() || head.status() == EndpointAttempt.MISDIRECTED_REQUEST) {
@@ -197,6 +197,13 @@
             endpointAttempt.forward(response, body);
         }
 
+        private static AttemptOutcome outcomeOf(ResponseHead head) {
+            if (head.notRun() || head.status() == EndpointAttempt.MISDIRECTED_REQUEST) {
+                return AttemptOutcome.NOT_RUN;
+            }
+            return head.status() < FIRST_SERVER_ERROR ? AttemptOutcome.SUCCEEDED : AttemptOutcome.FAILED;
+        }
+
         private void handleRefusal(ResponseHead head) {
             if (head.status() == EndpointAttempt.MISDIRECTED_REQUEST) {
                 endpoint.health().recordUnreachable(context.clock().millis());
@@ -220,7 +227,7 @@
             if (endpointAttempt.isEnded()) {
                 return;
             }
-            end();
+            end(endpointAttempt.failureOutcome());
             LOGGER.info(
                     "call failed id={} endpoint={} sent={} cause={}",
                     caller.requestId(),
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -57,6 +57,7 @@
         startedAtMillis = context.clock().millis();
         context.ledger().add(runningRequest);
         endpoint.pacing().recordRequest(context.clock().millis());
+        context.observers().notify(observer -> observer.handleStart(caller, endpoint));
     }
 
     /**
@@ -97,6 +98,7 @@
             endpoint.recordWaitingRequests(
                     head.waitingRequests(), context.clock().millis());
         }
+        context.observers().notify(observer -> observer.handleResponseHead(caller, endpoint, head));
         return head;
     }
 
@@ -151,10 +153,18 @@
         caller.forward(status, context.protocol().callerHeaders(response), body, endpointId());
     }
 
-    /** Ends the attempt and closes its connection, which makes the endpoint stop work on the request. */
-    void end() {
+    /**
+     * Ends the attempt and closes its connection, which makes the endpoint stop work on the request.
+     *
+     * @param outcome how the attempt ended; ignored if it has ended before
+     */
+    void end(AttemptOutcome outcome) {
         boolean wasRunning = !isEnded;
         isEnded = true;
+        if (wasRunning) {
+            long sinceStartMillis = context.clock().millis() - startedAtMillis;
+            context.observers().notify(observer -> observer.handleEnd(caller, endpoint, outcome, sinceStartMillis));
+        }
         context.ledger().remove(runningRequest);
         exchange.close();
         if (wasRunning && runningRequest.work().heldTokens() > 0 && endpoint.isLeaving()) {
@@ -163,6 +173,11 @@
         }
     }
 
+    /** Outcome of an attempt whose exchange failed. */
+    AttemptOutcome failureOutcome() {
+        return isSent() ? AttemptOutcome.BROKEN : AttemptOutcome.UNREACHABLE;
+    }
+
     /**
      * Time at which the attempt began.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
@@ -20,6 +20,7 @@
  * @param memoryMover moves the memory of runs between engines
  * @param metrics counters and histograms
  * @param callDurations learned durations of calls
+ * @param observers observers of attempts at endpoints
  * @param promptGuard keeps prompts that crash endpoints away from them
  * @param pollBarrier delays work while the event loop is late
  * @param receiveBudget memory for received messages
@@ -37,6 +38,7 @@
         MemoryMover memoryMover,
         ForwardMetrics metrics,
         CallDurations callDurations,
+        AttemptObservers observers,
         PromptGuard promptGuard,
         PollBarrier pollBarrier,
         ReceiveBudget receiveBudget,
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -11,9 +11,12 @@
 import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.forward.EndpointEligibility;
 import org.redwinghook.core.forward.EndpointEntry;
 import org.redwinghook.core.forward.EngineMemory;
+import org.redwinghook.core.forward.Exclusion;
 import org.redwinghook.core.forward.KnownEndpoint;
+import org.redwinghook.core.forward.RequestScope;
 import org.redwinghook.core.forward.ServiceSettings;
 import org.redwinghook.core.placement.Candidate;
 import org.redwinghook.core.placement.CandidateSample;
@@ -27,6 +30,7 @@
 final class ForwardSelector {
 
     private final ForwardingState state;
+    private final EndpointEligibility eligibility;
     private final WorkLedger ledger;
     private final MonotonicClock clock;
     private final Supplier<ForwardingSettings> settings;
@@ -39,6 +43,7 @@
      * Creates a selector.
      *
      * @param state configuration and endpoints known to the router
+     * @param eligibility decides where a request may go; the selector adds the rules on regions and cold endpoints
      * @param ledger work of all routers at each endpoint
      * @param clock monotonic clock
      * @param settings settings in force; name and data centre of the router do not change
@@ -47,6 +52,7 @@
      */
     ForwardSelector(
             ForwardingState state,
+            EndpointEligibility eligibility,
             WorkLedger ledger,
             MonotonicClock clock,
             Supplier<ForwardingSettings> settings,
@@ -55,11 +61,14 @@
         this.routerCount = routerCount;
         this.random = random;
         this.state = state;
+        this.eligibility = eligibility;
         this.ledger = ledger;
         this.clock = clock;
         this.settings = settings;
         this.selfHash = RendezvousHash.hash(settings.get().process());
         this.dataCentre = settings.get().dataCentre();
+        eligibility.addRule(this::checkRegion);
+        eligibility.addRule(this::checkColdPace);
     }
 
     /**
@@ -93,12 +102,8 @@
             Set<String> excluded,
             String originDataCentre) {
         long now = clock.millis();
-        List<KnownEndpoint> allowed = allowedEndpoints(caller, excluded);
-        List<KnownEndpoint> reachable = allowed.stream()
-                .filter(endpoint -> !endpoint.health().shouldAvoid(now))
-                .toList();
         Optional<ServiceSettings> service = serviceSettings(caller.service());
-        List<KnownEndpoint> eligible = withinColdPace(service, reachable.isEmpty() ? allowed : reachable, now);
+        List<KnownEndpoint> eligible = eligibleEndpoints(caller, excluded, now);
         long memoryTokens = memory(service).capacityTokens();
         List<Candidate> candidates = new ArrayList<>();
         for (KnownEndpoint endpoint : eligible) {
@@ -115,23 +120,45 @@
                 .flatMap(best -> state.endpoints().find(best.id()));
     }
 
-    /**
-     * Excludes cold endpoints to which this router has already sent its share of the requests that they may receive.
-     */
-    private List<KnownEndpoint> withinColdPace(
-            Optional<ServiceSettings> service, List<KnownEndpoint> endpoints, long now) {
-        double limit = service.map(ServiceSettings::coldRequestsPerSecond).orElse(0.0);
-        return endpoints.stream()
-                .filter(endpoint -> !endpoint.isCold(now)
-                        || endpoint.pacing()
-                                .allows(
-                                        limit,
-                                        settings.get().coldBurst(),
-                                        routerCount.getAsInt(),
-                                        RendezvousHash.position(
-                                                selfHash, endpoint.entry().id()),
-                                        now))
+    /** Endpoints that may take a request, without those that cannot be reached if there are others. */
+    private List<KnownEndpoint> eligibleEndpoints(CallerExchange caller, Set<String> excluded, long now) {
+        List<KnownEndpoint> eligible = eligibility.eligibleEndpoints(scope(caller, excluded), now);
+        List<KnownEndpoint> reachable = eligible.stream()
+                .filter(endpoint -> !endpoint.health().shouldAvoid(now))
                 .toList();
+        return reachable.isEmpty() ? eligible : reachable;
+    }
+
+    private static RequestScope scope(CallerExchange caller, Set<String> excluded) {
+        return new RequestScope(
+                caller.requestId(), caller.service(), caller.route().name(), allowedRegions(caller), excluded);
+    }
+
+    private @Nullable Exclusion checkRegion(KnownEndpoint endpoint, RequestScope scope, long now) {
+        Set<String> allowedRegions = scope.allowedRegions();
+        if (allowedRegions == null) {
+            return null;
+        }
+        String region = settings.get().regions().get(endpoint.entry().dataCentre());
+        return region != null && allowedRegions.contains(region) ? null : Exclusion.REGION_NOT_ALLOWED;
+    }
+
+    /** Excludes cold endpoints to which this router has already sent its share of the requests that they may receive. */
+    private @Nullable Exclusion checkColdPace(KnownEndpoint endpoint, RequestScope scope, long now) {
+        if (!endpoint.isCold(now)) {
+            return null;
+        }
+        double limit = serviceSettings(scope.service())
+                .map(ServiceSettings::coldRequestsPerSecond)
+                .orElse(0.0);
+        boolean isAllowed = endpoint.pacing()
+                .allows(
+                        limit,
+                        settings.get().coldBurst(),
+                        routerCount.getAsInt(),
+                        RendezvousHash.position(selfHash, endpoint.entry().id()),
+                        now);
+        return isAllowed ? null : Exclusion.COLD_PACE;
     }
 
     /**
@@ -152,20 +179,6 @@
         return state.configuration().flatMap(configuration -> configuration.findService(service));
     }
 
-    private List<KnownEndpoint> allowedEndpoints(CallerExchange caller, Set<String> excluded) {
-        List<KnownEndpoint> allowed = new ArrayList<>();
-        Set<String> allowedRegions = allowedRegions(caller);
-        Map<String, String> regionByDataCentre = settings.get().regions();
-        for (KnownEndpoint endpoint : state.endpoints().usableEndpoints(caller.service())) {
-            String region = regionByDataCentre.get(endpoint.entry().dataCentre());
-            boolean isRegionAllowed = allowedRegions == null || (region != null && allowedRegions.contains(region));
-            if (isRegionAllowed && !excluded.contains(endpoint.entry().id())) {
-                allowed.add(endpoint);
-            }
-        }
-        return allowed;
-    }
-
     /**
      * Regions that may serve a request, null for all. If route and customer both restrict them, both restrictions
      * apply.
@@ -195,6 +208,7 @@
                 endpoint.waitingRequests(now),
                 distance,
                 endpoint.health().failureShare(now),
+                Candidate.USUAL_SLOWDOWN,
                 endpoint.isCold(now),
                 random.getAsDouble() * Candidate.MAXIMUM_JITTER_MILLIS);
     }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
 import org.redwinghook.core.forward.CallDurations;
+import org.redwinghook.core.forward.EndpointEligibility;
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.Hello;
@@ -98,6 +99,8 @@
         this.reloadable = reloadable;
         MonotonicClock clock = MonotonicClock.system();
         state = new ForwardingState(decoder, clock);
+        EndpointEligibility eligibility = new EndpointEligibility(state.endpoints());
+        AttemptObservers observers = new AttemptObservers();
         WorkLedger ledger = new WorkLedger();
         HttpClientAgent client = vertx.createHttpClient(
                 new HttpClientOptions().setTcpNoDelay(true).setKeepAlive(true).setDecompressionSupported(false));
@@ -114,12 +117,18 @@
                 client,
                 ledger,
                 new ForwardSelector(
-                        state, ledger, clock, reloadable::current, this::routerCount, () -> ThreadLocalRandom.current()
-                                .nextDouble()),
+                        state,
+                        eligibility,
+                        ledger,
+                        clock,
+                        reloadable::current,
+                        this::routerCount,
+                        () -> ThreadLocalRandom.current().nextDouble()),
                 new ServiceRetryBudgets(() -> reloadable.current().retries(), this::routerCount),
                 memoryMover,
                 metrics,
                 new CallDurations(),
+                observers,
                 promptGuard,
                 pollBarrier,
                 new ReceiveBudget(Runtime.getRuntime().maxMemory() / RECEIVE_BUDGET_HEAP_DIVISOR),
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -9,7 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 import io.vertx.core.Vertx;
 import org.jspecify.annotations.Nullable;
@@ -75,6 +77,8 @@
     private final Map<RecordTopic, ReplicaRepairPolicy> repairPolicies = new EnumMap<>(RecordTopic.class);
     private final Map<String, VersionedRecord> pendingOperatorRecords = new LinkedHashMap<>();
     private final Map<String, WorkTotals> lastReportedTotals = new HashMap<>();
+    private final Map<Class<? extends Message>, BiConsumer<ConfigurationPeer, Message>> handlers = new HashMap<>();
+    private final List<Consumer<ConfigurationPeer>> connectionHandlers = new ArrayList<>();
     private QuarantineEvidence pendingEvidence = QuarantineEvidence.NONE;
     private boolean lastReportedStoreAccess = true;
     private BooleanSupplier canReadStore = () -> true;
@@ -212,6 +216,7 @@
         if (!evidence.isEmpty()) {
             peer.send(toReport(evidence));
         }
+        connectionHandlers.forEach(handler -> handler.accept(peer));
     }
 
     @Override
@@ -247,6 +252,45 @@
             }
             share(merged.reply());
         }
+        BiConsumer<ConfigurationPeer, Message> handler = handlers.get(message.getClass());
+        if (handler != null) {
+            handler.accept(peer, message);
+        }
+    }
+
+    /**
+     * Registers the handler of a type of message that only one part of the router uses. Messages may be lost, repeated and
+     * reordered.
+     *
+     * @param type type of the message
+     * @param handler receives the sender and the message
+     * @param <M> type of the message
+     */
+    <M extends Message> void register(Class<M> type, BiConsumer<ConfigurationPeer, M> handler) {
+        handlers.put(type, (peer, message) -> handler.accept(peer, type.cast(message)));
+    }
+
+    /**
+     * Registers a part of the router that sends messages to a router when it connects.
+     *
+     * @param handler receives the connected router
+     */
+    void onConnected(Consumer<ConfigurationPeer> handler) {
+        connectionHandlers.add(handler);
+    }
+
+    /**
+     * Sends a message to all connected routers.
+     *
+     * @param message the message
+     */
+    void broadcast(Message message) {
+        broadcast(null, message);
+    }
+
+    /** Whether every router is connected to every other one, so that messages need not be relayed. */
+    boolean isFullyConnected() {
+        return isFullyConnected;
     }
 
     @Override
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -294,7 +294,7 @@
     private void cancel() {
         StreamAttempt attempt = currentAttempt;
         if (attempt != null) {
-            attempt.endpointAttempt.end();
+            attempt.endpointAttempt.end(AttemptOutcome.WITHDRAWN);
         }
         if (caller.isEnded()) {
             end();
@@ -327,6 +327,7 @@
         private @Nullable HttpClientResponse currentResponse;
         private long eventsOfAttempt;
         private long firstEventOfAttemptMillis;
+        private long lastEventOfAttemptMillis;
         private boolean isStopping;
 
         StreamAttempt(KnownEndpoint endpoint, @Nullable MemoryCopy copy) {
@@ -418,6 +419,7 @@
             }
             recordEventTime();
             recordProgress();
+            notifyOfEvent();
             caller.response().write(event.bytes());
             forwardedEvents++;
             runningRequest.recordProducedTokens(forwardedEvents * TOKENS_PER_EVENT);
@@ -426,6 +428,19 @@
             }
         }
 
+        private void notifyOfEvent() {
+            long now = lastEventMillis;
+            long previousMillis = lastEventOfAttemptMillis;
+            lastEventOfAttemptMillis = now;
+            if (eventsOfAttempt > 1) {
+                context.observers()
+                        .notify(observer -> observer.handleNextEvent(caller, endpoint, now - previousMillis));
+                return;
+            }
+            long sinceStartMillis = now - endpointAttempt.startedAtMillis();
+            context.observers().notify(observer -> observer.handleFirstEvent(caller, endpoint, sinceStartMillis));
+        }
+
         private void recordProgress() {
             endpointAttempt.recordResponse();
             if (eventsOfAttempt == 0) {
@@ -448,7 +463,7 @@
                                 : new HttpClosedException("the stream ended before its last event"));
                 return;
             }
-            endpointAttempt.end();
+            endpointAttempt.end(AttemptOutcome.SUCCEEDED);
             end();
             attempts.recordAnswer();
             endpoint.health().recordSuccess(context.clock().millis());
@@ -465,7 +480,8 @@
             if (endpointAttempt.isEnded()) {
                 return;
             }
-            endpointAttempt.end();
+            boolean isNotRun = head.notRun() || head.status() == EndpointAttempt.MISDIRECTED_REQUEST;
+            endpointAttempt.end(isNotRun ? AttemptOutcome.NOT_RUN : AttemptOutcome.FAILED);
             attempts.recordResponse();
             attempts.recordRefusal(endpoint);
             endpoint.health().recordFailure(context.clock().millis());
@@ -480,7 +496,7 @@
                 handleUnusedCopy(copy);
                 return;
             }
-            if (head.notRun() || head.status() == EndpointAttempt.MISDIRECTED_REQUEST) {
+            if (isNotRun) {
                 if (attempts.tryRetry(0)) {
                     startNextAttempt();
                     return;
@@ -515,7 +531,7 @@
             if (endpointAttempt.isEnded()) {
                 return;
             }
-            endpointAttempt.end();
+            endpointAttempt.end(isStopping ? AttemptOutcome.WITHDRAWN : endpointAttempt.failureOutcome());
             if (!isStopping) {
                 handleBrokenStream(failure);
                 return;
