--- a/core/src/main/java/org/redwinghook/core/forward/EndpointEntry.java
+++ b/core/src/main/java/org/redwinghook/core/forward/EndpointEntry.java
@@ -26,32 +26,6 @@
         long startedAtMillis,
         String version) {
 
-    /**
-     * Creates an entry that names no version.
-     *
-     * @param id identifier
-     * @param service name of its service
-     * @param host IP address
-     * @param port TCP port
-     * @param dataCentre data centre of its VM
-     * @param slots number of requests that it can run concurrently
-     * @param draining whether it takes no new requests
-     * @param coldMillis time for which it stays cold, counted from the write of the entry
-     * @param startedAtMillis Unix time of its start
-     */
-    public EndpointEntry(
-            String id,
-            String service,
-            String host,
-            int port,
-            String dataCentre,
-            int slots,
-            boolean draining,
-            long coldMillis,
-            long startedAtMillis) {
-        this(id, service, host, port, dataCentre, slots, draining, coldMillis, startedAtMillis, "");
-    }
-
     /**
      * Address of the endpoint.
      *
--- a/core/src/main/java/org/redwinghook/core/rollout/MergedEvidence.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/MergedEvidence.java
@@ -19,6 +19,7 @@
     private final Map<String, Double> typicalMillisByRoute = new HashMap<>();
     private long exposed;
     private long requests;
+    private long newVersionBad;
 
     /** Merges a report; returns whether it was newer than what was known. */
     boolean merge(RouterEvidence report, long nowMillis) {
@@ -62,6 +63,9 @@
     private void add(RouterEvidence report, int sign) {
         exposed += sign * report.exposed();
         requests += sign * report.requests();
+        for (RouteEvidence counts : report.routes()) {
+            newVersionBad += sign * counts.newVersion().bad();
+        }
     }
 
     long exposed() {
@@ -72,6 +76,11 @@
         return requests;
     }
 
+    /** Bad responses of the new version. */
+    long newVersionBad() {
+        return newVersionBad;
+    }
+
     /** Lets the typical times follow the newest reports; they are kept in between, since each request needs them. */
     void refreshTypicalTimes() {
         typicalMillisByRoute.clear();
--- a/core/src/main/java/org/redwinghook/core/rollout/RolloutDecision.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/RolloutDecision.java
@@ -74,6 +74,7 @@
     private boolean isProven;
     private boolean isDrained;
     private boolean isConfirmed;
+    private boolean wasConfirmed;
     private boolean runsAtNewVersion;
     private @Nullable String badBecause;
     private @Nullable RolloutState storedState;
@@ -177,6 +178,7 @@
      * @return whether it was newer than what was known
      */
     public boolean merge(RouterEvidence report, long nowMillis) {
+        long badBefore = others.newVersionBad();
         if (report.router().equals(self) || !others.merge(report, nowMillis)) {
             return false;
         }
@@ -190,7 +192,9 @@
         if (report.state() != null) {
             recordState(report.state());
         }
-        judge(nowMillis);
+        if (others.newVersionBad() > badBefore) {
+            judge(nowMillis);
+        }
         return true;
     }
 
@@ -214,15 +218,6 @@
         return storedState != null && storedState.isFinal();
     }
 
-    /**
-     * Why the version is bad.
-     *
-     * @return the reason with its evidence, null unless the version is bad
-     */
-    public @Nullable String badBecause() {
-        return badBecause;
-    }
-
     /**
      * Advances the roll-out; to be called several times a second.
      *
@@ -242,7 +237,9 @@
         }
         long elapsed = elapsedMillis(nowMillis);
         boolean isFresh = isFresh(nowMillis);
-        updateShift(nowMillis, isFresh);
+        Collection<RouteEvidence> routes = total(nowMillis).values();
+        isHeld = isSuspect(routes);
+        updateShift(routes, isFresh, nowMillis);
         isDrained = isShifted()
                 && isFresh
                 && (isDrained || !isHeld)
@@ -251,15 +248,16 @@
         isConfirmed = isDrained
                 && allOthersAreDrained(nowMillis)
                 && (isProven || (elapsed >= schedule.writeMillis() && !isHeld));
-        if (!isConfirmed && !isProven && elapsed >= schedule.lastDecisionMillis()) {
+        // A decision that was made in time is carried out late if the store was away.
+        wasConfirmed |= isConfirmed;
+        if (!wasConfirmed && !isProven && elapsed >= schedule.lastDecisionMillis()) {
             setBad(NOT_IN_TIME, nowMillis);
         }
         return hasOverdue;
     }
 
     /** Shifts the routes whose runs last until the end; the version has to have proven itself by then. */
-    private void updateShift(long nowMillis, boolean isFresh) {
-        Collection<RouteEvidence> routes = total(nowMillis).values();
+    private void updateShift(Collection<RouteEvidence> routes, boolean isFresh, long nowMillis) {
         shiftMillisByRoute.clear();
         routes.forEach(
                 counts -> shiftMillisByRoute.put(counts.route(), schedule.shiftMillis(counts.longestRunMillis())));
@@ -272,7 +270,6 @@
                 .max()
                 .orElse(firstShiftMillis);
         long elapsed = elapsedMillis(nowMillis);
-        isHeld = isSuspect(nowMillis);
         boolean mayBegin = elapsed >= firstShiftMillis && isFresh && hasEvidence(routes) && !isHeld;
         mayShift |= mayBegin;
         if (mayShift && !isShifted() && elapsed >= lastShiftMillis) {
@@ -280,19 +277,20 @@
         }
     }
 
-    private boolean isSuspect(long nowMillis) {
-        return VersionJudgement.badBecause(total(nowMillis).values(), VersionJudgement.Certainty.SUSPICION) != null;
+    private static boolean isSuspect(Collection<RouteEvidence> routes) {
+        return VersionJudgement.badBecause(routes, VersionJudgement.Certainty.SUSPICION) != null;
     }
 
     private void judge(long nowMillis) {
         if (badBecause != null || isEnded() || isProven) {
             return;
         }
-        String reason = VersionJudgement.badBecause(total(nowMillis).values(), VersionJudgement.Certainty.VERDICT);
+        Collection<RouteEvidence> routes = total(nowMillis).values();
+        String reason = VersionJudgement.badBecause(routes, VersionJudgement.Certainty.VERDICT);
         if (reason != null) {
             setBad(reason, nowMillis);
         }
-        isHeld = isSuspect(nowMillis);
+        isHeld = isSuspect(routes);
     }
 
     private void setBad(String reason, long nowMillis) {
--- a/core/src/test/java/org/redwinghook/core/forward/EndpointTableTest.java
+++ b/core/src/test/java/org/redwinghook/core/forward/EndpointTableTest.java
@@ -91,6 +91,6 @@
     }
 
     private static EndpointEntry entry(String id, boolean draining, long started) {
-        return new EndpointEntry(id, "calls", "127.0.0.1", 1, "dc", 2, draining, 0, started);
+        return new EndpointEntry(id, "calls", "127.0.0.1", 1, "dc", 2, draining, 0, started, "");
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -69,6 +69,36 @@
         registry.counter("redwinghook.forward.quarantine", "event", event).increment();
     }
 
+    /**
+     * Counts an attempt at an endpoint of a service with a roll-out.
+     *
+     * @param service service of the endpoint
+     * @param version version of the endpoint
+     * @param outcome how the attempt ended
+     */
+    void recordVersionAttempt(String service, String version, String outcome) {
+        registry.counter(
+                        "redwinghook.forward.version.attempts",
+                        "service",
+                        service,
+                        "version",
+                        version,
+                        "outcome",
+                        outcome)
+                .increment();
+    }
+
+    /**
+     * Counts an event of a roll-out.
+     *
+     * @param service service that is rolled out
+     * @param event kind of event: a phase of the roll-out, or an outcome of a write
+     */
+    void recordRollout(String service, String event) {
+        registry.counter("redwinghook.forward.rollouts", "service", service, "event", event)
+                .increment();
+    }
+
     private Timer timer(String name, String service) {
         return Timer.builder(name)
                 .tag("service", service)
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -83,6 +83,7 @@
      * @param vertx event loop of the router
      * @param reloadable its settings
      * @param store the platform's store
+     * @param rolloutStore statuses of roll-outs in the platform's store
      * @param decoder decodes its records
      * @param protocol mapping of HTTP headers
      * @param memoryMover moves the memory of runs between engines
@@ -91,6 +92,7 @@
             Vertx vertx,
             ReloadableSettings<ForwardingSettings> reloadable,
             RecordStore store,
+            RolloutStore rolloutStore,
             RecordDecoder decoder,
             ForwardProtocol protocol,
             MemoryMover memoryMover) {
@@ -136,6 +138,14 @@
         server = new ForwardServer(vertx, settings.caller(), context, streams, this::hasOtherRouters);
         readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
         routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock, promptGuard);
+        RolloutTracker rolloutTracker = new RolloutTracker(
+                new RolloutContext(vertx, state, routerExchange, ledger, rolloutStore, clock, metrics),
+                () -> reloadable.current().rollouts(),
+                settings.process(),
+                incarnation);
+        rolloutTracker.start();
+        observers.register(rolloutTracker);
+        eligibility.addRule(new RolloutRule(rolloutTracker, state.endpoints(), eligibility));
         state.onEndpointLeaving(new RunRelocator(context, streams, settings.process())::handleEndpointLeaving);
         WireMetrics wireMetrics = new WireMetrics(meters);
         mesh = new RouterMesh(
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
@@ -14,6 +14,7 @@
 import org.redwinghook.core.document.Findings;
 import org.redwinghook.core.document.YamlMap;
 import org.redwinghook.core.placement.ColdBurst;
+import org.redwinghook.core.rollout.RolloutLimits;
 import org.redwinghook.core.routing.RetryLimits;
 import org.redwinghook.runtime.settings.Address;
 
@@ -32,6 +33,7 @@
  * @param stopMillis time between the stop signal and the end of the process, in milliseconds
  * @param retries limits of the retries
  * @param coldBurst tolerance of cold endpoints for a burst
+ * @param rollouts limits of the roll-outs
  * @param digest checksum of the document, which tells operators which version of it is in force
  */
 public record ForwardingSettings(
@@ -47,6 +49,7 @@
         long stopMillis,
         RetryLimits retries,
         ColdBurst coldBurst,
+        RolloutLimits rollouts,
         String digest) {
 
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -58,6 +61,12 @@
     private static final double MAXIMUM_COLD_FACTOR = 1_000;
     private static final double MAXIMUM_COLD_REQUESTS = 1e6;
 
+    private static final double MAXIMUM_EXPOSURE_SLACK = 1e9;
+    private static final double MINIMUM_ROLLBACK_MILLIS = 1_000;
+    private static final double MAXIMUM_ROLLBACK_MILLIS = 3_600_000;
+    private static final double MAXIMUM_ROLLOUT_STEPS = 100;
+    private static final double MAXIMUM_ROLLOUT_EVIDENCE = 1e6;
+
     public ForwardingSettings {
         regions = Map.copyOf(regions);
     }
@@ -89,6 +98,7 @@
                         * root.nullableDecimal("stopSeconds", 0.001, MAXIMUM_STOP_SECONDS, DEFAULT_STOP_SECONDS)),
                 readRetries(root.map("retries")),
                 readColdBurst(root.map("coldEndpoints")),
+                readRollouts(root.map("rollouts")),
                 digest(text));
         root.rejectUnknownKeys();
         return findings.resultOf(settings);
@@ -130,6 +140,19 @@
         return burst;
     }
 
+    private static RolloutLimits readRollouts(YamlMap rollouts) {
+        RolloutLimits defaults = RolloutLimits.DEFAULT;
+        RolloutLimits limits = new RolloutLimits(
+                rollouts.nullableDecimal("exposureShare", 0, 1, defaults.exposureShare()),
+                rollouts.nullableDecimal("exposureSlack", 0, MAXIMUM_EXPOSURE_SLACK, defaults.exposureSlack()),
+                (long) rollouts.nullableDecimal(
+                        "rollbackMillis", MINIMUM_ROLLBACK_MILLIS, MAXIMUM_ROLLBACK_MILLIS, defaults.rollbackMillis()),
+                (int) rollouts.nullableDecimal("steps", 0, MAXIMUM_ROLLOUT_STEPS, defaults.steps()),
+                (int) rollouts.nullableDecimal("evidence", 1, MAXIMUM_ROLLOUT_EVIDENCE, defaults.evidence()));
+        rollouts.rejectUnknownKeys();
+        return limits;
+    }
+
     private static String digest(String text) {
         CRC32 checksum = new CRC32();
         checksum.update(text.getBytes(StandardCharsets.UTF_8));
@@ -150,7 +173,8 @@
         RETRY_SHARE(false, settings -> settings.retries().share()),
         RETRY_SLACK(false, settings -> settings.retries().slack()),
         RETRY_WINDOW(true, settings -> settings.retries().windowSeconds()),
-        COLD_ENDPOINTS(false, ForwardingSettings::coldBurst);
+        COLD_ENDPOINTS(false, ForwardingSettings::coldBurst),
+        ROLLOUTS(false, ForwardingSettings::rollouts);
 
         private final boolean needsRestart;
         private final Function<ForwardingSettings, Object> value;
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
@@ -35,6 +35,7 @@
     private final EndpointTable endpoints = new EndpointTable();
     private final List<Consumer<KnownEndpoint>> leavingHandlers = new ArrayList<>();
     private final List<BiConsumer<RecordTopic, List<VersionedRecord>>> changeHandlers = new ArrayList<>();
+    private final List<Consumer<OperatorRecord.Rollout>> rolloutHandlers = new ArrayList<>();
     private @Nullable ForwardingConfiguration configuration;
 
     /**
@@ -69,6 +70,15 @@
         changeHandlers.add(handler);
     }
 
+    /**
+     * Registers a listener for roll-outs.
+     *
+     * @param handler receives each new order and each removal of one
+     */
+    public void onRollout(Consumer<OperatorRecord.Rollout> handler) {
+        rolloutHandlers.add(handler);
+    }
+
     /**
      * Configuration in force.
      *
@@ -172,6 +182,9 @@
         if (record instanceof OperatorRecord.Configuration newest) {
             applyConfiguration(newest.configuration());
         }
+        if (record instanceof OperatorRecord.Rollout rollout) {
+            rolloutHandlers.forEach(handler -> handler.accept(rollout));
+        }
         if (record instanceof OperatorRecord.Withdrawal withdrawal
                 && endpoints.setWithdrawn(withdrawal.dataCentre(), withdrawal.withdrawn())) {
             LOGGER.info("data centre withdrawn={} name={}", withdrawal.withdrawn(), withdrawal.dataCentre());
--- a/router/src/main/java/org/redwinghook/router/forward/OperatorRecord.java
+++ b/router/src/main/java/org/redwinghook/router/forward/OperatorRecord.java
@@ -1,6 +1,8 @@
 package org.redwinghook.router.forward;
 
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.ForwardingConfiguration;
+import org.redwinghook.core.rollout.RolloutOrder;
 
 /** A record written by an operator. */
 public sealed interface OperatorRecord {
@@ -19,4 +21,12 @@
      * @param withdrawn whether the endpoints of the data centre receive no new requests
      */
     record Withdrawal(String dataCentre, boolean withdrawn) implements OperatorRecord {}
+
+    /**
+     * An order to roll out a version, or its removal.
+     *
+     * @param service name of the service
+     * @param order the order, null if it was removed
+     */
+    record Rollout(String service, @Nullable RolloutOrder order) implements OperatorRecord {}
 }
--- a/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
@@ -31,7 +31,7 @@
             if (record.key().equals(MALFORMED)) {
                 throw new IllegalStateException("undecodable");
             }
-            return Optional.of(new EndpointEntry(record.key(), "calls", "127.0.0.1", 1, "dc", 1, false, 0, 0));
+            return Optional.of(new EndpointEntry(record.key(), "calls", "127.0.0.1", 1, "dc", 1, false, 0, 0, ""));
         }
     };
 
