--- a/router/src/test/java/org/redwinghook/router/forward/ForwardingSettingsTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/ForwardingSettingsTest.java
@@ -4,6 +4,7 @@
 
 import io.vavr.control.Either;
 import org.redwinghook.core.document.Finding;
+import org.redwinghook.core.rollout.RolloutLimits;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -24,6 +25,7 @@
             stopSeconds: 8
             retries: {share: 0.2, slack: 52, windowSeconds: 10}
             coldEndpoints: {burstFactor: 1.5, burstRequests: 5}
+            rollouts: {exposureShare: 0.2, exposureSlack: 30, rollbackMillis: 4000, steps: 3, evidence: 10}
             """;
 
     @Test
@@ -32,6 +34,18 @@
         Assert.assertEquals(settings.caller().toString(), "10.0.0.1:80");
         Assert.assertEquals(settings.regions().get("dc-1"), "region-1");
         Assert.assertEquals(settings.retries().slack(), 52.0);
+        Assert.assertEquals(settings.rollouts(), new RolloutLimits(0.2, 30, 4_000, 3, 10));
+    }
+
+    /** Deployments without roll-outs set none of the limits. */
+    @Test
+    public void limitsOfRolloutsHaveDefaultsAndBounds() {
+        String text = VALID.substring(0, VALID.indexOf("rollouts:"));
+        Assert.assertEquals(read(text).get().rollouts(), RolloutLimits.DEFAULT);
+        Assert.assertEquals(read(text + "rollouts: {evidence: 20}").get().rollouts(), RolloutLimits.DEFAULT);
+        for (String wrong : List.of("exposureShare: 1.1", "rollbackMillis: 10", "steps: 101", "evidence: 0", "x: 1")) {
+            Assert.assertTrue(read(text + "rollouts: {" + wrong + "}").isLeft(), wrong);
+        }
     }
 
     @Test
@@ -64,7 +78,8 @@
             {"slack: ", "52"},
             {"windowSeconds: ", "10"},
             {"burstFactor: ", "1.5"},
-            {"burstRequests: ", "5"}
+            {"burstRequests: ", "5"},
+            {"exposureSlack: ", "30"}
         };
     }
 
--- a/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
@@ -14,6 +14,7 @@
 import org.redwinghook.core.message.Message;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.message.QuarantineReport;
+import org.redwinghook.core.message.RolloutReport;
 import org.redwinghook.core.message.Submit;
 import org.redwinghook.core.message.TokenUsage;
 import org.redwinghook.core.message.Tokens;
@@ -22,6 +23,9 @@
 import org.redwinghook.core.quarantine.PartTrial;
 import org.redwinghook.core.quarantine.QuarantineEvidence;
 import org.redwinghook.core.quarantine.SuspectRequest;
+import org.redwinghook.core.rollout.RouteEvidence;
+import org.redwinghook.core.rollout.RouterEvidence;
+import org.redwinghook.core.rollout.VersionCounts;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -52,6 +56,25 @@
                         List.of(new PartSuccess("p-1", -4_000)),
                         List.of(new PartTrial("p-2", "r-2", 0, true))))
             },
+            {
+                new RolloutReport(
+                        "calls",
+                        "v2",
+                        7,
+                        new RouterEvidence(
+                                "router-1",
+                                1L << 40,
+                                3,
+                                900,
+                                2,
+                                true,
+                                false,
+                                false,
+                                "why",
+                                null,
+                                List.of(new RouteEvidence(
+                                        "orders", 9, new VersionCounts(7, 1, 0), VersionCounts.NONE, 40, 2.5, 0))))
+            },
             {new Submit(9, "copy", "parna", "retail", 5, 30_000, 256, new GenerationRequest("copy", "Hi", 1, 64), null)
             },
         };
@@ -84,10 +107,12 @@
 
     /** Missing lists must not reach the routers' decisions. */
     @Test
-    public void damagedQuarantineReportIsFailure() throws Exception {
-        for (List<?> fields : List.of(List.of(), List.of(List.of(List.of())))) {
-            byte[] damaged = mapper.writeValueAsBytes(List.of("quarantineReport", fields));
-            Assert.assertTrue(codec.decode(Buffer.buffer(damaged)).isFailure(), "fields " + fields);
+    public void damagedReportIsFailure() throws Exception {
+        for (List<?> fields : List.of(List.of(), List.of(List.of(List.of())), List.of("s", "v", 1, List.of()))) {
+            for (String name : List.of("quarantineReport", "rolloutReport")) {
+                byte[] damaged = mapper.writeValueAsBytes(List.of(name, fields));
+                Assert.assertTrue(codec.decode(Buffer.buffer(damaged)).isFailure(), name + " " + fields);
+            }
         }
     }
 
