--- a/core/src/main/java/org/redwinghook/core/rollout/LocalEvidence.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/LocalEvidence.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
+import java.util.function.Function;
 
 /**
  * Evidence of one router about a version: how its responses end, and how long they take compared with those of the old
@@ -24,7 +24,7 @@
     private static final double TOLERANCE_MILLIS = 20;
 
     /** Age up to which the typical times of the old version are those of the same time, in milliseconds. */
-    private static final long COMPARISON_MILLIS = 3_000;
+    private static final long COMPARISON_MILLIS = 10_000;
 
     /** Typical times after the first request of a route from which the typical time is known. */
     private static final double REPRESENTATIVE_TIMES = 4;
@@ -58,16 +58,22 @@
             AttemptEnd end,
             long sinceStartMillis,
             long nowMillis,
-            ToDoubleFunction<String> reported) {
+            Function<String, OldVersionTimes> reported) {
         running.remove(attempt);
         if (end == AttemptEnd.NOT_RUN || attempt.markCounted()) {
             return false;
         }
         RouteCounts counts = routes.computeIfAbsent(attempt.route(), name -> new RouteCounts());
-        boolean isSlow = counts.isSlow(attempt, nowMillis, reported);
+        OldVersionTimes comparison = counts.times.plus(reported.apply(attempt.route()));
+        boolean isSlow = counts.isSlow(attempt, comparison, nowMillis);
+        attempt.recordEnd(sinceStartMillis);
         if (end == AttemptEnd.COMPLETED && !attempt.isNewVersion()) {
             counts.recordTimes(attempt, sinceStartMillis, nowMillis);
         }
+        if (end == AttemptEnd.COMPLETED && !isSlow && !counts.isComparable(comparison, nowMillis)) {
+            counts.pending.add(attempt);
+            return false;
+        }
         boolean isFailure = end == AttemptEnd.FAILED || (end == AttemptEnd.BROKEN && !isSlow);
         if (!isSlow && (end == AttemptEnd.WITHDRAWN || (end == AttemptEnd.BROKEN && isSameBreak(attempt, nowMillis)))) {
             return false;
@@ -87,12 +93,24 @@
         counts.longestRunMillis = Math.max(counts.longestRunMillis, millis);
     }
 
-    /** Counts responses that are late already, since a version may never respond; returns whether there were any. */
-    boolean countOverdue(long nowMillis, ToDoubleFunction<String> reported) {
+    /**
+     * Counts responses that are late already, since a version may never respond, and those that ended before times of the
+     * old version were known.
+     *
+     * @param mayLackComparison whether to count the latter although such times are still not known
+     * @return whether there were bad responses of the new version
+     */
+    boolean countOutstanding(boolean mayLackComparison, long nowMillis, Function<String, OldVersionTimes> reported) {
         boolean found = false;
+        for (Map.Entry<String, RouteCounts> route : routes.entrySet()) {
+            RouteCounts counts = route.getValue();
+            OldVersionTimes comparison = counts.times.plus(reported.apply(route.getKey()));
+            found |= counts.countPending(mayLackComparison, comparison, nowMillis);
+        }
         for (ObservedAttempt attempt : List.copyOf(running)) {
             RouteCounts counts = routes.computeIfAbsent(attempt.route(), name -> new RouteCounts());
-            if (counts.isSlow(attempt, nowMillis, reported) && !attempt.markCounted()) {
+            OldVersionTimes comparison = counts.times.plus(reported.apply(attempt.route()));
+            if (counts.isSlow(attempt, comparison, nowMillis) && !attempt.markCounted()) {
                 counts.add(attempt.isNewVersion(), false, true);
                 found |= attempt.isNewVersion();
             }
@@ -112,57 +130,65 @@
         return running.stream().anyMatch(attempt -> attempt.isNewVersion() == newVersion);
     }
 
-    List<RouteEvidence> routes(long nowMillis) {
+    List<RouteEvidence> routes() {
         List<RouteEvidence> evidence = new ArrayList<>();
-        routes.forEach((route, counts) -> evidence.add(counts.evidence(route, nowMillis)));
+        routes.forEach((route, counts) -> evidence.add(counts.evidence(route)));
         return evidence;
     }
 
     private static final class RouteCounts {
 
-        private final TypicalTime typical = new TypicalTime();
-        private final TypicalTime typicalGap = new TypicalTime();
+        private final List<ObservedAttempt> pending = new ArrayList<>();
         private long requests;
         private long firstRequestMillis;
         private long longestRunMillis;
         private VersionCounts oldVersion = VersionCounts.NONE;
         private VersionCounts newVersion = VersionCounts.NONE;
-        private long comparedAtMillis = Long.MIN_VALUE / 2;
+        private OldVersionTimes times = OldVersionTimes.NONE;
 
         private void recordTimes(ObservedAttempt attempt, long sinceStartMillis, long nowMillis) {
             longestRunMillis = Math.max(longestRunMillis, sinceStartMillis);
             if (attempt.isCold()) {
                 return;
             }
-            comparedAtMillis = nowMillis;
-            typical.record(attempt.responseMillis(nowMillis));
-            if (attempt.meanGapMillis() > 0) {
-                typicalGap.record(attempt.meanGapMillis());
-            }
+            TimeSum gaps = attempt.meanGapMillis() > 0 ? TimeSum.NONE.plus(attempt.meanGapMillis()) : TimeSum.NONE;
+            times = times.plus(
+                    new OldVersionTimes(TimeSum.NONE.plus(attempt.responseMillis(nowMillis)), gaps, nowMillis));
         }
 
-        private boolean isSlow(ObservedAttempt attempt, long nowMillis, ToDoubleFunction<String> reported) {
-            if (attempt.isCold()) {
+        /** Whether the typical time is known, also that of slow responses: the first to end are those of fast machines. */
+        private boolean isComparable(OldVersionTimes comparison, long nowMillis) {
+            double typical = comparison.responses().typicalMillis();
+            return typical > 0 && nowMillis - firstRequestMillis >= REPRESENTATIVE_TIMES * typical;
+        }
+
+        private boolean isSlow(ObservedAttempt attempt, OldVersionTimes comparison, long nowMillis) {
+            if (attempt.isCold() || !isComparable(comparison, nowMillis)) {
                 return false;
             }
-            double expected = knownTypicalMillis(nowMillis);
-            if (!typical.isSufficient()) {
-                expected = Math.max(expected, reported.applyAsDouble(attempt.route()));
-            }
-            return exceeds(attempt.responseMillis(nowMillis), expected, nowMillis)
-                    || exceeds(attempt.meanGapMillis(), typicalGap.millis(), nowMillis);
+            boolean isRecent = nowMillis - comparison.newestAtMillis() <= COMPARISON_MILLIS;
+            double factor = isRecent ? SLOW_FACTOR : SLOW_FACTOR_WITHOUT_COMPARISON;
+            return exceeds(attempt.responseMillis(nowMillis), comparison.responses(), factor)
+                    || exceeds(attempt.meanGapMillis(), comparison.gaps(), factor);
         }
 
-        /** Typical time, 0 until slow responses have ended, too: the first ones to end are those of the fastest machines. */
-        private double knownTypicalMillis(long nowMillis) {
-            boolean isKnown = nowMillis - firstRequestMillis >= REPRESENTATIVE_TIMES * typical.millis();
-            return isKnown ? typical.millis() : 0;
+        private static boolean exceeds(double millis, TimeSum expected, double factor) {
+            double typical = expected.typicalMillis();
+            return typical > 0 && millis > factor * typical + TOLERANCE_MILLIS;
         }
 
-        private boolean exceeds(double millis, double expected, long nowMillis) {
-            boolean isCompared = nowMillis - comparedAtMillis <= COMPARISON_MILLIS;
-            double factor = isCompared ? SLOW_FACTOR : SLOW_FACTOR_WITHOUT_COMPARISON;
-            return expected > 0 && millis > factor * expected + TOLERANCE_MILLIS;
+        private boolean countPending(boolean mayLackComparison, OldVersionTimes comparison, long nowMillis) {
+            if (!mayLackComparison && !isComparable(comparison, nowMillis)) {
+                return false;
+            }
+            boolean found = false;
+            for (ObservedAttempt attempt : pending) {
+                boolean isSlow = isSlow(attempt, comparison, nowMillis);
+                add(attempt.isNewVersion(), false, isSlow);
+                found |= isSlow && attempt.isNewVersion();
+            }
+            pending.clear();
+            return found;
         }
 
         private void add(boolean isNewVersion, boolean isFailure, boolean isSlow) {
@@ -174,15 +200,9 @@
             }
         }
 
-        private RouteEvidence evidence(String route, long nowMillis) {
+        private RouteEvidence evidence(String route) {
             return new RouteEvidence(
-                    route,
-                    requests,
-                    oldVersion,
-                    newVersion,
-                    longestRunMillis,
-                    knownTypicalMillis(nowMillis),
-                    typicalGap.millis());
+                    route, requests, oldVersion, newVersion, longestRunMillis, times.responses(), times.gaps());
         }
     }
 }
--- a/core/src/main/java/org/redwinghook/core/rollout/MergedEvidence.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/MergedEvidence.java
@@ -16,7 +16,7 @@
 
     private final Map<String, TreeMap<Long, RouterEvidence>> evidence = new HashMap<>();
     private final Map<String, Long> receivedMillis = new HashMap<>();
-    private final Map<String, Double> typicalMillisByRoute = new HashMap<>();
+    private final Map<String, OldVersionTimes> timesByRoute = new HashMap<>();
     private long exposed;
     private long requests;
     private long newVersionBad;
@@ -81,24 +81,27 @@
         return newVersionBad;
     }
 
-    /** Lets the typical times follow the newest reports; they are kept in between, since each request needs them. */
-    void refreshTypicalTimes() {
-        typicalMillisByRoute.clear();
-    }
-
-    /** Typical time on a route at the old version according to the other routers, 0 if none knows it. */
-    double typicalMillis(String route) {
-        return typicalMillisByRoute.computeIfAbsent(route, this::medianOfTypicalTimes);
+    /** Updates the times of the old version to the newest reports. */
+    void refreshTimes(long nowMillis) {
+        Map<String, OldVersionTimes> before = Map.copyOf(timesByRoute);
+        timesByRoute.clear();
+        for (RouterEvidence report : all()) {
+            for (RouteEvidence counts : report.routes()) {
+                OldVersionTimes times =
+                        new OldVersionTimes(counts.responseTimes(), counts.gapTimes(), Long.MIN_VALUE / 2);
+                timesByRoute.merge(counts.route(), times, OldVersionTimes::plus);
+            }
+        }
+        timesByRoute.replaceAll((route, times) -> {
+            OldVersionTimes known = before.getOrDefault(route, OldVersionTimes.NONE);
+            boolean isNewer = times.responses().times() > known.responses().times();
+            return new OldVersionTimes(times.responses(), times.gaps(), isNewer ? nowMillis : known.newestAtMillis());
+        });
     }
 
-    private double medianOfTypicalTimes(String route) {
-        double[] known = all().stream()
-                .flatMap(report -> report.routes().stream())
-                .filter(counts -> counts.route().equals(route) && counts.typicalMillis() > 0)
-                .mapToDouble(RouteEvidence::typicalMillis)
-                .sorted()
-                .toArray();
-        return known.length == 0 ? 0 : known[known.length / 2];
+    /** Times of the old version on a route according to the other routers. */
+    OldVersionTimes times(String route) {
+        return timesByRoute.getOrDefault(route, OldVersionTimes.NONE);
     }
 
     /** Evidence of all routers by route. */
--- a/core/src/main/java/org/redwinghook/core/rollout/ObservedAttempt.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/ObservedAttempt.java
@@ -80,6 +80,13 @@
         return gaps == 0 ? 0 : (double) gapMillis / gaps;
     }
 
+    /** Keeps the time to the response as it is at the end. */
+    void recordEnd(long sinceStartMillis) {
+        if (firstEventMillis < 0) {
+            firstEventMillis = sinceStartMillis;
+        }
+    }
+
     /** Marks the attempt as counted; returns whether it was counted before. */
     boolean markCounted() {
         boolean before = isCounted;
--- a/core/src/main/java/org/redwinghook/core/rollout/RolloutDecision.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/RolloutDecision.java
@@ -42,6 +42,9 @@
     /** Good responses with which a version without bad ones may complete if there are few requests. */
     private static final int LEAST_EVIDENCE = 3;
 
+    /** Slow responses for each good one that the old version may have, too. */
+    private static final double TOLERATED_SLOW_SHARE = 0.25;
+
     /** Requests for each good response that few requests must give. */
     private static final int REQUESTS_PER_EVIDENCE = 4;
 
@@ -63,6 +66,7 @@
     private final ExposureAllowance allowance;
     private final LocalEvidence local = new LocalEvidence();
     private final MergedEvidence others = new MergedEvidence();
+    private final RecentEvidence recent = new RecentEvidence();
     private RolloutRouters routers = new RolloutRouters(Set.of(), Set.of());
     private long startedAtMillis;
     private long shiftedAtMillis = Long.MAX_VALUE;
@@ -163,7 +167,7 @@
      * @return whether it was a bad response of the new version, which other routers have to know at once
      */
     public boolean recordEnd(ObservedAttempt attempt, AttemptEnd end, long sinceStartMillis, long nowMillis) {
-        boolean isBadResponse = local.recordEnd(attempt, end, sinceStartMillis, nowMillis, others::typicalMillis);
+        boolean isBadResponse = local.recordEnd(attempt, end, sinceStartMillis, nowMillis, others::times);
         if (isBadResponse) {
             judge(nowMillis);
         }
@@ -229,16 +233,17 @@
     public boolean advance(RolloutRouters known, boolean runsAtOldVersion, long nowMillis) {
         routers = known;
         runsAtNewVersion = local.hasRunning(true);
-        others.refreshTypicalTimes();
-        boolean hasOverdue = local.countOverdue(nowMillis, others::typicalMillis);
+        others.refreshTimes(nowMillis);
+        boolean mayLackComparison = elapsedMillis(nowMillis) >= firstShiftMillis;
+        boolean hasOverdue = local.countOutstanding(mayLackComparison, nowMillis, others::times);
+        recent.record(total(), nowMillis);
         judge(nowMillis);
         if (badBecause != null || isEnded()) {
             return hasOverdue;
         }
         long elapsed = elapsedMillis(nowMillis);
         boolean isFresh = isFresh(nowMillis);
-        Collection<RouteEvidence> routes = total(nowMillis).values();
-        isHeld = isSuspect(routes);
+        Collection<RouteEvidence> routes = total().values();
         updateShift(routes, isFresh, nowMillis);
         isDrained = isShifted()
                 && isFresh
@@ -285,12 +290,15 @@
         if (badBecause != null || isEnded() || isProven) {
             return;
         }
-        Collection<RouteEvidence> routes = total(nowMillis).values();
-        String reason = VersionJudgement.badBecause(routes, VersionJudgement.Certainty.VERDICT);
+        Map<String, RouteEvidence> total = total();
+        String reason = VersionJudgement.badBecause(total.values(), VersionJudgement.Certainty.VERDICT);
+        if (reason == null) {
+            reason = recent.badBecause(total);
+        }
         if (reason != null) {
             setBad(reason, nowMillis);
         }
-        isHeld = isSuspect(routes);
+        isHeld = isSuspect(total.values());
     }
 
     private void setBad(String reason, long nowMillis) {
@@ -476,7 +484,7 @@
                 isProven,
                 badBecause,
                 storedState,
-                local.routes(nowMillis));
+                local.routes());
     }
 
     /**
@@ -491,7 +499,7 @@
         text.append(" exposed=").append(local.exposed() + others.exposed());
         text.append(" firstShiftMillis=").append(firstShiftMillis);
         text.append(" bad=\"").append(badBecause == null ? "no" : badBecause).append('"');
-        total(nowMillis).forEach((route, counts) -> text.append(" route=")
+        total().forEach((route, counts) -> text.append(" route=")
                 .append(route)
                 .append(" old=")
                 .append(describe(counts.oldVersion()))
@@ -514,8 +522,8 @@
         return nowMillis - startedAtMillis;
     }
 
-    private Map<String, RouteEvidence> total(long nowMillis) {
-        return others.total(local.routes(nowMillis));
+    private Map<String, RouteEvidence> total() {
+        return others.total(local.routes());
     }
 
     private boolean isShifted() {
@@ -526,15 +534,21 @@
     private boolean hasEvidence(Collection<RouteEvidence> routes) {
         long good =
                 routes.stream().mapToLong(counts -> counts.newVersion().good()).sum();
-        long bad =
-                routes.stream().mapToLong(counts -> counts.newVersion().bad()).sum();
+        long failures = routes.stream()
+                .mapToLong(counts -> counts.newVersion().failures())
+                .sum();
+        long slow =
+                routes.stream().mapToLong(counts -> counts.newVersion().slow()).sum();
         long requests = routes.stream().mapToLong(RouteEvidence::requests).sum();
         long onEachRoute = Math.max(1, limits.evidence() / ROUTE_EVIDENCE_DIVISOR);
         if (good >= limits.evidence() && hasGoodOnRoutesWithTraffic(routes, onEachRoute)) {
             return true;
         }
         long least = Math.max(1, Math.min(LEAST_EVIDENCE, requests / REQUESTS_PER_EVIDENCE));
-        return bad == 0 && good >= least && hasGoodOnRoutesWithTraffic(routes, 1);
+        return failures == 0
+                && slow <= good * TOLERATED_SLOW_SHARE
+                && good >= least
+                && hasGoodOnRoutesWithTraffic(routes, 1);
     }
 
     private static boolean hasGoodOnRoutesWithTraffic(Collection<RouteEvidence> routes, long least) {
--- a/core/src/main/java/org/redwinghook/core/rollout/RolloutSchedule.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/RolloutSchedule.java
@@ -4,7 +4,7 @@
 final class RolloutSchedule {
 
     /** Time before the end in which a status is written despite a failed call of the store, in milliseconds. */
-    private static final long WRITE_MILLIS = 3_000;
+    private static final long WRITE_MILLIS = 2_500;
 
     /** Further time before the end: 1/n of the duration, up to a maximum. */
     private static final long MARGIN_DIVISOR = 50;
--- a/core/src/main/java/org/redwinghook/core/rollout/RouteEvidence.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/RouteEvidence.java
@@ -12,8 +12,8 @@
  * @param oldVersion responses of the versions in use
  * @param newVersion responses of the version on trial
  * @param longestRunMillis longest run at the old version, in milliseconds; 0 if none has ended
- * @param typicalMillis typical time to the response, or to the first event, at the old version; 0 if not known
- * @param typicalGapMillis typical time between events at the old version; 0 if not known
+ * @param responseTimes times to the responses, or to their first events, at the old version
+ * @param gapTimes mean times between the events of responses of the old version
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record RouteEvidence(
@@ -22,16 +22,38 @@
         VersionCounts oldVersion,
         VersionCounts newVersion,
         long longestRunMillis,
-        double typicalMillis,
-        double typicalGapMillis) {
+        TimeSum responseTimes,
+        TimeSum gapTimes) {
 
     public RouteEvidence {
         Objects.requireNonNull(route);
         Objects.requireNonNull(oldVersion);
         Objects.requireNonNull(newVersion);
+        Objects.requireNonNull(responseTimes);
+        Objects.requireNonNull(gapTimes);
     }
 
-    /** Adds the counts of another router; typical times are not additive and are dropped. */
+    /** Compares with the old version's responses of a longer time, unless those of this time are worse. */
+    RouteEvidence comparedWith(RouteEvidence longer) {
+        VersionCounts all = longer.oldVersion;
+        boolean isWorse = oldVersion.bad() * all.ended() > all.bad() * oldVersion.ended();
+        return new RouteEvidence(
+                route, requests, isWorse ? oldVersion : all, newVersion, longestRunMillis, responseTimes, gapTimes);
+    }
+
+    /** Responses of both versions since an earlier state. */
+    RouteEvidence since(RouteEvidence earlier) {
+        return new RouteEvidence(
+                route,
+                requests - earlier.requests,
+                oldVersion.minus(earlier.oldVersion),
+                newVersion.minus(earlier.newVersion),
+                longestRunMillis,
+                responseTimes,
+                gapTimes);
+    }
+
+    /** Adds the evidence of another router. */
     RouteEvidence plus(RouteEvidence other) {
         return new RouteEvidence(
                 route,
@@ -39,7 +61,7 @@
                 oldVersion.plus(other.oldVersion),
                 newVersion.plus(other.newVersion),
                 Math.max(longestRunMillis, other.longestRunMillis),
-                0,
-                0);
+                responseTimes.plus(other.responseTimes),
+                gapTimes.plus(other.gapTimes));
     }
 }
--- a/core/src/main/java/org/redwinghook/core/rollout/VersionCounts.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/VersionCounts.java
@@ -36,6 +36,10 @@
         return ended - bad();
     }
 
+    VersionCounts minus(VersionCounts other) {
+        return new VersionCounts(ended - other.ended, failures - other.failures, slow - other.slow);
+    }
+
     VersionCounts plus(VersionCounts other) {
         return new VersionCounts(ended + other.ended, failures + other.failures, slow + other.slow);
     }
--- a/core/src/main/java/org/redwinghook/core/rollout/VersionJudgement.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/VersionJudgement.java
@@ -12,11 +12,11 @@
  */
 final class VersionJudgement {
 
-    /** Multiple of the old version's share of bad responses that a good version may have by chance or by its machines. */
-    private static final double TOLERATED_FACTOR = 2;
+    /** Bad responses of the old version that are assumed before there are any, for each unit of the factor. */
+    private static final double PRIOR_BAD = 0.5;
 
-    /** Responses of the old version that its share is assumed to be known from before there are any. */
-    private static final double PRIOR_RESPONSES = 50;
+    /** Responses among which they are assumed, divided by the factor. */
+    private static final double PRIOR_RESPONSES = 100;
 
     /** Share above which the old version is no comparison. */
     private static final double MAXIMUM_TOLERATED_SHARE = 0.9;
@@ -32,33 +32,46 @@
     /** Certainty of a judgement. */
     enum Certainty {
         /** The bad responses are hardly chance. */
-        VERDICT(1e-4),
+        VERDICT(1e-4, 2),
+        /** The same if only recent responses are considered, which is done many times. */
+        RECENT_VERDICT(2e-5, 2),
         /** The bad responses may be chance, but the version must not receive all requests on this evidence. */
-        SUSPICION(0.03);
+        SUSPICION(0.05, 1);
 
         private final double minimumInformation;
-
-        Certainty(double chance) {
+        private final double toleratedFactor;
+
+        /**
+         * Creates a certainty.
+         *
+         * @param chance probability of as many bad responses by chance
+         * @param toleratedFactor multiple of the old version's share of failures that a version may have
+         */
+        Certainty(double chance, double toleratedFactor) {
             this.minimumInformation = -Math.log(chance);
+            this.toleratedFactor = toleratedFactor;
         }
     }
 
     private enum Kind {
-        FAILURES(VersionCounts::failures, 0.005),
+        FAILURES(VersionCounts::failures, 0.005, 1),
         /** Machines that are slow for a while are no fault of a version. */
-        SLOW(VersionCounts::slow, 0.08);
+        SLOW(VersionCounts::slow, 0.08, 2);
 
         private final ToLongFunction<VersionCounts> number;
         private final double minimumToleratedShare;
+        private final double minimumFactor;
 
-        Kind(ToLongFunction<VersionCounts> number, double minimumToleratedShare) {
+        Kind(ToLongFunction<VersionCounts> number, double minimumToleratedShare, double minimumFactor) {
             this.number = number;
             this.minimumToleratedShare = minimumToleratedShare;
+            this.minimumFactor = minimumFactor;
         }
 
-        private double toleratedShare(VersionCounts oldVersion) {
-            double share =
-                    TOLERATED_FACTOR * (number.applyAsLong(oldVersion) + 1) / (oldVersion.ended() + PRIOR_RESPONSES);
+        private double toleratedShare(VersionCounts oldVersion, Certainty certainty) {
+            double factor = Math.max(minimumFactor, certainty.toleratedFactor);
+            double bad = number.applyAsLong(oldVersion) + PRIOR_BAD * factor;
+            double share = factor * bad / (oldVersion.ended() + PRIOR_RESPONSES / factor);
             return Math.min(MAXIMUM_TOLERATED_SHARE, Math.max(minimumToleratedShare, share));
         }
 
@@ -66,7 +79,7 @@
         private boolean isBad(VersionCounts counts, double toleratedShare, Certainty certainty) {
             long bad = number.applyAsLong(counts);
             double share = (double) bad / Math.max(1, counts.ended());
-            if (share <= toleratedShare || (certainty == Certainty.VERDICT && bad < MINIMUM_BAD)) {
+            if (share <= toleratedShare || (certainty != Certainty.SUSPICION && bad < MINIMUM_BAD)) {
                 return false;
             }
             double divergence = share * Math.log(share / toleratedShare);
@@ -90,7 +103,7 @@
             VersionCounts oldOnAll = VersionCounts.NONE;
             double tolerated = 0;
             for (RouteEvidence evidence : routes) {
-                double toleratedShare = kind.toleratedShare(evidence.oldVersion());
+                double toleratedShare = kind.toleratedShare(evidence.oldVersion(), certainty);
                 if (kind.isBad(evidence.newVersion(), toleratedShare, certainty)) {
                     return describe(evidence.route(), evidence.newVersion(), evidence.oldVersion());
                 }
--- a/core/src/test/java/org/redwinghook/core/rollout/RolloutDecisionTest.java
+++ b/core/src/test/java/org/redwinghook/core/rollout/RolloutDecisionTest.java
@@ -14,6 +14,9 @@
             (random, millis, route, loaded) -> random.nextInt(500) == 0 ? -1 : 1;
     private static final SimulatedRollout.Version BAD_AT_ONCE =
             (random, millis, route, loaded) -> random.nextInt(4) == 0 ? -1 : 1;
+    private static final SimulatedRollout.Version TENTH_FAILS =
+            (random, millis, route, loaded) -> random.nextInt(10) == 0 ? -1 : 1;
+    private static final SimulatedRollout.Version SLOW_LATE = (random, millis, route, loaded) -> millis > 5_000 ? 4 : 1;
     private static final SimulatedRollout.Version BAD_LATE =
             (random, millis, route, loaded) -> millis > 6_000 && random.nextInt(2) == 0 ? -1 : 1;
     private static final SimulatedRollout.Version BAD_UNDER_LOAD =
@@ -45,9 +48,14 @@
             rows.add(new Object[] {"slow", site, SLOW, 6, RolloutState.REVERTED});
             rows.add(new Object[] {"without endpoints", site, GOOD, 0, RolloutState.REVERTED});
             if (site.requestsPerSecond() >= 60) {
+                rows.add(new Object[] {"a tenth fails", site, TENTH_FAILS, 6, RolloutState.REVERTED});
+                rows.add(new Object[] {"slow late", site, SLOW_LATE, 6, RolloutState.REVERTED});
                 rows.add(new Object[] {"bad under load", site, BAD_UNDER_LOAD, 6, RolloutState.REVERTED});
             }
         }
+        SimulatedRollout.Site fewRequests = new SimulatedRollout.Site(24, 5, 12_000, 50, 0.1);
+        rows.add(new Object[] {"good", fewRequests, GOOD, 6, RolloutState.COMPLETE});
+        rows.add(new Object[] {"slow", fewRequests, SLOW, 6, RolloutState.REVERTED});
         rows.add(new Object[] {
             "good with little traffic", new SimulatedRollout.Site(3, 1, 12_000, 50, 0), GOOD, 6, RolloutState.COMPLETE
         });
