--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -5,8 +5,8 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.dispatch.CapacityRule;
 import org.redwinghook.core.forward.KnownEndpoint;
-import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.RunningRequest;
 import org.slf4j.Logger;
@@ -20,9 +20,6 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(CallForwarding.class);
 
-    /** Retry delay suggested to a refused caller, in milliseconds: the duration of a few calls. */
-    private static final long RETRY_AFTER_MILLIS = 250;
-
     private static final int FIRST_SERVER_ERROR = 500;
 
     private final ForwardContext context;
@@ -35,7 +32,7 @@
     CallForwarding(ForwardContext context, CallerExchange caller) {
         this.context = context;
         this.caller = caller;
-        this.attempts = new RequestAttempts(context, caller, PlacementPolicy.CALL, new PlacementQuery(0, 0));
+        this.attempts = new RequestAttempts(context, caller, CapacityRule.CALL, new PlacementQuery(0, 0));
         this.startedAtMillis = context.clock().millis();
     }
 
@@ -44,7 +41,7 @@
         caller.onTimeout(this::handleTimeout);
         caller.onInterruption(this::handleInterruption);
         context.retryBudgets().requestStarted(caller.service(), context.clock().millis());
-        startNextAttempt();
+        attempts.awaitFirstEndpoint(this::startAttempt, this::refuseOrFail);
     }
 
     private void startNextAttempt() {
@@ -53,7 +50,11 @@
             refuseOrFail(attempts.refusalCause());
             return;
         }
-        CallAttempt attempt = new CallAttempt(chosen.get());
+        startAttempt(chosen.get());
+    }
+
+    private void startAttempt(KnownEndpoint endpoint) {
+        CallAttempt attempt = new CallAttempt(endpoint);
         currentAttempt = attempt;
         attempt.start();
     }
@@ -64,7 +65,7 @@
             return;
         }
         attempts.recordEnd();
-        caller.refuse(attempts.refusal(cause, RETRY_AFTER_MILLIS));
+        caller.refuse(attempts.refusal(cause));
     }
 
     /** Fails a request that may have run. An error response from an endpoint is forwarded if there was one. */
@@ -105,6 +106,7 @@
     }
 
     private void cancel() {
+        attempts.stopWaiting();
         CallAttempt attempt = currentAttempt;
         if (attempt != null) {
             attempt.end(AttemptOutcome.WITHDRAWN);
--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -38,9 +38,9 @@
     private final HttpServerRequest request;
     private final RequestHead head;
     private final String requestId;
-    private final Route route;
-    private final @Nullable CustomerAccess access;
-    private final String service;
+    private Route route;
+    private @Nullable CustomerAccess access;
+    private String service;
     private final Buffer body;
     private final long receivedAtMillis;
     private final long deadlineMillis;
@@ -107,6 +107,18 @@
         interruptionHandler = handler;
     }
 
+    /**
+     * Applies a new configuration to a request that was not sent yet.
+     *
+     * @param newRoute its route
+     * @param newAccess access granted by its API key, null if the route needs none
+     */
+    void readmit(Route newRoute, @Nullable CustomerAccess newAccess) {
+        route = newRoute;
+        access = newAccess;
+        service = newRoute.selectService(requestId);
+    }
+
     /**
      * Ends the exchange at the end of a stop.
      *
@@ -207,6 +219,7 @@
         if (abortIfStarted("a refusal") || !tryEnd(outcome, refusal.cause().status(), "none", retry)) {
             return;
         }
+        metrics.recordRejection(service, outcome);
         if (refusal.retryAfterMillis() > 0) {
             response().putHeader("Retry-After", Double.toString(refusal.retryAfterMillis() / MILLIS_PER_SECOND));
         }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
@@ -24,6 +24,7 @@
  * @param promptGuard keeps prompts that crash endpoints away from them
  * @param pollBarrier delays work while the event loop is late
  * @param receiveBudget memory for received messages
+ * @param waiting requests that wait for capacity
  * @param reportWork reports changes of this router's work to the other routers at once
  */
 record ForwardContext(
@@ -42,4 +43,5 @@
         PromptGuard promptGuard,
         PollBarrier pollBarrier,
         ReceiveBudget receiveBudget,
+        WaitingRequests waiting,
         Runnable reportWork) {}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -1,8 +1,12 @@
 package org.redwinghook.router.forward;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 
 /** Counters and latency histograms of forwarded requests. */
@@ -13,6 +17,9 @@
 
     private final MeterRegistry registry;
 
+    /** Names of the routes with gauges, kept since the registry refers to them only weakly. */
+    private final Set<String> routesWithGauges = new HashSet<>();
+
     ForwardMetrics(MeterRegistry registry) {
         this.registry = registry;
     }
@@ -69,6 +76,57 @@
         registry.counter("redwinghook.forward.quarantine", "event", event).increment();
     }
 
+    /**
+     * Registers the gauges of the waiting requests of a route.
+     *
+     * @param route name of the route
+     * @param number supplies the number of waiting requests of a route
+     * @param oldestMillis supplies the time for which the oldest one has waited, in milliseconds
+     */
+    void registerWaiting(String route, ToDoubleFunction<String> number, ToDoubleFunction<String> oldestMillis) {
+        if (routesWithGauges.add(route)) {
+            registry.gauge("redwinghook.forward.waiting", Tags.of("route", route), route, number);
+            registry.gauge("redwinghook.forward.waiting.oldest.millis", Tags.of("route", route), route, oldestMillis);
+        }
+    }
+
+    /**
+     * Records the end of a wait for capacity.
+     *
+     * @param route name of the route
+     * @param outcome how it ended
+     * @param waitedMillis its length, in milliseconds
+     */
+    void recordWait(String route, String outcome, long waitedMillis) {
+        registry.timer("redwinghook.forward.waited", "route", route, "outcome", outcome)
+                .record(Duration.ofMillis(waitedMillis));
+    }
+
+    /**
+     * Compares the estimate for a request with its course.
+     *
+     * @param service service of the request
+     * @param expectedMillis expected time to the first result, in milliseconds
+     * @param actualMillis time to the first result, in milliseconds
+     */
+    void recordEstimate(String service, double expectedMillis, long actualMillis) {
+        registry.summary("redwinghook.forward.first.result.expected.millis", "service", service)
+                .record(expectedMillis);
+        registry.summary("redwinghook.forward.first.result.actual.millis", "service", service)
+                .record(actualMillis);
+    }
+
+    /**
+     * Counts a refused request.
+     *
+     * @param service service of the request
+     * @param reason cause of the refusal
+     */
+    void recordRejection(String service, String reason) {
+        registry.counter("redwinghook.forward.rejections", "service", service, "reason", reason)
+                .increment();
+    }
+
     private Timer timer(String name, String service) {
         return Timer.builder(name)
                 .tag("service", service)
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -101,23 +101,45 @@
             PlacementQuery query,
             Set<String> excluded,
             String originDataCentre) {
+        List<Candidate> candidates = candidates(caller, excluded, originDataCentre);
+        List<Candidate> considered = policy.samplesCandidates() ? sample(candidates) : candidates;
+        return policy.choose(considered, query)
+                .flatMap(best -> state.endpoints().find(best.id()));
+    }
+
+    /**
+     * Endpoints that may take a request, whether they have capacity or not.
+     *
+     * @param caller exchange with the caller
+     * @param excluded identifiers of excluded endpoints
+     * @return the endpoints with their present work
+     */
+    List<Candidate> candidates(CallerExchange caller, Set<String> excluded) {
+        return candidates(caller, excluded, dataCentre);
+    }
+
+    private List<Candidate> candidates(CallerExchange caller, Set<String> excluded, String originDataCentre) {
         long now = clock.millis();
-        Optional<ServiceSettings> service = serviceSettings(caller.service());
-        List<KnownEndpoint> eligible = eligibleEndpoints(caller, excluded, now);
-        long memoryTokens = memory(service).capacityTokens();
+        long memoryTokens = memory(caller.service()).capacityTokens();
         List<Candidate> candidates = new ArrayList<>();
-        for (KnownEndpoint endpoint : eligible) {
+        for (KnownEndpoint endpoint : eligibleEndpoints(caller, excluded, now)) {
             candidates.add(candidate(
                     endpoint,
                     memoryTokens,
                     distance(originDataCentre, endpoint.entry().dataCentre()),
                     now));
         }
-        List<Candidate> considered = policy.samplesCandidates()
-                ? CandidateSample.of(candidates, routerCount.getAsInt(), random)
-                : candidates;
-        return policy.choose(considered, query)
-                .flatMap(best -> state.endpoints().find(best.id()));
+        return candidates;
+    }
+
+    /**
+     * Endpoints among which this router chooses.
+     *
+     * @param candidates endpoints that may take a request
+     * @return some or all of them
+     */
+    List<Candidate> sample(List<Candidate> candidates) {
+        return CandidateSample.of(candidates, routerCount.getAsInt(), random);
     }
 
     /** Endpoints that may take a request, without those that cannot be reached if there are others. */
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -161,6 +161,7 @@
 
     /** Closes the connections that are no longer needed and returns whether the server may stop. */
     private boolean continueDrain(StopTiming timing) {
+        context.waiting().refuse(caller -> !mayTake(caller), caller -> stopRefusal(caller.request()));
         long now = context.clock().millis();
         int closed = connections.closeIdle(idleSinceMillis -> timing.mayCloseIdleConnection(idleSinceMillis, now));
         if (closed > 0) {
@@ -462,7 +463,7 @@
                 .onComplete(ignored -> handleRequestEnded(request));
     }
 
-    private static String host(HttpServerRequest request) {
+    static String host(HttpServerRequest request) {
         String host = request.getHeader("Host");
         if (host == null) {
             return "";
@@ -471,7 +472,7 @@
         return colon < 0 ? host : host.substring(0, colon);
     }
 
-    private static String path(HttpServerRequest request) {
+    static String path(HttpServerRequest request) {
         String uri = request.uri();
         int query = uri.indexOf('?');
         return query < 0 ? uri : uri.substring(0, query);
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -109,6 +109,23 @@
         ForwardMetrics metrics = new ForwardMetrics(meters);
         PromptGuard promptGuard = new PromptGuard(new PromptQuarantine(settings.process()), clock, metrics);
         promptGuard.onQuarantine(streams::withdraw);
+        ForwardSelector selector = new ForwardSelector(
+                state,
+                eligibility,
+                ledger,
+                clock,
+                reloadable::current,
+                this::routerCount,
+                () -> ThreadLocalRandom.current().nextDouble());
+        WaitingRequests waiting = new WaitingRequests(
+                vertx,
+                clock,
+                state,
+                selector,
+                metrics,
+                () -> reloadable.current().waiting(),
+                this::routerCount);
+        observers.register(waiting);
         ForwardContext context = new ForwardContext(
                 vertx,
                 clock,
@@ -116,14 +133,7 @@
                 protocol,
                 client,
                 ledger,
-                new ForwardSelector(
-                        state,
-                        eligibility,
-                        ledger,
-                        clock,
-                        reloadable::current,
-                        this::routerCount,
-                        () -> ThreadLocalRandom.current().nextDouble()),
+                selector,
                 new ServiceRetryBudgets(() -> reloadable.current().retries(), this::routerCount),
                 memoryMover,
                 metrics,
@@ -132,11 +142,13 @@
                 promptGuard,
                 pollBarrier,
                 new ReceiveBudget(Runtime.getRuntime().maxMemory() / RECEIVE_BUDGET_HEAP_DIVISOR),
+                waiting,
                 this::reportWork);
         server = new ForwardServer(vertx, settings.caller(), context, streams, this::hasOtherRouters);
         readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
         routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock, promptGuard);
         state.onEndpointLeaving(new RunRelocator(context, streams, settings.process())::handleEndpointLeaving);
+        routerExchange.onWorkReport(waiting::handleWorkReport);
         WireMetrics wireMetrics = new WireMetrics(meters);
         mesh = new RouterMesh(
                 vertx,
@@ -155,6 +167,10 @@
             if (topic == RecordTopic.ROUTERS) {
                 membership.update();
             }
+            if (topic == RecordTopic.OPERATORS) {
+                waiting.handleConfiguration();
+            }
+            waiting.scheduleService();
         });
         followers = new ArrayList<>();
         for (RecordTopic topic : RecordTopic.values()) {
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
@@ -10,6 +10,7 @@
 import java.util.zip.CRC32;
 
 import io.vavr.control.Either;
+import org.redwinghook.core.dispatch.WaitingSettings;
 import org.redwinghook.core.document.Finding;
 import org.redwinghook.core.document.Findings;
 import org.redwinghook.core.document.YamlMap;
@@ -32,6 +33,7 @@
  * @param stopMillis time between the stop signal and the end of the process, in milliseconds
  * @param retries limits of the retries
  * @param coldBurst tolerance of cold endpoints for a burst
+ * @param waiting queues for requests while capacity is short
  * @param digest checksum of the document, which tells operators which version of it is in force
  */
 public record ForwardingSettings(
@@ -47,6 +49,7 @@
         long stopMillis,
         RetryLimits retries,
         ColdBurst coldBurst,
+        WaitingSettings waiting,
         String digest) {
 
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -58,6 +61,8 @@
     private static final double MAXIMUM_COLD_FACTOR = 1_000;
     private static final double MAXIMUM_COLD_REQUESTS = 1e6;
 
+    private static final long MAXIMUM_WAITING_REQUESTS = 100_000;
+
     public ForwardingSettings {
         regions = Map.copyOf(regions);
     }
@@ -89,6 +94,7 @@
                         * root.nullableDecimal("stopSeconds", 0.001, MAXIMUM_STOP_SECONDS, DEFAULT_STOP_SECONDS)),
                 readRetries(root.map("retries")),
                 readColdBurst(root.map("coldEndpoints")),
+                readWaiting(root.map("waiting")),
                 digest(text));
         root.rejectUnknownKeys();
         return findings.resultOf(settings);
@@ -130,6 +136,13 @@
         return burst;
     }
 
+    private static WaitingSettings readWaiting(YamlMap waiting) {
+        WaitingSettings settings = new WaitingSettings(waiting.flag("enabled", false), (int) waiting.number(
+                "maximumRequests", 1, MAXIMUM_WAITING_REQUESTS, WaitingSettings.DEFAULT_MAXIMUM_REQUESTS));
+        waiting.rejectUnknownKeys();
+        return settings;
+    }
+
     private static String digest(String text) {
         CRC32 checksum = new CRC32();
         checksum.update(text.getBytes(StandardCharsets.UTF_8));
@@ -150,7 +163,8 @@
         RETRY_SHARE(false, settings -> settings.retries().share()),
         RETRY_SLACK(false, settings -> settings.retries().slack()),
         RETRY_WINDOW(true, settings -> settings.retries().windowSeconds()),
-        COLD_ENDPOINTS(false, ForwardingSettings::coldBurst);
+        COLD_ENDPOINTS(false, ForwardingSettings::coldBurst),
+        WAITING(false, ForwardingSettings::waiting);
 
         private final boolean needsRestart;
         private final Function<ForwardingSettings, Object> value;
--- a/router/src/main/java/org/redwinghook/router/forward/RefusalCause.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RefusalCause.java
@@ -8,6 +8,12 @@
     NO_ENDPOINT(503, "no endpoint may take the request"),
     /** All endpoints that were tried reported that they did not run the request, or could not be reached. */
     ENDPOINTS_FULL(503, "no endpoint took the request"),
+    /** No endpoint will have capacity in time. */
+    NO_CAPACITY(503, "no endpoint has capacity in time"),
+    /** The configuration no longer has the route of a request that waited. */
+    ROUTE_WITHDRAWN(404, "no route has this host and path"),
+    /** The configuration no longer has the key of a request that waited. */
+    KEY_WITHDRAWN(401, "the key is not known"),
     /** The deadline passed before the request was sent to an endpoint. */
     NO_TIME(503, "the time ran out"),
     /** The router stops before the request could end; other routers take it. */
--- a/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
@@ -3,10 +3,11 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.dispatch.CapacityRule;
 import org.redwinghook.core.forward.KnownEndpoint;
-import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.quarantine.PromptAdmission;
 import org.redwinghook.core.quarantine.QuarantinedPart;
@@ -19,7 +20,7 @@
 
     private final ForwardContext context;
     private final CallerExchange caller;
-    private final PlacementPolicy policy;
+    private final CapacityRule rule;
     private final PlacementQuery query;
     private final Set<String> excluded = new HashSet<>();
     private int endedAttempts;
@@ -28,14 +29,66 @@
     private boolean isTrial;
     private boolean hasAnswered;
     private @Nullable Refusal quarantineRefusal;
+    private @Nullable WaitingRequest waiting;
 
-    RequestAttempts(ForwardContext context, CallerExchange caller, PlacementPolicy policy, PlacementQuery query) {
+    RequestAttempts(ForwardContext context, CallerExchange caller, CapacityRule rule, PlacementQuery query) {
         this.context = context;
         this.caller = caller;
-        this.policy = policy;
+        this.rule = rule;
         this.query = query;
     }
 
+    /**
+     * Chooses the first endpoint, at once or when one has capacity. A trial of a prompt part is sent at once, since other
+     * routers wait for its result.
+     *
+     * @param send receives the endpoint
+     * @param refuse receives the cause if there will be none
+     */
+    void awaitFirstEndpoint(Consumer<KnownEndpoint> send, Consumer<RefusalCause> refuse) {
+        boolean waits = context.waiting().isEnabled();
+        if (waits && !isAdmitted()) {
+            refuse.accept(refusalCause());
+            return;
+        }
+        if (!waits || isTrial) {
+            chooseNextEndpoint().ifPresentOrElse(send, () -> refuse.accept(refusalCause()));
+            return;
+        }
+        WaitingRequest added = context.waiting().add(caller, rule, query, new WaitingRequest.Listener() {
+            @Override
+            public void handleEndpoint(KnownEndpoint endpoint) {
+                waiting = null;
+                if (!isAdmitted()) {
+                    refuse.accept(refusalCause());
+                    return;
+                }
+                triedEndpoints++;
+                send.accept(endpoint);
+            }
+
+            @Override
+            public void handleRefusal(RefusalCause cause) {
+                waiting = null;
+                refuse.accept(cause);
+            }
+        });
+        waiting = added.isWaiting() ? added : null;
+    }
+
+    /** Ends the wait for the first endpoint, if the request still waits. */
+    void stopWaiting() {
+        WaitingRequest stopped = waiting;
+        waiting = null;
+        if (stopped != null) {
+            context.waiting().remove(stopped);
+        }
+    }
+
+    boolean isWaiting() {
+        return waiting != null;
+    }
+
     /**
      * Chooses the next endpoint.
      *
@@ -48,7 +101,7 @@
         if (!isAdmitted()) {
             return Optional.empty();
         }
-        Optional<KnownEndpoint> chosen = context.selector().choose(caller, policy, query, excluded);
+        Optional<KnownEndpoint> chosen = context.selector().choose(caller, rule.policy(), query, excluded);
         if (chosen.isPresent()) {
             triedEndpoints++;
         }
@@ -68,11 +121,11 @@
     /**
      * Records that the request is withdrawn from its endpoint, because a part of its prompt was quarantined.
      *
-     * @param attempt the attempt
+     * @param isSent whether the endpoint may have received the request
      * @param part the part
      */
-    void recordWithdrawal(EndpointAttempt attempt, QuarantinedPart part) {
-        mayHaveRun |= attempt.isSent();
+    void recordWithdrawal(boolean isSent, QuarantinedPart part) {
+        mayHaveRun |= isSent;
         quarantineRefusal = new Refusal(
                 RefusalCause.PROMPT_PART_QUARANTINED,
                 Math.max(0, part.nextTrialMillis() - context.clock().millis()));
@@ -96,12 +149,13 @@
      * Refusal when no further endpoint can be chosen.
      *
      * @param cause cause to report unless a part of the prompt is in quarantine
-     * @param retryAfterMillis suggested retry delay with this cause
      * @return the refusal to report to the caller
      */
-    Refusal refusal(RefusalCause cause, long retryAfterMillis) {
+    Refusal refusal(RefusalCause cause) {
         Refusal ofQuarantine = quarantineRefusal;
-        return ofQuarantine != null ? ofQuarantine : new Refusal(cause, retryAfterMillis);
+        return ofQuarantine != null
+                ? ofQuarantine
+                : new Refusal(cause, context.waiting().retryAfterMillis(caller, rule, query));
     }
 
     /**
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -79,6 +79,7 @@
     private final Map<String, WorkTotals> lastReportedTotals = new HashMap<>();
     private final Map<Class<? extends Message>, BiConsumer<ConfigurationPeer, Message>> handlers = new HashMap<>();
     private final List<Consumer<ConfigurationPeer>> connectionHandlers = new ArrayList<>();
+    private Runnable workReportHandler = () -> {};
     private QuarantineEvidence pendingEvidence = QuarantineEvidence.NONE;
     private boolean lastReportedStoreAccess = true;
     private BooleanSupplier canReadStore = () -> true;
@@ -239,6 +240,7 @@
                         new WorkTotals(work.running(), work.waitingTokens(), work.residentTokens(), work.heldTokens()));
             }
             ledger.updatePeer(report.router(), totals, report.whole(), clock.millis());
+            workReportHandler.run();
             storeAccessByRouter.put(report.router(), report.readsStore());
             repairIfLagging(peer, report);
         }
@@ -270,6 +272,15 @@
         handlers.put(type, (peer, message) -> handler.accept(peer, type.cast(message)));
     }
 
+    /**
+     * Sets the handler of work reports.
+     *
+     * @param handler called when the work of another router has been updated
+     */
+    void onWorkReport(Runnable handler) {
+        workReportHandler = handler;
+    }
+
     /**
      * Registers a part of the router that sends messages to a router when it connects.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -8,10 +8,10 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpClosedException;
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.dispatch.CapacityRule;
 import org.redwinghook.core.forward.EndpointEntry;
 import org.redwinghook.core.forward.KnownEndpoint;
 import org.redwinghook.core.placement.EngineSpeed;
-import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.RunningRequest;
 import org.redwinghook.core.quarantine.QuarantinedPart;
@@ -28,9 +28,6 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(StreamForwarding.class);
 
-    /** Retry delay suggested to a refused caller, in milliseconds: about the time in which an engine reads a prompt. */
-    private static final long RETRY_AFTER_MILLIS = 500;
-
     /** Time from the first event after which an endpoint has survived the beginning of the answer, in milliseconds. */
     private static final long ANSWER_BEGUN_MILLIS = 250;
 
@@ -62,7 +59,7 @@
         this.caller = caller;
         this.runningStreams = runningStreams;
         this.query = caller.head().expectedSize();
-        this.attempts = new RequestAttempts(context, caller, PlacementPolicy.GENERATION, query);
+        this.attempts = new RequestAttempts(context, caller, CapacityRule.GENERATION, query);
     }
 
     void start() {
@@ -71,7 +68,7 @@
         caller.onInterruption(this::handleInterruption);
         runningStreams.add(this);
         context.retryBudgets().requestStarted(caller.service(), context.clock().millis());
-        startNextAttempt();
+        attempts.awaitFirstEndpoint(this::startAttempt, this::refuseOrFail);
     }
 
     /**
@@ -196,7 +193,11 @@
             refuseOrFail(attempts.refusalCause());
             return;
         }
-        StreamAttempt attempt = new StreamAttempt(chosen.get(), null);
+        startAttempt(chosen.get());
+    }
+
+    private void startAttempt(KnownEndpoint endpoint) {
+        StreamAttempt attempt = new StreamAttempt(endpoint, null);
         currentAttempt = attempt;
         attempt.start();
     }
@@ -212,7 +213,7 @@
             return;
         }
         attempts.recordEnd();
-        caller.refuse(attempts.refusal(cause, RETRY_AFTER_MILLIS));
+        caller.refuse(attempts.refusal(cause));
     }
 
     private void handleTimeout() {
@@ -246,6 +247,12 @@
      * @param part the part
      */
     void withdraw(QuarantinedPart part) {
+        if (attempts.isWaiting() && attempts.mayCrashEndpoint(part.part())) {
+            attempts.recordWithdrawal(false, part);
+            cancel();
+            refuseOrFail(RefusalCause.PROMPT_PART_QUARANTINED);
+            return;
+        }
         StreamAttempt attempt = currentAttempt;
         if (attempt == null
                 || attempt.endpointAttempt.isEnded()
@@ -260,7 +267,7 @@
                 attempt.endpointAttempt.endpointId(),
                 part.part(),
                 attempt.endpointAttempt.isSent());
-        attempts.recordWithdrawal(attempt.endpointAttempt, part);
+        attempts.recordWithdrawal(attempt.endpointAttempt.isSent(), part);
         cancel();
         refuseOrFail(RefusalCause.PROMPT_PART_QUARANTINED);
     }
@@ -292,6 +299,7 @@
     }
 
     private void cancel() {
+        attempts.stopWaiting();
         StreamAttempt attempt = currentAttempt;
         if (attempt != null) {
             attempt.endpointAttempt.end(AttemptOutcome.WITHDRAWN);
