--- a/core/src/main/java/org/redwinghook/core/dispatch/CapacityRule.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/CapacityRule.java
@@ -18,7 +18,8 @@
         @Override
         public double waitMillis(Candidate candidate, DispatchRequest request, ExpectedDemand urgent, long nowMillis) {
             double slotMillis = slotMillis(candidate, request.idleEstimate().completionMillis());
-            double memoryMillis = memoryMillis(candidate, request, urgent);
+            double memoryMillis =
+                    memoryMillis(candidate, request, reservedTokens(candidate, request, urgent, nowMillis));
             return Math.max(Math.max(slotMillis, memoryMillis), prefillMillis(candidate, request, urgent, nowMillis));
         }
 
@@ -36,11 +37,11 @@
         }
 
         /** Time until the runs that end have released the missing memory; a run holds its memory until its end. */
-        private double memoryMillis(Candidate candidate, DispatchRequest request, ExpectedDemand urgent) {
-            long reservedTokens = Math.min(urgent.tokens(), (long) (candidate.memoryTokens() * MAXIMUM_RESERVED_SHARE));
+        private double memoryMillis(Candidate candidate, DispatchRequest request, long reservedTokens) {
             PlacementQuery query = request.query();
-            double missingTokens = overflowTokens(
-                    candidate, new PlacementQuery(query.promptTokens(), query.expectedOutputTokens() + reservedTokens));
+            PlacementQuery withReserve =
+                    new PlacementQuery(query.promptTokens(), query.expectedOutputTokens() + reservedTokens);
+            double missingTokens = overflowTokens(candidate, withReserve) - releasedTokens(candidate.work());
             if (missingTokens <= 0) {
                 return 0;
             }
@@ -48,6 +49,22 @@
             return request.idleEstimate().completionMillis() * missingTokens / usedTokens;
         }
 
+        /** Memory to leave for more urgent requests: none once a request has waited for the larger part of its objective. */
+        private long reservedTokens(
+                Candidate candidate, DispatchRequest request, ExpectedDemand urgent, long nowMillis) {
+            long slackMillis = request.objectiveAtMillis() - nowMillis;
+            if (slackMillis >= 0 && slackMillis < objectiveMillis(request) * RESERVING_SLACK_SHARE) {
+                return 0;
+            }
+            return Math.min(urgent.tokens(), (long) (candidate.memoryTokens() * MAXIMUM_RESERVED_SHARE));
+        }
+
+        /** Tokens that some runs release by their end before the others have grown to their full size. */
+        private double releasedTokens(WorkTotals work) {
+            long growthTokens = work.residentTokens() - work.heldTokens() - work.waitingTokens();
+            return Math.max(0, growthTokens) * RELEASED_GROWTH_SHARE;
+        }
+
         /** Tokens that are missing because of other runs; a request that fits nowhere fits at an idle engine. */
         private double overflowTokens(Candidate candidate, PlacementQuery query) {
             return policy().estimate(candidate, query).overflowTokens()
@@ -71,7 +88,7 @@
             double marginMillis = slackMillis - firstMillis + aheadMillis;
             boolean isLastChance = firstMillis <= slackMillis && marginMillis <= aheadMillis * LAST_CHANCE_FACTOR;
             return Math.max(
-                    Math.max(0, urgentMillis - urgent.objectiveMillis() * URGENT_OBJECTIVE_SHARE),
+                    Math.max(0, urgentMillis - urgent.objectiveMillis()),
                     isLastChance ? 0 : Math.max(0, aheadMillis - SHORT_PREFILL_MILLIS));
         }
     },
@@ -99,8 +116,11 @@
     /** Share of an engine's memory by which a request may exceed the estimate if no request could be sent for long. */
     private static final double SMALL_OVERFLOW_SHARE = 0.05;
 
-    /** Share of a more urgent request's objective that may be used up; the rest covers reports that are not yet known. */
-    private static final double URGENT_OBJECTIVE_SHARE = 0.8;
+    /** Share of the objective that has to be left for a request to leave memory for more urgent ones. */
+    private static final double RESERVING_SLACK_SHARE = 0.5;
+
+    /** Share of the growth of running generations that is never held at once, since they end at different times. */
+    private static final double RELEASED_GROWTH_SHARE = 0.5;
 
     /** Prefill that may be queued at an engine in any case, in milliseconds: a prompt, so that the engine never idles. */
     private static final double SHORT_PREFILL_MILLIS = 500;
--- a/router/src/main/java/org/redwinghook/router/forward/WaitingRequests.java
+++ b/router/src/main/java/org/redwinghook/router/forward/WaitingRequests.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
@@ -59,7 +58,7 @@
     private final IntSupplier routerCount;
     private final Map<String, ServiceQueue> queues = new HashMap<>();
     private final Map<DispatchRequest, WaitingRequest> waiting = new IdentityHashMap<>();
-    private final CandidateSource candidates;
+    private final CandidateSource endpoints;
     private final Map<CallerExchange, DelayEstimate> estimates = new IdentityHashMap<>();
     private long checkTimer = -1;
     private boolean isServiceScheduled;
@@ -91,7 +90,7 @@
         this.metrics = metrics;
         this.settings = settings;
         this.routerCount = routerCount;
-        this.candidates = new EndpointsOfCallers(
+        this.endpoints = new WaitingCandidates(
                 selector, routerCount, request -> waiting.get(request).caller());
     }
 
@@ -165,7 +164,7 @@
         long now = clock.millis();
         DispatchRequest request = WaitingRequest.describe(caller, rule, query, now);
         double capacityMillis = queue(caller.service())
-                .capacityMillis(request, new EndpointsOfCallers(selector, routerCount, ignored -> caller), now);
+                .capacityMillis(request, new WaitingCandidates(selector, routerCount, ignored -> caller), now);
         return RetryDelay.millis(
                 request, Double.isInfinite(capacityMillis) ? RetryDelay.NO_ENDPOINT_MILLIS : capacityMillis, now);
     }
@@ -282,7 +281,7 @@
         }
         isServing = true;
         try {
-            ServiceQueue.Pass pass = queue(service).serve(candidates, clock.millis());
+            ServiceQueue.Pass pass = queue(service).serve(endpoints, clock.millis());
             for (DispatchDecision decision = pass.next(); decision != null; decision = pass.next()) {
                 apply(decision);
             }
@@ -382,25 +381,4 @@
             metrics.recordEstimate(caller.service(), estimate.firstResultMillis(), firstResultMillis);
         }
     }
-
-    /** Endpoints of the requests of some callers. */
-    private record EndpointsOfCallers(
-            ForwardSelector selector, IntSupplier routerCount, Function<DispatchRequest, CallerExchange> callers)
-            implements CandidateSource {
-
-        @Override
-        public List<Candidate> candidates(DispatchRequest request) {
-            return selector.candidates(callers.apply(request), Set.of());
-        }
-
-        @Override
-        public List<Candidate> sample(List<Candidate> candidates) {
-            return selector.sample(candidates);
-        }
-
-        @Override
-        public int routers() {
-            return Math.max(1, routerCount.getAsInt());
-        }
-    }
 }
