--- a/core/src/main/java/org/redwinghook/core/dispatch/RetryDelay.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/RetryDelay.java
@@ -11,8 +11,8 @@
     /** Time assumed until an endpoint is listed if there is none, in milliseconds. */
     public static final double NO_ENDPOINT_MILLIS = 500;
 
-    /** Shortest delay, in milliseconds: the call of a plain service. */
-    private static final double SHORTEST_MILLIS = 60;
+    /** Shortest delay, in milliseconds: a few calls of a plain service, since its endpoints were found to be full. */
+    private static final double SHORTEST_MILLIS = 150;
 
     /** Callers honour a delay up to the part 1/n of the time that they have left. */
     private static final double MAXIMUM_PART_DIVISOR = 3;
@@ -42,7 +42,8 @@
             return 0;
         }
         double spread = spread(request, nowMillis);
-        double delayMillis = Math.max(SHORTEST_MILLIS, capacityMillis) * (1 + spread);
+        double soonestMillis = Math.max(SHORTEST_MILLIS, request.idleEstimate().firstResultMillis());
+        double delayMillis = Math.max(soonestMillis, capacityMillis) * (1 + spread);
         double longestMillis = remainingMillis / MAXIMUM_PART_DIVISOR * (1 - SPREAD_SHARE * (1 - spread));
         return (long) Math.min(delayMillis, longestMillis);
     }
--- a/core/src/test/java/org/redwinghook/core/dispatch/EngineReplay.java
+++ b/core/src/test/java/org/redwinghook/core/dispatch/EngineReplay.java
@@ -4,12 +4,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 
 import org.redwinghook.core.placement.Candidate;
 import org.redwinghook.core.placement.Distance;
@@ -31,26 +29,25 @@
     private static final double PREFILL_TOKENS_PER_MILLI = 9;
     private static final double OUTPUT_TOKENS_PER_MILLI = 0.125;
 
-    /** A kind of generation, and what became of those that were played. */
-    static final class Kind {
+    /** A kind of generation. */
+    record Kind(
+            int priority,
+            String customer,
+            PlacementQuery query,
+            long objectiveMillis,
+            long timeoutMillis,
+            Counts counts) {}
+
+    /** Arrivals of a kind at random times. */
+    record Load(Kind kind, double perSecond) {}
+
+    /** What became of the generations of a kind. */
+    static final class Counts {
 
-        private final int priority;
-        private final String customer;
-        private final PlacementQuery query;
-        private final long objectiveMillis;
-        private final long timeoutMillis;
         int sent;
         int onTime;
         int completed;
 
-        Kind(int priority, String customer, PlacementQuery query, long objectiveMillis, long timeoutMillis) {
-            this.priority = priority;
-            this.customer = customer;
-            this.query = query;
-            this.objectiveMillis = objectiveMillis;
-            this.timeoutMillis = timeoutMillis;
-        }
-
         int late() {
             return sent - onTime;
         }
@@ -65,7 +62,6 @@
     private final List<Engine> engines = new ArrayList<>();
     private final List<ServiceQueue> queues = new ArrayList<>();
     private final Map<DispatchRequest, Kind> kinds = new HashMap<>();
-    private final Set<DispatchRequest> retries = new HashSet<>();
     private final Random random = new Random(1);
     private long now = 1_000_000;
 
@@ -93,13 +89,13 @@
     }
 
     /** Plays some time in which generations of some kinds arrive at random times. */
-    void play(long millis, Map<Kind, Double> arrivalsPerSecond) {
+    void play(long millis, Load... loads) {
         for (long end = now + millis; now < end; now += STEP_MILLIS) {
-            arrivalsPerSecond.forEach((kind, rate) -> {
-                if (random.nextDouble() < rate * STEP_MILLIS / 1_000) {
-                    arrive(kind, random.nextInt(queues.size()));
+            for (Load load : loads) {
+                if (random.nextDouble() < load.perSecond * STEP_MILLIS / 1_000) {
+                    arrive(load.kind, random.nextInt(queues.size()));
                 }
-            });
+            }
             List.copyOf(engines).forEach(Engine::step);
             if (now % REPORT_MILLIS == 0) {
                 engines.forEach(Engine::report);
@@ -111,13 +107,13 @@
     }
 
     void arrive(Kind kind, int router) {
-        kind.sent++;
+        kind.counts.sent++;
         arrive(kind, router, false);
     }
 
     private void arrive(Kind kind, int router, boolean isRetry) {
         DispatchRequest request = new DispatchRequest(
-                "id-" + arrivals++,
+                (isRetry ? "retry-" : "id-") + arrivals++,
                 "route-" + kind.priority,
                 kind.customer,
                 kind.priority,
@@ -127,9 +123,6 @@
                 now + kind.objectiveMillis,
                 now + kind.timeoutMillis);
         kinds.put(request, kind);
-        if (isRetry) {
-            retries.add(request);
-        }
         if (waits) {
             queues.get(router).add(request, now);
             serve(router);
@@ -141,15 +134,11 @@
     }
 
     private void retry(DispatchRequest request) {
-        if (callersRetry && !retries.contains(request)) {
+        if (callersRetry && !request.id().startsWith("retry")) {
             arrive(kinds.get(request), random.nextInt(queues.size()), true);
         }
     }
 
-    int waiting() {
-        return queues.stream().mapToInt(ServiceQueue::size).sum();
-    }
-
     private void serve(int router) {
         ServiceQueue.Pass pass = queues.get(router).serve(source(router), now);
         for (DispatchDecision decision = pass.next(); decision != null; decision = pass.next()) {
@@ -225,14 +214,13 @@
 
         void produce() {
             if (produced == 0) {
-                Kind kind = kinds.get(request);
                 punctual = now <= request.objectiveAtMillis();
             }
             produced += STEP_MILLIS * OUTPUT_TOKENS_PER_MILLI;
             if (produced >= request.query().expectedOutputTokens()) {
                 ended = true;
-                kinds.get(request).onTime += punctual && !preempted ? 1 : 0;
-                kinds.get(request).completed += now <= request.deadlineMillis() ? 1 : 0;
+                kinds.get(request).counts.onTime += punctual && !preempted ? 1 : 0;
+                kinds.get(request).counts.completed += now <= request.deadlineMillis() ? 1 : 0;
             }
         }
     }
--- a/core/src/test/java/org/redwinghook/core/dispatch/ServiceQueueTest.java
+++ b/core/src/test/java/org/redwinghook/core/dispatch/ServiceQueueTest.java
@@ -1,10 +1,9 @@
 package org.redwinghook.core.dispatch;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.redwinghook.core.placement.Candidate;
 import org.redwinghook.core.placement.Distance;
@@ -20,19 +19,15 @@
     private static final PlacementQuery LONG = new PlacementQuery(3_079, 750);
 
     private static EngineReplay.Kind tags() {
-        return new EngineReplay.Kind(0, "tags", new PlacementQuery(2_550, 10), 1_500, 6_000);
+        return new EngineReplay.Kind(0, "tags", new PlacementQuery(2_550, 10), 1_500, 6_000, new EngineReplay.Counts());
     }
 
     private static EngineReplay.Kind descriptions(String customer) {
-        return new EngineReplay.Kind(2, customer, LONG, 4_000, 39_000);
+        return new EngineReplay.Kind(2, customer, LONG, 4_000, 39_000, new EngineReplay.Counts());
     }
 
-    private static Map<EngineReplay.Kind, Double> rates(
-            EngineReplay.Kind first, double firstRate, EngineReplay.Kind second, double secondRate) {
-        Map<EngineReplay.Kind, Double> rates = new LinkedHashMap<>();
-        rates.put(first, firstRate);
-        rates.put(second, secondRate);
-        return rates;
+    private static EngineReplay.Load load(EngineReplay.Kind kind, double perSecond) {
+        return new EngineReplay.Load(kind, perSecond);
     }
 
     /** Loads of several routers, compared with sending at once. */
@@ -56,14 +51,17 @@
                 EngineReplay.Kind descriptions = descriptions("descriptions");
                 EngineReplay replay = new EngineReplay(routers, engines, waits);
                 for (double factor : new double[] {1 / 2.3, 1, 1 / 2.3}) {
-                    replay.play(10_000, rates(tags, shortRate * engines, descriptions, longRate * factor * engines));
+                    replay.play(
+                            10_000, load(tags, shortRate * engines), load(descriptions, longRate * factor * engines));
                 }
-                replay.play(40_000, Map.of());
-                late.add(tags.late());
-                late.add(tags.late() + descriptions.late());
+                replay.play(40_000);
+                late.add(tags.counts().late());
+                late.add(tags.counts().late() + descriptions.counts().late());
                 if (waits) {
                     Assert.assertEquals(replay.preemptions, 0, "preempted runs");
-                    Assert.assertEquals(tags.completed + descriptions.completed, tags.sent + descriptions.sent);
+                    Assert.assertEquals(
+                            tags.counts().completed + descriptions.counts().completed,
+                            tags.counts().sent + descriptions.counts().sent);
                 }
             }
             Assert.assertTrue(late.get(2) < late.get(0), "late tags: at once, all, waiting, all: " + late);
@@ -77,9 +75,9 @@
                 EngineReplay.Kind tags = tags();
                 EngineReplay replay = new EngineReplay(3, 4, waits);
                 replay.callersRetry = true;
-                replay.play(15_000, Map.of(tags, 24.0));
-                replay.play(15_000, Map.of(tags, 4.0));
-                onTime.add(tags.onTime);
+                replay.play(15_000, load(tags, 24.0));
+                replay.play(15_000, load(tags, 4.0));
+                onTime.add(tags.counts().onTime);
             }
             Assert.assertTrue(onTime.get(1) > onTime.get(0), "on time: at once, waiting: " + onTime);
         }
@@ -90,9 +88,9 @@
                 EngineReplay.Kind descriptions = descriptions("descriptions");
                 EngineReplay replay = new EngineReplay(3, 4, waits);
                 IntStream.range(0, 60).forEach(index -> replay.arrive(descriptions, index % 3));
-                replay.play(39_000, Map.of());
+                replay.play(39_000);
                 Assert.assertEquals(replay.preemptions > 0, !waits, "preemptions with waiting: " + waits);
-                Assert.assertEquals(descriptions.completed, 60);
+                Assert.assertEquals(descriptions.counts().completed, 60);
             }
         }
 
@@ -101,21 +99,23 @@
             EngineReplay.Kind large = descriptions("large");
             EngineReplay.Kind rare = descriptions("rare");
             EngineReplay replay = new EngineReplay(3, 4, true);
-            replay.play(20_000, rates(large, 8, rare, 0.3));
-            replay.play(40_000, Map.of());
-            Assert.assertEquals(rare.late(), 0, "late of " + rare.sent);
-            Assert.assertTrue(large.late() > 0, "the load is too small");
+            replay.play(20_000, load(large, 8), load(rare, 0.3));
+            replay.play(40_000);
+            Assert.assertEquals(rare.counts().late(), 0, "late of " + rare.counts().sent);
+            Assert.assertTrue(large.counts().late() > 0, "the load is too small");
         }
 
         /** The share of less urgent work is a tenth of what is sent while it waits; the bound leaves out begun runs. */
         @Test
         public void lessUrgentWorkIsServedUnderLastingUrgentLoad() {
-            EngineReplay.Kind urgent = new EngineReplay.Kind(0, "urgent", LONG, 4_000, 39_000);
+            EngineReplay.Kind urgent =
+                    new EngineReplay.Kind(0, "urgent", LONG, 4_000, 39_000, new EngineReplay.Counts());
             EngineReplay.Kind other = descriptions("other");
             EngineReplay replay = new EngineReplay(3, 4, true);
-            replay.play(40_000, rates(urgent, 6, other, 2));
+            replay.play(40_000, load(urgent, 6), load(other, 2));
             Assert.assertTrue(
-                    other.completed * 20 >= urgent.completed, other.completed + " beside " + urgent.completed);
+                    other.counts().completed * 20 >= urgent.counts().completed,
+                    other.counts().completed + " beside " + urgent.counts().completed);
         }
 
         @Test
@@ -123,12 +123,12 @@
             EngineReplay.Kind descriptions = descriptions("descriptions");
             EngineReplay replay = new EngineReplay(4, 4, true);
             IntStream.range(0, 24).forEach(index -> replay.arrive(descriptions, 2 + index % 2));
-            replay.play(1_000, Map.of());
+            replay.play(1_000);
             IntStream.range(0, 10).forEach(index -> replay.arrive(descriptions, index % 2));
             replay.loseRouter();
             replay.loseRouter();
-            replay.play(15_000, Map.of());
-            Assert.assertEquals(descriptions.completed, 10);
+            replay.play(15_000);
+            Assert.assertEquals(descriptions.counts().completed, 10);
         }
     }
 
@@ -137,14 +137,14 @@
 
         private static final long NOW = 1_000_000;
         private WorkTotals work = WorkTotals.NONE;
-        private final List<String> ids = List.of("a", "b");
+        private WorkTotals workAtOther = WorkTotals.NONE;
 
         @Override
         public List<Candidate> candidates(DispatchRequest request) {
             int slots = request.rule() == CapacityRule.CALL ? 6 : 24;
-            return ids.stream()
-                    .map(id -> new Candidate(
-                            id, slots, EngineReplay.MEMORY_TOKENS, work, 0, Distance.LOCAL, 0, 1, false, 0))
+            return Stream.of(work, workAtOther)
+                    .map(total -> new Candidate(
+                            "e", slots, EngineReplay.MEMORY_TOKENS, total, 0, Distance.LOCAL, 0, 1, false, 0))
                     .toList();
         }
 
@@ -168,6 +168,11 @@
             return request("call", 0, CapacityRule.CALL, new PlacementQuery(0, 0), 300, timeoutMillis);
         }
 
+        private void fill(WorkTotals ofEach) {
+            work = ofEach;
+            workAtOther = ofEach;
+        }
+
         private List<String> decide(ServiceQueue queue, long nowMillis) {
             List<String> decisions = new ArrayList<>();
             ServiceQueue.Pass pass = queue.serve(this, nowMillis);
@@ -180,7 +185,7 @@
         /** Guards against an order that depends on the order of arrival or lets a late request delay others. */
         @Test
         public void urgentThenTimelyThenNearestThenSmallestComesFirst() {
-            work = WorkTotals.NONE;
+            fill(WorkTotals.NONE);
             ServiceQueue queue = new ServiceQueue();
             CapacityRule rule = CapacityRule.GENERATION;
             queue.add(request("late", 0, rule, LONG, 100, 9_000), NOW);
@@ -192,6 +197,16 @@
             Assert.assertEquals(decide(queue, NOW), List.of("near SENT", "small SENT", "large SENT", "late SENT"));
         }
 
+        /** Guards against waits for the endpoints of a sample while others have capacity. */
+        @Test
+        public void requestDoesNotWaitIfOnlyItsSampleIsFull() {
+            fill(WorkTotals.NONE);
+            work = new WorkTotals(6, 0, 0, 0);
+            ServiceQueue queue = new ServiceQueue();
+            queue.add(call(1_500), NOW);
+            Assert.assertEquals(decide(queue, NOW), List.of("call SENT"));
+        }
+
         /**
          * Calls at full endpoints, whose counts may be outdated.
          *
@@ -209,7 +224,7 @@
 
         @Test(dataProvider = "calls")
         public void callWaitsForASlotForAPartOfItsObjective(long timeout, long elapsed, List<String> expected) {
-            work = new WorkTotals(6, 0, 0, 0);
+            fill(new WorkTotals(6, 0, 0, 0));
             ServiceQueue queue = new ServiceQueue();
             queue.add(call(timeout), NOW);
             Assert.assertEquals(decide(queue, NOW + elapsed), expected);
@@ -219,7 +234,7 @@
         @Test
         public void overdueGenerationIsSentOnlyIfItNearlyFits() {
             for (long resident : new long[] {21_500, 24_000}) {
-                work = new WorkTotals(6, 0, resident, resident);
+                fill(new WorkTotals(6, 0, resident, resident));
                 ServiceQueue queue = new ServiceQueue();
                 queue.add(request("late", 0, CapacityRule.GENERATION, LONG, 4_000, 39_000), NOW);
                 Assert.assertEquals(decide(queue, NOW + 5_900), List.of());
--- a/router/src/test/java/org/redwinghook/router/forward/ForwardingSettingsTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/ForwardingSettingsTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import io.vavr.control.Either;
+import org.redwinghook.core.dispatch.WaitingSettings;
 import org.redwinghook.core.document.Finding;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
@@ -24,6 +25,7 @@
             stopSeconds: 8
             retries: {share: 0.2, slack: 52, windowSeconds: 10}
             coldEndpoints: {burstFactor: 1.5, burstRequests: 5}
+            waiting: {enabled: true, maximumRequests: 20}
             """;
 
     @Test
@@ -32,6 +34,7 @@
         Assert.assertEquals(settings.caller().toString(), "10.0.0.1:80");
         Assert.assertEquals(settings.regions().get("dc-1"), "region-1");
         Assert.assertEquals(settings.retries().slack(), 52.0);
+        Assert.assertEquals(settings.waiting(), new WaitingSettings(true, 20));
     }
 
     @Test
