--- a/core/src/main/java/org/redwinghook/core/dispatch/CapacityRule.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/CapacityRule.java
@@ -14,7 +14,7 @@
      * Generations: the memory that all runs need at their end has to suffice, since an engine otherwise preempts a run,
      * and only few prompts may wait for prefill, since a more urgent one would wait behind them.
      */
-    GENERATION(PlacementPolicy.GENERATION, 8_000) {
+    GENERATION(PlacementPolicy.GENERATION, 24_000) {
         @Override
         public double waitMillis(Candidate candidate, DispatchRequest request, ExpectedDemand urgent, long nowMillis) {
             double slotMillis = slotMillis(candidate, request.idleEstimate().completionMillis());
@@ -93,7 +93,7 @@
         }
     },
     /** Calls of plain services, which refuse requests when all of their slots are taken. */
-    CALL(PlacementPolicy.CALL, 8) {
+    CALL(PlacementPolicy.CALL, 24) {
         @Override
         public double waitMillis(Candidate candidate, DispatchRequest request, ExpectedDemand urgent, long nowMillis) {
             return slotMillis(candidate, request.idleEstimate().completionMillis());
@@ -172,7 +172,7 @@
     /** Whether a request has waited for so long that the estimates are in doubt; they may rest on outdated reports. */
     abstract boolean isOverdue(DispatchRequest request, long progressAtMillis, long nowMillis);
 
-    /** Work of a customer in one round of fair scheduling. */
+    /** Work of a customer in one round of fair scheduling: about what one endpoint takes at once. */
     long roundWork() {
         return roundWork;
     }
