--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -111,6 +111,23 @@
         ForwardMetrics metrics = new ForwardMetrics(meters);
         PromptGuard promptGuard = new PromptGuard(new PromptQuarantine(settings.process()), clock, metrics);
         promptGuard.onQuarantine(streams::withdraw);
+        ForwardSelector selector = new ForwardSelector(
+                state,
+                eligibility,
+                ledger,
+                clock,
+                reloadable::current,
+                this::routerCount,
+                () -> ThreadLocalRandom.current().nextDouble());
+        WaitingRequests waiting = new WaitingRequests(
+                vertx,
+                clock,
+                state,
+                selector,
+                metrics,
+                () -> reloadable.current().waiting(),
+                this::routerCount);
+        observers.register(waiting);
         ForwardContext context = new ForwardContext(
                 vertx,
                 clock,
@@ -118,14 +135,7 @@
                 protocol,
                 client,
                 ledger,
-                new ForwardSelector(
-                        state,
-                        eligibility,
-                        ledger,
-                        clock,
-                        reloadable::current,
-                        this::routerCount,
-                        () -> ThreadLocalRandom.current().nextDouble()),
+                selector,
                 new ServiceRetryBudgets(() -> reloadable.current().retries(), this::routerCount),
                 memoryMover,
                 metrics,
@@ -134,6 +144,7 @@
                 promptGuard,
                 pollBarrier,
                 new ReceiveBudget(Runtime.getRuntime().maxMemory() / RECEIVE_BUDGET_HEAP_DIVISOR),
+                waiting,
                 this::reportWork);
         server = new ForwardServer(vertx, settings.caller(), context, streams, this::hasOtherRouters);
         readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
@@ -147,6 +158,7 @@
         observers.register(rolloutTracker);
         eligibility.addRule(new RolloutRule(rolloutTracker, state.endpoints(), eligibility));
         state.onEndpointLeaving(new RunRelocator(context, streams, settings.process())::handleEndpointLeaving);
+        routerExchange.onWorkReport(waiting::handleWorkReport);
         WireMetrics wireMetrics = new WireMetrics(meters);
         mesh = new RouterMesh(
                 vertx,
@@ -165,6 +177,10 @@
             if (topic == RecordTopic.ROUTERS) {
                 membership.update();
             }
+            if (topic == RecordTopic.OPERATORS) {
+                waiting.handleConfiguration();
+            }
+            waiting.scheduleService();
         });
         followers = new ArrayList<>();
         for (RecordTopic topic : RecordTopic.values()) {
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
@@ -10,6 +10,7 @@
 import java.util.zip.CRC32;
 
 import io.vavr.control.Either;
+import org.redwinghook.core.dispatch.WaitingSettings;
 import org.redwinghook.core.document.Finding;
 import org.redwinghook.core.document.Findings;
 import org.redwinghook.core.document.YamlMap;
@@ -34,6 +35,7 @@
  * @param retries limits of the retries
  * @param coldBurst tolerance of cold endpoints for a burst
  * @param rollouts limits of the roll-outs
+ * @param waiting queues for requests while capacity is short
  * @param digest checksum of the document, which tells operators which version of it is in force
  */
 public record ForwardingSettings(
@@ -50,6 +52,7 @@
         RetryLimits retries,
         ColdBurst coldBurst,
         RolloutLimits rollouts,
+        WaitingSettings waiting,
         String digest) {
 
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -66,6 +69,7 @@
     private static final double MAXIMUM_ROLLBACK_MILLIS = 3_600_000;
     private static final double MAXIMUM_ROLLOUT_STEPS = 100;
     private static final double MAXIMUM_ROLLOUT_EVIDENCE = 1e6;
+    private static final long MAXIMUM_WAITING_REQUESTS = 100_000;
 
     public ForwardingSettings {
         regions = Map.copyOf(regions);
@@ -99,6 +103,7 @@
                 readRetries(root.map("retries")),
                 readColdBurst(root.map("coldEndpoints")),
                 readRollouts(root.map("rollouts")),
+                readWaiting(root.map("waiting")),
                 digest(text));
         root.rejectUnknownKeys();
         return findings.resultOf(settings);
@@ -151,6 +156,11 @@
                 (int) rollouts.nullableDecimal("evidence", 1, MAXIMUM_ROLLOUT_EVIDENCE, defaults.evidence()));
         rollouts.rejectUnknownKeys();
         return limits;
+    private static WaitingSettings readWaiting(YamlMap waiting) {
+        WaitingSettings settings = new WaitingSettings(waiting.flag("enabled", false), (int) waiting.number(
+                "maximumRequests", 1, MAXIMUM_WAITING_REQUESTS, WaitingSettings.DEFAULT_MAXIMUM_REQUESTS));
+        waiting.rejectUnknownKeys();
+        return settings;
     }
 
     private static String digest(String text) {
@@ -174,7 +184,10 @@
         RETRY_SLACK(false, settings -> settings.retries().slack()),
         RETRY_WINDOW(true, settings -> settings.retries().windowSeconds()),
         COLD_ENDPOINTS(false, ForwardingSettings::coldBurst),
-        ROLLOUTS(false, ForwardingSettings::rollouts);
+        ROLLOUTS(false, ForwardingSettings::rollouts),
+    }
+
+        WAITING(false, ForwardingSettings::waiting);
 
         private final boolean needsRestart;
         private final Function<ForwardingSettings, Object> value;
--- a/router/src/test/java/org/redwinghook/router/forward/ForwardingSettingsTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/ForwardingSettingsTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import io.vavr.control.Either;
+import org.redwinghook.core.dispatch.WaitingSettings;
 import org.redwinghook.core.document.Finding;
 import org.redwinghook.core.rollout.RolloutLimits;
 import org.testng.Assert;
@@ -26,6 +27,7 @@
             retries: {share: 0.2, slack: 52, windowSeconds: 10}
             coldEndpoints: {burstFactor: 1.5, burstRequests: 5}
             rollouts: {exposureShare: 0.2, exposureSlack: 30, rollbackMillis: 4000, steps: 3, evidence: 10}
+            waiting: {enabled: true, maximumRequests: 20}
             """;
 
     @Test
@@ -34,6 +36,7 @@
         Assert.assertEquals(settings.caller().toString(), "10.0.0.1:80");
         Assert.assertEquals(settings.regions().get("dc-1"), "region-1");
         Assert.assertEquals(settings.retries().slack(), 52.0);
+        Assert.assertEquals(settings.waiting(), new WaitingSettings(true, 20));
         Assert.assertEquals(settings.rollouts(), new RolloutLimits(0.2, 30, 4_000, 3, 10));
     }
 
