Rank waiting requests by route within a customer, and expect callers to leave

A request's rank is now its customer's priority, then its route's.

Outputs are expected to be at most as long as their maximum. A caller's estimate may be ten times too long; such requests reserved memory that they could not use, and were refused as unservable in calm. Whether a request can be served before its deadline no longer depends on the length of its output, which is unknown.

Callers leave a stream without an event after 2 s, four objectives or eight gaps, whichever is longest: a request that cannot begin by then is refused instead of being kept until they leave.

--- a/core/src/main/java/org/redwinghook/core/dispatch/DispatchRequest.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/DispatchRequest.java
@@ -1,5 +1,6 @@
 package org.redwinghook.core.dispatch;
 
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.placement.DelayEstimate;
 import org.redwinghook.core.placement.PlacementQuery;
 
@@ -9,7 +10,7 @@
  * @param id identifier of the request
  * @param scope requests with the same scope may go to the same endpoints
  * @param customer name of the customer, empty if there is none
- * @param priority priority of the customer, or of the route if the customer has none; 0 is the most urgent
+ * @param priority rank of the request, see {@link #rank}; 0 is the most urgent
  * @param rule when an endpoint has capacity for the request
  * @param query size of the request
  * @param arrivedAtMillis time at which the request arrived
@@ -33,6 +34,25 @@
      */
     private static final double BEST_CASE_SHARE = 0.5;
 
+    /** Number of priorities of routes that are distinguished for one priority of a customer. */
+    private static final int ROUTE_PRIORITIES = 100;
+
+    /**
+     * Rank of a request: the customer's priority takes precedence, and the route's orders the requests of equal customers.
+     *
+     * @param customerPriority priority of the customer, null if it has none
+     * @param routePriority priority of the route
+     * @return the rank, 0 for the most urgent
+     */
+    public static int rank(@Nullable Integer customerPriority, int routePriority) {
+        int ofCustomer = customerPriority == null ? routePriority : customerPriority;
+        return clamp(ofCustomer) * ROUTE_PRIORITIES + clamp(routePriority);
+    }
+
+    private static int clamp(int priority) {
+        return Math.max(0, Math.min(ROUTE_PRIORITIES - 1, priority));
+    }
+
     /**
      * Work of the request.
      *
@@ -52,12 +72,13 @@
     }
 
     /**
-     * Latest time at which the request has to be sent to complete before its deadline, in the best case.
+     * Latest time at which the request has to be sent to give its first result before its deadline, in the best case. The
+     * length of an output is unknown, so it does not count.
      *
      * @return the time
      */
     long latestUsefulStartMillis() {
-        return deadlineMillis - (long) (idleEstimate().completionMillis() * BEST_CASE_SHARE);
+        return deadlineMillis - (long) (idleEstimate().firstResultMillis() * BEST_CASE_SHARE);
     }
 
     /** Expected course of the request at an endpoint without other work. */
--- a/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
@@ -32,7 +32,12 @@
      * @return the prompt and the expected output, which is the maximum if the caller expects none
      */
     PlacementQuery expectedSize() {
-        return new PlacementQuery(promptTokens, expectedOutputTokens > 0 ? expectedOutputTokens : maximumOutputTokens);
+        if (expectedOutputTokens <= 0) {
+            return new PlacementQuery(promptTokens, maximumOutputTokens);
+        }
+        // Callers' estimates are often far off; an output never exceeds the maximum.
+        long limitTokens = maximumOutputTokens > 0 ? maximumOutputTokens : expectedOutputTokens;
+        return new PlacementQuery(promptTokens, Math.min(expectedOutputTokens, limitTokens));
     }
 
     /**
--- a/router/src/main/java/org/redwinghook/router/forward/WaitingRequest.java
+++ b/router/src/main/java/org/redwinghook/router/forward/WaitingRequest.java
@@ -6,6 +6,8 @@
 import org.redwinghook.core.dispatch.DispatchRequest;
 import org.redwinghook.core.forward.CustomerAccess;
 import org.redwinghook.core.forward.KnownEndpoint;
+import org.redwinghook.core.forward.RequestKind;
+import org.redwinghook.core.forward.Route;
 import org.redwinghook.core.placement.PlacementQuery;
 
 /** A request that waits for its first endpoint, and what happens when its wait ends. */
@@ -29,6 +31,12 @@
         void handleRefusal(RefusalCause cause);
     }
 
+    /** Callers leave a stream without an event after the longest of this time and the two multiples below. */
+    private static final long LEAST_PATIENCE_MILLIS = 2_000;
+
+    private static final long PATIENCE_OBJECTIVES = 4;
+    private static final long PATIENCE_GAPS = 8;
+
     private final CallerExchange caller;
     private final Listener listener;
     private String service;
@@ -66,12 +74,24 @@
                         : caller.route().name() + " in "
                                 + regions.stream().sorted().toList(),
                 access == null ? "" : access.customer(),
-                customerPriority == null ? caller.route().priority() : customerPriority,
+                DispatchRequest.rank(customerPriority, caller.route().priority()),
                 rule,
                 query,
                 arrivedAtMillis,
                 arrivedAtMillis + caller.route().latencyObjectiveMillis(),
-                nowMillis + caller.remainingMillis());
+                Math.min(nowMillis + caller.remainingMillis(), arrivedAtMillis + patienceMillis(caller.route())));
+    }
+
+    /** Time after which the caller of a stream without any event leaves. */
+    private static long patienceMillis(Route route) {
+        if (route.kind() != RequestKind.STREAMING) {
+            return Long.MAX_VALUE / 2;
+        }
+        return Math.max(
+                LEAST_PATIENCE_MILLIS,
+                Math.max(
+                        PATIENCE_OBJECTIVES * route.latencyObjectiveMillis(),
+                        PATIENCE_GAPS * route.gapObjectiveMillis()));
     }
 
     CallerExchange caller() {
