--- a/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
+++ b/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
@@ -1,7 +1,11 @@
 package org.redwinghook.core.forward;
 
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.placement.Candidate;
 import org.redwinghook.core.placement.ColdPacing;
 import org.redwinghook.core.placement.EndpointHealth;
+import org.redwinghook.core.placement.MomentarySpeed;
+import org.redwinghook.core.placement.Slowdown;
 
 /** A registered endpoint and the state that the router has observed. Times are milliseconds of a monotonic clock. */
 public final class KnownEndpoint {
@@ -9,13 +13,19 @@
     /** Maximum age of a load reported with a response. */
     private static final long MAXIMUM_LOAD_AGE_MILLIS = 1_000;
 
+    /** Maximum age of the reported number of running requests: two typical calls of plain services. */
+    private static final long MAXIMUM_RUNNING_AGE_MILLIS = 120;
+
     private final EndpointHealth health = new EndpointHealth();
     private final ColdPacing pacing = new ColdPacing();
+    private final MomentarySpeed momentarySpeed = new MomentarySpeed();
     private EndpointEntry entry;
     private long coldUntilMillis;
     private boolean isRemoved;
-    private int waitingRequests;
-    private long waitingReceivedAtMillis = Long.MIN_VALUE / 2;
+    private @Nullable ReportedLoad load;
+    private long loadReceivedAtMillis = Long.MIN_VALUE / 2;
+    private boolean hasReportedUnusableLoad;
+    private double learnedSlowdown = Candidate.USUAL_SLOWDOWN;
 
     KnownEndpoint(EndpointEntry entry, long nowMillis) {
         this.entry = entry;
@@ -52,12 +62,22 @@
     /**
      * Records the load reported with a response.
      *
-     * @param reportedRequests number of requests that waited at the endpoint
+     * @param reported the load; unusable figures change nothing
      * @param nowMillis current time
+     * @return false if the figures are the first unusable ones of the endpoint
      */
-    public void recordWaitingRequests(int reportedRequests, long nowMillis) {
-        waitingRequests = reportedRequests;
-        waitingReceivedAtMillis = nowMillis;
+    public boolean recordLoad(ReportedLoad reported, long nowMillis) {
+        if (!reported.isUsable()) {
+            boolean isFirst = !hasReportedUnusableLoad;
+            hasReportedUnusableLoad = true;
+            return !isFirst;
+        }
+        load = reported;
+        loadReceivedAtMillis = nowMillis;
+        if (reported.percent() != ReportedLoad.NO_PERCENT) {
+            momentarySpeed.record(reported.percent(), nowMillis);
+        }
+        return true;
     }
 
     /**
@@ -67,7 +87,62 @@
      * @return the last reported number, 0 if the report is outdated
      */
     public int waitingRequests(long nowMillis) {
-        return nowMillis - waitingReceivedAtMillis <= MAXIMUM_LOAD_AGE_MILLIS ? waitingRequests : 0;
+        ReportedLoad newest = load;
+        return newest == null || isLoadOlder(MAXIMUM_LOAD_AGE_MILLIS, nowMillis) ? 0 : newest.waiting();
+    }
+
+    /**
+     * Number of requests that run at the endpoint.
+     *
+     * @param nowMillis current time
+     * @return the last reported number, 0 if the report is outdated
+     */
+    public int runningRequests(long nowMillis) {
+        ReportedLoad newest = load;
+        return newest == null || isLoadOlder(MAXIMUM_RUNNING_AGE_MILLIS, nowMillis) ? 0 : newest.running();
+    }
+
+    /**
+     * Number of requests that the endpoint can run concurrently.
+     *
+     * @param nowMillis current time
+     * @return the last reported number, that of its entry if the report is outdated
+     */
+    public int slots(long nowMillis) {
+        ReportedLoad newest = load;
+        return newest == null || isLoadOlder(MAXIMUM_LOAD_AGE_MILLIS, nowMillis) ? entry.slots() : newest.slots();
+    }
+
+    private boolean isLoadOlder(long maximumAgeMillis, long nowMillis) {
+        return nowMillis - loadReceivedAtMillis > maximumAgeMillis;
+    }
+
+    /**
+     * Sets what was learned about the speed of the endpoint.
+     *
+     * @param slowdown how long work takes there, relative to the typical endpoint of its service
+     */
+    public void setLearnedSlowdown(double slowdown) {
+        learnedSlowdown = slowdown;
+    }
+
+    /**
+     * Learned slowdown of the endpoint, without its current deviation.
+     *
+     * @return the factor
+     */
+    public double learnedSlowdown() {
+        return learnedSlowdown;
+    }
+
+    /**
+     * How long work takes at the endpoint now, relative to the typical endpoint of its service.
+     *
+     * @param nowMillis current time
+     * @return the learned slowdown, changed by what the endpoint has just reported
+     */
+    public double slowdown(long nowMillis) {
+        return Slowdown.limit(learnedSlowdown * momentarySpeed.factor(nowMillis));
     }
 
     /**
--- a/core/src/main/java/org/redwinghook/core/placement/Candidate.java
+++ b/core/src/main/java/org/redwinghook/core/placement/Candidate.java
@@ -36,4 +36,44 @@
 
     /** Slowdown of an endpoint of which nothing else is known. */
     public static final double USUAL_SLOWDOWN = 1;
+
+    /**
+     * The same endpoint with other work.
+     *
+     * @param other the work
+     * @return the candidate
+     */
+    public Candidate withWork(WorkTotals other) {
+        return new Candidate(
+                id,
+                slots,
+                memoryTokens,
+                other,
+                reportedWaitingRequests,
+                distance,
+                failureShare,
+                slowdown,
+                cold,
+                jitterMillis);
+    }
+
+    /**
+     * The same endpoint with another speed.
+     *
+     * @param other the slowdown
+     * @return the candidate
+     */
+    public Candidate withSlowdown(double other) {
+        return new Candidate(
+                id,
+                slots,
+                memoryTokens,
+                work,
+                reportedWaitingRequests,
+                distance,
+                failureShare,
+                other,
+                cold,
+                jitterMillis);
+    }
 }
--- a/core/src/main/java/org/redwinghook/core/placement/EngineSpeed.java
+++ b/core/src/main/java/org/redwinghook/core/placement/EngineSpeed.java
@@ -12,6 +12,14 @@
     /** Time per output token, in milliseconds; from the data sheet. */
     private static final double MILLIS_PER_OUTPUT_TOKEN = 8;
 
+    /** Time of a decoding step with one generation, and the time that each running one adds, in milliseconds. */
+    private static final double MILLIS_PER_DECODING_STEP = 7;
+
+    private static final double MILLIS_PER_DECODING_STEP_AND_GENERATION = 0.12;
+
+    /** Output tokens per event; from the engines' data sheet. A decoding step yields one token of each generation. */
+    private static final double TOKENS_PER_EVENT = 4;
+
     private EngineSpeed() {}
 
     /**
@@ -33,4 +41,14 @@
     public static double outputMillis(long tokens) {
         return tokens * MILLIS_PER_OUTPUT_TOKEN;
     }
+
+    /**
+     * Time between two events of a generation.
+     *
+     * @param running number of generations that run at the engine
+     * @return the time in milliseconds
+     */
+    public static double eventGapMillis(int running) {
+        return TOKENS_PER_EVENT * (MILLIS_PER_DECODING_STEP + running * MILLIS_PER_DECODING_STEP_AND_GENERATION);
+    }
 }
--- a/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
@@ -60,7 +60,8 @@
             if (candidate.distance() == Distance.FAR) {
                 return Double.POSITIVE_INFINITY;
             }
-            return GENERATION.delayMillis(candidate, query) - prefill + copy;
+            double lateness = EngineSpeed.outputMillis(query.expectedOutputTokens()) * (candidate.slowdown() - 1);
+            return GENERATION.delayMillis(candidate, query) - prefill + copy + lateness * LATE_END_SHARE;
         }
 
         @Override
@@ -68,21 +69,35 @@
             return GENERATION.estimate(candidate, query);
         }
     },
-    /** Calls of plain services, which have few slots: in a burst, the delay is the wait for a slot. */
+    /**
+     * Calls of plain services, which have few slots and refuse requests when full: the fastest endpoint with a free slot
+     * is chosen. Among endpoints of the same speed it is the one with the lowest load, since other routers may have sent
+     * requests that are not reported yet.
+     */
     CALL {
         @Override
         double delayMillis(Candidate candidate, PlacementQuery query) {
-            double load = (double) candidate.work().running() / Math.max(1, candidate.slots());
-            return load * TYPICAL_CALL_MILLIS * (load >= 1 ? FULL_ENDPOINT_FACTOR : 1) * candidate.slowdown();
+            double load = load(candidate);
+            if (load >= 1) {
+                return load * FULL_ENDPOINT_MILLIS * Math.max(1, candidate.slowdown());
+            }
+            double lateness = (candidate.slowdown() - 1) * TYPICAL_CALL_MILLIS * SPEED_FACTOR;
+            return load * TYPICAL_CALL_MILLIS + Math.min(lateness, MAXIMUM_LATENESS_MILLIS);
         }
 
+        /** A call that finds a free slot takes as long as at an idle endpoint. */
         @Override
         public DelayEstimate estimate(Candidate candidate, PlacementQuery query) {
-            double rounds = 1 + (double) candidate.work().running() / Math.max(1, candidate.slots());
+            double load = load(candidate);
+            double rounds = load < 1 ? 1 : 1 + load;
             double millis = rounds * TYPICAL_CALL_MILLIS * candidate.slowdown()
                     + candidate.distance().latencyMillis();
             return new DelayEstimate(millis, millis, 0);
         }
+
+        private static double load(Candidate candidate) {
+            return (double) candidate.work().running() / Math.max(1, candidate.slots());
+        }
     };
 
     /** Delay that each running generation adds to a first token through slower decoding steps, in milliseconds. */
@@ -100,8 +115,20 @@
     /** Typical time of a call of a plain service, in milliseconds, according to the services' data sheet. */
     private static final double TYPICAL_CALL_MILLIS = 60;
 
-    /** Factor for a full endpoint, which may refuse the request and cost another attempt. */
-    private static final double FULL_ENDPOINT_FACTOR = 3;
+    /** Delay of a full endpoint, in milliseconds: it may refuse the request and cost another attempt. */
+    private static final double FULL_ENDPOINT_MILLIS = 180;
+
+    /** Importance of the time of a call beside the load of endpoints with free slots. */
+    private static final double SPEED_FACTOR = 2;
+
+    /** Largest cost of a slow endpoint, in milliseconds, so that its free slot precedes a full endpoint. */
+    private static final double MAXIMUM_LATENESS_MILLIS = 120;
+
+    /**
+     * Cost of a moved run that ends later, as a share of that time: it holds its memory longer, which counts less than the
+     * pause of its stream.
+     */
+    private static final double LATE_END_SHARE = 0.1;
 
     /** Delay of an attempt that fails and must be repeated, in milliseconds. */
     private static final double FAILED_ATTEMPT_MILLIS = 2_000;
--- a/core/src/main/java/org/redwinghook/core/placement/WorkTotals.java
+++ b/core/src/main/java/org/redwinghook/core/placement/WorkTotals.java
@@ -56,4 +56,28 @@
                 residentTokens + other.residentTokens,
                 heldTokens + other.heldTokens);
     }
+
+    /**
+     * The same work with at least a number of running requests.
+     *
+     * @param minimum the number
+     * @return the work
+     */
+    public WorkTotals withRunningAtLeast(int minimum) {
+        return minimum <= running ? this : new WorkTotals(minimum, waitingTokens, residentTokens, heldTokens);
+    }
+
+    /**
+     * The same work without one request that has not produced output.
+     *
+     * @param query size of the request
+     * @return the work
+     */
+    public WorkTotals withoutWaiting(PlacementQuery query) {
+        return new WorkTotals(
+                Math.max(0, running - 1),
+                Math.max(0, waitingTokens - query.promptTokens()),
+                Math.max(0, residentTokens - query.promptTokens() - query.expectedOutputTokens()),
+                heldTokens);
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -86,7 +86,7 @@
     }
 
     /**
-     * Reads the head of a response and records the load that it reports.
+     * Reads the head of a response.
      *
      * @param response the response
      * @return its head
@@ -94,10 +94,6 @@
     ResponseHead readResponseHead(HttpClientResponse response) {
         recordResponse();
         ResponseHead head = context.protocol().readResponseHead(response);
-        if (head.waitingRequests() >= 0) {
-            endpoint.recordWaitingRequests(
-                    head.waitingRequests(), context.clock().millis());
-        }
         context.observers().notify(observer -> observer.handleResponseHead(caller, endpoint, head));
         return head;
     }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -2,12 +2,14 @@
 
 import java.time.Duration;
 
+import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 
 /** Counters and latency histograms of forwarded requests. */
 final class ForwardMetrics {
 
+    private static final double[] ESTIMATE_RATIO_BUCKETS = {0.25, 0.5, 0.7, 0.9, 1.1, 1.4, 2, 4, 8};
     private static final Duration MINIMUM_EXPECTED_DURATION = Duration.ofMillis(5);
     private static final Duration MAXIMUM_EXPECTED_DURATION = Duration.ofSeconds(60);
 
@@ -60,6 +62,43 @@
         registry.counter("redwinghook.forward.moves", "outcome", outcome).increment();
     }
 
+    /**
+     * Records an outcome beside its estimate.
+     *
+     * @param service service of the endpoint
+     * @param kind kind of duration: first_event or call
+     * @param ratio duration divided by the estimate
+     */
+    void recordEstimate(String service, String kind, double ratio) {
+        DistributionSummary.builder("redwinghook.forward.estimate.ratio")
+                .tag("service", service)
+                .tag("kind", kind)
+                .serviceLevelObjectives(ESTIMATE_RATIO_BUCKETS)
+                .register(registry)
+                .record(ratio);
+    }
+
+    /**
+     * Counts an endpoint that became slow or usual again.
+     *
+     * @param service service of the endpoint
+     * @param change slow or usual
+     */
+    void recordSpeedChange(String service, String change) {
+        registry.counter("redwinghook.forward.speed.changes", "service", service, "change", change)
+                .increment();
+    }
+
+    /**
+     * Counts a response whose load figures were not usable.
+     *
+     * @param service service of the endpoint
+     */
+    void recordUnusableLoad(String service) {
+        registry.counter("redwinghook.forward.load.unusable", "service", service)
+                .increment();
+    }
+
     /**
      * Counts an event of the quarantine of prompt parts.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -24,6 +24,7 @@
 import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.WorkLedger;
+import org.redwinghook.core.placement.WorkTotals;
 import org.redwinghook.core.routing.RendezvousHash;
 
 /** Chooses endpoints for forwarded requests. */
@@ -198,17 +199,34 @@
         return both;
     }
 
+    /**
+     * What is known about an endpoint, as for a choice.
+     *
+     * @param endpoint the endpoint
+     * @return the endpoint as a candidate of this router
+     */
+    Candidate describe(KnownEndpoint endpoint) {
+        EndpointEntry entry = endpoint.entry();
+        return candidate(
+                endpoint,
+                memory(entry.service()).capacityTokens(),
+                distance(dataCentre, entry.dataCentre()),
+                clock.millis());
+    }
+
     private Candidate candidate(KnownEndpoint endpoint, long memoryTokens, Distance distance, long now) {
         EndpointEntry entry = endpoint.entry();
+        WorkTotals work = ledger.workAt(entry.id(), now);
+        boolean isPlain = memoryTokens == 0;
         return new Candidate(
                 entry.id(),
-                entry.slots(),
+                isPlain ? endpoint.slots(now) : entry.slots(),
                 memoryTokens,
-                ledger.workAt(entry.id(), now),
+                isPlain ? work.withRunningAtLeast(endpoint.runningRequests(now)) : work,
                 endpoint.waitingRequests(now),
                 distance,
                 endpoint.health().failureShare(now),
-                Candidate.USUAL_SLOWDOWN,
+                endpoint.slowdown(now),
                 endpoint.isCold(now),
                 random.getAsDouble() * Candidate.MAXIMUM_JITTER_MILLIS);
     }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -17,6 +17,7 @@
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.placement.EndpointSpeeds;
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.quarantine.PromptQuarantine;
 import org.redwinghook.core.receive.ReceiveBudget;
@@ -69,6 +70,8 @@
     private final ForwardServer server;
     private final ReadinessServer readinessServer;
     private final RouterExchange routerExchange;
+    private final SpeedTracker speedTracker;
+    private final SpeedExchange speedExchange;
     private final RouterMesh mesh;
     private final RouterMembership membership;
     private final List<RecordFollower> followers;
@@ -136,6 +139,10 @@
         server = new ForwardServer(vertx, settings.caller(), context, streams, this::hasOtherRouters);
         readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
         routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock, promptGuard);
+        EndpointSpeeds speeds = new EndpointSpeeds();
+        speedTracker = new SpeedTracker(vertx, clock, state, context.selector(), ledger, metrics, speeds);
+        speedExchange = new SpeedExchange(vertx, clock, settings.process(), incarnation, routerExchange, speeds);
+        observers.register(speedTracker);
         state.onEndpointLeaving(new RunRelocator(context, streams, settings.process())::handleEndpointLeaving);
         WireMetrics wireMetrics = new WireMetrics(meters);
         mesh = new RouterMesh(
@@ -211,6 +218,8 @@
         routerExchange.setCanReadStore(this::canReadStore);
         routerExchange.setStoreWasUnavailable(() -> followers.stream().anyMatch(RecordFollower::storeWasUnavailable));
         routerExchange.start();
+        speedTracker.start();
+        speedExchange.start();
         membership.register();
         mesh.start().onFailure(failure -> LOGGER.error("port for routers not opened cause={}", failure.toString()));
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
--- a/router/src/main/java/org/redwinghook/router/forward/ResponseHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.redwinghook.router.forward;
 
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.forward.ReportedLoad;
 
 /**
  * Values from the head of an endpoint's response.
@@ -9,10 +10,14 @@
  * @param requestId identifier of the request that the response belongs to, null if absent
  * @param notRun whether the endpoint reports that it did not run the request
  * @param intact whether the head is complete and the body has no content encoding
- * @param waitingRequests number of requests waiting at the endpoint, -1 if absent
+ * @param load load that the endpoint reports, null if absent
  */
 public record ResponseHead(
-        int status, @Nullable String requestId, boolean notRun, boolean intact, int waitingRequests) {
+        int status,
+        @Nullable String requestId,
+        boolean notRun,
+        boolean intact,
+        @Nullable ReportedLoad load) {
 
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
