--- a/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
+++ b/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
@@ -142,7 +142,17 @@
      * @return the learned slowdown, changed by what the endpoint has just reported
      */
     public double slowdown(long nowMillis) {
-        return Slowdown.limit(learnedSlowdown * momentarySpeed.factor(nowMillis));
+        return Slowdown.limit(learnedSlowdown * momentarySlowdown(nowMillis));
+    }
+
+    /**
+     * Current deviation of the endpoint from its own usual speed, according to what it has just reported.
+     *
+     * @param nowMillis current time
+     * @return the factor, 1 if nothing fresh is reported
+     */
+    public double momentarySlowdown(long nowMillis) {
+        return Slowdown.limit(momentarySpeed.factor(nowMillis));
     }
 
     /**
--- a/core/src/main/java/org/redwinghook/core/message/SpeedReport.java
+++ b/core/src/main/java/org/redwinghook/core/message/SpeedReport.java
@@ -1,6 +1,7 @@
 package org.redwinghook.core.message;
 
 import java.util.List;
+import java.util.Objects;
 
 import org.redwinghook.core.placement.SharedSpeed;
 
@@ -15,6 +16,7 @@
 public record SpeedReport(String router, long sequence, List<SharedSpeed> speeds) implements Message {
 
     public SpeedReport {
+        Objects.requireNonNull(router);
         speeds = List.copyOf(speeds);
     }
 }
--- a/core/src/main/java/org/redwinghook/core/placement/EndpointSpeeds.java
+++ b/core/src/main/java/org/redwinghook/core/placement/EndpointSpeeds.java
@@ -19,9 +19,18 @@
  */
 public final class EndpointSpeeds {
 
-    /** Weight of the assumption that an endpoint is typical, in observations. */
+    /**
+     * Number of observations that weigh as much as the assumption that an endpoint is typical. One has a tenth of the weight,
+     * since it may be an outlier; ten have nine tenths.
+     */
     private static final double TYPICAL_WEIGHT = 3;
 
+    /**
+     * Weight of a connected router that has not reported an endpoint, in observations: it may have found it typical, and
+     * routers with few observations report mostly outliers.
+     */
+    private static final double SILENT_ROUTER_WEIGHT = 0.5;
+
     /** Logarithm of a slowdown up to which an endpoint counts as typical; the noise of equal endpoints is below it. */
     private static final double NOISE_LOG = 0.15;
 
@@ -29,10 +38,10 @@
     private static final double SIGNIFICANT_LOG = 0.3;
 
     /** Number of samples from which an endpoint counts for the typical duration of its service. */
-    private static final int MINIMUM_SAMPLES = 3;
+    private static final int MINIMUM_SAMPLES = 2;
 
-    /** Number of observations from which a slowdown is shared with other routers. */
-    private static final int MINIMUM_SHARED_OBSERVATIONS = 6;
+    /** Number of observations, weighted by age, from which a slowdown is shared with other routers. */
+    private static final double MINIMUM_SHARED_OBSERVATIONS = 1.5;
 
     /** Difference of the logarithm from which a slowdown is shared again. */
     private static final double SHARED_CHANGE_LOG = 0.25;
@@ -92,25 +101,29 @@
      * Computes the slowdowns from the durations and reports so far, without those that are too old.
      *
      * @param instances identifiers of the listed endpoint instances
+     * @param connectedRouters number of routers that would report unusual endpoints to this one
      * @param nowMillis current time
      */
-    public void refresh(Iterable<String> instances, long nowMillis) {
+    public void refresh(Iterable<String> instances, int connectedRouters, long nowMillis) {
         peerSpeeds.removeExpired(nowMillis);
         learnedByInstance.values().removeIf(learned -> learned.removeExpired(nowMillis) == 0);
         Map<String, Map<SpeedSample, Double>> typicalByService = typicalLogs();
         for (Learned learned : learnedByInstance.values()) {
-            learned.compare(typicalByService.getOrDefault(learned.service, Map.of()));
+            learned.compare(typicalByService.getOrDefault(learned.service, Map.of()), nowMillis);
         }
         slowdownByKey.clear();
         for (String instance : instances) {
             Learned learned = learnedByInstance.get(instance);
             int key = learned == null ? key(instance) : learned.key;
             WeightedMean mean = new WeightedMean();
-            peerSpeeds.addTo(mean, key, nowMillis);
+            int reports = peerSpeeds.addTo(mean, key, nowMillis);
+            double silence = Math.max(0, connectedRouters - reports) * SILENT_ROUTER_WEIGHT;
+            double silentWeight = Math.min(silence, mean.weight());
             if (learned != null) {
                 mean.add(learned.logSlowdown, learned.observations);
             }
-            double logSlowdown = withoutNoise(mean.towardsZero(TYPICAL_WEIGHT));
+            double typicalWeight = TYPICAL_WEIGHT * TYPICAL_WEIGHT / Math.max(1, mean.weight());
+            double logSlowdown = withoutNoise(mean.towardsZero(silentWeight + typicalWeight));
             if (logSlowdown != 0) {
                 slowdownByKey.put(key, Slowdown.limit(Math.exp(logSlowdown)));
             }
@@ -225,12 +238,12 @@
             return remaining;
         }
 
-        void compare(Map<SpeedSample, Double> typicalLogs) {
+        void compare(Map<SpeedSample, Double> typicalLogs, long nowMillis) {
             WeightedMean mean = new WeightedMean();
             ratiosByKind.forEach((kind, ratios) -> {
                 Double typical = typicalLogs.get(kind);
                 if (typical != null) {
-                    mean.add(ratios.median() - typical, ratios.size() * kind.weight());
+                    mean.add(ratios.median() - typical, ratios.weight(nowMillis) * kind.weight());
                 }
             });
             logSlowdown = mean.towardsZero(0);
--- a/core/src/main/java/org/redwinghook/core/placement/PeerSpeeds.java
+++ b/core/src/main/java/org/redwinghook/core/placement/PeerSpeeds.java
@@ -67,12 +67,14 @@
         return reports == null ? Map.of() : reports;
     }
 
-    /** Adds the reports on an endpoint to a mean. */
-    void addTo(WeightedMean mean, int instance, long nowMillis) {
-        for (Report report : reportsOf(instance).values()) {
+    /** Adds the reports on an endpoint to a mean and returns their number. */
+    int addTo(WeightedMean mean, int instance, long nowMillis) {
+        Map<String, Report> reports = reportsOf(instance);
+        for (Report report : reports.values()) {
             double age = Math.max(0, nowMillis - report.receivedAtMillis);
             mean.add(report.logSlowdown, report.observations * Math.pow(0.5, age / HALF_LIFE_MILLIS));
         }
+        return reports.size();
     }
 
     void removeExpired(long nowMillis) {
--- a/core/src/main/java/org/redwinghook/core/placement/RecentRatios.java
+++ b/core/src/main/java/org/redwinghook/core/placement/RecentRatios.java
@@ -10,7 +10,10 @@
 final class RecentRatios {
 
     /** Time after which a sample is forgotten, so that an endpoint that is avoided as slow is tried again. */
-    static final long MAXIMUM_AGE_MILLIS = 30_000;
+    static final long MAXIMUM_AGE_MILLIS = 60_000;
+
+    /** Time in which the weight of the samples halves. */
+    private static final double HALF_LIFE_MILLIS = 20_000;
 
     /** Shortest time between two samples, in milliseconds; others in between are ignored. */
     static final long MINIMUM_INTERVAL_MILLIS = 200;
@@ -60,7 +63,16 @@
         return size;
     }
 
-    /** Median of the logarithms, 0 without samples. */
+    /** Number of samples, less the older they are. */
+    double weight(long nowMillis) {
+        if (size == 0) {
+            return 0;
+        }
+        double typicalAge = Math.max(0, nowMillis - addedAtMillis[index(size / 2)]);
+        return size * Math.pow(0.5, typicalAge / HALF_LIFE_MILLIS);
+    }
+
+    /** Median of the logarithms, of two the smaller one, since outliers are mostly slow; 0 without samples. */
     double median() {
         if (!isMedianKnown) {
             float[] sorted = new float[size];
@@ -68,7 +80,7 @@
                 sorted[position] = logRatios[index(position)];
             }
             Arrays.sort(sorted);
-            median = size == 0 ? 0 : (sorted[(size - 1) / 2] + sorted[size / 2]) / 2;
+            median = size == 0 ? 0 : sorted[(size - 1) / 2];
             isMedianKnown = true;
         }
         return median;
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -140,7 +140,9 @@
         readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
         routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock, promptGuard);
         EndpointSpeeds speeds = new EndpointSpeeds();
-        speedTracker = new SpeedTracker(vertx, clock, state, context.selector(), ledger, metrics, speeds);
+        speedTracker = new SpeedTracker(vertx, clock, state, context.selector(), metrics, speeds, () -> routerExchange
+                .connectedRouters()
+                .size());
         speedExchange = new SpeedExchange(vertx, clock, settings.process(), incarnation, routerExchange, speeds);
         observers.register(speedTracker);
         state.onEndpointLeaving(new RunRelocator(context, streams, settings.process())::handleEndpointLeaving);
--- a/router/src/main/java/org/redwinghook/router/forward/SpeedTracker.java
+++ b/router/src/main/java/org/redwinghook/router/forward/SpeedTracker.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntSupplier;
 
 import io.vertx.core.Vertx;
 import org.redwinghook.core.forward.EndpointEntry;
@@ -19,7 +20,6 @@
 import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.SpeedSample;
-import org.redwinghook.core.placement.WorkLedger;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -52,9 +52,9 @@
     private final MonotonicClock clock;
     private final ForwardingState state;
     private final ForwardSelector selector;
-    private final WorkLedger ledger;
     private final ForwardMetrics metrics;
     private final EndpointSpeeds speeds;
+    private final IntSupplier connectedRouters;
     private final Map<CallerExchange, ObservedAttempt> attempts = new HashMap<>();
     private final Set<String> slowInstances = new HashSet<>();
 
@@ -63,16 +63,16 @@
             MonotonicClock clock,
             ForwardingState state,
             ForwardSelector selector,
-            WorkLedger ledger,
             ForwardMetrics metrics,
-            EndpointSpeeds speeds) {
+            EndpointSpeeds speeds,
+            IntSupplier connectedRouters) {
         this.vertx = vertx;
         this.clock = clock;
         this.state = state;
         this.selector = selector;
-        this.ledger = ledger;
         this.metrics = metrics;
         this.speeds = speeds;
+        this.connectedRouters = connectedRouters;
     }
 
     void start() {
@@ -140,7 +140,7 @@
         List<EndpointEntry> entries = state.endpoints().entries();
         List<String> instances = new ArrayList<>();
         entries.forEach(entry -> instances.add(entry.incarnation()));
-        speeds.refresh(instances, clock.millis());
+        speeds.refresh(instances, connectedRouters.getAsInt(), clock.millis());
         slowInstances.retainAll(new HashSet<>(instances));
         int lines = 0;
         for (int index = 0; index < instances.size(); index++) {
@@ -182,6 +182,7 @@
     private final class ObservedAttempt {
 
         private final CallerExchange caller;
+        private final KnownEndpoint endpoint;
         private final EndpointEntry entry;
         private final Candidate candidate;
         private final boolean isStream;
@@ -194,6 +195,7 @@
 
         ObservedAttempt(CallerExchange caller, KnownEndpoint endpoint) {
             this.caller = caller;
+            this.endpoint = endpoint;
             this.entry = endpoint.entry();
             this.isStream = caller.route().kind() == RequestKind.STREAMING;
             this.isContinuation = caller.response().headWritten();
@@ -234,14 +236,17 @@
             if (gapsMillis < GAP_SAMPLE_MILLIS) {
                 return;
             }
-            int running = ledger.workAt(entry.id(), clock.millis()).running();
+            int running = selector.describe(endpoint).work().running();
             learn(SpeedSample.GAP, gapsMillis / (gaps * EngineSpeed.eventGapMillis(running)));
             gapsMillis = 0;
             gaps = 0;
         }
 
+        /** Learns the usual speed, without the current deviation that the endpoint itself reports. */
         private void learn(SpeedSample kind, double ratio) {
-            speeds.record(entry.incarnation(), entry.service(), kind, ratio, clock.millis());
+            long now = clock.millis();
+            double usualRatio = ratio / endpoint.momentarySlowdown(now);
+            speeds.record(entry.incarnation(), entry.service(), kind, usualRatio, now);
         }
     }
 }
--- a/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
@@ -14,9 +14,11 @@
 import org.redwinghook.core.message.Message;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.message.QuarantineReport;
+import org.redwinghook.core.message.SpeedReport;
 import org.redwinghook.core.message.Submit;
 import org.redwinghook.core.message.TokenUsage;
 import org.redwinghook.core.message.Tokens;
+import org.redwinghook.core.placement.SharedSpeed;
 import org.redwinghook.core.quarantine.EndpointCrash;
 import org.redwinghook.core.quarantine.PartSuccess;
 import org.redwinghook.core.quarantine.PartTrial;
@@ -52,6 +54,7 @@
                         List.of(new PartSuccess("p-1", -4_000)),
                         List.of(new PartTrial("p-2", "r-2", 0, true))))
             },
+            {new SpeedReport("router-1", 1L << 41, List.of(new SharedSpeed(-7, 170, 21)))},
             {new Submit(9, "copy", "parna", "retail", 5, 30_000, 256, new GenerationRequest("copy", "Hi", 1, 64), null)
             },
         };
