--- a/core/src/main/java/org/redwinghook/core/placement/EndpointSpeeds.java
+++ b/core/src/main/java/org/redwinghook/core/placement/EndpointSpeeds.java
@@ -20,16 +20,16 @@
 public final class EndpointSpeeds {
 
     /**
-     * Number of observations that weigh as much as the assumption that an endpoint is typical. One has a tenth of the weight,
-     * since it may be an outlier; ten have nine tenths.
+     * Number of observations that weigh as much as the assumption that an endpoint is typical. One has a seventeenth of
+     * the weight, since it may be an outlier; twelve have nine tenths.
      */
-    private static final double TYPICAL_WEIGHT = 3;
+    private static final double TYPICAL_WEIGHT = 4;
 
     /**
      * Weight of a connected router that has not reported an endpoint, in observations: it may have found it typical, and
      * routers with few observations report mostly outliers.
      */
-    private static final double SILENT_ROUTER_WEIGHT = 0.5;
+    private static final double SILENT_ROUTER_WEIGHT = 1;
 
     /** Logarithm of a slowdown up to which an endpoint counts as typical; the noise of equal endpoints is below it. */
     private static final double NOISE_LOG = 0.15;
@@ -41,9 +41,9 @@
     private static final int MINIMUM_SAMPLES = 2;
 
     /** Number of observations, weighted by age, from which a slowdown is shared with other routers. */
-    private static final double MINIMUM_SHARED_OBSERVATIONS = 1.5;
+    private static final double MINIMUM_SHARED_OBSERVATIONS = 0.8;
 
-    /** Difference of the logarithm from which a slowdown is shared again. */
+    /** Difference of the logarithm from which a slowdown is shared again; twice as much with a single observation. */
     private static final double SHARED_CHANGE_LOG = 0.25;
 
     /** Time after which a shared slowdown is repeated although it has not changed, in milliseconds. */
@@ -256,7 +256,7 @@
             }
             boolean isRenewal =
                     Math.abs(logSlowdown) >= SHARED_CHANGE_LOG && nowMillis - sharedAtMillis >= RENEWAL_MILLIS;
-            return isRenewal || unsharedChange() >= SHARED_CHANGE_LOG;
+            return isRenewal || unsharedChange() >= SHARED_CHANGE_LOG * (1 + 1 / observations);
         }
 
         double unsharedChange() {
@@ -271,7 +271,7 @@
 
         SharedSpeed toShared() {
             double percent = TYPICAL_PERCENT * Slowdown.limit(Math.exp(sharedLog));
-            return new SharedSpeed(key, (int) Math.round(percent), (int) Math.round(observations));
+            return new SharedSpeed(key, (int) Math.round(percent), (int) Math.max(1, Math.round(observations)));
         }
     }
 }
--- a/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/redwinghook/core/placement/PlacementPolicy.java
@@ -27,6 +27,11 @@
             return new DelayEstimate(first, first + output, overflowTokens(candidate, query));
         }
 
+        @Override
+        boolean isFull(Candidate candidate, PlacementQuery query) {
+            return overflowTokens(candidate, query) > 0;
+        }
+
         private static double firstTokenMillis(Candidate candidate, PlacementQuery query) {
             WorkTotals work = candidate.work();
             double prefill = EngineSpeed.prefillMillis(work.waitingTokens() + query.promptTokens());
@@ -68,6 +73,11 @@
         public DelayEstimate estimate(Candidate candidate, PlacementQuery query) {
             return GENERATION.estimate(candidate, query);
         }
+
+        @Override
+        boolean isFull(Candidate candidate, PlacementQuery query) {
+            return GENERATION.isFull(candidate, query);
+        }
     },
     /**
      * Calls of plain services, which have few slots and refuse requests when full: the fastest endpoint with a free slot
@@ -95,6 +105,11 @@
             return new DelayEstimate(millis, millis, 0);
         }
 
+        @Override
+        boolean isFull(Candidate candidate, PlacementQuery query) {
+            return load(candidate) >= 1;
+        }
+
         private static double load(Candidate candidate) {
             return (double) candidate.work().running() / Math.max(1, candidate.slots());
         }
@@ -164,6 +179,9 @@
 
     abstract double delayMillis(Candidate candidate, PlacementQuery query);
 
+    /** Whether a request would wait at the endpoint for a reason that the estimate does not contain. */
+    abstract boolean isFull(Candidate candidate, PlacementQuery query);
+
     /**
      * Expected course of a request at an endpoint, on which waiting and placement agree.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/SpeedTracker.java
+++ b/router/src/main/java/org/redwinghook/router/forward/SpeedTracker.java
@@ -17,6 +17,7 @@
 import org.redwinghook.core.placement.Candidate;
 import org.redwinghook.core.placement.EndpointSpeeds;
 import org.redwinghook.core.placement.EngineSpeed;
+import org.redwinghook.core.placement.ExpectedDuration;
 import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.SpeedSample;
@@ -34,9 +35,6 @@
     /** Shortest time over which gaps between events are averaged, since events may arrive several at once. */
     private static final long GAP_SAMPLE_MILLIS = 200;
 
-    /** Shortest expected duration to learn from, in milliseconds; shorter ones are mostly time on the network. */
-    private static final double MINIMUM_LEARNED_MILLIS = 20;
-
     /** Slowdown from which an endpoint is reported as slow. */
     private static final double SLOW = 1.5;
 
@@ -112,7 +110,7 @@
                 "first event id={} endpoint={} predictedMillis={} actualMillis={} running={} slowdown={}",
                 caller.requestId(),
                 endpoint.entry().id(),
-                Math.round(attempt.predictedMillis),
+                Math.round(attempt.expected.predictedMillis()),
                 sinceStartMillis,
                 attempt.candidate.work().running(),
                 format(attempt.candidate.slowdown()));
@@ -187,9 +185,7 @@
         private final Candidate candidate;
         private final boolean isStream;
         private final boolean isContinuation;
-        private final double predictedMillis;
-        private final double usualMillis;
-        private final boolean isExplained;
+        private final ExpectedDuration expected;
         private long gapsMillis;
         private int gaps;
 
@@ -204,24 +200,15 @@
             Candidate described = selector.describe(endpoint);
             // The work of the endpoint already contains this attempt.
             this.candidate = described.withWork(described.work().withoutWaiting(query));
-            this.predictedMillis = policy.estimate(candidate, query).firstResultMillis();
-            this.usualMillis = policy.estimate(candidate.withSlowdown(Candidate.USUAL_SLOWDOWN), query)
-                            .firstResultMillis()
-                    - candidate.distance().latencyMillis();
-            boolean isFull = isStream
-                    ? policy.estimate(candidate, query).overflowTokens() > 0
-                    : candidate.work().running() >= candidate.slots();
-            this.isExplained = !isFull && !candidate.cold();
+            this.expected = ExpectedDuration.of(policy, candidate, query);
         }
 
-        /** Records a first event or a call. Delays at full or cold endpoints say nothing about their speed. */
         void recordDuration(SpeedSample kind, long millis) {
             metrics.recordEstimate(
-                    entry.service(), kind.name().toLowerCase(Locale.ROOT), millis / Math.max(1, predictedMillis));
-            if (isExplained && usualMillis >= MINIMUM_LEARNED_MILLIS) {
-                double workMillis = Math.max(1, millis - candidate.distance().latencyMillis());
-                learn(kind, workMillis / usualMillis);
-            }
+                    entry.service(),
+                    kind.name().toLowerCase(Locale.ROOT),
+                    millis / Math.max(1, expected.predictedMillis()));
+            expected.ratioToUsual(millis).ifPresent(ratio -> learn(kind, ratio));
         }
 
         void recordGap(long millis) {
--- a/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
 import io.vertx.core.Vertx;
@@ -12,7 +13,11 @@
 import org.redwinghook.core.message.Message;
 import org.redwinghook.core.message.QuarantineReport;
 import org.redwinghook.core.message.RelayedRecords;
+import org.redwinghook.core.message.SpeedReport;
 import org.redwinghook.core.message.WorkReport;
+import org.redwinghook.core.placement.EndpointSpeeds;
+import org.redwinghook.core.placement.SharedSpeed;
+import org.redwinghook.core.placement.SpeedSample;
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.quarantine.EndpointCrash;
 import org.redwinghook.core.quarantine.PromptQuarantine;
@@ -21,9 +26,11 @@
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.VersionedRecord;
 import org.redwinghook.runtime.config.ConfigurationPeer;
+import org.redwinghook.runtime.wire.FrameCodec;
 import org.testng.Assert;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -137,6 +144,46 @@
         Assert.assertEquals(firstPeer.quarantineReports(), 0);
     }
 
+    @DataProvider
+    public Object[][] connections() {
+        return new Object[][] {{63}, {18}, {1}};
+    }
+
+    // Guards against reports of speeds that fill the links. Load: half of 600 endpoints change their speed all the
+    // time.
+    @Test(dataProvider = "connections")
+    public void speedReportsStayWithinTheirBytes(int connections) {
+        long[] now = {1_000_000};
+        EndpointSpeeds speeds = new EndpointSpeeds();
+        SpeedExchange speedExchange = new SpeedExchange(vertx, () -> now[0], "router-b", 1L << 41, exchange, speeds);
+        List<Message> sent = new ArrayList<>();
+        List<String> instances =
+                IntStream.range(0, 600).mapToObj(number -> "e-" + number).toList();
+        for (int second = 0; second < 600; second++) {
+            now[0] += 1_000;
+            for (int endpoint = 0; endpoint < instances.size(); endpoint++) {
+                double ratio = endpoint % 2 == 0 ? 1 : 2 + Math.sin(second / 20.0 + endpoint);
+                speeds.record(instances.get(endpoint), "s", SpeedSample.CALL, ratio, now[0]);
+            }
+            speeds.refresh(instances, connections, now[0]);
+            speedExchange.report();
+            if (second < connections) {
+                exchange.handleConnected(new RecordingPeer("router-" + second, sent));
+            }
+        }
+        List<Message> reports =
+                sent.stream().filter(SpeedReport.class::isInstance).toList();
+        long bytes = reports.stream()
+                .mapToLong(report -> new FrameCodec().encode(report).length())
+                .sum();
+        Assert.assertFalse(reports.isEmpty());
+        Assert.assertTrue(bytes < 500L * 600, "bytes a second " + bytes / 600);
+        SharedSpeed other = new SharedSpeed(EndpointSpeeds.key("other"), 300, 21);
+        exchange.handleMessage(firstPeer, new SpeedReport("router-a", 1, List.of(other)));
+        speeds.refresh(List.of("other"), 1, now[0]);
+        Assert.assertTrue(speeds.slowdown("other") > 1.5, "a received report is not used");
+    }
+
     private static QuarantineReport crashReport(String endpoint) {
         SuspectRequest suspect = new SuspectRequest("request-1", List.of("part-1"), -500);
         return new QuarantineReport(new QuarantineEvidence(
