--- a/core/src/main/java/org/redwinghook/core/placement/EndpointSpeeds.java
+++ b/core/src/main/java/org/redwinghook/core/placement/EndpointSpeeds.java
@@ -47,7 +47,7 @@
     private static final double SHARED_CHANGE_LOG = 0.25;
 
     /** Time after which a shared slowdown is repeated although it has not changed, in milliseconds. */
-    private static final long RENEWAL_MILLIS = 60_000;
+    private static final long RENEWAL_MILLIS = 40_000;
 
     private static final double TYPICAL_PERCENT = 100;
 
--- a/core/src/main/java/org/redwinghook/core/placement/PeerSpeeds.java
+++ b/core/src/main/java/org/redwinghook/core/placement/PeerSpeeds.java
@@ -11,11 +11,11 @@
  */
 final class PeerSpeeds {
 
-    /** Age at which a report is forgotten: several renewals. */
-    private static final long MAXIMUM_AGE_MILLIS = 180_000;
-
-    /** Time in which the weight of a report halves. */
-    private static final double HALF_LIFE_MILLIS = 60_000;
+    /**
+     * Age at which a report is forgotten; its weight falls evenly until then. Longer than two renewals, and short enough
+     * that an endpoint which all routers avoid as slow is tried again.
+     */
+    private static final long MAXIMUM_AGE_MILLIS = 100_000;
 
     /** Largest number of routers whose reports are kept for an endpoint, the first ones by name; more hardly help. */
     private static final int MAXIMUM_ROUTERS = 16;
@@ -72,7 +72,7 @@
         Map<String, Report> reports = reportsOf(instance);
         for (Report report : reports.values()) {
             double age = Math.max(0, nowMillis - report.receivedAtMillis);
-            mean.add(report.logSlowdown, report.observations * Math.pow(0.5, age / HALF_LIFE_MILLIS));
+            mean.add(report.logSlowdown, report.observations * Math.max(0, 1 - age / MAXIMUM_AGE_MILLIS));
         }
         return reports.size();
     }
--- a/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
@@ -176,8 +176,7 @@
         long bytes = reports.stream()
                 .mapToLong(report -> new FrameCodec().encode(report).length())
                 .sum();
-        Assert.assertFalse(reports.isEmpty());
-        Assert.assertTrue(bytes < 500L * 600, "bytes a second " + bytes / 600);
+        Assert.assertTrue(bytes > 0 && bytes < 500L * 600, "bytes a second " + bytes / 600);
         SharedSpeed other = new SharedSpeed(EndpointSpeeds.key("other"), 300, 21);
         exchange.handleMessage(firstPeer, new SpeedReport("router-a", 1, List.of(other)));
         speeds.refresh(List.of("other"), 1, now[0]);
