--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -40,7 +40,8 @@
     @JsonSubTypes.Type(value = WorkReport.class, name = "workReport"),
     @JsonSubTypes.Type(value = RelayedRecords.class, name = "relayedRecords"),
     @JsonSubTypes.Type(value = QuarantineReport.class, name = "quarantineReport"),
-    @JsonSubTypes.Type(value = RolloutReport.class, name = "rolloutReport")
+    @JsonSubTypes.Type(value = RolloutReport.class, name = "rolloutReport"),
+    @JsonSubTypes.Type(value = SpeedReport.class, name = "speedReport")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
@@ -156,6 +156,8 @@
                 (int) rollouts.nullableDecimal("evidence", 1, MAXIMUM_ROLLOUT_EVIDENCE, defaults.evidence()));
         rollouts.rejectUnknownKeys();
         return limits;
+    }
+
     private static WaitingSettings readWaiting(YamlMap waiting) {
         WaitingSettings settings = new WaitingSettings(waiting.flag("enabled", false), (int) waiting.number(
                 "maximumRequests", 1, MAXIMUM_WAITING_REQUESTS, WaitingSettings.DEFAULT_MAXIMUM_REQUESTS));
@@ -185,8 +187,6 @@
         RETRY_WINDOW(true, settings -> settings.retries().windowSeconds()),
         COLD_ENDPOINTS(false, ForwardingSettings::coldBurst),
         ROLLOUTS(false, ForwardingSettings::rollouts),
-    }
-
         WAITING(false, ForwardingSettings::waiting);
 
         private final boolean needsRestart;
