--- a/core/src/main/java/org/redwinghook/core/dispatch/CapacityRule.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/CapacityRule.java
@@ -29,11 +29,13 @@
         }
 
         @Override
-        boolean isOverdue(DispatchRequest request, long progressAtMillis, long nowMillis) {
-            long patienceMillis =
-                    Math.max(LEAST_PATIENCE_MILLIS, Math.min(MOST_PATIENCE_MILLIS, objectiveMillis(request) / 2));
-            return nowMillis - request.objectiveAtMillis() >= patienceMillis
-                    && nowMillis - progressAtMillis >= patienceMillis;
+        boolean isOverdue(DispatchRequest request, long nowMillis) {
+            return nowMillis - request.objectiveAtMillis() >= idleMillis(request);
+        }
+
+        @Override
+        long idleMillis(DispatchRequest request) {
+            return Math.max(LEAST_PATIENCE_MILLIS, Math.min(MOST_PATIENCE_MILLIS, objectiveMillis(request) / 2));
         }
 
         /** Time until the runs that end have released the missing memory; a run holds its memory until its end. */
@@ -105,9 +107,14 @@
         }
 
         @Override
-        boolean isOverdue(DispatchRequest request, long progressAtMillis, long nowMillis) {
+        boolean isOverdue(DispatchRequest request, long nowMillis) {
             return nowMillis - request.arrivedAtMillis() >= objectiveMillis(request) / CALL_PATIENCE_DIVISOR;
         }
+
+        @Override
+        long idleMillis(DispatchRequest request) {
+            return 0;
+        }
     };
 
     /** Share of an engine's memory that is kept free for more urgent requests at most. */
@@ -170,7 +177,10 @@
     abstract boolean mayBeSentOverdue(Candidate candidate, DispatchRequest request);
 
     /** Whether a request has waited for so long that the estimates are in doubt; they may rest on outdated reports. */
-    abstract boolean isOverdue(DispatchRequest request, long progressAtMillis, long nowMillis);
+    abstract boolean isOverdue(DispatchRequest request, long nowMillis);
+
+    /** Time for which no endpoint may have received a request before an overdue one is sent, in milliseconds. */
+    abstract long idleMillis(DispatchRequest request);
 
     /** Work of a customer in one round of fair scheduling: about what one endpoint takes at once. */
     long roundWork() {
--- a/core/src/main/java/org/redwinghook/core/dispatch/ServiceQueue.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/ServiceQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +26,12 @@
     /** Maximum number of kinds of requests that are examined without success while the queue is served. */
     private static final int MAXIMUM_BLOCKED_KINDS = 8;
 
+    /** Number of endpoints from which on those that received nothing for long are forgotten. */
+    private static final int MAXIMUM_REMEMBERED_ENDPOINTS = 1_000;
+
+    /** Time after which it no longer matters that an endpoint received a request, in milliseconds. */
+    private static final long REMEMBERED_MILLIS = 10_000;
+
     /** Levels of each priority: requests that can still meet their objective, and those that cannot. */
     private static final int LEVELS_PER_PRIORITY = 2;
 
@@ -32,8 +39,11 @@
     private final Map<DispatchRequest, WaitingEntry> entries = new IdentityHashMap<>();
     private final CustomerShares shares = new CustomerShares();
     private final UrgentDemand urgentDemand = new UrgentDemand();
+
+    /** Time at which each endpoint last received a request from this queue. */
+    private final Map<String, Long> sentAtMillisByEndpoint = new HashMap<>();
+
     private long sequence;
-    private long progressAtMillis;
 
     /**
      * Adds a request.
@@ -42,9 +52,6 @@
      * @param nowMillis current time
      */
     public void add(DispatchRequest request, long nowMillis) {
-        if (entries.isEmpty()) {
-            progressAtMillis = nowMillis;
-        }
         if (request.rule() == CapacityRule.GENERATION) {
             urgentDemand.record(request, nowMillis);
         }
@@ -194,8 +201,7 @@
         }
 
         private boolean isConsidered(QueueLevel level, WaitingEntry entry) {
-            return entry.isUnservable(nowMillis)
-                    || !blocked.covers(level, entry, entry.isOverdue(progressAtMillis, nowMillis));
+            return entry.isUnservable(nowMillis) || !blocked.covers(level, entry, entry.isOverdue(nowMillis));
         }
 
         private @Nullable DispatchDecision examine(Selected selected) {
@@ -214,13 +220,13 @@
             List<BlockedRequests.EndpointWait> waits = new ArrayList<>();
             Optional<Candidate> chosen = choose(request, candidates, urgent, waits);
             if (chosen.isPresent()) {
-                recordSent(selected);
+                recordSent(selected, chosen.get());
                 return new DispatchDecision(request, DispatchOutcome.SENT, chosen.get());
             }
-            boolean isOverdue = entry.isOverdue(progressAtMillis, nowMillis);
+            boolean isOverdue = entry.isOverdue(nowMillis);
             chosen = isOverdue ? chooseOverdue(request, candidates) : Optional.empty();
             if (chosen.isPresent()) {
-                recordSent(selected);
+                recordSent(selected, chosen.get());
                 return new DispatchDecision(request, DispatchOutcome.SENT_OVERDUE, chosen.get());
             }
             entry.setExamined();
@@ -235,6 +241,9 @@
         private Optional<Candidate> chooseOverdue(DispatchRequest request, List<Candidate> candidates) {
             List<Candidate> acceptable = new ArrayList<>();
             for (Candidate candidate : candidates) {
+                if (sentMillisAgo(candidate) < request.rule().idleMillis(request)) {
+                    return Optional.empty();
+                }
                 if (request.rule().mayBeSentOverdue(candidate, request)) {
                     acceptable.add(candidate);
                 }
@@ -242,6 +251,11 @@
             return request.rule().policy().choose(source.sample(acceptable), request.query());
         }
 
+        private long sentMillisAgo(Candidate candidate) {
+            Long sentAtMillis = sentAtMillisByEndpoint.get(candidate.id());
+            return sentAtMillis == null ? Long.MAX_VALUE : nowMillis - sentAtMillis;
+        }
+
         /**
          * Chooses an endpoint with capacity: the usual choice if it has any, else the best of the sample, else the best of
          * all.
@@ -279,9 +293,12 @@
             return similar;
         }
 
-        private void recordSent(Selected selected) {
+        private void recordSent(Selected selected, Candidate endpoint) {
             long work = selected.entry.work();
-            progressAtMillis = nowMillis;
+            sentAtMillisByEndpoint.put(endpoint.id(), nowMillis);
+            if (sentAtMillisByEndpoint.size() > MAXIMUM_REMEMBERED_ENDPOINTS) {
+                sentAtMillisByEndpoint.values().removeIf(sentAt -> nowMillis - sentAt > REMEMBERED_MILLIS);
+            }
             selected.entry.share().addWork(work);
             selected.level.useCredit(work);
             if (!selected.isPromoted) {
--- a/core/src/main/java/org/redwinghook/core/dispatch/WaitingEntry.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/WaitingEntry.java
@@ -41,8 +41,8 @@
         return isExamined && nowMillis > latestUsefulStartMillis;
     }
 
-    boolean isOverdue(long progressAtMillis, long nowMillis) {
-        return request.rule().isOverdue(request, progressAtMillis, nowMillis);
+    boolean isOverdue(long nowMillis) {
+        return request.rule().isOverdue(request, nowMillis);
     }
 
     void setExamined() {
--- a/core/src/test/java/org/redwinghook/core/dispatch/EngineReplay.java
+++ b/core/src/test/java/org/redwinghook/core/dispatch/EngineReplay.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 
 import org.redwinghook.core.placement.Candidate;
@@ -71,7 +70,7 @@
             queues.add(new ServiceQueue());
         }
         for (int engine = 0; engine < engineCount; engine++) {
-            engines.add(new Engine("m-" + engine));
+            engines.add(new Engine(Integer.toString(engine)));
         }
     }
 
@@ -141,22 +140,22 @@
 
     private void serve(int router) {
         ServiceQueue.Pass pass = queues.get(router).serve(source(router), now);
-        for (DispatchDecision decision = pass.next(); decision != null; decision = pass.next()) {
-            DispatchRequest request = decision.request();
-            Optional.ofNullable(decision.endpoint())
-                    .ifPresentOrElse(chosen -> start(request, router, chosen), () -> retry(request));
+        for (DispatchDecision next = pass.next(); next != null; next = pass.next()) {
+            DispatchRequest request = next.request();
+            if (next.endpoint() == null) {
+                retry(request);
+            } else {
+                start(request, router, next.endpoint());
+            }
         }
     }
 
     private void start(DispatchRequest request, int router, Candidate chosen) {
-        Engine engine = engines.stream()
-                .filter(other -> other.id.equals(chosen.id()))
-                .findFirst()
-                .orElseThrow();
+        Engine engine = engines.get(Integer.parseInt(chosen.id()));
         Run run = new Run(request, router);
         engine.waiting.add(run);
         engine.reported.add(run);
-        run.report();
+        run.reported = run.work();
     }
 
     private CandidateSource source(int router) {
@@ -208,10 +207,6 @@
             return new WorkTotals(1, waitingTokens, request.work(), produced == 0 ? 0 : (long) held());
         }
 
-        void report() {
-            reported = work();
-        }
-
         void produce() {
             if (produced == 0) {
                 punctual = now <= request.objectiveAtMillis();
@@ -246,7 +241,7 @@
 
         void report() {
             reported.removeIf(run -> run.ended || now - run.lostAtMillis >= WorkLedger.MAXIMUM_PEER_TOTALS_AGE_MILLIS);
-            reported.stream().filter(run -> run.lostAtMillis > now).forEach(Run::report);
+            reported.stream().filter(run -> run.lostAtMillis > now).forEach(run -> run.reported = run.work());
         }
 
         /** Ends the runs whose callers do not wait any more. */
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingDump.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingDump.java
@@ -17,6 +17,7 @@
  * @param withdrawnDataCentres data centres that receive no new requests
  * @param routers names of the connected routers
  * @param requests number of requests that have not ended
+ * @param waitingRequests number of those that wait for an endpoint with capacity
  */
 record ForwardingDump(
         String process,
@@ -27,4 +28,5 @@
         List<EndpointEntry> endpoints,
         Set<String> withdrawnDataCentres,
         Set<String> routers,
-        int requests) {}
+        int requests,
+        int waitingRequests) {}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -69,6 +69,7 @@
     private final ForwardServer server;
     private final ReadinessServer readinessServer;
     private final RouterExchange routerExchange;
+    private final WaitingRequests waiting;
     private final RouterMesh mesh;
     private final RouterMembership membership;
     private final List<RecordFollower> followers;
@@ -117,7 +118,7 @@
                 reloadable::current,
                 this::routerCount,
                 () -> ThreadLocalRandom.current().nextDouble());
-        WaitingRequests waiting = new WaitingRequests(
+        waiting = new WaitingRequests(
                 vertx,
                 clock,
                 state,
@@ -249,7 +250,8 @@
                 state.endpoints().entries(),
                 state.endpoints().withdrawnDataCentres(),
                 routerExchange.connectedRouters(),
-                server.runningRequests());
+                server.runningRequests(),
+                waiting.size());
     }
 
     @Override
--- a/router/src/main/java/org/redwinghook/router/forward/WaitingRequests.java
+++ b/router/src/main/java/org/redwinghook/router/forward/WaitingRequests.java
@@ -140,6 +140,15 @@
         return added;
     }
 
+    /**
+     * Number of waiting requests.
+     *
+     * @return the number
+     */
+    int size() {
+        return waiting.size();
+    }
+
     /**
      * Removes a request whose wait has ended otherwise. Has no effect if it does not wait any more.
      *
