--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -72,6 +72,7 @@
     private final RouterExchange routerExchange;
     private final SpeedTracker speedTracker;
     private final SpeedExchange speedExchange;
+    private final WaitingRequests waiting;
     private final RouterMesh mesh;
     private final RouterMembership membership;
     private final List<RecordFollower> followers;
@@ -122,7 +123,7 @@
                 reloadable::current,
                 this::routerCount,
                 () -> ThreadLocalRandom.current().nextDouble());
-        WaitingRequests waiting = new WaitingRequests(
+        waiting = new WaitingRequests(
                 vertx,
                 clock,
                 state,
@@ -270,7 +271,8 @@
                 state.endpoints().entries(),
                 state.endpoints().withdrawnDataCentres(),
                 routerExchange.connectedRouters(),
-                server.runningRequests());
+                server.runningRequests(),
+                waiting.size());
     }
 
     @Override
--- a/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
@@ -138,7 +138,7 @@
 
     /** Scripts, the versions that requests may go to afterwards, and the newest status. */
     @DataProvider
-    public Object[][] scripts() {
+    Object[][] scripts() {
         RolloutStatus none = null;
         RolloutStatus runningV2 = new RolloutStatus(RolloutState.RUNNING, "v2");
         RolloutStatus revertedV2 = new RolloutStatus(RolloutState.REVERTED, "v2");
