Learn from engines' reports that they leave while the store is not trusted

Each router now judges its own reads of the endpoints' topic (StoreTrust) and tells the others of a fault. During a fault, and for 4 s after it, one router for each engine with requests reads GET /report every 400 ms; a refused connection or an announced close triggers one read at any time, at most one in 2 s. A report that the engine leaves is kept for that start of it, sent to all routers and merged in any order; the engine then takes no requests, and its runs move once, whichever of report and record comes first. In normal operation no report is read.

ResponseHead tells whether the endpoint closes its connection. The soak's endpoint answers /report: its check that endpoints receive only requests of callers would otherwise count the router's own read.

--- a/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
+++ b/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
@@ -14,6 +14,8 @@
     private EndpointEntry entry;
     private long coldUntilMillis;
     private boolean isRemoved;
+    private boolean hasLeaveNotice;
+    private long leavesAtMillis = Long.MAX_VALUE;
     private int waitingRequests;
     private long waitingReceivedAtMillis = Long.MIN_VALUE / 2;
 
@@ -71,12 +73,46 @@
     }
 
     /**
-     * Whether the endpoint is about to end: it drains, or its entry was removed.
+     * Whether the endpoint is about to end: it drains, its entry was removed, or its report says so.
      *
      * @return true from the notice on
      */
     public boolean isLeaving() {
-        return isRemoved || entry.draining();
+        return isRemoved || entry.draining() || hasLeaveNotice;
+    }
+
+    /**
+     * Records that the endpoint leaves according to its own report.
+     *
+     * @param endMillis time of its end, {@link Long#MAX_VALUE} if it is not known
+     */
+    public void recordLeaveNotice(long endMillis) {
+        hasLeaveNotice = true;
+        leavesAtMillis = endMillis;
+    }
+
+    /** Records that the endpoint stays according to a later report of its own. */
+    public void clearLeaveNotice() {
+        hasLeaveNotice = false;
+        leavesAtMillis = Long.MAX_VALUE;
+    }
+
+    /**
+     * Whether the endpoint leaves according to its own report, whatever its entry says.
+     *
+     * @return true from the notice on
+     */
+    public boolean hasLeaveNotice() {
+        return hasLeaveNotice;
+    }
+
+    /**
+     * Time at which the endpoint ends.
+     *
+     * @return the time, {@link Long#MAX_VALUE} if it is not known
+     */
+    public long leavesAtMillis() {
+        return leavesAtMillis;
     }
 
     void recordRemoval() {
--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -39,7 +39,8 @@
     @JsonSubTypes.Type(value = QuotaUse.class, name = "quotaUse"),
     @JsonSubTypes.Type(value = WorkReport.class, name = "workReport"),
     @JsonSubTypes.Type(value = RelayedRecords.class, name = "relayedRecords"),
-    @JsonSubTypes.Type(value = QuarantineReport.class, name = "quarantineReport")
+    @JsonSubTypes.Type(value = QuarantineReport.class, name = "quarantineReport"),
+    @JsonSubTypes.Type(value = LeaveReport.class, name = "leaveReport")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -1,6 +1,7 @@
 package org.redwinghook.router.forward;
 
 import java.time.Duration;
+import java.util.Locale;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
@@ -69,6 +70,42 @@
         registry.counter("redwinghook.forward.quarantine", "event", event).increment();
     }
 
+    /**
+     * Counts a report of an engine that was read.
+     *
+     * @param outcome what it said, or {@code failed}
+     */
+    void recordEngineReport(String outcome) {
+        registry.counter("redwinghook.forward.engine.reports", "outcome", outcome.toLowerCase(Locale.ROOT))
+                .increment();
+    }
+
+    /**
+     * Counts a change of what the router assumes about the end of an engine because of its report.
+     *
+     * @param leaves whether the engine is now expected to leave
+     * @param isOwn whether this router read the report
+     */
+    void recordLeaveNotice(boolean leaves, boolean isOwn) {
+        registry.counter(
+                        "redwinghook.forward.leave.notices",
+                        "state",
+                        leaves ? "leaves" : "stays",
+                        "reader",
+                        isOwn ? "self" : "other")
+                .increment();
+    }
+
+    /**
+     * Counts a change of the trust in the store.
+     *
+     * @param isTrusted whether it is trusted now
+     */
+    void recordStoreTrust(boolean isTrusted) {
+        registry.counter("redwinghook.forward.store.trust", "state", isTrusted ? "trusted" : "distrusted")
+                .increment();
+    }
+
     private Timer timer(String name, String service) {
         return Timer.builder(name)
                 .tag("service", service)
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -13,6 +13,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import org.redwinghook.core.forward.CallDurations;
 import org.redwinghook.core.forward.EndpointEligibility;
+import org.redwinghook.core.forward.Exclusion;
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.Hello;
@@ -72,6 +73,7 @@
     private final RouterMesh mesh;
     private final RouterMembership membership;
     private final List<RecordFollower> followers;
+    private final LeaveWatch leaveWatch;
     private final CompositeMeterRegistry meters = new CompositeMeterRegistry();
     private final long incarnation = System.currentTimeMillis();
     private boolean accepting = true;
@@ -86,6 +88,7 @@
      * @param decoder decodes its records
      * @param protocol mapping of HTTP headers
      * @param memoryMover moves the memory of runs between engines
+     * @param engineReports reads the reports of engines
      */
     public ForwardingProcess(
             Vertx vertx,
@@ -93,13 +96,15 @@
             RecordStore store,
             RecordDecoder decoder,
             ForwardProtocol protocol,
-            MemoryMover memoryMover) {
+            MemoryMover memoryMover,
+            EngineReports engineReports) {
         this.vertx = vertx;
         this.settings = reloadable.current();
         this.reloadable = reloadable;
         MonotonicClock clock = MonotonicClock.system();
         state = new ForwardingState(decoder, clock);
         EndpointEligibility eligibility = new EndpointEligibility(state.endpoints());
+        eligibility.addRule((endpoint, scope, now) -> endpoint.hasLeaveNotice() ? Exclusion.LEAVING : null);
         AttemptObservers observers = new AttemptObservers();
         WorkLedger ledger = new WorkLedger();
         HttpClientAgent client = vertx.createHttpClient(
@@ -161,6 +166,12 @@
             followers.add(new RecordFollower(
                     vertx, store, state, topic, clock, routerExchange::relay, routerExchange::storeRole));
         }
+        leaveWatch = new LeaveWatch(
+                context,
+                routerExchange,
+                engineReports,
+                followers.get(RecordTopic.ENDPOINTS.ordinal()).trust(),
+                settings.process());
     }
 
     private void reportWork() {
@@ -187,6 +198,7 @@
         reloadable.onChange(previous -> vertx.runOnContext(ignored -> logSettings(previous)));
         // The store is read first: its records are all that the first requests need.
         followers.forEach(RecordFollower::start);
+        leaveWatch.start();
         state.onChange((topic, changed) -> handleStateChange());
         vertx.setPeriodic(EXPIRY_CHECK_INTERVAL_MILLIS, ignored -> state.removeExpiredEndpoints());
         vertx.setTimer(SECONDARY_SERVICES_LATEST_START_MILLIS, ignored -> startSecondaryServices());
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
@@ -133,6 +133,23 @@
         return handleChanges(topic, replica(topic).mergeSnapshot(snapshot, endOffset), storeWasUnavailable);
     }
 
+    /**
+     * Records that an endpoint leaves according to its own report.
+     *
+     * @param endpoint the endpoint
+     * @param endMillis monotonic time of its end in milliseconds, {@link Long#MAX_VALUE} if it is not known
+     */
+    void recordLeaveNotice(KnownEndpoint endpoint, long endMillis) {
+        boolean wasServing = !endpoint.entry().draining() && !endpoint.hasLeaveNotice();
+        endpoint.recordLeaveNotice(endMillis);
+        if (wasServing) {
+            LOGGER.info(
+                    "endpoint leaving id={} listed=true source=report",
+                    endpoint.entry().id());
+            leavingHandlers.forEach(handler -> handler.accept(endpoint));
+        }
+    }
+
     /** Removes endpoints whose entries lapsed and were not registered again in time. */
     public void removeExpiredEndpoints() {
         for (String id : endpoints.expire(clock.millis())) {
@@ -193,7 +210,8 @@
     private void applyEndpointRecord(VersionedRecord record, boolean storeWasUnavailable) {
         long now = clock.millis();
         Optional<KnownEndpoint> before = endpoints.find(record.key());
-        boolean wasDraining = before.map(known -> known.entry().draining()).orElse(false);
+        boolean wasDraining = before.map(known -> known.entry().draining() || known.hasLeaveNotice())
+                .orElse(false);
         Optional<EndpointEntry> entry = decode(RecordTopic.ENDPOINTS, record, decoder::decodeEndpoint);
         if (entry.isPresent()) {
             endpoints.put(entry.get(), now);
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Vertx;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.StoreRole;
+import org.redwinghook.core.replica.StoreTrust;
 import org.redwinghook.core.replica.VersionedRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -34,6 +35,7 @@
     private final MonotonicClock clock;
     private final Relay relay;
     private final Supplier<StoreRole> role;
+    private final StoreTrust trust = new StoreTrust();
     private long lastFailureAtMillis = Long.MIN_VALUE / 2;
     private int failures;
     private boolean snapshotNeeded = true;
@@ -109,10 +111,20 @@
         return failures == 0;
     }
 
+    /**
+     * Trust in the records that were read.
+     *
+     * @return the trust, updated with each read
+     */
+    public StoreTrust trust() {
+        return trust;
+    }
+
     private void readNext() {
         if (stopped) {
             return;
         }
+        trust.recordReadStart(snapshotNeeded ? 0 : role.get().waitMillis(), clock.millis());
         if (snapshotNeeded) {
             store.snapshot(topic).onSuccess(this::handleSnapshot).onFailure(this::handleFailure);
             return;
@@ -164,6 +176,7 @@
             LOGGER.info("store regained topic={} failures={}", topic, failures);
         }
         failures = 0;
+        trust.recordSuccess(clock.millis());
     }
 
     private void handleFailure(Throwable failure) {
@@ -173,6 +186,7 @@
                     topic,
                     state.replica(topic).nextOffset());
             snapshotNeeded = true;
+            trust.recordExpiry(clock.millis());
             readNext();
             return;
         }
@@ -180,6 +194,7 @@
             LOGGER.warn("store lost topic={} cause={}", topic, failure.toString());
         }
         lastFailureAtMillis = clock.millis();
+        trust.recordFailure(lastFailureAtMillis);
         long pauseMillis = Math.min(MAXIMUM_RETRY_MILLIS, INITIAL_RETRY_MILLIS << Math.min(failures, 4));
         failures++;
         vertx.setTimer(pauseMillis, ignored -> readNext());
--- a/router/src/main/java/org/redwinghook/router/forward/ResponseHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ResponseHead.java
@@ -10,9 +10,15 @@
  * @param notRun whether the endpoint reports that it did not run the request
  * @param intact whether the head is complete and the body has no content encoding
  * @param waitingRequests number of requests waiting at the endpoint, -1 if absent
+ * @param closesConnection whether the endpoint announces that it closes the connection
  */
 public record ResponseHead(
-        int status, @Nullable String requestId, boolean notRun, boolean intact, int waitingRequests) {
+        int status,
+        @Nullable String requestId,
+        boolean notRun,
+        boolean intact,
+        int waitingRequests,
+        boolean closesConnection) {
 
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -288,6 +288,11 @@
         broadcast(null, message);
     }
 
+    /** Whether another connected router reported that it can read the store. */
+    boolean isStoreReadByOthers() {
+        return storeAccessByRouter.containsValue(true);
+    }
+
     /** Whether every router is connected to every other one, so that messages need not be relayed. */
     boolean isFullyConnected() {
         return isFullyConnected;
--- a/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
@@ -17,6 +17,7 @@
 /** Guards against one record, or one error, that ends the reading of all later records. */
 public class ForwardingStateTest {
 
+    private static final byte DRAINING = 2;
     private static final String MALFORMED = "malformed";
     private static final long READ_TIMEOUT_MILLIS = 5_000;
 
@@ -31,7 +32,16 @@
             if (record.key().equals(MALFORMED)) {
                 throw new IllegalStateException("undecodable");
             }
-            return Optional.of(new EndpointEntry(record.key(), "calls", "127.0.0.1", 1, "dc", 1, false, 0, 0));
+            return Optional.of(new EndpointEntry(
+                    record.key(),
+                    "calls",
+                    "127.0.0.1",
+                    1,
+                    "dc",
+                    1,
+                    record.value()[0] == DRAINING,
+                    0,
+                    record.offset() / 10));
         }
     };
 
@@ -59,6 +69,21 @@
         Assert.assertTrue(state.configuration().isEmpty());
     }
 
+    /** Guards against moves that start twice, and against a notice that concerns the next start of an engine. */
+    @Test
+    public void reportAndRecordOfADepartureAreHandledOnce() {
+        List<String> leaving = new ArrayList<>();
+        state.onEndpointLeaving(endpoint -> leaving.add(endpoint.entry().id()));
+        state.apply(RecordTopic.ENDPOINTS, List.of(record("m-1", 0)), false);
+        state.recordLeaveNotice(state.endpoints().find("m-1").get(), 1_500);
+        state.recordLeaveNotice(state.endpoints().find("m-1").get(), 1_400);
+        state.apply(RecordTopic.ENDPOINTS, List.of(new VersionedRecord("m-1", 1, new byte[] {DRAINING})), false);
+        Assert.assertEquals(leaving, List.of("m-1"));
+        Assert.assertTrue(state.endpoints().find("m-1").get().hasLeaveNotice());
+        state.apply(RecordTopic.ENDPOINTS, List.of(record("m-1", 10)), false);
+        Assert.assertFalse(state.endpoints().find("m-1").get().isLeaving());
+    }
+
     @Test
     public void readingContinuesAfterAnErrorOfAListener() throws Exception {
         Vertx vertx = Vertx.vertx();
