Plan the copies of an engine that leaves for all routers together

Routers took turns at the link of a leaving engine: each waited until the ledger showed that the earlier ones had handed over all their runs. Now all routers compute one plan (DeparturePlan) from the pending copies of all of them, and each copies in its own slots. A slot follows the expected end of the copy before it; the second copy is left out while others wait for the link. Routers report their copies (copyReport) when they begin and end, and the receiver corrects for the age of the report. Runs in prefill get no slot, runs that are expected to end are last, and runs that cannot be copied before a reported end are not started. A failed copy goes to another engine, a stop without an answer is repeated if the stream goes on, and destinations are spread over the data centre's engines, without those that answered 503 in the last 400 ms.

Replaced: routersWithARunEachMoveAsManyAsTheLinkCopies has the same bounds (3 of 7, 2 of 2) on the new plan, with delays of reports and calls that the old one had not; waitsForEarlierRouters... became routerStartsWhenTheCopiesBeforeItsOwnAreExpectedToEnd; its last case (late, the copy does not fit: wait) now holds only for a reported end while others want the link, since an engine without one may serve 0.6 s longer than its shortest notice; the sizes of waves became the check that no two copies overlap and that those which do not fit are not started. WorkLedger.workOfEarlierRouters became workOfOtherRouters, with its test. ForwardingTest$Moves is unchanged. LeaveNoticeTest is part of DepartureTest now, with the same checks and three runs instead of two.

Tests as run: a full verify of core, router and platform (with runtime and stand-ins) passed, 512 tests, before two last changes: a router that alone wants the link starts even if its copy may not complete before a reported end, and the runs of DepartureTest have 8,000 tokens. After them Departure*Test, ReportAgesTest, Move*Test, LeaveNoticesTest, ForwardingTest$Moves and AdapterBoundaryTest passed, and Departure*Test with ForwardingTest$Moves five times in a row.

--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -40,7 +40,8 @@
     @JsonSubTypes.Type(value = WorkReport.class, name = "workReport"),
     @JsonSubTypes.Type(value = RelayedRecords.class, name = "relayedRecords"),
     @JsonSubTypes.Type(value = QuarantineReport.class, name = "quarantineReport"),
-    @JsonSubTypes.Type(value = LeaveReport.class, name = "leaveReport")
+    @JsonSubTypes.Type(value = LeaveReport.class, name = "leaveReport"),
+    @JsonSubTypes.Type(value = CopyReport.class, name = "copyReport")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
--- a/core/src/main/java/org/redwinghook/core/placement/WorkLedger.java
+++ b/core/src/main/java/org/redwinghook/core/placement/WorkLedger.java
@@ -132,22 +132,22 @@
     }
 
     /**
-     * Work at an endpoint of the routers whose names sort before this one's: they move their generations first.
+     * Work of each other router at an endpoint.
      *
-     * @param self name of this router
      * @param endpointId the endpoint
      * @param nowMillis current monotonic time
-     * @return the work
+     * @return work by router, without routers that have none there or whose reports have expired
      */
-    public WorkTotals workOfEarlierRouters(String self, String endpointId, long nowMillis) {
+    public Map<String, WorkTotals> workOfOtherRouters(String endpointId, long nowMillis) {
         removeExpired(nowMillis);
-        WorkTotals total = WorkTotals.NONE;
-        for (Map.Entry<String, PeerWork> peer : workByPeer.entrySet()) {
-            if (peer.getValue().isCounted && peer.getKey().compareTo(self) < 0) {
-                total = total.plus(peer.getValue().totals.getOrDefault(endpointId, WorkTotals.NONE));
+        Map<String, WorkTotals> workByRouter = new HashMap<>();
+        workByPeer.forEach((router, peer) -> {
+            WorkTotals work = peer.totals.get(endpointId);
+            if (peer.isCounted && work != null) {
+                workByRouter.put(router, work);
             }
-        }
-        return total;
+        });
+        return workByRouter;
     }
 
     private static WorkTotals sum(Set<RunningRequest> running) {
--- a/core/src/main/java/org/redwinghook/core/relocation/MoveOrder.java
+++ b/core/src/main/java/org/redwinghook/core/relocation/MoveOrder.java
@@ -20,9 +20,6 @@
      */
     private static final double COMPLETION_SHARE_OF_NOTICE = 0.5;
 
-    /** Share of the notice after which routers no longer wait for all earlier ones, which may have failed. */
-    private static final double STRICT_TURNS_SHARE_OF_NOTICE = 2.0 / 3;
-
     private MoveOrder() {}
 
     /**
@@ -40,33 +37,20 @@
                 moving.add(run);
             }
         }
-        moving.sort(Comparator.comparing(
-                        (RunAtEngine run) -> run.expectedRemainingMillis() <= noticeMillis * COMPLETION_SHARE_OF_NOTICE)
+        moving.sort(Comparator.comparing((RunAtEngine run) -> isExpectedToEnd(run, noticeMillis))
                 .thenComparingDouble(run -> memory.copyMillis(run.residentTokens()))
                 .thenComparing(RunAtEngine::requestId));
         return moving;
     }
 
     /**
-     * Whether a router may start to copy its runs. Routers take turns, so that the final copy of a stopped run does not
-     * queue behind another router's full copy on the engine's link. Late in the notice, a router no longer waits if its
-     * copy fits in the rest beside those of the earlier routers; when all the others started at that time, each run was
-     * stopped behind their copies and nearly all of them were lost.
+     * Whether a run is expected to end by itself in time.
      *
-     * @param earlierTokens memory at the engine that earlier routers have not moved yet
-     * @param ownTokens memory of the runs that this router would copy first
-     * @param memory memory of the engine
-     * @param waitedMillis time since the engine's notice
-     * @param noticeMillis time between the notice and the engine's shutdown
-     * @return true in this router's turn
+     * @param run the run
+     * @param noticeMillis time until the engine shuts down
+     * @return true with a margin, since the estimate of its length may be too short
      */
-    public static boolean mayStartCopying(
-            long earlierTokens, long ownTokens, EngineMemory memory, double waitedMillis, double noticeMillis) {
-        double earlierMillis = memory.copyMillis(earlierTokens);
-        if (earlierMillis <= 0) {
-            return true;
-        }
-        return waitedMillis >= noticeMillis * STRICT_TURNS_SHARE_OF_NOTICE
-                && earlierMillis + memory.copyMillis(ownTokens) <= noticeMillis - waitedMillis;
+    public static boolean isExpectedToEnd(RunAtEngine run, double noticeMillis) {
+        return run.expectedRemainingMillis() <= noticeMillis * COMPLETION_SHARE_OF_NOTICE;
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -61,6 +61,16 @@
         registry.counter("redwinghook.forward.moves", "outcome", outcome).increment();
     }
 
+    /**
+     * Counts a call to copy the memory of a run.
+     *
+     * @param outcome result of the copy, or {@code failed}
+     */
+    void recordCopy(String outcome) {
+        registry.counter("redwinghook.forward.copies", "outcome", outcome.toLowerCase(Locale.ROOT))
+                .increment();
+    }
+
     /**
      * Counts an event of the quarantine of prompt parts.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -24,6 +24,7 @@
 import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.WorkLedger;
+import org.redwinghook.core.relocation.DestinationChoice;
 import org.redwinghook.core.routing.RendezvousHash;
 
 /** Chooses endpoints for forwarded requests. */
@@ -102,17 +103,8 @@
             Set<String> excluded,
             String originDataCentre) {
         long now = clock.millis();
-        Optional<ServiceSettings> service = serviceSettings(caller.service());
-        List<KnownEndpoint> eligible = eligibleEndpoints(caller, excluded, now);
-        long memoryTokens = memory(service).capacityTokens();
-        List<Candidate> candidates = new ArrayList<>();
-        for (KnownEndpoint endpoint : eligible) {
-            candidates.add(candidate(
-                    endpoint,
-                    memoryTokens,
-                    distance(originDataCentre, endpoint.entry().dataCentre()),
-                    now));
-        }
+        List<Candidate> candidates =
+                candidates(caller, eligibleEndpoints(caller, excluded, now), originDataCentre, now);
         List<Candidate> considered = policy.samplesCandidates()
                 ? CandidateSample.of(candidates, routerCount.getAsInt(), random)
                 : candidates;
@@ -120,6 +112,36 @@
                 .flatMap(best -> state.endpoints().find(best.id()));
     }
 
+    /**
+     * Chooses an engine for a run that moves.
+     *
+     * @param caller exchange with the caller
+     * @param query size of the run
+     * @param excluded identifiers of excluded engines
+     * @param source engine that leaves
+     * @return the engine, empty if none may take the run
+     */
+    Optional<KnownEndpoint> chooseDestination(
+            CallerExchange caller, PlacementQuery query, Set<String> excluded, EndpointEntry source) {
+        long now = clock.millis();
+        List<Candidate> candidates =
+                candidates(caller, eligibleEndpoints(caller, excluded, now), source.dataCentre(), now);
+        List<String> leaving = new ArrayList<>();
+        for (EndpointEntry entry : state.endpoints().entries()) {
+            boolean isNeighbour = entry.service().equals(source.service())
+                    && entry.dataCentre().equals(source.dataCentre());
+            if (isNeighbour
+                    && state.endpoints()
+                            .find(entry.id())
+                            .filter(KnownEndpoint::isLeaving)
+                            .isPresent()) {
+                leaving.add(entry.id());
+            }
+        }
+        return DestinationChoice.choose(candidates, query, source.id(), leaving)
+                .flatMap(best -> state.endpoints().find(best.id()));
+    }
+
     /** Endpoints that may take a request, without those that cannot be reached if there are others. */
     private List<KnownEndpoint> eligibleEndpoints(CallerExchange caller, Set<String> excluded, long now) {
         List<KnownEndpoint> eligible = eligibility.eligibleEndpoints(scope(caller, excluded), now);
@@ -129,6 +151,20 @@
         return reachable.isEmpty() ? eligible : reachable;
     }
 
+    private List<Candidate> candidates(
+            CallerExchange caller, List<KnownEndpoint> eligible, String originDataCentre, long now) {
+        long memoryTokens = memory(caller.service()).capacityTokens();
+        List<Candidate> candidates = new ArrayList<>();
+        for (KnownEndpoint endpoint : eligible) {
+            candidates.add(candidate(
+                    endpoint,
+                    memoryTokens,
+                    distance(originDataCentre, endpoint.entry().dataCentre()),
+                    now));
+        }
+        return candidates;
+    }
+
     private static RequestScope scope(CallerExchange caller, Set<String> excluded) {
         return new RequestScope(
                 caller.requestId(), caller.service(), caller.route().name(), allowedRegions(caller), excluded);
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -16,6 +16,7 @@
 import org.redwinghook.core.forward.Exclusion;
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.kernel.ServiceRegistry;
+import org.redwinghook.core.message.CopyReport;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.placement.WorkLedger;
@@ -141,7 +142,10 @@
         server = new ForwardServer(vertx, settings.caller(), context, streams, this::hasOtherRouters);
         readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
         routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock, promptGuard);
-        state.onEndpointLeaving(new RunRelocator(context, streams, settings.process())::handleEndpointLeaving);
+        RunRelocator relocator = new RunRelocator(context, streams, routerExchange::broadcast, settings.process());
+        state.onEndpointLeaving(relocator::handleEndpointLeaving);
+        routerExchange.onConnected(peer -> relocator.handleRouterConnected(peer.name()));
+        routerExchange.register(CopyReport.class, (peer, report) -> relocator.handleCopyReport(report));
         WireMetrics wireMetrics = new WireMetrics(meters);
         mesh = new RouterMesh(
                 vertx,
--- a/router/src/main/java/org/redwinghook/router/forward/RunMove.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunMove.java
@@ -5,17 +5,18 @@
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.forward.EngineMemory;
 import org.redwinghook.core.forward.KnownEndpoint;
-import org.redwinghook.core.placement.PlacementPolicy;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.RunningRequest;
+import org.redwinghook.core.relocation.DeparturePlan;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Moves one run to another engine. The run's memory is copied while the run continues. A second copy sends what is new
- * and returns when the copies queued before it on the engine's network link are done. Then the run is stopped, so that
- * its final copy does not wait behind complete copies of other runs, and continues at the other engine.
+ * Moves one run to another engine. The run's memory is copied while the run continues; then the run is stopped, what is
+ * new is copied, and the run continues at the other engine. If other copies may be queued on the engine's link, a second
+ * copy is made first, which returns when they are done, so that the stopped run does not wait for them.
  */
 final class RunMove {
 
@@ -25,59 +26,140 @@
     /** Maximum duration of one run's move, in milliseconds; a draining engine serves for several seconds. */
     private static final long MAXIMUM_MOVE_MILLIS = 10_000;
 
+    /** Maximum number of copies of one run that fail without an answer: one destination fails, or the engine itself. */
+    private static final int MAXIMUM_FAILED_COPIES = 3;
+
     /** Maximum wait for the end of a stopped run's stream, in milliseconds: several round trips. */
     private static final long STREAM_END_TIMEOUT_MILLIS = 300;
 
     private static final long STREAM_END_CHECK_INTERVAL_MILLIS = 5;
 
+    /** Remaining notice below which a copied run is stopped at once, in milliseconds: several round trips between regions. */
+    private static final long FINAL_COPY_MILLIS = 350;
+
+    /** Time of a copy beyond the expected one from which others were queued before it, in milliseconds. */
+    private static final long QUEUED_COPY_MILLIS = 90;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(RunMove.class);
 
     private final ForwardContext context;
     private final StreamForwarding stream;
     private final KnownEndpoint source;
-    private final long secondCopyDeadlineMillis;
-    private final Runnable onLinkReleased;
+    private final EngineMemory memory;
+    private final RefusingDestinations refusingDestinations;
+    private final Link link;
     private final long createdAtMillis;
     private final Set<String> excluded = new HashSet<>();
     private @Nullable KnownEndpoint destination;
     private @Nullable RunningRequest reservation;
+    private @Nullable String lastFailure;
     private int tries;
-    private boolean isLinkReleased;
+    private int failedCopies;
+    private long dueMillis;
+    private long copyStartedAtMillis;
+    private long expectedCopyMillis;
     private long stopSentAtMillis;
     private long stoppedAtMillis;
 
+    /** The link of the engine that is leaving, which serves one copy after the other. */
+    interface Link {
+
+        /**
+         * Handles the start of a complete copy.
+         *
+         * @param move the move
+         * @param expectedMillis expected time of the copy, in milliseconds
+         */
+        void handleCopyStart(RunMove move, long expectedMillis);
+
+        /**
+         * Whether other copies wait for the link.
+         *
+         * @return false if only this move uses it
+         */
+        boolean isWanted();
+
+        /**
+         * Time until the engine ends.
+         *
+         * @return the time in milliseconds
+         */
+        long remainingMillis();
+
+        /**
+         * Handles the end of a move's complete copies: its run is being stopped.
+         *
+         * @param move the move
+         */
+        void handleRelease(RunMove move);
+
+        /**
+         * Handles a move that has to be started again later.
+         *
+         * @param move the move
+         */
+        void handlePostponement(RunMove move);
+
+        /**
+         * Handles the end of a move.
+         *
+         * @param move the move
+         */
+        void handleEnd(RunMove move);
+    }
+
     /**
      * Creates a move.
      *
      * @param context shared services
      * @param stream the run's stream
      * @param source engine that is leaving
-     * @param secondCopyDeadlineMillis monotonic time from which a copied run is stopped without a second copy
-     * @param onLinkReleased called once when the run is stopped or its copy postponed, so that others may use the link
+     * @param memory its memory and link
+     * @param refusingDestinations engines that had no room recently
+     * @param link its link
      */
     RunMove(
             ForwardContext context,
             StreamForwarding stream,
             KnownEndpoint source,
-            long secondCopyDeadlineMillis,
-            Runnable onLinkReleased) {
-        this.onLinkReleased = onLinkReleased;
+            EngineMemory memory,
+            RefusingDestinations refusingDestinations,
+            Link link) {
         this.context = context;
         this.stream = stream;
         this.source = source;
-        this.secondCopyDeadlineMillis = secondCopyDeadlineMillis;
+        this.memory = memory;
+        this.refusingDestinations = refusingDestinations;
+        this.link = link;
         this.createdAtMillis = context.clock().millis();
         excluded.add(source.entry().id());
     }
 
-    void start() {
-        tries++;
+    StreamForwarding stream() {
+        return stream;
+    }
+
+    /** Whether the move may start; after a failure it waits for some time. */
+    boolean isDue(long nowMillis) {
+        return nowMillis >= dueMillis;
+    }
+
+    /** Ends a move that has not started or was postponed, if its run has ended or the time is over. */
+    void endIfOver() {
         if (!isRunningAtSource()) {
-            end("run_ended");
+            end(lastFailure == null ? "run_ended" : lastFailure);
             return;
         }
         if (context.clock().millis() - createdAtMillis > MAXIMUM_MOVE_MILLIS) {
             end("given_up");
+        }
+    }
+
+    /** Starts the copy of the run; the link is the run's until it is released. */
+    void start() {
+        tries++;
+        if (!isRunningAtSource()) {
+            end("run_ended");
             return;
         }
         Optional<KnownEndpoint> chosen = chooseDestination();
@@ -85,10 +167,17 @@
             // Engines whose memory was full may have room at the next try.
             excluded.clear();
             excluded.add(source.entry().id());
-            retryLater();
+            postpone();
             return;
         }
         reserve(chosen.get());
+        long factor = chosen.get().entry().dataCentre().equals(source.entry().dataCentre())
+                ? 1
+                : DeparturePlan.CROSS_DATA_CENTRE_FACTOR;
+        expectedCopyMillis =
+                factor * (long) memory.copyMillis(stream.runAtEngine().residentTokens());
+        copyStartedAtMillis = context.clock().millis();
+        link.handleCopyStart(this, expectedCopyMillis);
         copy(chosen.get(), true);
     }
 
@@ -103,13 +192,9 @@
         PlacementQuery query = new PlacementQuery(
                 stream.runAtEngine().residentTokens(),
                 Math.max(0, stream.query().expectedOutputTokens()));
-        return context.selector()
-                .choose(
-                        stream.caller(),
-                        PlacementPolicy.MOVED_RUN,
-                        query,
-                        excluded,
-                        source.entry().dataCentre());
+        Set<String> unusable = refusingDestinations.current(context.clock().millis());
+        unusable.addAll(excluded);
+        return context.selector().chooseDestination(stream.caller(), query, unusable, source.entry());
     }
 
     private void reserve(KnownEndpoint endpoint) {
@@ -119,6 +204,8 @@
                 new RunningRequest(endpoint.entry().id(), stream.runAtEngine().residentTokens(), 0);
         reservation = request;
         context.ledger().add(request);
+        // The other routers count the copy when they choose destinations.
+        context.reportWork().run();
     }
 
     private void releaseReservation() {
@@ -132,11 +219,24 @@
     private void copy(KnownEndpoint chosen, boolean isFirstCopy) {
         context.memoryMover()
                 .copy(source.entry(), stream.caller().requestId(), chosen.entry(), false)
-                .onFailure(failure -> end("copy_failed " + failure.getMessage()))
+                .onFailure(failure -> handleCopyFailure(failure, chosen))
                 .onSuccess(result -> handleCopyResult(result, chosen, isFirstCopy));
     }
 
+    private void handleCopyFailure(Throwable failure, KnownEndpoint chosen) {
+        context.metrics().recordCopy("failed");
+        failedCopies++;
+        lastFailure = "copy_failed " + failure.getMessage();
+        if (!isRunningAtSource() || failedCopies == MAXIMUM_FAILED_COPIES) {
+            end(lastFailure);
+            return;
+        }
+        excluded.add(chosen.entry().id());
+        postpone();
+    }
+
     private void handleCopyResult(MoveResult result, KnownEndpoint chosen, boolean isFirstCopy) {
+        context.metrics().recordCopy(result.status().name());
         if (!isRunningAtSource()) {
             freeCopy(result);
             end("run_ended");
@@ -144,8 +244,10 @@
         }
         switch (result.status()) {
             case COPIED -> {
-                if (isFirstCopy && context.clock().millis() < secondCopyDeadlineMillis) {
+                if (isFirstCopy) {
                     stream.openConnection(chosen);
+                }
+                if (isFirstCopy && needsSecondCopy()) {
                     copy(chosen, false);
                 } else {
                     stopRun(chosen);
@@ -153,24 +255,28 @@
             }
             case NO_ROOM -> {
                 excluded.add(chosen.entry().id());
+                refusingDestinations.record(chosen.entry().id(), context.clock().millis());
                 releaseReservation();
                 start();
             }
-            default -> retryLater();
+            default -> postpone();
         }
     }
 
-    private void releaseLink() {
-        if (!isLinkReleased) {
-            isLinkReleased = true;
-            onLinkReleased.run();
-        }
+    /**
+     * Whether other copies may be queued on the link. If the first copy took as long as a single one and others wait for
+     * the link, the run is stopped before the next of them begins.
+     */
+    private boolean needsSecondCopy() {
+        long tookMillis = context.clock().millis() - copyStartedAtMillis;
+        boolean wasQueued = tookMillis > expectedCopyMillis + QUEUED_COPY_MILLIS;
+        return link.remainingMillis() > FINAL_COPY_MILLIS && (wasQueued || !link.isWanted());
     }
 
-    private void retryLater() {
+    private void postpone() {
         releaseReservation();
-        releaseLink();
-        context.vertx().setTimer(RETRY_DELAY_MILLIS, ignored -> start());
+        dueMillis = context.clock().millis() + RETRY_DELAY_MILLIS;
+        link.handlePostponement(this);
     }
 
     private void stopRun(KnownEndpoint chosen) {
@@ -178,20 +284,28 @@
         stopSentAtMillis = context.clock().millis();
         context.memoryMover()
                 .copy(source.entry(), stream.caller().requestId(), chosen.entry(), true)
-                .onFailure(failure -> {
-                    stream.handleStopFailure();
-                    end("stop_failed " + failure.getMessage());
-                })
+                .onFailure(this::handleStopFailure)
                 .onSuccess(result -> handleStopResult(result, chosen));
+        link.handleRelease(this);
+    }
+
+    /** Handles a stop without an answer. Only a run whose stream goes on is tried again: it was not stopped. */
+    private void handleStopFailure(Throwable failure) {
+        stream.handleStopFailure();
+        lastFailure = "stop_failed " + failure.getMessage();
+        if (isRunningAtSource() && !stream.isStopped()) {
+            postpone();
+            return;
+        }
+        end(lastFailure);
     }
 
     private void handleStopResult(MoveResult result, KnownEndpoint chosen) {
-        releaseLink();
         String handle = result.handle();
         if (handle == null) {
             stream.handleStopFailure();
             excluded.add(chosen.entry().id());
-            retryLater();
+            postpone();
             return;
         }
         boolean copied = result.status() == MoveResult.Status.COPIED;
@@ -205,7 +319,7 @@
             }
             // The run continues at the source; another engine may have room.
             excluded.add(chosen.entry().id());
-            retryLater();
+            postpone();
         });
     }
 
@@ -232,7 +346,6 @@
 
     private void end(String outcome) {
         releaseReservation();
-        releaseLink();
         KnownEndpoint target = destination;
         long now = context.clock().millis();
         LOGGER.info(
@@ -247,5 +360,6 @@
                 tries);
         context.metrics().recordMove(outcome.split(" ")[0]);
         context.reportWork().run();
+        link.handleEnd(this);
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunRelocator.java
@@ -6,40 +6,47 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import org.redwinghook.core.forward.EngineMemory;
 import org.redwinghook.core.forward.KnownEndpoint;
-import org.redwinghook.core.relocation.MoveOrder;
-import org.redwinghook.core.relocation.MovePlan;
-import org.redwinghook.core.relocation.RunAtEngine;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import org.redwinghook.core.message.CopyReport;
+import org.redwinghook.core.message.Message;
+import org.redwinghook.core.relocation.ReportAges;
 
-/**
- * Moves runs away from engines that are leaving. Routers take turns in the order of their names ({@link
- * MoveOrder#mayStartCopying}); in its turn, a router moves its runs in waves ({@link MovePlan}).
- */
+/** Moves runs away from engines that are leaving; each engine has its {@link EngineDeparture}. */
 final class RunRelocator {
 
-    /** Time between an engine's notice and its end, in milliseconds: the shortest notice of an engine. */
-    private static final double NOTICE_MILLIS = 1_500;
+    /** Time for which reports are kept that arrive before the notice of their engine, in milliseconds. */
+    private static final long EARLY_REPORT_MILLIS = 500;
 
-    /** Part of the notice for the final copy and its transfer, in milliseconds: several round trips between regions. */
-    private static final long FINAL_COPY_MILLIS = 350;
-
-    /** Interval of checks whether the routers before this one have moved their runs, in milliseconds. */
-    private static final long TURN_CHECK_INTERVAL_MILLIS = 20;
-
-    private static final Logger LOGGER = LoggerFactory.getLogger(RunRelocator.class);
+    /** Maximum number of kept reports: those of 60 routers with a run at each of four engines. */
+    private static final int MAXIMUM_EARLY_REPORTS = 240;
 
     private final ForwardContext context;
     private final RunningStreams streams;
+    private final Consumer<Message> broadcast;
     private final String self;
+    private final RefusingDestinations refusingDestinations = new RefusingDestinations();
+    private final ReportAges reportAges = new ReportAges();
+    private final Map<String, EngineDeparture> departures = new HashMap<>();
+    private final Deque<RecentReport> recentReports = new ArrayDeque<>();
 
-    RunRelocator(ForwardContext context, RunningStreams streams, String self) {
-        this.self = self;
+    private record RecentReport(CopyReport report, long sentMillis) {}
+
+    /**
+     * Creates a relocator.
+     *
+     * @param context shared services
+     * @param streams streams of this router
+     * @param broadcast sends a message to the connected routers
+     * @param self name of this router
+     */
+    RunRelocator(ForwardContext context, RunningStreams streams, Consumer<Message> broadcast, String self) {
         this.context = context;
         this.streams = streams;
+        this.broadcast = broadcast;
+        this.self = self;
     }
 
     /**
@@ -52,83 +59,60 @@
         if (!memory.movable()) {
             return;
         }
-        Map<String, StreamForwarding> streamsByRequestId = new HashMap<>();
-        List<RunAtEngine> runs = new ArrayList<>();
-        for (StreamForwarding stream : streams.findByEndpoint(engine.entry().id())) {
-            streamsByRequestId.put(stream.caller().requestId(), stream);
-            runs.add(stream.runAtEngine());
-        }
-        if (!runs.isEmpty()) {
-            // The other routers take turns by this router's newest work, not by that of its last report.
-            context.reportWork().run();
+        List<StreamForwarding> found = streams.findByEndpoint(engine.entry().id());
+        List<StreamForwarding> runs = new ArrayList<>();
+        for (StreamForwarding stream : found) {
+            if (!stream.runAtEngine().resumable()) {
+                runs.add(stream);
+            }
         }
-        MovePlan plan = MovePlan.of(runs, memory, NOTICE_MILLIS);
-        if (plan.waves().isEmpty()) {
+        if (found.isEmpty()) {
             return;
         }
-        Departure departure = new Departure(
-                engine, memory, plan.firstWaveTokens(), context.clock().millis());
-        for (List<RunAtEngine> wave : plan.waves()) {
-            departure.waves.add(wave.stream()
-                    .map(run -> streamsByRequestId.get(run.requestId()))
-                    .toList());
-        }
-        LOGGER.info(
-                "moves planned engine={} runs={} waves={}",
-                engine.entry().id(),
-                runs.size(),
-                plan.waves().size());
-        departure.awaitTurn();
-    }
-
-    /** An engine that is leaving and the runs that this router still has to move from it. */
-    private final class Departure {
-
-        private final KnownEndpoint engine;
-        private final EngineMemory memory;
-        private final long noticedAtMillis;
-        private final Deque<List<StreamForwarding>> waves = new ArrayDeque<>();
-        private final long firstWaveTokens;
-        private int copyingRuns;
-
-        Departure(KnownEndpoint engine, EngineMemory memory, long firstWaveTokens, long noticedAtMillis) {
-            this.engine = engine;
-            this.memory = memory;
-            this.firstWaveTokens = firstWaveTokens;
-            this.noticedAtMillis = noticedAtMillis;
-        }
-
-        /** Starts the first wave once it is this router's turn; routers copy in the order of their names. */
-        void awaitTurn() {
-            long now = context.clock().millis();
-            long tokensOfEarlierRouters = context.ledger()
-                    .workOfEarlierRouters(self, engine.entry().id(), now)
-                    .heldTokens();
-            if (MoveOrder.mayStartCopying(
-                    tokensOfEarlierRouters, firstWaveTokens, memory, now - noticedAtMillis, NOTICE_MILLIS)) {
-                startNextWave();
-                return;
+        // The other routers plan by this router's newest work, not by that of its last report.
+        context.reportWork().run();
+        String incarnation = engine.entry().incarnation();
+        EngineDeparture departure = departures.get(incarnation);
+        if (departure == null) {
+            departure = new EngineDeparture(
+                    context,
+                    engine,
+                    memory,
+                    refusingDestinations,
+                    broadcast,
+                    self,
+                    () -> departures.remove(incarnation));
+            departures.put(incarnation, departure);
+            for (RecentReport early : recentReports) {
+                departure.handleCopyReport(early.report(), early.sentMillis());
             }
-            context.vertx().setTimer(TURN_CHECK_INTERVAL_MILLIS, ignored -> awaitTurn());
         }
+        departure.move(runs);
+    }
 
-        private void startNextWave() {
-            List<StreamForwarding> wave = waves.poll();
-            if (wave == null) {
-                return;
-            }
-            copyingRuns = wave.size();
-            long secondCopyDeadlineMillis = noticedAtMillis + (long) NOTICE_MILLIS - FINAL_COPY_MILLIS;
-            for (StreamForwarding stream : wave) {
-                new RunMove(context, stream, engine, secondCopyDeadlineMillis, this::handleLinkReleased).start();
-            }
-        }
+    /**
+     * Handles a new connection to another router.
+     *
+     * @param router name of the router
+     */
+    void handleRouterConnected(String router) {
+        reportAges.remove(router);
+    }
 
-        private void handleLinkReleased() {
-            copyingRuns--;
-            if (copyingRuns == 0) {
-                startNextWave();
-            }
+    /**
+     * Handles a report of another router.
+     *
+     * @param report the report
+     */
+    void handleCopyReport(CopyReport report) {
+        long now = context.clock().millis();
+        while (!recentReports.isEmpty()
+                && (now - recentReports.peek().sentMillis() > EARLY_REPORT_MILLIS
+                        || recentReports.size() >= MAXIMUM_EARLY_REPORTS)) {
+            recentReports.remove();
         }
+        long sentMillis = now - reportAges.ageMillis(report.router(), report.sentMillis(), now);
+        recentReports.add(new RecentReport(report, sentMillis));
+        departures.values().forEach(departure -> departure.handleCopyReport(report, sentMillis));
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -103,6 +103,11 @@
                 caller.route().mayRunAgain());
     }
 
+    /** Whether the run has produced events; before that, its prompt may still be in prefill. */
+    boolean hasEvents() {
+        return forwardedEvents > 0;
+    }
+
     PlacementQuery query() {
         return query;
     }
