--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -41,7 +41,9 @@
     @JsonSubTypes.Type(value = RelayedRecords.class, name = "relayedRecords"),
     @JsonSubTypes.Type(value = QuarantineReport.class, name = "quarantineReport"),
     @JsonSubTypes.Type(value = RolloutReport.class, name = "rolloutReport"),
-    @JsonSubTypes.Type(value = SpeedReport.class, name = "speedReport")
+    @JsonSubTypes.Type(value = SpeedReport.class, name = "speedReport"),
+    @JsonSubTypes.Type(value = LeaveReport.class, name = "leaveReport"),
+    @JsonSubTypes.Type(value = CopyReport.class, name = "copyReport")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 
@@ -106,6 +107,16 @@
                 .increment();
     }
 
+    /**
+     * Counts a call to copy the memory of a run.
+     *
+     * @param outcome result of the copy, or {@code failed}
+     */
+    void recordCopy(String outcome) {
+        registry.counter("redwinghook.forward.copies", "outcome", outcome.toLowerCase(Locale.ROOT))
+                .increment();
+    }
+
     /**
      * Counts an event of the quarantine of prompt parts.
      *
@@ -134,6 +145,32 @@
                 .increment();
     }
 
+    /**
+     * Counts a report of an engine that was read.
+     *
+     * @param outcome what it said, or {@code failed}
+     */
+    void recordEngineReport(String outcome) {
+        registry.counter("redwinghook.forward.engine.reports", "outcome", outcome.toLowerCase(Locale.ROOT))
+                .increment();
+    }
+
+    /**
+     * Counts a change of what the router assumes about the end of an engine because of its report.
+     *
+     * @param leaves whether the engine is now expected to leave
+     * @param isOwn whether this router read the report
+     */
+    void recordLeaveNotice(boolean leaves, boolean isOwn) {
+        registry.counter(
+                        "redwinghook.forward.leave.notices",
+                        "state",
+                        leaves ? "leaves" : "stays",
+                        "reader",
+                        isOwn ? "self" : "other")
+                .increment();
+    }
+
     /**
      * Counts an event of a roll-out.
      *
@@ -196,6 +233,16 @@
                 .increment();
     }
 
+    /**
+     * Counts a change of the trust in the store.
+     *
+     * @param isTrusted whether it is trusted now
+     */
+    void recordStoreTrust(boolean isTrusted) {
+        registry.counter("redwinghook.forward.store.trust", "state", isTrusted ? "trusted" : "distrusted")
+                .increment();
+    }
+
     private Timer timer(String name, String service) {
         return Timer.builder(name)
                 .tag("service", service)
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -25,6 +25,7 @@
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.placement.WorkTotals;
+import org.redwinghook.core.relocation.DestinationChoice;
 import org.redwinghook.core.routing.RendezvousHash;
 
 /** Chooses endpoints for forwarded requests. */
@@ -143,6 +144,34 @@
         return CandidateSample.of(candidates, routerCount.getAsInt(), random);
     }
 
+    /**
+     * Chooses an engine for a run that moves.
+     *
+     * @param caller exchange with the caller
+     * @param query size of the run
+     * @param excluded identifiers of excluded engines
+     * @param source engine that leaves
+     * @return the engine, empty if none may take the run
+     */
+    Optional<KnownEndpoint> chooseDestination(
+            CallerExchange caller, PlacementQuery query, Set<String> excluded, EndpointEntry source) {
+        List<Candidate> candidates = candidates(caller, excluded, source.dataCentre());
+        List<String> leaving = new ArrayList<>();
+        for (EndpointEntry entry : state.endpoints().entries()) {
+            boolean isNeighbour = entry.service().equals(source.service())
+                    && entry.dataCentre().equals(source.dataCentre());
+            if (isNeighbour
+                    && state.endpoints()
+                            .find(entry.id())
+                            .filter(KnownEndpoint::isLeaving)
+                            .isPresent()) {
+                leaving.add(entry.id());
+            }
+        }
+        return DestinationChoice.choose(candidates, query, source.id(), leaving)
+                .flatMap(best -> state.endpoints().find(best.id()));
+    }
+
     /** Endpoints that may take a request, without those that cannot be reached if there are others. */
     private List<KnownEndpoint> eligibleEndpoints(CallerExchange caller, Set<String> excluded, long now) {
         List<KnownEndpoint> eligible = eligibility.eligibleEndpoints(scope(caller, excluded), now);
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -13,8 +13,10 @@
 import io.vertx.core.http.HttpClientOptions;
 import org.redwinghook.core.forward.CallDurations;
 import org.redwinghook.core.forward.EndpointEligibility;
+import org.redwinghook.core.forward.Exclusion;
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.kernel.ServiceRegistry;
+import org.redwinghook.core.message.CopyReport;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.placement.EndpointSpeeds;
@@ -76,6 +78,7 @@
     private final RouterMesh mesh;
     private final RouterMembership membership;
     private final List<RecordFollower> followers;
+    private final LeaveWatch leaveWatch;
     private final CompositeMeterRegistry meters = new CompositeMeterRegistry();
     private final long incarnation = System.currentTimeMillis();
     private boolean accepting = true;
@@ -86,26 +89,16 @@
      *
      * @param vertx event loop of the router
      * @param reloadable its settings
-     * @param store the platform's store
-     * @param rolloutStore statuses of roll-outs in the platform's store
-     * @param decoder decodes its records
-     * @param protocol mapping of HTTP headers
-     * @param memoryMover moves the memory of runs between engines
+     * @param platform what the router uses of the platform
      */
-    public ForwardingProcess(
-            Vertx vertx,
-            ReloadableSettings<ForwardingSettings> reloadable,
-            RecordStore store,
-            RolloutStore rolloutStore,
-            RecordDecoder decoder,
-            ForwardProtocol protocol,
-            MemoryMover memoryMover) {
+    public ForwardingProcess(Vertx vertx, ReloadableSettings<ForwardingSettings> reloadable, PlatformAccess platform) {
         this.vertx = vertx;
         this.settings = reloadable.current();
         this.reloadable = reloadable;
         MonotonicClock clock = MonotonicClock.system();
-        state = new ForwardingState(decoder, clock);
+        state = new ForwardingState(platform.decoder(), clock);
         EndpointEligibility eligibility = new EndpointEligibility(state.endpoints());
+        eligibility.addRule((endpoint, scope, now) -> endpoint.hasLeaveNotice() ? Exclusion.LEAVING : null);
         AttemptObservers observers = new AttemptObservers();
         WorkLedger ledger = new WorkLedger();
         HttpClientAgent client = vertx.createHttpClient(
@@ -136,12 +129,12 @@
                 vertx,
                 clock,
                 state,
-                protocol,
+                platform.protocol(),
                 client,
                 ledger,
                 selector,
                 new ServiceRetryBudgets(() -> reloadable.current().retries(), this::routerCount),
-                memoryMover,
+                platform.memoryMover(),
                 metrics,
                 new CallDurations(),
                 observers,
@@ -154,7 +147,7 @@
         readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
         routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock, promptGuard);
         RolloutTracker rolloutTracker = new RolloutTracker(
-                new RolloutContext(vertx, state, routerExchange, ledger, rolloutStore, clock, metrics),
+                new RolloutContext(vertx, state, routerExchange, ledger, platform.rolloutStore(), clock, metrics),
                 () -> reloadable.current().rollouts(),
                 settings.process(),
                 incarnation);
@@ -167,8 +160,11 @@
                 .size());
         speedExchange = new SpeedExchange(vertx, clock, settings.process(), incarnation, routerExchange, speeds);
         observers.register(speedTracker);
-        state.onEndpointLeaving(new RunRelocator(context, streams, settings.process())::handleEndpointLeaving);
         routerExchange.onWorkReport(waiting::handleWorkReport);
+        RunRelocator relocator = new RunRelocator(context, streams, routerExchange::broadcast, settings.process());
+        state.onEndpointLeaving(relocator::handleEndpointLeaving);
+        routerExchange.onConnected(peer -> relocator.handleRouterConnected(peer.name()));
+        routerExchange.register(CopyReport.class, (peer, report) -> relocator.handleCopyReport(report));
         WireMetrics wireMetrics = new WireMetrics(meters);
         mesh = new RouterMesh(
                 vertx,
@@ -182,7 +178,7 @@
                         new MessageDispatcher(),
                         MeshTiming.FAST,
                         MeshTopology.ALL));
-        membership = new RouterMembership(vertx, store, state, settings, mesh);
+        membership = new RouterMembership(vertx, platform.store(), state, settings, mesh);
         state.onChange((topic, changed) -> {
             if (topic == RecordTopic.ROUTERS) {
                 membership.update();
@@ -195,8 +191,14 @@
         followers = new ArrayList<>();
         for (RecordTopic topic : RecordTopic.values()) {
             followers.add(new RecordFollower(
-                    vertx, store, state, topic, clock, routerExchange::relay, routerExchange::storeRole));
+                    vertx, platform.store(), state, topic, clock, routerExchange::relay, routerExchange::storeRole));
         }
+        leaveWatch = new LeaveWatch(
+                context,
+                routerExchange,
+                platform.engineReports(),
+                followers.get(RecordTopic.ENDPOINTS.ordinal()).trust(),
+                settings.process());
     }
 
     private void reportWork() {
@@ -223,6 +225,7 @@
         reloadable.onChange(previous -> vertx.runOnContext(ignored -> logSettings(previous)));
         // The store is read first: its records are all that the first requests need.
         followers.forEach(RecordFollower::start);
+        leaveWatch.start();
         state.onChange((topic, changed) -> handleStateChange());
         vertx.setPeriodic(EXPIRY_CHECK_INTERVAL_MILLIS, ignored -> state.removeExpiredEndpoints());
         vertx.setTimer(SECONDARY_SERVICES_LATEST_START_MILLIS, ignored -> startSecondaryServices());
--- a/router/src/main/java/org/redwinghook/router/forward/ResponseHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ResponseHead.java
@@ -11,13 +11,15 @@
  * @param notRun whether the endpoint reports that it did not run the request
  * @param intact whether the head is complete and the body has no content encoding
  * @param load load that the endpoint reports, null if absent
+ * @param closesConnection whether the endpoint announces that it closes the connection
  */
 public record ResponseHead(
         int status,
         @Nullable String requestId,
         boolean notRun,
         boolean intact,
-        @Nullable ReportedLoad load) {
+        @Nullable ReportedLoad load,
+        boolean closesConnection) {
 
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
