Send a reconnected router only the records that it lacks

Cause: each new connection between routers carried complete copies of all records in both directions.

Fix: a connection begins with the work report, whose offset sums show what the other router lacks. Records follow by the existing policy for repairs, and at once to a router that has none, so a reconnection costs some hundred bytes.

--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -204,12 +204,9 @@
     public void handleConnected(ConfigurationPeer peer) {
         peers.add(peer);
         LOGGER.info("router connected name={} connections={}", peer.name(), peers.size());
-        for (RecordTopic topic : RecordTopic.values()) {
-            List<VersionedRecord> all = state.replica(topic).allRecords();
-            if (!all.isEmpty()) {
-                peer.send(toRelayedRecords(topic, all, storeWasUnavailable.getAsBoolean()));
-            }
-        }
+        // The report contains the offset sums, so that only records that the other router lacks are sent. Complete
+        // copies
+        // with each new connection kept a congested link congested: silent connections are opened again and again.
         Map<String, WorkTotals> own = ledger.ownWork();
         peer.send(new WorkReport(self, toEndpointWork(own), true, canReadStore.getAsBoolean(), recordOffsetSums()));
         QuarantineEvidence evidence = promptGuard.evidence();
@@ -303,11 +300,8 @@
     private void repairIfLagging(ConfigurationPeer peer, WorkReport report) {
         recordOffsetSums();
         for (RecordTopic topic : RecordTopic.values()) {
-            boolean isReported = topic.ordinal() < report.known().size();
-            if (isReported
-                    && repairPolicies
-                            .get(topic)
-                            .shouldRepair(self, peer.name(), report.known().get(topic.ordinal()), clock.millis())) {
+            if (topic.ordinal() < report.known().size()
+                    && isRepairDue(topic, peer, report.known().get(topic.ordinal()))) {
                 LOGGER.info("records repaired topic={} to={}", topic, peer.name());
                 peer.send(
                         toRelayedRecords(topic, state.replica(topic).allRecords(), storeWasUnavailable.getAsBoolean()));
@@ -315,6 +309,12 @@
         }
     }
 
+    /** Whether this router sends its records of a topic now: to a router that has just started without the store, at once. */
+    private boolean isRepairDue(RecordTopic topic, ConfigurationPeer peer, long offsetSum) {
+        boolean isDue = repairPolicies.get(topic).shouldRepair(self, peer.name(), offsetSum, clock.millis());
+        return isDue || (offsetSum == 0 && state.replica(topic).offsetSum() > 0);
+    }
+
     /** Records the offset sums of this router's copies of the topics and returns them. */
     private List<Long> recordOffsetSums() {
         List<Long> offsetSums = new ArrayList<>();
