Respect what endpoints announce in their responses: departure and pauses

An endpoint that leaves says so in all of its responses (Server-Leaving: 1), and one that answers 503 may ask for a pause (Retry-After). Neither was read: requests went on to a leaving endpoint for as long as the store listed it as ready, and a paused endpoint received every request that chose it.

EndpointNotices, a rule of EndpointEligibility, keeps both by the start of an endpoint. A leaving endpoint receives nothing new, whatever the list says later, and its runs are moved. A paused one receives nothing until the end of the pause, then one request, and twice as many with each success. A request that waits for its connection is checked again before it is written. If no endpoint is left, the request is refused at once with the end of the shortest pause.

--- a/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
+++ b/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
@@ -14,6 +14,7 @@
     private EndpointEntry entry;
     private long coldUntilMillis;
     private boolean isRemoved;
+    private boolean hasAnnouncedLeaving;
     private int waitingRequests;
     private long waitingReceivedAtMillis = Long.MIN_VALUE / 2;
 
@@ -76,7 +77,12 @@
      * @return true from the notice on
      */
     public boolean isLeaving() {
-        return isRemoved || entry.draining();
+        return isRemoved || hasAnnouncedLeaving || entry.draining();
+    }
+
+    /** Records that the endpoint itself announced that it leaves, which a later entry does not revoke. */
+    public void recordLeavingAnnouncement() {
+        hasAnnouncedLeaving = true;
     }
 
     void recordRemoval() {
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -69,6 +69,7 @@
      */
     Future<HttpClientResponse> send(@Nullable MemoryCopy copy, @Nullable String lastEventId) {
         long remainingMillis = Math.max(1, caller.remainingMillis());
+        exchange.sendOnlyIf(() -> copy != null || maySendNewRun());
         EndpointRequestHead head = new EndpointRequestHead(
                 endpointId(),
                 remainingMillis,
@@ -85,6 +86,13 @@
                 caller.body());
     }
 
+    /** Whether a new run may begin: a run that continues from a copy may return to an engine that leaves. */
+    private boolean maySendNewRun() {
+        return !endpoint.isLeaving()
+                && context.notices()
+                        .maySendAssigned(endpoint.entry(), context.clock().millis());
+    }
+
     /**
      * Reads the head of a response and records the load that it reports.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointExchange.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
@@ -30,6 +31,7 @@
     private boolean connectionLost;
     private boolean isSent;
     private boolean cancelled;
+    private BooleanSupplier maySend = () -> true;
 
     private EndpointExchange(EndpointEntry endpoint) {
         this.endpoint = endpoint;
@@ -45,6 +47,15 @@
         return new EndpointExchange(endpoint);
     }
 
+    /**
+     * Sets a condition that is checked when the connection is open, just before the request is written.
+     *
+     * @param condition returns false if the request must not be sent any more
+     */
+    void sendOnlyIf(BooleanSupplier condition) {
+        maySend = condition;
+    }
+
     /**
      * Opens the connection before the request is sent. A connection that is open already is kept.
      *
@@ -160,6 +171,11 @@
             responsePromise.tryFail("cancelled");
             return;
         }
+        if (!maySend.getAsBoolean()) {
+            responsePromise.tryFail("the endpoint announced that it leaves or pauses");
+            close();
+            return;
+        }
         isSent = true;
         request.exceptionHandler(responsePromise::tryFail);
         request.response().onSuccess(responsePromise::tryComplete).onFailure(responsePromise::tryFail);
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
 import org.redwinghook.core.forward.CallDurations;
+import org.redwinghook.core.forward.EndpointNotices;
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.receive.ReceiveBudget;
 
@@ -21,6 +22,7 @@
  * @param metrics counters and histograms
  * @param callDurations learned durations of calls
  * @param observers observers of attempts at endpoints
+ * @param notices what endpoints announced in their responses
  * @param promptGuard keeps prompts that crash endpoints away from them
  * @param pollBarrier delays work while the event loop is late
  * @param receiveBudget memory for received messages
@@ -39,6 +41,7 @@
         ForwardMetrics metrics,
         CallDurations callDurations,
         AttemptObservers observers,
+        EndpointNotices notices,
         PromptGuard promptGuard,
         PollBarrier pollBarrier,
         ReceiveBudget receiveBudget,
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -69,6 +69,17 @@
         registry.counter("redwinghook.forward.quarantine", "event", event).increment();
     }
 
+    /**
+     * Counts a notice that an endpoint gave in a response.
+     *
+     * @param service service of the endpoint
+     * @param notice kind of notice: leaving or pause
+     */
+    void recordNotice(String service, String notice) {
+        registry.counter("redwinghook.forward.endpoint.notices", "service", service, "notice", notice)
+                .increment();
+    }
+
     private Timer timer(String name, String service) {
         return Timer.builder(name)
                 .tag("service", service)
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -13,6 +13,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import org.redwinghook.core.forward.CallDurations;
 import org.redwinghook.core.forward.EndpointEligibility;
+import org.redwinghook.core.forward.EndpointNotices;
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.Hello;
@@ -100,6 +101,8 @@
         MonotonicClock clock = MonotonicClock.system();
         state = new ForwardingState(decoder, clock);
         EndpointEligibility eligibility = new EndpointEligibility(state.endpoints());
+        EndpointNotices notices = new EndpointNotices(state.endpoints());
+        eligibility.addRule(notices);
         AttemptObservers observers = new AttemptObservers();
         WorkLedger ledger = new WorkLedger();
         HttpClientAgent client = vertx.createHttpClient(
@@ -107,6 +110,7 @@
         RunningStreams streams = new RunningStreams();
         pollBarrier = new PollBarrier(vertx, clock);
         ForwardMetrics metrics = new ForwardMetrics(meters);
+        observers.register(new NoticeObserver(notices, state, clock, metrics));
         PromptGuard promptGuard = new PromptGuard(new PromptQuarantine(settings.process()), clock, metrics);
         promptGuard.onQuarantine(streams::withdraw);
         ForwardContext context = new ForwardContext(
@@ -129,6 +133,7 @@
                 metrics,
                 new CallDurations(),
                 observers,
+                notices,
                 promptGuard,
                 pollBarrier,
                 new ReceiveBudget(Runtime.getRuntime().maxMemory() / RECEIVE_BUDGET_HEAP_DIVISOR),
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
@@ -133,6 +133,19 @@
         return handleChanges(topic, replica(topic).mergeSnapshot(snapshot, endOffset), storeWasUnavailable);
     }
 
+    /**
+     * Starts what follows from the departure of an endpoint before its entry says so.
+     *
+     * @param endpoint the endpoint, which announced its departure itself
+     */
+    void announceLeaving(KnownEndpoint endpoint) {
+        boolean wasLeaving = endpoint.isLeaving();
+        endpoint.recordLeavingAnnouncement();
+        if (!wasLeaving) {
+            leavingHandlers.forEach(handler -> handler.accept(endpoint));
+        }
+    }
+
     /** Removes endpoints whose entries lapsed and were not registered again in time. */
     public void removeExpiredEndpoints() {
         for (String id : endpoints.expire(clock.millis())) {
@@ -193,14 +206,14 @@
     private void applyEndpointRecord(VersionedRecord record, boolean storeWasUnavailable) {
         long now = clock.millis();
         Optional<KnownEndpoint> before = endpoints.find(record.key());
-        boolean wasDraining = before.map(known -> known.entry().draining()).orElse(false);
+        boolean wasLeaving = before.map(KnownEndpoint::isLeaving).orElse(false);
         Optional<EndpointEntry> entry = decode(RecordTopic.ENDPOINTS, record, decoder::decodeEndpoint);
         if (entry.isPresent()) {
             endpoints.put(entry.get(), now);
         } else {
             endpoints.remove(record.key(), storeWasUnavailable, now);
         }
-        boolean wasServing = before.isPresent() && !wasDraining;
+        boolean wasServing = before.isPresent() && !wasLeaving;
         Optional<KnownEndpoint> after = endpoints.find(record.key());
         if (before.isEmpty() && after.isPresent()) {
             LOGGER.info(
--- a/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
@@ -101,7 +101,14 @@
      */
     Refusal refusal(RefusalCause cause, long retryAfterMillis) {
         Refusal ofQuarantine = quarantineRefusal;
-        return ofQuarantine != null ? ofQuarantine : new Refusal(cause, retryAfterMillis);
+        if (ofQuarantine != null) {
+            return ofQuarantine;
+        }
+        // Without an endpoint that may be asked now, the end of the shortest pause is the time to come back.
+        long untilReturnMillis = context.notices()
+                .millisUntilReturn(caller.service(), context.clock().millis())
+                .orElse(retryAfterMillis);
+        return new Refusal(cause, Math.max(retryAfterMillis, untilReturnMillis));
     }
 
     /**
--- a/router/src/main/java/org/redwinghook/router/forward/ResponseHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ResponseHead.java
@@ -10,9 +10,17 @@
  * @param notRun whether the endpoint reports that it did not run the request
  * @param intact whether the head is complete and the body has no content encoding
  * @param waitingRequests number of requests waiting at the endpoint, -1 if absent
+ * @param leaving whether the endpoint announces that it leaves
+ * @param pauseMillis time for which the endpoint wants no requests, in milliseconds, 0 if it asks for no pause
  */
 public record ResponseHead(
-        int status, @Nullable String requestId, boolean notRun, boolean intact, int waitingRequests) {
+        int status,
+        @Nullable String requestId,
+        boolean notRun,
+        boolean intact,
+        int waitingRequests,
+        boolean leaving,
+        long pauseMillis) {
 
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
