--- a/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
+++ b/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
@@ -28,6 +28,7 @@
     private double learnedSlowdown = Candidate.USUAL_SLOWDOWN;
     private boolean hasLeaveNotice;
     private long leavesAtMillis = Long.MAX_VALUE;
+    private boolean hasAnnouncedLeaving;
 
     KnownEndpoint(EndpointEntry entry, long nowMillis) {
         this.entry = entry;
@@ -163,7 +164,7 @@
      * @return true from the notice on
      */
     public boolean isLeaving() {
-        return isRemoved || entry.draining() || hasLeaveNotice;
+        return isRemoved || entry.draining() || hasLeaveNotice || hasAnnouncedLeaving;
     }
 
     /**
@@ -200,6 +201,11 @@
         return leavesAtMillis;
     }
 
+    /** Records that the endpoint itself announced that it leaves, which a later entry does not revoke. */
+    public void recordLeavingAnnouncement() {
+        hasAnnouncedLeaving = true;
+    }
+
     void recordRemoval() {
         isRemoved = true;
     }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -13,6 +13,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import org.redwinghook.core.forward.CallDurations;
 import org.redwinghook.core.forward.EndpointEligibility;
+import org.redwinghook.core.forward.EndpointNotices;
 import org.redwinghook.core.forward.Exclusion;
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.kernel.ServiceRegistry;
@@ -99,6 +100,8 @@
         state = new ForwardingState(platform.decoder(), clock);
         EndpointEligibility eligibility = new EndpointEligibility(state.endpoints());
         eligibility.addRule((endpoint, scope, now) -> endpoint.hasLeaveNotice() ? Exclusion.LEAVING : null);
+        EndpointNotices notices = new EndpointNotices(state.endpoints());
+        eligibility.addRule(notices);
         AttemptObservers observers = new AttemptObservers();
         WorkLedger ledger = new WorkLedger();
         HttpClientAgent client = vertx.createHttpClient(
@@ -106,6 +109,7 @@
         RunningStreams streams = new RunningStreams();
         pollBarrier = new PollBarrier(vertx, clock);
         ForwardMetrics metrics = new ForwardMetrics(meters);
+        observers.register(new NoticeObserver(notices, state, clock, metrics));
         PromptGuard promptGuard = new PromptGuard(new PromptQuarantine(settings.process()), clock, metrics);
         promptGuard.onQuarantine(streams::withdraw);
         ForwardSelector selector = new ForwardSelector(
@@ -138,6 +142,7 @@
                 metrics,
                 new CallDurations(),
                 observers,
+                notices,
                 promptGuard,
                 pollBarrier,
                 new ReceiveBudget(Runtime.getRuntime().maxMemory() / RECEIVE_BUDGET_HEAP_DIVISOR),
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
@@ -150,12 +150,28 @@
      * @param endMillis monotonic time of its end in milliseconds, {@link Long#MAX_VALUE} if it is not known
      */
     void recordLeaveNotice(KnownEndpoint endpoint, long endMillis) {
-        boolean wasServing = !endpoint.entry().draining() && !endpoint.hasLeaveNotice();
+        boolean wasLeaving = endpoint.isLeaving();
         endpoint.recordLeaveNotice(endMillis);
-        if (wasServing) {
+        handleDeparture(endpoint, wasLeaving, "report");
+    }
+
+    /**
+     * Records that an endpoint leaves according to one of its responses.
+     *
+     * @param endpoint the endpoint
+     */
+    void announceLeaving(KnownEndpoint endpoint) {
+        boolean wasLeaving = endpoint.isLeaving();
+        endpoint.recordLeavingAnnouncement();
+        handleDeparture(endpoint, wasLeaving, "response");
+    }
+
+    private void handleDeparture(KnownEndpoint endpoint, boolean wasLeaving, String source) {
+        if (!wasLeaving) {
             LOGGER.info(
-                    "endpoint leaving id={} listed=true source=report",
-                    endpoint.entry().id());
+                    "endpoint leaving id={} listed=true source={}",
+                    endpoint.entry().id(),
+                    source);
             leavingHandlers.forEach(handler -> handler.accept(endpoint));
         }
     }
@@ -223,15 +239,14 @@
     private void applyEndpointRecord(VersionedRecord record, boolean storeWasUnavailable) {
         long now = clock.millis();
         Optional<KnownEndpoint> before = endpoints.find(record.key());
-        boolean wasDraining = before.map(known -> known.entry().draining() || known.hasLeaveNotice())
-                .orElse(false);
+        boolean wasLeaving = before.map(KnownEndpoint::isLeaving).orElse(false);
         Optional<EndpointEntry> entry = decode(RecordTopic.ENDPOINTS, record, decoder::decodeEndpoint);
         if (entry.isPresent()) {
             endpoints.put(entry.get(), now);
         } else {
             endpoints.remove(record.key(), storeWasUnavailable, now);
         }
-        boolean wasServing = before.isPresent() && !wasDraining;
+        boolean wasServing = before.isPresent() && !wasLeaving;
         Optional<KnownEndpoint> after = endpoints.find(record.key());
         if (before.isEmpty() && after.isPresent()) {
             LOGGER.info(
--- a/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
@@ -153,9 +153,15 @@
      */
     Refusal refusal(RefusalCause cause) {
         Refusal ofQuarantine = quarantineRefusal;
-        return ofQuarantine != null
-                ? ofQuarantine
-                : new Refusal(cause, context.waiting().retryAfterMillis(caller, rule, query));
+        if (ofQuarantine != null) {
+            return ofQuarantine;
+        }
+        long retryAfterMillis = context.waiting().retryAfterMillis(caller, rule, query);
+        // Without an endpoint that may be asked now, the end of the shortest pause is the time to come back.
+        long untilReturnMillis = context.notices()
+                .millisUntilReturn(caller.service(), context.clock().millis())
+                .orElse(retryAfterMillis);
+        return new Refusal(cause, Math.max(retryAfterMillis, untilReturnMillis));
     }
 
     /**
--- a/router/src/main/java/org/redwinghook/router/forward/ResponseHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ResponseHead.java
@@ -12,6 +12,8 @@
  * @param intact whether the head is complete and the body has no content encoding
  * @param load load that the endpoint reports, null if absent
  * @param closesConnection whether the endpoint announces that it closes the connection
+ * @param leaving whether the endpoint announces that it leaves
+ * @param pauseMillis time for which the endpoint wants no requests, in milliseconds, 0 if it asks for no pause
  */
 public record ResponseHead(
         int status,
@@ -19,7 +21,9 @@
         boolean notRun,
         boolean intact,
         @Nullable ReportedLoad load,
-        boolean closesConnection) {
+        boolean closesConnection,
+        boolean leaving,
+        long pauseMillis) {
 
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
