Limit the repairs of replicas, and send a reconnected router only what it lacks

Each repair of a lagging router carried all records of a topic, twice as many routers repaired it with each second that it lagged, and each new connection carried complete copies in both directions.

Fix: the first repairs contain only what changed since the router was in sync, each router spends at most 64 kB/s on repairs, and a connection begins with the offset sums, by which only a lagging router is sent records.

--- a/core/src/main/java/org/redwinghook/core/replica/ReplicaRepairPolicy.java
+++ b/core/src/main/java/org/redwinghook/core/replica/ReplicaRepairPolicy.java
@@ -31,9 +31,13 @@
 
     private static final int MAXIMUM_DOUBLINGS = 10;
 
+    /** Number of rounds in which only the records are sent that changed since the other router was in sync. */
+    private static final int PARTIAL_ROUNDS = 2;
+
     private final Deque<OwnState> ownHistory = new ArrayDeque<>();
     private final Map<String, Long> peerOffsetSums = new HashMap<>();
     private final Map<String, LaggingPeer> laggingPeers = new HashMap<>();
+    private final Map<String, Long> inSyncAtMillis = new HashMap<>();
 
     /**
      * Records the offset sum of this router's replica.
@@ -63,6 +67,9 @@
         long propagatedOffsetSum = propagatedOffsetSum(nowMillis);
         if (offsetSum >= propagatedOffsetSum) {
             laggingPeers.remove(peer);
+            if (propagatedOffsetSum != Long.MIN_VALUE) {
+                inSyncAtMillis.put(peer, nowMillis);
+            }
             return false;
         }
         LaggingPeer previous =
@@ -77,6 +84,20 @@
         return rank(self, peer, propagatedOffsetSum) < repairers;
     }
 
+    /**
+     * Time since which records that a lagging router may lack have changed. All records are sent to a router that was never
+     * seen in sync, and to one that still lags after the first rounds.
+     *
+     * @param peer name of the other router
+     * @return the time, {@link Long#MIN_VALUE} if it may lack any record
+     */
+    public long missingSinceMillis(String peer) {
+        LaggingPeer lagging = laggingPeers.get(peer);
+        Long inSync = inSyncAtMillis.get(peer);
+        boolean isPartial = lagging != null && lagging.repairRounds() <= PARTIAL_ROUNDS && inSync != null;
+        return isPartial ? inSync - PROPAGATION_MILLIS : Long.MIN_VALUE;
+    }
+
     /**
      * Removes a router that is no longer connected.
      *
@@ -85,6 +106,7 @@
     public void removePeer(String peer) {
         peerOffsetSums.remove(peer);
         laggingPeers.remove(peer);
+        inSyncAtMillis.remove(peer);
     }
 
     /** Number of connected routers that sort before this one and have the records that should have propagated. */
--- a/core/src/test/java/org/redwinghook/core/replica/ReplicaRepairPolicyTest.java
+++ b/core/src/test/java/org/redwinghook/core/replica/ReplicaRepairPolicyTest.java
@@ -71,6 +71,39 @@
         }
     }
 
+    /** Load: routers of a region lag for half a minute behind a congested link, and more routers repair them each second. */
+    public static class CongestedLink {
+
+        /** Guards against complete copies for a router that lacks only the newest records. */
+        @Test
+        public void firstRoundsContainOnlyWhatChangedSinceTheRouterWasInSync() {
+            ReplicaRepairPolicy policy = new ReplicaRepairPolicy();
+            policy.recordOwnOffsetSum(100, 0);
+            Assert.assertEquals(policy.missingSinceMillis("behind"), Long.MIN_VALUE);
+            policy.shouldRepair("a", "behind", 100, 1_000);
+            policy.recordOwnOffsetSum(140, 1_500);
+            List<Long> since = new ArrayList<>();
+            for (long now = 2_000; now <= 4_000; now += 1_000) {
+                Assert.assertTrue(policy.shouldRepair("a", "behind", 100, now));
+                since.add(policy.missingSinceMillis("behind"));
+            }
+            Assert.assertEquals(since, List.of(600L, 600L, Long.MIN_VALUE));
+        }
+
+        /** Guards against repairs that fill the link for as long as the routers lag. */
+        @Test
+        public void repairsOfOneRouterAreLimited() {
+            RepairBudget budget = new RepairBudget();
+            long sentBytes = 0;
+            for (long now = 0; now < 30_000; now += 1_000) {
+                for (int peer = 0; peer < 13; peer++) {
+                    sentBytes += budget.tryTake(60_000, now) ? 60_000 : 0;
+                }
+            }
+            Assert.assertTrue(sentBytes > 30 * 50_000 && sentBytes < 30 * 80_000, "sent: " + sentBytes);
+        }
+    }
+
     /** Load: a router misses a record and receives a later one from another sender. */
     @Test
     public void offsetSumRevealsAMissingRecordBeforeALaterOne() {
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -27,6 +27,7 @@
 import org.redwinghook.core.quarantine.MergedEvidence;
 import org.redwinghook.core.quarantine.QuarantineEvidence;
 import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.RepairBudget;
 import org.redwinghook.core.replica.ReplicaRepairPolicy;
 import org.redwinghook.core.replica.StoreReaders;
 import org.redwinghook.core.replica.StoreRole;
@@ -75,6 +76,8 @@
     private final Set<ConfigurationPeer> peers = new LinkedHashSet<>();
     private final Map<String, Boolean> storeAccessByRouter = new HashMap<>();
     private final Map<RecordTopic, ReplicaRepairPolicy> repairPolicies = new EnumMap<>(RecordTopic.class);
+    private final RepairBudget repairBudget = new RepairBudget();
+    private final Map<RecordTopic, Map<String, Long>> changedAtMillis = new EnumMap<>(RecordTopic.class);
     private final Map<String, VersionedRecord> pendingOperatorRecords = new LinkedHashMap<>();
     private final Map<String, WorkTotals> lastReportedTotals = new HashMap<>();
     private final Map<Class<? extends Message>, BiConsumer<ConfigurationPeer, Message>> handlers = new HashMap<>();
@@ -104,7 +107,9 @@
         promptGuard.onEvidence(this::share);
         for (RecordTopic topic : RecordTopic.values()) {
             repairPolicies.put(topic, new ReplicaRepairPolicy());
+            changedAtMillis.put(topic, new HashMap<>());
         }
+        state.onChange(this::recordChanges);
     }
 
     /**
@@ -204,12 +209,9 @@
     public void handleConnected(ConfigurationPeer peer) {
         peers.add(peer);
         LOGGER.info("router connected name={} connections={}", peer.name(), peers.size());
-        for (RecordTopic topic : RecordTopic.values()) {
-            List<VersionedRecord> all = state.replica(topic).allRecords();
-            if (!all.isEmpty()) {
-                peer.send(toRelayedRecords(topic, all, storeWasUnavailable.getAsBoolean()));
-            }
-        }
+        // The report contains the offset sums, so that only records that the other router lacks are sent. Complete
+        // copies
+        // with each new connection kept a congested link congested: silent connections are opened again and again.
         Map<String, WorkTotals> own = ledger.ownWork();
         peer.send(new WorkReport(self, toEndpointWork(own), true, canReadStore.getAsBoolean(), recordOffsetSums()));
         QuarantineEvidence evidence = promptGuard.evidence();
@@ -303,18 +305,51 @@
     private void repairIfLagging(ConfigurationPeer peer, WorkReport report) {
         recordOffsetSums();
         for (RecordTopic topic : RecordTopic.values()) {
-            boolean isReported = topic.ordinal() < report.known().size();
-            if (isReported
-                    && repairPolicies
-                            .get(topic)
-                            .shouldRepair(self, peer.name(), report.known().get(topic.ordinal()), clock.millis())) {
-                LOGGER.info("records repaired topic={} to={}", topic, peer.name());
-                peer.send(
-                        toRelayedRecords(topic, state.replica(topic).allRecords(), storeWasUnavailable.getAsBoolean()));
+            if (topic.ordinal() < report.known().size()
+                    && isRepairDue(topic, peer, report.known().get(topic.ordinal()))) {
+                repair(topic, peer);
             }
         }
     }
 
+    private void repair(RecordTopic topic, ConfigurationPeer peer) {
+        long sinceMillis = repairPolicies.get(topic).missingSinceMillis(peer.name());
+        List<VersionedRecord> records = state.replica(topic).allRecords().stream()
+                .filter(record -> changedAtMillis(topic, record) >= sinceMillis)
+                .toList();
+        long bytes = records.stream().mapToLong(RouterExchange::size).sum();
+        boolean isSent = repairBudget.tryTake(bytes, clock.millis());
+        LOGGER.info(
+                "records repaired topic={} to={} records={} bytes={} sent={}",
+                topic,
+                peer.name(),
+                records.size(),
+                bytes,
+                isSent);
+        if (isSent) {
+            peer.send(toRelayedRecords(topic, records, storeWasUnavailable.getAsBoolean()));
+        }
+    }
+
+    private long changedAtMillis(RecordTopic topic, VersionedRecord record) {
+        return changedAtMillis.get(topic).getOrDefault(record.key(), Long.MAX_VALUE);
+    }
+
+    private static long size(VersionedRecord record) {
+        byte[] value = record.value();
+        return record.key().length() + (value == null ? 0 : value.length);
+    }
+
+    private void recordChanges(RecordTopic topic, List<VersionedRecord> changed) {
+        changed.forEach(record -> changedAtMillis.get(topic).put(record.key(), clock.millis()));
+    }
+
+    /** Whether this router sends its records of a topic now: to a router that has just started without the store, at once. */
+    private boolean isRepairDue(RecordTopic topic, ConfigurationPeer peer, long offsetSum) {
+        boolean isDue = repairPolicies.get(topic).shouldRepair(self, peer.name(), offsetSum, clock.millis());
+        return isDue || (offsetSum == 0 && state.replica(topic).offsetSum() > 0);
+    }
+
     /** Records the offset sums of this router's copies of the topics and returns them. */
     private List<Long> recordOffsetSums() {
         List<Long> offsetSums = new ArrayList<>();
--- a/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
@@ -117,6 +117,26 @@
         Assert.assertEquals(otherPeer.relayedMessages(), 1);
     }
 
+    /**
+     * Guards against a link that stays congested: connections that were silent are opened again, and complete copies of the
+     * records with each of them filled the link between regions for the rest of a day.
+     */
+    @Test
+    public void reconnectedRouterIsSentOnlyRecordsThatItLacks() {
+        connect(FEW_ROUTERS);
+        exchange.handleMessage(firstPeer, relayedRecord(3));
+        long offsetSum = state.replica(RecordTopic.OPERATORS).offsetSum();
+        RecordingPeer reconnected = new RecordingPeer("router-c");
+        exchange.handleConnected(reconnected);
+        exchange.handleMessage(
+                reconnected, new WorkReport("router-c", List.of(), true, true, List.of(offsetSum, 0L, 0L)));
+        Assert.assertEquals(reconnected.relayedMessages(), 0);
+        RecordingPeer started = new RecordingPeer("router-d");
+        exchange.handleConnected(started);
+        exchange.handleMessage(started, new WorkReport("router-d", List.of(), true, false, List.of(0L, 0L, 0L)));
+        Assert.assertEquals(started.relayedMessages(), 1);
+    }
+
     /** Each router sees the crashes of other requests; a router that connects later has to know them, too. */
     @Test
     public void evidenceOfCrashesReachesRoutersThatConnectLater() {
