--- a/core/src/main/java/org/redwinghook/core/rollout/RecentEvidence.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/RecentEvidence.java
@@ -37,14 +37,14 @@
 
     /** Why the version is bad according to its responses since one of the states, null unless it is. */
     @Nullable
-    String badBecause(Map<String, RouteEvidence> total) {
+    String badBecause(Map<String, RouteEvidence> total, VersionJudgement.Certainty certainty) {
         for (Map<String, RouteEvidence> state : states) {
             List<RouteEvidence> since = new ArrayList<>();
             total.forEach((route, counts) -> {
                 RouteEvidence earlier = state.get(route);
                 since.add(earlier == null ? counts : counts.since(earlier).comparedWith(counts));
             });
-            String reason = VersionJudgement.badBecause(since, VersionJudgement.Certainty.RECENT_VERDICT);
+            String reason = VersionJudgement.badBecause(since, certainty);
             if (reason != null) {
                 return "recent " + reason;
             }
--- a/core/src/main/java/org/redwinghook/core/rollout/RolloutDecision.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/RolloutDecision.java
@@ -169,7 +169,7 @@
     public boolean recordEnd(ObservedAttempt attempt, AttemptEnd end, long sinceStartMillis, long nowMillis) {
         boolean isBadResponse = local.recordEnd(attempt, end, sinceStartMillis, nowMillis, others::times);
         if (isBadResponse) {
-            judge(nowMillis);
+            judge(total(), nowMillis);
         }
         return isBadResponse;
     }
@@ -197,7 +197,7 @@
             recordState(report.state());
         }
         if (others.newVersionBad() > badBefore) {
-            judge(nowMillis);
+            judge(total(), nowMillis);
         }
         return true;
     }
@@ -236,14 +236,15 @@
         others.refreshTimes(nowMillis);
         boolean mayLackComparison = elapsedMillis(nowMillis) >= firstShiftMillis;
         boolean hasOverdue = local.countOutstanding(mayLackComparison, nowMillis, others::times);
-        recent.record(total(), nowMillis);
-        judge(nowMillis);
+        Map<String, RouteEvidence> total = total();
+        recent.record(total, nowMillis);
+        judge(total, nowMillis);
         if (badBecause != null || isEnded()) {
             return hasOverdue;
         }
         long elapsed = elapsedMillis(nowMillis);
         boolean isFresh = isFresh(nowMillis);
-        Collection<RouteEvidence> routes = total().values();
+        Collection<RouteEvidence> routes = total.values();
         updateShift(routes, isFresh, nowMillis);
         isDrained = isShifted()
                 && isFresh
@@ -252,7 +253,7 @@
                 && (isDrained || nowMillis > shiftedAtMillis);
         isConfirmed = isDrained
                 && allOthersAreDrained(nowMillis)
-                && (isProven || (elapsed >= schedule.writeMillis() && !isHeld));
+                && (isProven || (elapsed >= schedule.writeMillis() && !isHeld && hasEvidence(routes)));
         // A decision that was made in time is carried out late if the store was away.
         wasConfirmed |= isConfirmed;
         if (!wasConfirmed && !isProven && elapsed >= schedule.lastDecisionMillis()) {
@@ -282,23 +283,19 @@
         }
     }
 
-    private static boolean isSuspect(Collection<RouteEvidence> routes) {
-        return VersionJudgement.badBecause(routes, VersionJudgement.Certainty.SUSPICION) != null;
-    }
-
-    private void judge(long nowMillis) {
+    private void judge(Map<String, RouteEvidence> total, long nowMillis) {
         if (badBecause != null || isEnded() || isProven) {
             return;
         }
-        Map<String, RouteEvidence> total = total();
         String reason = VersionJudgement.badBecause(total.values(), VersionJudgement.Certainty.VERDICT);
         if (reason == null) {
-            reason = recent.badBecause(total);
+            reason = recent.badBecause(total, VersionJudgement.Certainty.RECENT_VERDICT);
         }
         if (reason != null) {
             setBad(reason, nowMillis);
         }
-        isHeld = isSuspect(total.values());
+        isHeld = VersionJudgement.badBecause(total.values(), VersionJudgement.Certainty.SUSPICION) != null
+                || recent.badBecause(total, VersionJudgement.Certainty.RECENT_SUSPICION) != null;
     }
 
     private void setBad(String reason, long nowMillis) {
--- a/core/src/main/java/org/redwinghook/core/rollout/VersionJudgement.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/VersionJudgement.java
@@ -32,28 +32,43 @@
     /** Certainty of a judgement. */
     enum Certainty {
         /** The bad responses are hardly chance. */
-        VERDICT(1e-4, 2),
+        VERDICT(1e-4, 2, MINIMUM_BAD),
         /** The same if only recent responses are considered, which is done many times. */
-        RECENT_VERDICT(2e-5, 2),
+        RECENT_VERDICT(2e-5, 2, MINIMUM_BAD),
         /** The bad responses may be chance, but the version must not receive all requests on this evidence. */
-        SUSPICION(0.05, 1);
+        SUSPICION(0.05, 1, 1),
+        /** The same for recent failures. Responses that were slow for a short time are no reason to wait. */
+        RECENT_SUSPICION(1e-3, 1, 3) {
+            @Override
+            boolean considers(Kind kind) {
+                return kind == Kind.FAILURES;
+            }
+        };
 
         private final double minimumInformation;
         private final double toleratedFactor;
+        private final long minimumBad;
 
         /**
          * Creates a certainty.
          *
          * @param chance probability of as many bad responses by chance
          * @param toleratedFactor multiple of the old version's share of failures that a version may have
+         * @param minimumBad bad responses below which there is no judgement
          */
-        Certainty(double chance, double toleratedFactor) {
+        Certainty(double chance, double toleratedFactor, long minimumBad) {
+            this.minimumBad = minimumBad;
             this.minimumInformation = -Math.log(chance);
             this.toleratedFactor = toleratedFactor;
         }
+
+        boolean considers(Kind kind) {
+            return true;
+        }
     }
 
-    private enum Kind {
+    /** Kind of bad responses. */
+    enum Kind {
         FAILURES(VersionCounts::failures, 0.005, 1),
         /** Machines that are slow for a while are no fault of a version. */
         SLOW(VersionCounts::slow, 0.08, 2);
@@ -79,7 +94,7 @@
         private boolean isBad(VersionCounts counts, double toleratedShare, Certainty certainty) {
             long bad = number.applyAsLong(counts);
             double share = (double) bad / Math.max(1, counts.ended());
-            if (share <= toleratedShare || (certainty != Certainty.SUSPICION && bad < MINIMUM_BAD)) {
+            if (share <= toleratedShare || bad < certainty.minimumBad || !certainty.considers(this)) {
                 return false;
             }
             double divergence = share * Math.log(share / toleratedShare);
--- a/router/src/main/java/org/redwinghook/router/forward/RolloutRule.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RolloutRule.java
@@ -7,7 +7,6 @@
 
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.EndpointEligibility;
-import org.redwinghook.core.forward.EndpointEntry;
 import org.redwinghook.core.forward.EndpointRule;
 import org.redwinghook.core.forward.EndpointTable;
 import org.redwinghook.core.forward.Exclusion;
@@ -77,8 +76,7 @@
             }
         }
         RolloutDecision decision = rollout.decision();
-        TrialGroup group = TrialGroup.of(
-                entries(newOnes), entries(oldOnes), decision.groupShare(nowMillis), decision.round(nowMillis));
+        TrialGroup group = rollout.trialGroup(newOnes, oldOnes, nowMillis);
         boolean isRetry = !scope.triedEndpoints().isEmpty();
         VersionChoice choice = decision.choose(scope.requestId(), scope.route(), isRetry, group, nowMillis);
         if (choice == VersionChoice.TRIAL) {
@@ -92,10 +90,6 @@
         return eligible(choice.prefersNew() ? oldOnes : newOnes, scope, nowMillis);
     }
 
-    private static List<EndpointEntry> entries(List<KnownEndpoint> known) {
-        return known.stream().map(KnownEndpoint::entry).toList();
-    }
-
     /** Identifiers of the endpoints to which all other rules allow the request. */
     private Set<String> eligible(List<KnownEndpoint> candidates, RequestScope scope, long nowMillis) {
         Set<String> ids = new HashSet<>();
--- a/router/src/main/java/org/redwinghook/router/forward/ServiceRollout.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ServiceRollout.java
@@ -1,14 +1,17 @@
 package org.redwinghook.router.forward;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.forward.EndpointEntry;
 import org.redwinghook.core.forward.KnownEndpoint;
 import org.redwinghook.core.rollout.ObservedAttempt;
 import org.redwinghook.core.rollout.RolloutDecision;
 import org.redwinghook.core.rollout.RolloutPhase;
+import org.redwinghook.core.rollout.TrialGroup;
 
 /** A roll-out of one service at this router: its decision, its writer and what was logged. */
 final class ServiceRollout {
@@ -23,6 +26,10 @@
     private long newestOffset;
     private long reportedAtMillis = Long.MIN_VALUE / 2;
     private int finalReports;
+    private @Nullable TrialKey trialKey;
+    private @Nullable TrialGroup trialGroup;
+
+    private record TrialKey(List<KnownEndpoint> newOnes, List<KnownEndpoint> oldOnes, double share, long round) {}
 
     private record AttemptKey(CallerExchange caller, KnownEndpoint endpoint) {}
 
@@ -41,6 +48,30 @@
         return writer;
     }
 
+    /**
+     * Endpoints that take part in the trial now; kept until endpoints, share or round change, since each request needs them.
+     *
+     * @param newOnes usable endpoints of the new version
+     * @param oldOnes usable endpoints of the other versions
+     * @param nowMillis current time
+     * @return the endpoints
+     */
+    TrialGroup trialGroup(List<KnownEndpoint> newOnes, List<KnownEndpoint> oldOnes, long nowMillis) {
+        TrialKey key = new TrialKey(newOnes, oldOnes, decision.groupShare(nowMillis), decision.round(nowMillis));
+        TrialGroup known = trialGroup;
+        if (known != null && key.equals(trialKey)) {
+            return known;
+        }
+        TrialGroup group = TrialGroup.of(entries(newOnes), entries(oldOnes), key.share(), key.round());
+        trialKey = new TrialKey(List.copyOf(newOnes), List.copyOf(oldOnes), key.share(), key.round());
+        trialGroup = group;
+        return group;
+    }
+
+    private static List<EndpointEntry> entries(List<KnownEndpoint> known) {
+        return known.stream().map(KnownEndpoint::entry).toList();
+    }
+
     boolean isNewVersion(KnownEndpoint endpoint) {
         return endpoint.entry().version().equals(decision.order().to());
     }
