--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
@@ -62,7 +62,7 @@
     private static final double MAXIMUM_COLD_REQUESTS = 1e6;
 
     private static final double MAXIMUM_EXPOSURE_SLACK = 1e9;
-    private static final double MINIMUM_ROLLBACK_MILLIS = 1_000;
+    private static final double MINIMUM_ROLLBACK_MILLIS = 100;
     private static final double MAXIMUM_ROLLBACK_MILLIS = 3_600_000;
     private static final double MAXIMUM_ROLLOUT_STEPS = 100;
     private static final double MAXIMUM_ROLLOUT_EVIDENCE = 1e6;
