--- a/review/Deployment.java
+++ b/review/Deployment.java
@@ -67,9 +67,7 @@
                     .replace("{{bounds.retry-slack}}", "54")
                     .replace("{{bounds.retry-window-s}}", "10")
                     .replace("{{bounds.cold-overrun}}", "1.5")
-                    .replace("{{bounds.cold-slack}}", "5")
-                    // Sections of values that this deployment does not have.
-                    .replaceAll("(?s)\\{\\{#([^}]*)}}.*?\\{\\{/\\1}}", "");
+                    .replace("{{bounds.cold-slack}}", "5");
             if (text.contains("{{")) {
                 throw new IOException("the template has a placeholder that this script does not fill: " + text);
             }
