Limit what callers hold: connections, heads, bodies and requests ahead

A head is decoded when it is complete, within max-header-bytes and header-timeout-ms, and after the response of the request before; small chunks are passed on as one. Connections are limited by descriptors and heap; the least useful one closes for a new one. ReceiveBudget counts decoded heads, buffers of bodies and the copies of responses, and gives up what holds most without progress. The ports for readiness and operators have small limits.

--- a/core/src/main/java/org/redwinghook/core/receive/ReceiveBudget.java
+++ b/core/src/main/java/org/redwinghook/core/receive/ReceiveBudget.java
@@ -1,27 +1,48 @@
 package org.redwinghook.core.receive;
 
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 /**
  * Limits the memory that the received messages of all requests take together. When it is exhausted, the request that
- * holds most gives up its messages, so that one process that sends without end does not affect other requests. Confined
- * to one thread.
+ * holds most for the longest time without progress gives up its messages, so that one process that sends without end, or
+ * stops in the middle, does not affect other requests. Confined to one thread.
  */
 public final class ReceiveBudget {
 
+    /** Part of the budget above which requests that make no progress are given up. */
+    private static final double SHORT_PART = 0.75;
+
+    /** Age in which a message without progress weighs as much as one of twice its size, in milliseconds. */
+    private static final long AGE_UNIT_MILLIS = 1_000;
+
+    /** Longest age that counts, in milliseconds; the small request of a long generation must not outweigh large ones. */
+    private static final long LONGEST_AGE_MILLIS = 10_000;
+
     private final long maximumBytes;
+    private final LongSupplier nowMillis;
     private final Set<Share> shares = new LinkedHashSet<>();
     private long heldBytes;
 
     /**
-     * Creates a budget.
+     * Creates a budget in which the request that holds most is given up, whenever it made progress.
      *
      * @param maximumBytes maximum size of all messages, in bytes
      */
     public ReceiveBudget(long maximumBytes) {
+        this(maximumBytes, () -> 0);
+    }
+
+    /**
+     * Creates a budget.
+     *
+     * @param maximumBytes maximum size of all messages, in bytes
+     * @param nowMillis monotonic time, in milliseconds
+     */
+    public ReceiveBudget(long maximumBytes, LongSupplier nowMillis) {
         this.maximumBytes = maximumBytes;
+        this.nowMillis = nowMillis;
     }
 
     /**
@@ -45,21 +66,57 @@
         return heldBytes;
     }
 
-    private void evictLargest() {
+    /**
+     * Whether most of the memory is taken.
+     *
+     * @return whether requests that make no progress are given up
+     */
+    public boolean isShort() {
+        return heldBytes > maximumBytes * SHORT_PART;
+    }
+
+    /**
+     * Whether a large message may be taken in without making memory short.
+     *
+     * @param bytes size of the message, in bytes
+     * @return false if the message should be refused before it is decoded
+     */
+    public boolean hasRoomFor(int bytes) {
+        return heldBytes + bytes <= maximumBytes * SHORT_PART;
+    }
+
+    private void evict() {
         while (heldBytes > maximumBytes) {
-            Share largest = shares.stream()
-                    .max(Comparator.comparingLong(share -> share.bytes))
-                    .orElseThrow();
-            largest.close();
-            largest.onEviction.run();
+            Share chosen = chooseShare();
+            chosen.close();
+            chosen.onEviction.run();
         }
     }
 
+    private Share chooseShare() {
+        long now = nowMillis.getAsLong();
+        Share chosen = null;
+        long highestCost = -1;
+        for (Share share : shares) {
+            long cost =
+                    share.bytes * (1 + Math.min(now - share.lastProgressMillis, LONGEST_AGE_MILLIS) / AGE_UNIT_MILLIS);
+            if (cost > highestCost) {
+                chosen = share;
+                highestCost = cost;
+            }
+        }
+        if (chosen == null) {
+            throw new IllegalStateException("bytes are held without a share");
+        }
+        return chosen;
+    }
+
     /** Memory of the messages of one request. */
     public final class Share {
 
         private Runnable onEviction;
         private long bytes;
+        private long lastProgressMillis = nowMillis.getAsLong();
 
         private Share(Runnable onEviction) {
             this.onEviction = onEviction;
@@ -85,7 +142,10 @@
             }
             bytes += change;
             heldBytes += change;
-            evictLargest();
+            if (change > 0) {
+                lastProgressMillis = nowMillis.getAsLong();
+            }
+            evict();
         }
 
         /** Releases all bytes. */
--- a/core/src/test/java/org/redwinghook/core/receive/ReceiveBudgetTest.java
+++ b/core/src/test/java/org/redwinghook/core/receive/ReceiveBudgetTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -14,6 +15,22 @@
     private final ReceiveBudget budget = new ReceiveBudget(8 * MEBIBYTE);
     private final List<String> evicted = new ArrayList<>();
 
+    /** Guards against messages that stop short of their end and outlive others that arrive. */
+    @Test
+    public void requestWithoutProgressIsEvictedBeforeALargerOne() {
+        List<String> evictedNames = new ArrayList<>();
+        AtomicLong nowMillis = new AtomicLong();
+        ReceiveBudget timed = new ReceiveBudget(MEBIBYTE, nowMillis::get);
+        timed.open(() -> evictedNames.add("stopped")).add(MEBIBYTE / 4);
+        ReceiveBudget.Share small = timed.open(() -> evictedNames.add("waits for its answer"));
+        small.add(1_000);
+        nowMillis.addAndGet(60_000);
+        Assert.assertFalse(timed.isShort());
+        timed.open(() -> evictedNames.add("arrives")).add(MEBIBYTE * 3 / 4);
+        Assert.assertEquals(evictedNames, List.of("stopped"));
+        Assert.assertTrue(timed.isShort());
+    }
+
     private ReceiveBudget.Share open(String name) {
         return budget.open(() -> evicted.add(name));
     }
--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -15,6 +15,7 @@
 import org.redwinghook.core.forward.Route;
 import org.redwinghook.core.receive.ReceiveBudget;
 import org.redwinghook.router.caller.CallerErrors;
+import org.redwinghook.runtime.http.GuardedConnections;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -129,7 +130,7 @@
     private void giveUpMessages() {
         if (isEnded) {
             LOGGER.warn("response given up id={} cause={}", requestId, RefusalCause.MEMORY_EXHAUSTED);
-            request.connection().close();
+            GuardedConnections.abort(request.connection());
             return;
         }
         interrupt(new Refusal(RefusalCause.MEMORY_EXHAUSTED, MEMORY_RETRY_AFTER_MILLIS));
@@ -193,6 +194,8 @@
             return;
         }
         response().setStatusCode(status).headers().addAll(headers);
+        // The network library copies the body to write it, and keeps both until the caller has read them.
+        heldBytes.add(responseBody.length());
         endAfterWrite(response().end(responseBody));
     }
 
@@ -273,7 +276,7 @@
                         "response not written id={} cause={}",
                         requestId,
                         written.cause().toString());
-                request.connection().close();
+                GuardedConnections.abort(request.connection());
             }
             end();
         });
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -29,6 +29,7 @@
     private final EndpointExchange exchange;
     private final RunningRequest runningRequest;
     private long startedAtMillis;
+    private Runnable releaseBody = () -> {};
     private boolean isEnded;
 
     EndpointAttempt(
@@ -124,7 +125,13 @@
      * @return the body; fails if it is truncated or larger than {@link ReceiveLimits#MAXIMUM_MESSAGE_BYTES}
      */
     Future<Buffer> readBody(HttpClientResponse response) {
-        return MessageBody.read(response, ReceiveLimits.MAXIMUM_MESSAGE_BYTES, caller::recordHeldBytes);
+        Future<Buffer> body = MessageBody.read(response, ReceiveLimits.MAXIMUM_MESSAGE_BYTES, caller::recordHeldBytes);
+        releaseBody = () -> {
+            if (!body.isComplete()) {
+                MessageBody.discard(response);
+            }
+        };
+        return body;
     }
 
     /**
@@ -166,6 +173,8 @@
             context.observers().notify(observer -> observer.handleEnd(caller, endpoint, outcome, sinceStartMillis));
         }
         context.ledger().remove(runningRequest);
+        // The connection closes later, and many attempts may end together when memory is short.
+        releaseBody.run();
         exchange.close();
         if (wasRunning && runningRequest.work().heldTokens() > 0 && endpoint.isLeaving()) {
             // Other routers wait for this run before they copy theirs.
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -69,6 +69,27 @@
         registry.counter("redwinghook.forward.quarantine", "event", event).increment();
     }
 
+    /**
+     * Counts a connection that ended before its request was passed on.
+     *
+     * @param port name of the port
+     * @param cause name of the cause
+     */
+    void recordRefusedConnection(String port, String cause) {
+        registry.counter("redwinghook.connections.refused", "port", port, "cause", cause)
+                .increment();
+    }
+
+    /**
+     * Counts a request that was answered before a service was chosen.
+     *
+     * @param status status of the answer
+     */
+    void recordRejection(int status) {
+        registry.counter("redwinghook.forward.rejections", "status", Integer.toString(status))
+                .increment();
+    }
+
     private Timer timer(String name, String service) {
         return Timer.builder(name)
                 .tag("service", service)
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -1,7 +1,9 @@
 package org.redwinghook.router.forward;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -11,21 +13,28 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.CallDurations;
+import org.redwinghook.core.forward.CallerLimits;
 import org.redwinghook.core.forward.CustomerAccess;
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.forward.RequestKind;
 import org.redwinghook.core.forward.Route;
 import org.redwinghook.core.forward.StopAdmission;
 import org.redwinghook.core.forward.StopTiming;
+import org.redwinghook.core.receive.CallerProtection;
 import org.redwinghook.core.receive.ReceiveBudget;
+import org.redwinghook.core.receive.ReceiveLimits;
 import org.redwinghook.router.caller.CallerErrors;
+import org.redwinghook.runtime.http.GuardedConnections;
+import org.redwinghook.runtime.http.GuardedPort;
 import org.redwinghook.runtime.http.MessageBody;
 import org.redwinghook.runtime.http.MessageTooLargeException;
+import org.redwinghook.runtime.http.ReceiveLimitsInForce;
 import org.redwinghook.runtime.process.ListenErrors;
 import org.redwinghook.runtime.settings.Address;
 import org.slf4j.Logger;
@@ -67,11 +76,17 @@
     /** Time for which a caller may go on to send the body of a request that has been answered, in milliseconds. */
     private static final long MAXIMUM_BODY_LINGER_MILLIS = 1_000;
 
+    /** Maximum number of log lines on rejected requests in a second. */
+    private static final int MAXIMUM_REJECTION_LINES = 50;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(ForwardServer.class);
 
     /** Maximum size of a request head, in bytes; above the limits that configurations may set. */
     private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
 
+    /** Limits until the configuration is known. */
+    private static final CallerLimits EARLY_LIMITS = new CallerLimits(16_384, 4_194_304, 10_000, 60_000);
+
     private final Vertx vertx;
     private final Address address;
     private final ForwardContext context;
@@ -79,6 +94,9 @@
     private final List<Runnable> earlyRequests = new ArrayList<>();
     private final Promise<Void> drained = Promise.promise();
     private final CallerConnections connections;
+    private final LineLimit rejectionLines = new LineLimit(MAXIMUM_REJECTION_LINES);
+    private final GuardedConnections guardedConnections;
+    private final Map<HttpServerRequest, ReceiveBudget.Share> heldBytes = new HashMap<>();
     private @Nullable HttpServer server;
     private final PendingRequests pendingRequests = new PendingRequests();
     private boolean isClosing;
@@ -91,13 +109,21 @@
             Address address,
             ForwardContext context,
             RunningStreams streams,
-            BooleanSupplier hasOtherRouters) {
+            BooleanSupplier hasOtherRouters,
+            CallerProtection protection) {
         this.vertx = vertx;
         this.address = address;
         this.context = context;
         this.streams = streams;
         this.hasOtherRouters = hasOtherRouters;
         this.connections = new CallerConnections(context.clock());
+        this.guardedConnections = new GuardedConnections(
+                new GuardedPort("caller", protection.maximumConnections()),
+                context.clock()::millis,
+                context.receiveBudget(),
+                () -> limitsInForce(protection),
+                protection,
+                refusal -> context.metrics().recordRefusedConnection("caller", refusal.label()));
     }
 
     /**
@@ -115,14 +141,32 @@
                 .setHandle100ContinueAutomatically(true));
         server = created;
         vertx.setPeriodic(IDLE_CHECK_INTERVAL_MILLIS, ignored -> closeIdleConnections());
+        guardedConnections.start(vertx);
         return ListenErrors.withAddress(
                         address,
-                        created.connectionHandler(connections::add)
+                        created.connectionHandler(this::addConnection)
                                 .requestHandler(this::accept)
                                 .listen(address.port(), address.host()))
                 .map(HttpServer::actualPort);
     }
 
+    private void addConnection(HttpConnection connection) {
+        connections.add(connection);
+        guardedConnections.add(connection);
+    }
+
+    private ReceiveLimitsInForce limitsInForce(CallerProtection protection) {
+        CallerLimits limits = context.state()
+                .configuration()
+                .map(ForwardingConfiguration::limits)
+                .orElse(EARLY_LIMITS);
+        return new ReceiveLimitsInForce(
+                limits.maximumHeaderBytes(),
+                protection.maximumFields(),
+                limits.headerTimeoutMillis(),
+                limits.idleTimeoutMillis());
+    }
+
     /** Closes the connections on which no request was received for longer than the configuration allows. */
     private void closeIdleConnections() {
         context.state().configuration().ifPresent(configuration -> {
@@ -217,6 +261,10 @@
         connections.requestStarted(request.connection());
         pendingRequests.put(request, () -> refuseStopping(request));
         request.response().closeHandler(ignored -> handleRequestEnded(request));
+        holdHead(request);
+        if (request.response().ended()) {
+            return;
+        }
         long receivedAtMillis = context.clock().millis() - context.pollBarrier().averageWaitMillis();
         if (context.state().isComplete() || isClosing || earlyRequests.size() >= MAXIMUM_EARLY_REQUESTS) {
             handle(request, receivedAtMillis);
@@ -242,8 +290,27 @@
         });
     }
 
+    /** Counts the memory of a request head, which is held until the request has ended. */
+    private void holdHead(HttpServerRequest request) {
+        ReceiveBudget.Share share = context.receiveBudget().open(() -> rejectForMemory(request));
+        heldBytes.put(request, share);
+        share.add(ReceiveLimits.headHeapBytes(fields(request)));
+    }
+
+    /** Number of fields of a head; the size of the headers is the number of different names. */
+    private static int fields(HttpServerRequest request) {
+        return request.headers().entries().size();
+    }
+
+    private void releaseHeldBytes(HttpServerRequest request) {
+        ReceiveBudget.Share share = heldBytes.remove(request);
+        if (share != null) {
+            share.close();
+        }
+    }
+
     private void handle(HttpServerRequest request, long receivedAtMillis) {
-        if (request.response().closed()) {
+        if (request.response().closed() || request.response().ended()) {
             return;
         }
         pendingRequests.put(request, () -> refuseStopping(request));
@@ -284,20 +351,19 @@
     }
 
     private void readBody(HttpServerRequest request, AdmittedRequest admitted) {
-        ReceiveBudget.Share heldBytes = context.receiveBudget().open(() -> rejectForMemory(request));
-        MessageBody.read(request, admitted.limits().maximumBodyBytes(), heldBytes::add)
+        ReceiveBudget.Share share = heldBytes.get(request);
+        if (share == null) {
+            return;
+        }
+        MessageBody.read(request, admitted.limits().maximumBodyBytes(), share::add)
                 .timeout(Math.max(1, admitted.deadlineMillis() - context.clock().millis()), TimeUnit.MILLISECONDS)
-                .onFailure(failure -> {
-                    heldBytes.close();
-                    handleIncompleteBody(request, failure);
-                })
+                .onFailure(failure -> handleIncompleteBody(request, failure))
                 .onSuccess(body -> {
                     if (request.response().ended()) {
-                        heldBytes.close();
                         return;
                     }
                     CallerExchange caller = new CallerExchange(
-                            context, request, body, admitted, heldBytes, () -> handleRequestEnded(request));
+                            context, request, body, admitted, share, () -> handleRequestEnded(request));
                     pendingRequests.put(request, () -> caller.interrupt(stopRefusal(request)));
                     forward(caller);
                 });
@@ -308,6 +374,7 @@
             handleRequestEnded(request);
             return;
         }
+        MessageBody.discard(request);
         request.response().putHeader("Connection", "close");
         if (failure instanceof MessageTooLargeException) {
             reject(request, CONTENT_TOO_LARGE, String.valueOf(failure.getMessage()));
@@ -322,6 +389,8 @@
 
     private void rejectForMemory(HttpServerRequest request) {
         if (request.response().ended()) {
+            // The rest of its body keeps the request in memory.
+            GuardedConnections.abort(request.connection());
             return;
         }
         MessageBody.discard(request);
@@ -412,11 +481,12 @@
         // Closing a connection with unread bytes resets it, and the caller may lose the response.
         Future<Void> received = request.isEnded() || request.response().closed()
                 ? Future.succeededFuture()
-                : request.end().timeout(MAXIMUM_BODY_LINGER_MILLIS, TimeUnit.MILLISECONDS);
+                : request.end().timeout(bodyLingerMillis(request), TimeUnit.MILLISECONDS);
         received.onComplete(ended -> {
+            releaseHeldBytes(request);
             connections.requestEnded(request.connection());
             if (ended.failed()) {
-                request.connection().close();
+                GuardedConnections.abort(request.connection());
                 return;
             }
             if (isDraining()) {
@@ -426,6 +496,11 @@
         });
     }
 
+    /** Time for which the rest of a body is awaited, in milliseconds; a large head stays in memory for it. */
+    private static long bodyLingerMillis(HttpServerRequest request) {
+        return fields(request) > ReceiveLimits.LARGE_HEAD_FIELDS ? 1 : MAXIMUM_BODY_LINGER_MILLIS;
+    }
+
     private void refuseStopping(HttpServerRequest request) {
         if (request.response().ended()) {
             return;
@@ -445,11 +520,15 @@
     }
 
     private void reject(HttpServerRequest request, int status, String message) {
-        LOGGER.info(
-                "request rejected id={} status={} cause=\"{}\"",
-                context.protocol().readRequestHead(request).requestId(),
-                status,
-                message);
+        if (rejectionLines.mayWrite(context.clock().millis())) {
+            LOGGER.info(
+                    "request rejected id={} status={} cause=\"{}\" suppressed={}",
+                    context.protocol().readRequestHead(request).requestId(),
+                    status,
+                    message,
+                    rejectionLines.takeSuppressed());
+        }
+        context.metrics().recordRejection(status);
         sendError(request, status, message);
     }
 
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -27,6 +27,7 @@
 import org.redwinghook.router.peer.RouterMesh;
 import org.redwinghook.runtime.admin.AdminServer;
 import org.redwinghook.runtime.admin.StateSource;
+import org.redwinghook.runtime.http.GuardedConnections;
 import org.redwinghook.runtime.process.ManagedProcess;
 import org.redwinghook.runtime.process.ReloadableSettings;
 import org.redwinghook.runtime.wire.FrameCodec;
@@ -54,9 +55,6 @@
      */
     private static final long SECONDARY_SERVICES_DELAY_MILLIS = 300;
 
-    /** The part 1/n of the heap that received messages may fill. */
-    private static final int RECEIVE_BUDGET_HEAP_DIVISOR = 4;
-
     private static final int PROTOCOL_VERSION = 1;
 
     private static final Logger LOGGER = LoggerFactory.getLogger(ForwardingProcess.class);
@@ -131,10 +129,19 @@
                 observers,
                 promptGuard,
                 pollBarrier,
-                new ReceiveBudget(Runtime.getRuntime().maxMemory() / RECEIVE_BUDGET_HEAP_DIVISOR),
+                new ReceiveBudget(settings.callers().maximumBytes(), clock::millis),
                 this::reportWork);
-        server = new ForwardServer(vertx, settings.caller(), context, streams, this::hasOtherRouters);
-        readinessServer = new ReadinessServer(vertx, settings.ready(), settings.readyPath(), this::isReady);
+        server = new ForwardServer(
+                vertx, settings.caller(), context, streams, this::hasOtherRouters, settings.callers());
+        readinessServer = new ReadinessServer(
+                vertx,
+                settings.ready(),
+                settings.readyPath(),
+                this::isReady,
+                GuardedConnections.forOperators(
+                        "ready",
+                        settings.callers(),
+                        refusal -> metrics.recordRefusedConnection("ready", refusal.label())));
         routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock, promptGuard);
         state.onEndpointLeaving(new RunRelocator(context, streams, settings.process())::handleEndpointLeaving);
         WireMetrics wireMetrics = new WireMetrics(meters);
@@ -218,7 +225,7 @@
         ServiceRegistry services = new ServiceRegistry();
         services.register("forwarding", (StateSource) this::dump);
         services.register("mesh", mesh);
-        new AdminServer(vertx, settings.admin(), services, registry, this::isReady)
+        new AdminServer(vertx, settings.admin(), services, registry, this::isReady, settings.callers())
                 .start()
                 .onFailure(failure -> LOGGER.error("port for operators not opened cause={}", failure.toString()));
     }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
@@ -14,7 +14,9 @@
 import org.redwinghook.core.document.Findings;
 import org.redwinghook.core.document.YamlMap;
 import org.redwinghook.core.placement.ColdBurst;
+import org.redwinghook.core.receive.CallerProtection;
 import org.redwinghook.core.routing.RetryLimits;
+import org.redwinghook.runtime.process.DescriptorLimit;
 import org.redwinghook.runtime.settings.Address;
 
 /**
@@ -32,6 +34,7 @@
  * @param stopMillis time between the stop signal and the end of the process, in milliseconds
  * @param retries limits of the retries
  * @param coldBurst tolerance of cold endpoints for a burst
+ * @param callers limits on what is held for all callers
  * @param digest checksum of the document, which tells operators which version of it is in force
  */
 public record ForwardingSettings(
@@ -47,6 +50,7 @@
         long stopMillis,
         RetryLimits retries,
         ColdBurst coldBurst,
+        CallerProtection callers,
         String digest) {
 
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -57,6 +61,12 @@
     private static final double MAXIMUM_RETRY_WINDOW_SECONDS = 3_600;
     private static final double MAXIMUM_COLD_FACTOR = 1_000;
     private static final double MAXIMUM_COLD_REQUESTS = 1e6;
+    private static final double MAXIMUM_CONNECTIONS = 1e6;
+    private static final double MINIMUM_CALLER_BYTES = 1_000_000;
+    private static final double MAXIMUM_CALLER_BYTES = 1e12;
+    private static final double MAXIMUM_FIELDS = 1e6;
+    private static final double MAXIMUM_PROGRESS_BYTES = 1e9;
+    private static final double MAXIMUM_PROGRESS_SECONDS = 3_600;
 
     public ForwardingSettings {
         regions = Map.copyOf(regions);
@@ -89,6 +99,7 @@
                         * root.nullableDecimal("stopSeconds", 0.001, MAXIMUM_STOP_SECONDS, DEFAULT_STOP_SECONDS)),
                 readRetries(root.map("retries")),
                 readColdBurst(root.map("coldEndpoints")),
+                readCallers(root.map("callers")),
                 digest(text));
         root.rejectUnknownKeys();
         return findings.resultOf(settings);
@@ -130,6 +141,29 @@
         return burst;
     }
 
+    private static CallerProtection readCallers(YamlMap callers) {
+        CallerProtection defaults = CallerProtection.defaults(
+                DescriptorLimit.read(), Runtime.getRuntime().maxMemory());
+        CallerProtection protection = new CallerProtection(
+                (int) callers.nullableDecimal(
+                        "maximumConnections", 1, MAXIMUM_CONNECTIONS, defaults.maximumConnections()),
+                (long) callers.nullableDecimal(
+                        "maximumBytes", MINIMUM_CALLER_BYTES, MAXIMUM_CALLER_BYTES, defaults.maximumBytes()),
+                (int) callers.nullableDecimal("maximumFields", 1, MAXIMUM_FIELDS, defaults.maximumFields()),
+                callers.nullableDecimal("addressShare", 0, 1, defaults.addressShare()),
+                (int) callers.nullableDecimal("progressBytes", 1, MAXIMUM_PROGRESS_BYTES, defaults.progressBytes()),
+                (long) (MILLIS_PER_SECOND
+                        * callers.nullableDecimal(
+                                "progressSeconds",
+                                0.001,
+                                MAXIMUM_PROGRESS_SECONDS,
+                                defaults.progressMillis() / MILLIS_PER_SECOND)),
+                (int) callers.nullableDecimal(
+                        "operatorConnections", 1, MAXIMUM_CONNECTIONS, defaults.operatorConnections()));
+        callers.rejectUnknownKeys();
+        return protection;
+    }
+
     private static String digest(String text) {
         CRC32 checksum = new CRC32();
         checksum.update(text.getBytes(StandardCharsets.UTF_8));
@@ -150,7 +184,8 @@
         RETRY_SHARE(false, settings -> settings.retries().share()),
         RETRY_SLACK(false, settings -> settings.retries().slack()),
         RETRY_WINDOW(true, settings -> settings.retries().windowSeconds()),
-        COLD_ENDPOINTS(false, ForwardingSettings::coldBurst);
+        COLD_ENDPOINTS(false, ForwardingSettings::coldBurst),
+        CALLERS(true, ForwardingSettings::callers);
 
         private final boolean needsRestart;
         private final Function<ForwardingSettings, Object> value;
--- a/runtime/src/main/java/org/redwinghook/runtime/admin/AdminServer.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/admin/AdminServer.java
@@ -11,9 +11,13 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import org.redwinghook.core.kernel.ServiceRegistry;
+import org.redwinghook.core.receive.CallerProtection;
+import org.redwinghook.runtime.http.GuardedConnections;
+import org.redwinghook.runtime.process.DescriptorLimit;
 import org.redwinghook.runtime.process.ListenErrors;
 import org.redwinghook.runtime.settings.Address;
 
@@ -30,6 +34,7 @@
     private final BooleanSupplier isReady;
     private final ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
     private final Router routes;
+    private final GuardedConnections connections;
     private volatile int port;
 
     /**
@@ -47,12 +52,42 @@
             ServiceRegistry services,
             PrometheusMeterRegistry metrics,
             BooleanSupplier isReady) {
+        this(
+                vertx,
+                address,
+                services,
+                metrics,
+                isReady,
+                CallerProtection.defaults(
+                        DescriptorLimit.read(), Runtime.getRuntime().maxMemory()));
+    }
+
+    /**
+     * Creates the server.
+     *
+     * @param vertx Vert.x instance that runs the server
+     * @param address address to listen on
+     * @param services services whose state is dumped
+     * @param metrics metrics to expose
+     * @param isReady returns whether the process may receive work
+     * @param protection limits on the connections of the port
+     */
+    public AdminServer(
+            Vertx vertx,
+            Address address,
+            ServiceRegistry services,
+            PrometheusMeterRegistry metrics,
+            BooleanSupplier isReady,
+            CallerProtection protection) {
         this.vertx = vertx;
         this.address = address;
         this.services = services;
         this.metrics = metrics;
         this.isReady = isReady;
         this.routes = Router.router(vertx);
+        this.connections = GuardedConnections.forOperators("admin", protection, refusal -> metrics.counter(
+                        "redwinghook.connections.refused", "port", "admin", "cause", refusal.label())
+                .increment());
     }
 
     /**
@@ -65,8 +100,12 @@
         routes.get("/health").handler(context -> context.response().end("alive\n"));
         routes.get("/ready").handler(this::handleReady);
         routes.get("/state").handler(this::handleState);
-        return ListenErrors.withAddress(
-                        address, vertx.createHttpServer().requestHandler(routes).listen(address.port(), address.host()))
+        connections.start(vertx);
+        // With HTTP/2 enabled, the server would not report a connection before its first request.
+        HttpServer server = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
+                .connectionHandler(connections::add)
+                .requestHandler(routes);
+        return ListenErrors.withAddress(address, server.listen(address.port(), address.host()))
                 .map(HttpServer::actualPort)
                 .onSuccess(actual -> port = actual)
                 .mapEmpty();
--- a/runtime/src/main/java/org/redwinghook/runtime/http/MessageBody.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/MessageBody.java
@@ -13,6 +13,9 @@
 /** Reads the bodies of messages of other processes into memory, up to a limit. */
 public final class MessageBody {
 
+    /** Memory of a body of a few bytes. */
+    private static final int MINIMUM_BUFFER_BYTES = 256;
+
     private MessageBody() {}
 
     /**
@@ -21,7 +24,7 @@
      *
      * @param message the message, none of whose body has been read
      * @param maximumBytes maximum size of the body, in bytes
-     * @param onReceived receives the size of each part of the body, in bytes
+     * @param onReceived receives the growth of the memory that the body takes, in bytes
      * @return the whole body; fails with a {@link MessageTooLargeException} as soon as it exceeds the maximum, or if the
      *     message ends early
      */
@@ -38,12 +41,18 @@
                 promise.fail(new MessageTooLargeException(maximumBytes));
                 return;
             }
+            int heldBytes = heldBytes(body.length());
             body.appendBuffer(part);
-            onReceived.accept(part.length());
+            onReceived.accept(heldBytes(body.length()) - heldBytes);
         });
         return promise.future();
     }
 
+    /** Memory that a body takes, in bytes: its buffer doubles when it is full. */
+    private static int heldBytes(int length) {
+        return length == 0 ? 0 : Math.max(MINIMUM_BUFFER_BYTES, Integer.highestOneBit(length - 1) << 1);
+    }
+
     /**
      * Releases the part of a body that has been read and discards the rest.
      *
--- /dev/null
+++ b/runtime/src/test/java/org/redwinghook/runtime/http/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.redwinghook.runtime.http;
+
+import org.jspecify.annotations.NullMarked;
