Release answers and request bodies with the exchange that held them

A heap dump showed that the exchange of an ended request, to which the caller's connection refers until its next request, kept the attempt and the answer. Answers above 16 KiB are read only while there is memory for them.

The default number of connections is half of the descriptors, since each may need a second one for its endpoint.

--- a/core/src/main/java/org/redwinghook/core/receive/CallerProtection.java
+++ b/core/src/main/java/org/redwinghook/core/receive/CallerProtection.java
@@ -32,8 +32,8 @@
     /** Descriptors for the connections to other routers, the store and operators, and for files. */
     private static final int RESERVED_DESCRIPTORS = 400;
 
-    /** Connections of callers for each three descriptors; the third is for connections to endpoints. */
-    private static final int CALLER_DESCRIPTORS_OF_THREE = 2;
+    /** Descriptors for each connection of a caller: its own, and one to the endpoint of its request. */
+    private static final int DESCRIPTORS_OF_CONNECTION = 2;
 
     /** The part 1/n of the heap that received messages may fill. */
     private static final int HEAP_DIVISOR = 4;
@@ -69,7 +69,7 @@
      * @return the number of connections of callers
      */
     private static int connectionsFor(long maximumDescriptors, long heapBytes) {
-        long byDescriptors = (maximumDescriptors - RESERVED_DESCRIPTORS) * CALLER_DESCRIPTORS_OF_THREE / 3;
+        long byDescriptors = (maximumDescriptors - RESERVED_DESCRIPTORS) / DESCRIPTORS_OF_CONNECTION;
         long byHeap = heapBytes / HEAP_DIVISOR / CONNECTION_HEAP_BYTES;
         return (int) Math.max(MINIMUM_CONNECTIONS, Math.min(byDescriptors, byHeap));
     }
--- a/core/src/main/java/org/redwinghook/core/receive/ReceiveBudget.java
+++ b/core/src/main/java/org/redwinghook/core/receive/ReceiveBudget.java
@@ -1,5 +1,7 @@
 package org.redwinghook.core.receive;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.function.LongSupplier;
@@ -23,8 +25,11 @@
     private final long maximumBytes;
     private final LongSupplier nowMillis;
     private final Set<Share> shares = new LinkedHashSet<>();
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
     private long heldBytes;
 
+    private record Waiting(Share share, int bytes, Runnable reader) {}
+
     /**
      * Creates a budget in which the request that holds most is given up, whenever it made progress.
      *
@@ -85,6 +90,19 @@
         return heldBytes + bytes <= maximumBytes * SHORT_PART;
     }
 
+    private void startWaiting() {
+        for (Waiting first = waiting.peek(); first != null; first = waiting.peek()) {
+            if (shares.contains(first.share) && !hasRoomFor(first.bytes)) {
+                return;
+            }
+            waiting.remove();
+            if (shares.contains(first.share)) {
+                first.share.add(first.bytes);
+                first.reader.run();
+            }
+        }
+    }
+
     private void evict() {
         while (heldBytes > maximumBytes) {
             Share chosen = chooseShare();
@@ -148,10 +166,24 @@
             evict();
         }
 
+        /**
+         * Adds a large message before it is read, once that does not make memory short. It is not read if the share is
+         * closed before.
+         *
+         * @param messageBytes size of the message, in bytes
+         * @param reader starts to read the message
+         */
+        public void whenRoom(int messageBytes, Runnable reader) {
+            int largestBytes = (int) Math.min(Integer.MAX_VALUE, (long) (maximumBytes * SHORT_PART));
+            waiting.add(new Waiting(this, Math.min(messageBytes, largestBytes), reader));
+            startWaiting();
+        }
+
         /** Releases all bytes. */
         public void close() {
             if (shares.remove(this)) {
                 heldBytes -= bytes;
+                startWaiting();
             }
         }
     }
--- a/core/src/test/java/org/redwinghook/core/receive/ReceiveBudgetTest.java
+++ b/core/src/test/java/org/redwinghook/core/receive/ReceiveBudgetTest.java
@@ -31,6 +31,24 @@
         Assert.assertTrue(timed.isShort());
     }
 
+    /** Guards against large messages that arrive together and are given up later than they take memory. */
+    @Test
+    public void largeMessagesWaitUntilThereIsRoom() {
+        List<String> started = new ArrayList<>();
+        ReceiveBudget small = new ReceiveBudget(MEBIBYTE);
+        ReceiveBudget.Share first = small.open(() -> {});
+        ReceiveBudget.Share gone = small.open(() -> {});
+        ReceiveBudget.Share second = small.open(() -> {});
+        first.whenRoom(MEBIBYTE, () -> started.add("first, larger than the budget"));
+        gone.whenRoom(1_000, () -> started.add("gone"));
+        second.whenRoom(1_000, () -> started.add("second"));
+        gone.close();
+        Assert.assertEquals(started, List.of("first, larger than the budget"));
+        first.close();
+        Assert.assertEquals(started, List.of("first, larger than the budget", "second"));
+        Assert.assertEquals(small.heldBytes(), 1_000);
+    }
+
     private ReceiveBudget.Share open(String name) {
         return budget.open(() -> evicted.add(name));
     }
--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -42,7 +42,7 @@
     private final Route route;
     private final @Nullable CustomerAccess access;
     private final String service;
-    private final Buffer body;
+    private Buffer body;
     private final long receivedAtMillis;
     private final long deadlineMillis;
     private final long maximumWriteMillis;
@@ -126,6 +126,16 @@
         heldBytes.add(change);
     }
 
+    /**
+     * Records a large message of an endpoint before it is read, once there is memory for it.
+     *
+     * @param bytes its size in bytes
+     * @param reader starts to read the message; not called if the exchange ends before
+     */
+    void awaitMemory(int bytes, Runnable reader) {
+        heldBytes.whenRoom(bytes, reader);
+    }
+
     /** Releases the messages of this request, which need most of the memory for all requests. */
     private void giveUpMessages() {
         if (isEnded) {
@@ -283,6 +293,11 @@
     }
 
     private void end() {
+        // The connection refers to this exchange until its next request.
+        body = Buffer.buffer();
+        disconnectHandler = () -> {};
+        timeoutHandler = () -> {};
+        interruptionHandler = ignored -> {};
         heldBytes.close();
         onEnd.run();
     }
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -14,6 +14,9 @@
 /** One attempt of a request at one endpoint: its exchange and its entry in the work ledger. */
 final class EndpointAttempt {
 
+    /** Size above which an answer is read only while there is memory for it, in bytes. */
+    private static final int LARGE_BODY_BYTES = 16 * 1024;
+
     /** HTTP status of an endpoint that is not the one named in the request. */
     static final int MISDIRECTED_REQUEST = 421;
 
@@ -131,9 +134,39 @@
                 MessageBody.discard(response);
             }
         };
+        body.onComplete(ignored -> releaseBody = () -> {});
         return body;
     }
 
+    /** Size of a body that its head declares, in bytes, 0 if there is none; larger ones are refused while they are read. */
+    private static int declaredBytes(HttpClientResponse response) {
+        String declared = response.getHeader("Content-Length");
+        try {
+            long bytes = declared == null ? 0 : Long.parseLong(declared.trim());
+            return (int) Math.max(0, Math.min(ReceiveLimits.MAXIMUM_MESSAGE_BYTES, bytes));
+        } catch (NumberFormatException malformed) {
+            return 0;
+        }
+    }
+
+    /** Counts the memory of a body beyond what was recorded before it was read. */
+    private final class ReservedBytes {
+
+        private int remaining;
+
+        ReservedBytes(int remaining) {
+            this.remaining = remaining;
+        }
+
+        private void add(int change) {
+            int covered = Math.min(remaining, change);
+            remaining -= covered;
+            if (change > covered) {
+                caller.recordHeldBytes(change - covered);
+            }
+        }
+    }
+
     /**
      * Whether a response marks the end of its body.
      *
