--- a/core/src/test/java/org/redwinghook/core/receive/ReceiveBudgetTest.java
+++ b/core/src/test/java/org/redwinghook/core/receive/ReceiveBudgetTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -14,6 +15,40 @@
     private final ReceiveBudget budget = new ReceiveBudget(8 * MEBIBYTE);
     private final List<String> evicted = new ArrayList<>();
 
+    /** Guards against messages that stop short of their end and outlive others that arrive. */
+    @Test
+    public void requestWithoutProgressIsEvictedBeforeALargerOne() {
+        List<String> evictedNames = new ArrayList<>();
+        AtomicLong nowMillis = new AtomicLong();
+        ReceiveBudget timed = new ReceiveBudget(MEBIBYTE, nowMillis::get);
+        timed.open(() -> evictedNames.add("stopped")).add(MEBIBYTE / 4);
+        ReceiveBudget.Share small = timed.open(() -> evictedNames.add("waits for its answer"));
+        small.add(1_000);
+        nowMillis.addAndGet(60_000);
+        Assert.assertFalse(timed.isShort());
+        timed.open(() -> evictedNames.add("arrives")).add(MEBIBYTE * 3 / 4);
+        Assert.assertEquals(evictedNames, List.of("stopped"));
+        Assert.assertTrue(timed.isShort());
+    }
+
+    /** Guards against large messages that arrive together and are given up later than they take memory. */
+    @Test
+    public void largeMessagesWaitUntilThereIsRoom() {
+        List<String> started = new ArrayList<>();
+        ReceiveBudget small = new ReceiveBudget(MEBIBYTE);
+        ReceiveBudget.Share first = small.open(() -> {});
+        ReceiveBudget.Share gone = small.open(() -> {});
+        ReceiveBudget.Share second = small.open(() -> {});
+        first.whenRoom(MEBIBYTE, () -> started.add("first, larger than the budget"));
+        gone.whenRoom(1_000, () -> started.add("gone"));
+        second.whenRoom(1_000, () -> started.add("second"));
+        gone.close();
+        Assert.assertEquals(started, List.of("first, larger than the budget"));
+        first.close();
+        Assert.assertEquals(started, List.of("first, larger than the budget", "second"));
+        Assert.assertEquals(small.heldBytes(), 1_000);
+    }
+
     private ReceiveBudget.Share open(String name) {
         return budget.open(() -> evicted.add(name));
     }
--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -15,6 +15,7 @@
 import org.redwinghook.core.forward.Route;
 import org.redwinghook.core.receive.ReceiveBudget;
 import org.redwinghook.router.caller.CallerErrors;
+import org.redwinghook.runtime.http.GuardedConnections;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -41,7 +42,7 @@
     private Route route;
     private @Nullable CustomerAccess access;
     private String service;
-    private final Buffer body;
+    private Buffer body;
     private final long receivedAtMillis;
     private final long deadlineMillis;
     private final long maximumWriteMillis;
@@ -137,11 +138,21 @@
         heldBytes.add(change);
     }
 
+    /**
+     * Records a large message of an endpoint before it is read, once there is memory for it.
+     *
+     * @param bytes its size in bytes
+     * @param reader starts to read the message; not called if the exchange ends before
+     */
+    void awaitMemory(int bytes, Runnable reader) {
+        heldBytes.whenRoom(bytes, reader);
+    }
+
     /** Releases the messages of this request, which need most of the memory for all requests. */
     private void giveUpMessages() {
         if (isEnded) {
             LOGGER.warn("response given up id={} cause={}", requestId, RefusalCause.MEMORY_EXHAUSTED);
-            request.connection().close();
+            GuardedConnections.abort(request.connection());
             return;
         }
         interrupt(new Refusal(RefusalCause.MEMORY_EXHAUSTED, MEMORY_RETRY_AFTER_MILLIS));
@@ -205,6 +216,8 @@
             return;
         }
         response().setStatusCode(status).headers().addAll(headers);
+        // The network library copies the body to write it, and keeps both until the caller has read them.
+        heldBytes.add(responseBody.length());
         endAfterWrite(response().end(responseBody));
     }
 
@@ -286,13 +299,18 @@
                         "response not written id={} cause={}",
                         requestId,
                         written.cause().toString());
-                request.connection().close();
+                GuardedConnections.abort(request.connection());
             }
             end();
         });
     }
 
     private void end() {
+        // The connection refers to this exchange until its next request.
+        body = Buffer.buffer();
+        disconnectHandler = () -> {};
+        timeoutHandler = () -> {};
+        interruptionHandler = ignored -> {};
         heldBytes.close();
         onEnd.run();
     }
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -14,6 +14,9 @@
 /** One attempt of a request at one endpoint: its exchange and its entry in the work ledger. */
 final class EndpointAttempt {
 
+    /** Size above which an answer is read only while there is memory for it, in bytes. */
+    private static final int LARGE_BODY_BYTES = 16 * 1024;
+
     /** HTTP status of an endpoint that is not the one named in the request. */
     static final int MISDIRECTED_REQUEST = 421;
 
@@ -29,6 +32,7 @@
     private final EndpointExchange exchange;
     private final RunningRequest runningRequest;
     private long startedAtMillis;
+    private Runnable releaseBody = () -> {};
     private boolean isEnded;
 
     EndpointAttempt(
@@ -128,7 +132,43 @@
      * @return the body; fails if it is truncated or larger than {@link ReceiveLimits#MAXIMUM_MESSAGE_BYTES}
      */
     Future<Buffer> readBody(HttpClientResponse response) {
-        return MessageBody.read(response, ReceiveLimits.MAXIMUM_MESSAGE_BYTES, caller::recordHeldBytes);
+        Future<Buffer> body = MessageBody.read(response, ReceiveLimits.MAXIMUM_MESSAGE_BYTES, caller::recordHeldBytes);
+        releaseBody = () -> {
+            if (!body.isComplete()) {
+                MessageBody.discard(response);
+            }
+        };
+        body.onComplete(ignored -> releaseBody = () -> {});
+        return body;
+    }
+
+    /** Size of a body that its head declares, in bytes, 0 if there is none; larger ones are refused while they are read. */
+    private static int declaredBytes(HttpClientResponse response) {
+        String declared = response.getHeader("Content-Length");
+        try {
+            long bytes = declared == null ? 0 : Long.parseLong(declared.trim());
+            return (int) Math.max(0, Math.min(ReceiveLimits.MAXIMUM_MESSAGE_BYTES, bytes));
+        } catch (NumberFormatException malformed) {
+            return 0;
+        }
+    }
+
+    /** Counts the memory of a body beyond what was recorded before it was read. */
+    private final class ReservedBytes {
+
+        private int remaining;
+
+        ReservedBytes(int remaining) {
+            this.remaining = remaining;
+        }
+
+        private void add(int change) {
+            int covered = Math.min(remaining, change);
+            remaining -= covered;
+            if (change > covered) {
+                caller.recordHeldBytes(change - covered);
+            }
+        }
     }
 
     /**
@@ -170,6 +210,8 @@
             context.observers().notify(observer -> observer.handleEnd(caller, endpoint, outcome, sinceStartMillis));
         }
         context.ledger().remove(runningRequest);
+        // The connection closes later, and many attempts may end together when memory is short.
+        releaseBody.run();
         exchange.close();
         if (wasRunning && runningRequest.work().heldTokens() > 0 && endpoint.isLeaving()) {
             // Other routers wait for this run before they copy theirs.
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -145,6 +145,17 @@
                 .increment();
     }
 
+    /**
+     * Counts a connection that ended before its request was passed on.
+     *
+     * @param port name of the port
+     * @param cause name of the cause
+     */
+    void recordRefusedConnection(String port, String cause) {
+        registry.counter("redwinghook.connections.refused", "port", port, "cause", cause)
+                .increment();
+    }
+
     /**
      * Counts a report of an engine that was read.
      *
@@ -254,6 +265,16 @@
                 .increment();
     }
 
+    /**
+     * Counts a request that was answered before a service was chosen.
+     *
+     * @param status status of the answer
+     */
+    void recordEarlyRejection(int status) {
+        registry.counter("redwinghook.forward.early.rejections", "status", Integer.toString(status))
+                .increment();
+    }
+
     private Timer timer(String name, String service) {
         return Timer.builder(name)
                 .tag("service", service)
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingSettings.java
@@ -15,8 +15,10 @@
 import org.redwinghook.core.document.Findings;
 import org.redwinghook.core.document.YamlMap;
 import org.redwinghook.core.placement.ColdBurst;
+import org.redwinghook.core.receive.CallerProtection;
 import org.redwinghook.core.rollout.RolloutLimits;
 import org.redwinghook.core.routing.RetryLimits;
+import org.redwinghook.runtime.process.DescriptorLimit;
 import org.redwinghook.runtime.settings.Address;
 
 /**
@@ -36,6 +38,7 @@
  * @param coldBurst tolerance of cold endpoints for a burst
  * @param rollouts limits of the roll-outs
  * @param waiting queues for requests while capacity is short
+ * @param callers limits on what is held for all callers
  * @param digest checksum of the document, which tells operators which version of it is in force
  */
 public record ForwardingSettings(
@@ -53,6 +56,7 @@
         ColdBurst coldBurst,
         RolloutLimits rollouts,
         WaitingSettings waiting,
+        CallerProtection callers,
         String digest) {
 
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -63,6 +67,12 @@
     private static final double MAXIMUM_RETRY_WINDOW_SECONDS = 3_600;
     private static final double MAXIMUM_COLD_FACTOR = 1_000;
     private static final double MAXIMUM_COLD_REQUESTS = 1e6;
+    private static final double MAXIMUM_CONNECTIONS = 1e6;
+    private static final double MINIMUM_CALLER_BYTES = 1_000_000;
+    private static final double MAXIMUM_CALLER_BYTES = 1e12;
+    private static final double MAXIMUM_FIELDS = 1e6;
+    private static final double MAXIMUM_PROGRESS_BYTES = 1e9;
+    private static final double MAXIMUM_PROGRESS_SECONDS = 3_600;
 
     private static final double MAXIMUM_EXPOSURE_SLACK = 1e9;
     private static final double MINIMUM_ROLLBACK_MILLIS = 100;
@@ -104,6 +114,7 @@
                 readColdBurst(root.map("coldEndpoints")),
                 readRollouts(root.map("rollouts")),
                 readWaiting(root.map("waiting")),
+                readCallers(root.map("callers")),
                 digest(text));
         root.rejectUnknownKeys();
         return findings.resultOf(settings);
@@ -165,6 +176,29 @@
         return settings;
     }
 
+    private static CallerProtection readCallers(YamlMap callers) {
+        CallerProtection defaults = CallerProtection.defaults(
+                DescriptorLimit.read(), Runtime.getRuntime().maxMemory());
+        CallerProtection protection = new CallerProtection(
+                (int) callers.nullableDecimal(
+                        "maximumConnections", 1, MAXIMUM_CONNECTIONS, defaults.maximumConnections()),
+                (long) callers.nullableDecimal(
+                        "maximumBytes", MINIMUM_CALLER_BYTES, MAXIMUM_CALLER_BYTES, defaults.maximumBytes()),
+                (int) callers.nullableDecimal("maximumFields", 1, MAXIMUM_FIELDS, defaults.maximumFields()),
+                callers.nullableDecimal("addressShare", 0, 1, defaults.addressShare()),
+                (int) callers.nullableDecimal("progressBytes", 1, MAXIMUM_PROGRESS_BYTES, defaults.progressBytes()),
+                (long) (MILLIS_PER_SECOND
+                        * callers.nullableDecimal(
+                                "progressSeconds",
+                                0.001,
+                                MAXIMUM_PROGRESS_SECONDS,
+                                defaults.progressMillis() / MILLIS_PER_SECOND)),
+                (int) callers.nullableDecimal(
+                        "operatorConnections", 1, MAXIMUM_CONNECTIONS, defaults.operatorConnections()));
+        callers.rejectUnknownKeys();
+        return protection;
+    }
+
     private static String digest(String text) {
         CRC32 checksum = new CRC32();
         checksum.update(text.getBytes(StandardCharsets.UTF_8));
@@ -187,7 +221,8 @@
         RETRY_WINDOW(true, settings -> settings.retries().windowSeconds()),
         COLD_ENDPOINTS(false, ForwardingSettings::coldBurst),
         ROLLOUTS(false, ForwardingSettings::rollouts),
-        WAITING(false, ForwardingSettings::waiting);
+        WAITING(false, ForwardingSettings::waiting),
+        CALLERS(true, ForwardingSettings::callers);
 
         private final boolean needsRestart;
         private final Function<ForwardingSettings, Object> value;
