--- a/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
+++ b/core/src/main/java/org/redwinghook/core/forward/KnownEndpoint.java
@@ -164,7 +164,17 @@
      * @return true from the notice on
      */
     public boolean isLeaving() {
-        return isRemoved || entry.draining() || hasLeaveNotice || hasAnnouncedLeaving;
+        return isRemoved || isDeparting();
+    }
+
+    /**
+     * Whether the endpoint, its report or its entry says that it leaves. An entry that is only missing says nothing: it may
+     * have lapsed while the store was unavailable.
+     *
+     * @return true from the notice on
+     */
+    public boolean isDeparting() {
+        return entry.draining() || hasLeaveNotice || hasAnnouncedLeaving;
     }
 
     /**
--- a/core/src/main/java/org/redwinghook/core/relocation/LeaveNotices.java
+++ b/core/src/main/java/org/redwinghook/core/relocation/LeaveNotices.java
@@ -178,15 +178,14 @@
     }
 
     /**
-     * Notices of the engines that are expected to leave.
+     * Latest notices of all engines, also of those that stay after all.
      *
      * @param nowMillis current time
      * @return the notices, to be sent to a router that connects
      */
     public List<LeaveNotice> allNotices(long nowMillis) {
         return stateByIncarnation.values().stream()
-                .filter(State::leaves)
-                .map(state -> state.notice(true, nowMillis))
+                .map(state -> state.notice(state.leaves(), nowMillis))
                 .toList();
     }
 
--- a/core/src/main/java/org/redwinghook/core/relocation/ReportSchedule.java
+++ b/core/src/main/java/org/redwinghook/core/relocation/ReportSchedule.java
@@ -23,6 +23,9 @@
     /** Interval of reports that are read without a fault of the store, in milliseconds. */
     public static final long SPARSE_INTERVAL_MILLIS = 2_000;
 
+    /** Longest pause between two reads of an engine that seems to leave but does not, in milliseconds. */
+    private static final long MAXIMUM_TRIGGER_PAUSE_MILLIS = 60_000;
+
     /** Maximum number of reports that a router reads in a second. */
     public static final int MAXIMUM_READS_PER_SECOND = 40;
 
@@ -30,6 +33,7 @@
 
     private final String self;
     private final Map<String, Long> readMillisByEngine = new HashMap<>();
+    private final Map<String, Long> triggerPauseMillisByEngine = new HashMap<>();
     private final Map<String, Boolean> assignments = new HashMap<>();
     private Set<String> routers = Set.of();
     private long secondBeganMillis = Long.MIN_VALUE / 2;
@@ -79,7 +83,13 @@
      * @return false if its report was read recently, or too many reports were
      */
     public boolean tryTake(String engine, long nowMillis) {
-        return nowMillis - lastReadMillis(engine) >= SPARSE_INTERVAL_MILLIS && take(engine, nowMillis);
+        long pauseMillis = triggerPauseMillisByEngine.getOrDefault(engine, SPARSE_INTERVAL_MILLIS);
+        if (nowMillis - lastReadMillis(engine) < pauseMillis || !take(engine, nowMillis)) {
+            return false;
+        }
+        // An engine that closes each connection, or cannot be reached, is not read for ever at the same pace.
+        triggerPauseMillisByEngine.put(engine, Math.min(2 * pauseMillis, MAXIMUM_TRIGGER_PAUSE_MILLIS));
+        return true;
     }
 
     /**
@@ -89,6 +99,7 @@
      */
     public void retain(Set<String> listed) {
         readMillisByEngine.keySet().retainAll(listed);
+        triggerPauseMillisByEngine.keySet().retainAll(listed);
         assignments.keySet().retainAll(listed);
     }
 
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
@@ -150,7 +150,7 @@
      * @param endMillis monotonic time of its end in milliseconds, {@link Long#MAX_VALUE} if it is not known
      */
     void recordLeaveNotice(KnownEndpoint endpoint, long endMillis) {
-        boolean wasLeaving = endpoint.isLeaving();
+        boolean wasLeaving = endpoint.isDeparting();
         endpoint.recordLeaveNotice(endMillis);
         handleDeparture(endpoint, wasLeaving, "report");
     }
@@ -161,7 +161,7 @@
      * @param endpoint the endpoint
      */
     void announceLeaving(KnownEndpoint endpoint) {
-        boolean wasLeaving = endpoint.isLeaving();
+        boolean wasLeaving = endpoint.isDeparting();
         endpoint.recordLeavingAnnouncement();
         handleDeparture(endpoint, wasLeaving, "response");
     }
@@ -239,7 +239,7 @@
     private void applyEndpointRecord(VersionedRecord record, boolean storeWasUnavailable) {
         long now = clock.millis();
         Optional<KnownEndpoint> before = endpoints.find(record.key());
-        boolean wasLeaving = before.map(KnownEndpoint::isLeaving).orElse(false);
+        boolean wasLeaving = before.map(KnownEndpoint::isDeparting).orElse(false);
         Optional<EndpointEntry> entry = decode(RecordTopic.ENDPOINTS, record, decoder::decodeEndpoint);
         if (entry.isPresent()) {
             endpoints.put(entry.get(), now);
--- a/router/src/main/java/org/redwinghook/router/forward/LeaveWatch.java
+++ b/router/src/main/java/org/redwinghook/router/forward/LeaveWatch.java
@@ -15,6 +15,7 @@
 import org.redwinghook.core.relocation.ReportSchedule;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.StoreTrust;
+import org.redwinghook.runtime.config.ConfigurationPeer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -70,7 +71,7 @@
     }
 
     void start() {
-        exchange.register(LeaveReport.class, (peer, report) -> handleReport(report));
+        exchange.register(LeaveReport.class, this::handleReport);
         exchange.onConnected(peer -> {
             LeaveReport known = new LeaveReport(0, notices.allNotices(now()));
             if (!known.notices().isEmpty()) {
@@ -153,8 +154,9 @@
     private void updateTrust() {
         long now = now();
         long faults = storeTrust.faults(now);
-        if (faults > announcedFaults) {
-            announcedFaults = faults;
+        boolean isNewFault = faults > announcedFaults;
+        announcedFaults = faults;
+        if (isNewFault) {
             exchange.broadcast(new LeaveReport(StoreTrust.DISTRUST_MILLIS, List.of()));
         }
         boolean isOwnTrusted = storeTrust.isTrusted(exchange.isStoreReadByOthers(), now);
@@ -166,7 +168,7 @@
         }
     }
 
-    private void handleReport(LeaveReport report) {
+    private void handleReport(ConfigurationPeer peer, LeaveReport report) {
         if (report.distrustMillis() > 0) {
             long untilMillis = now() + Math.min(StoreTrust.DISTRUST_MILLIS, report.distrustMillis());
             distrustedUntilMillis = Math.max(distrustedUntilMillis, untilMillis);
@@ -176,6 +178,11 @@
             if (merge(notice)) {
                 changed.add(notice);
             }
+            LeaveNotice newer = notices.notice(LeaveNotices.incarnation(notice), now());
+            if (notice.leaves() && newer != null && !newer.leaves()) {
+                // The other router has missed the report that withdrew this notice.
+                peer.send(new LeaveReport(0, List.of(newer)));
+            }
         }
         if (!changed.isEmpty() && !exchange.isFullyConnected()) {
             exchange.broadcast(new LeaveReport(0, changed));
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -358,6 +358,8 @@
 
     private void recordChanges(RecordTopic topic, List<VersionedRecord> changed) {
         changed.forEach(record -> changedAtMillis.get(topic).put(record.key(), clock.millis()));
+        // From now on other routers have the time of propagation to receive these records.
+        recordOffsetSums();
     }
 
     /** Whether this router sends its records of a topic now: to a router that has just started without the store, at once. */
--- a/router/src/main/java/org/redwinghook/router/forward/RunMove.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunMove.java
@@ -280,6 +280,11 @@
     }
 
     private void stopRun(KnownEndpoint chosen) {
+        if (chosen.isDeparting()) {
+            excluded.add(chosen.entry().id());
+            postpone();
+            return;
+        }
         stream.setStopping(true);
         stopSentAtMillis = context.clock().millis();
         context.memoryMover()
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -31,6 +31,8 @@
     /** Time from the first event after which an endpoint has survived the beginning of the answer, in milliseconds. */
     private static final long ANSWER_BEGUN_MILLIS = 250;
 
+    private static final int SERVICE_UNAVAILABLE = 503;
+
     /** Output tokens per event; from the engines' data sheet. */
     private static final long TOKENS_PER_EVENT = 4;
 
@@ -506,7 +508,12 @@
                     head.notRun(),
                     copy != null);
             if (copy != null) {
-                handleUnusedCopy(copy);
+                // An engine without the copy answers 503 and does not run the request.
+                if (isNotRun || head.status() == SERVICE_UNAVAILABLE) {
+                    handleUnusedCopy(copy);
+                    return;
+                }
+                abort("an engine failed the run that continued there");
                 return;
             }
             if (isNotRun) {
