--- a/core/src/main/java/org/redwinghook/core/dispatch/DispatchRequest.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/DispatchRequest.java
@@ -49,6 +49,11 @@
         return clamp(ofCustomer) * ROUTE_PRIORITIES + clamp(routePriority);
     }
 
+    /** Priority of the customer, or of the route if the customer has none. */
+    int customerPriority() {
+        return priority / ROUTE_PRIORITIES;
+    }
+
     private static int clamp(int priority) {
         return Math.max(0, Math.min(ROUTE_PRIORITIES - 1, priority));
     }
--- a/core/src/main/java/org/redwinghook/core/dispatch/RetryDelay.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/RetryDelay.java
@@ -53,7 +53,7 @@
         double ageMillis = Math.max(0, nowMillis - request.arrivedAtMillis());
         double youth = 1 - ageMillis / Math.max(1, request.deadlineMillis() - request.arrivedAtMillis());
         double hash = (RendezvousHash.hash(request.id()) >>> UNUSED_HASH_BITS) / HASH_RANGE;
-        int priority = Math.max(0, Math.min(request.priority(), PRIORITIES - 1));
+        int priority = Math.max(0, Math.min(request.customerPriority(), PRIORITIES - 1));
         return (priority + (youth + hash) / 2) / PRIORITIES;
     }
 }
--- a/core/src/main/java/org/redwinghook/core/dispatch/ServiceQueue.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/ServiceQueue.java
@@ -24,7 +24,7 @@
 public final class ServiceQueue {
 
     /** Maximum number of kinds of requests that are examined without success while the queue is served. */
-    private static final int MAXIMUM_BLOCKED_KINDS = 8;
+    private static final int MAXIMUM_BLOCKED_KINDS = 24;
 
     /** Number of endpoints from which on those that received nothing for long are forgotten. */
     private static final int MAXIMUM_REMEMBERED_ENDPOINTS = 1_000;
--- a/core/src/main/java/org/redwinghook/core/dispatch/WaitingEntry.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/WaitingEntry.java
@@ -3,6 +3,9 @@
 /** A waiting request with the values by which it is ordered. */
 final class WaitingEntry {
 
+    /** Time after which a waiting request has been examined or found similar to one that was, in milliseconds. */
+    private static final long COVERED_MILLIS = 500;
+
     private final DispatchRequest request;
     private final CustomerShares.Share share;
     private final long sequence;
@@ -38,7 +41,9 @@
 
     /** Whether the request was found to have no capacity and cannot be completed in time any more. */
     boolean isUnservable(long nowMillis) {
-        return isExamined && nowMillis > latestUsefulStartMillis;
+        // A request that is covered by similar ones is not examined itself.
+        boolean hasWaited = isExamined || nowMillis - request.arrivedAtMillis() > COVERED_MILLIS;
+        return hasWaited && nowMillis > latestUsefulStartMillis;
     }
 
     boolean isOverdue(long nowMillis) {
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -92,7 +92,7 @@
 
     /** Whether a new run may begin: a run that continues from a copy may return to an engine that leaves. */
     private boolean maySendNewRun() {
-        return !endpoint.isLeaving()
+        return !endpoint.isDeparting()
                 && context.notices()
                         .maySendAssigned(endpoint.entry(), context.clock().millis());
     }
@@ -132,7 +132,16 @@
      * @return the body; fails if it is truncated or larger than {@link ReceiveLimits#MAXIMUM_MESSAGE_BYTES}
      */
     Future<Buffer> readBody(HttpClientResponse response) {
-        Future<Buffer> body = MessageBody.read(response, ReceiveLimits.MAXIMUM_MESSAGE_BYTES, caller::recordHeldBytes);
+        int declaredBytes = declaredBytes(response);
+        boolean isLarge = declaredBytes > LARGE_BODY_BYTES;
+        ReservedBytes held = new ReservedBytes(isLarge ? declaredBytes : 0);
+        if (isLarge) {
+            response.pause();
+        }
+        Future<Buffer> body = MessageBody.read(response, ReceiveLimits.MAXIMUM_MESSAGE_BYTES, held::add);
+        if (isLarge) {
+            caller.awaitMemory(declaredBytes, response::resume);
+        }
         releaseBody = () -> {
             if (!body.isComplete()) {
                 MessageBody.discard(response);
--- a/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
@@ -157,6 +157,9 @@
             return ofQuarantine;
         }
         long retryAfterMillis = context.waiting().retryAfterMillis(caller, rule, query);
+        if (!context.selector().candidates(caller, Set.of()).isEmpty()) {
+            return new Refusal(cause, retryAfterMillis);
+        }
         // Without an endpoint that may be asked now, the end of the shortest pause is the time to come back.
         long untilReturnMillis = context.notices()
                 .millisUntilReturn(caller.service(), context.clock().millis())
--- a/router/src/main/java/org/redwinghook/router/forward/WaitingRequests.java
+++ b/router/src/main/java/org/redwinghook/router/forward/WaitingRequests.java
@@ -270,8 +270,11 @@
         }
         checkTimer = vertx.setTimer(CHECK_INTERVAL_MILLIS, ignored -> {
             checkTimer = -1;
-            serveAll();
-            scheduleCheck();
+            try {
+                serveAll();
+            } finally {
+                scheduleCheck();
+            }
         });
     }
 
