--- a/runtime/src/main/java/org/redwinghook/runtime/http/ConnectionGuard.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/ConnectionGuard.java
@@ -131,8 +131,12 @@
             ctx.close();
             return;
         }
-        if (!isProcessing) {
-            process(ctx);
+        if (!isProcessing && held != null) {
+            // The HTTP library handles a request that follows only after it has completed the response.
+            ctx.executor().execute(() -> {
+                process(ctx);
+                ctx.fireChannelReadComplete();
+            });
         }
     }
 
@@ -241,6 +245,7 @@
             held = bytes;
             head.reset();
             headStartMillis = connections.nowMillis();
+            recordHeadProgress();
         }
         bytes.discardReadBytes();
         bytes.writeBytes(received);
@@ -248,6 +253,22 @@
         charge(bytes.capacity());
     }
 
+    private void recordHeadProgress() {
+        bytesSinceProgress = 0;
+        lastProgressMillis = connections.nowMillis();
+    }
+
+    /** Skips the empty lines that some callers send after a body. */
+    private static void skipEmptyLines(ByteBuf bytes) {
+        while (bytes.isReadable() && isLineEnd(bytes.getByte(bytes.readerIndex()))) {
+            bytes.skipBytes(1);
+        }
+    }
+
+    private static boolean isLineEnd(byte character) {
+        return character == '\r' || character == '\n';
+    }
+
     private void charge(int bytes) {
         int change = bytes - chargedBytes;
         chargedBytes = bytes;
@@ -303,6 +324,9 @@
         if (bytes != held) {
             head.reset();
         }
+        if (head.isNew()) {
+            skipEmptyLines(bytes);
+        }
         int size = head.scan(bytes);
         ReceiveRefusal refusal = head.refusal(connections.limits());
         if (refusal != null) {
@@ -318,6 +342,7 @@
         }
         ByteBuf complete = bytes == held ? Unpooled.copiedBuffer(bytes.readSlice(size)) : bytes.readRetainedSlice(size);
         awaitsResponse = true;
+        recordHeadProgress();
         if (head.isChunked()) {
             expected = Expected.CHUNKS;
             chunks.reset();
--- a/runtime/src/main/java/org/redwinghook/runtime/http/GuardedConnections.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/GuardedConnections.java
@@ -140,9 +140,10 @@
         ChannelPipeline pipeline = base.channel().pipeline();
         pipeline.addFirst(guard);
         pipeline.addBefore(base.channelHandlerContext().name(), null, new ResponseWatch(guard));
+        // The new connection, which has not served a request yet, is closed only if no other one may be.
+        HeldConnection chosen = guards.size() >= port.maximumConnections() ? eviction.choose(guards) : null;
         guards.add(guard);
         if (guards.size() > port.maximumConnections()) {
-            HeldConnection chosen = eviction.choose(guards);
             ConnectionGuard closed = chosen instanceof ConnectionGuard found ? found : guard;
             guards.remove(closed);
             closed.end(ReceiveRefusal.TOO_MANY_CONNECTIONS);
--- a/runtime/src/main/java/org/redwinghook/runtime/http/MessageBody.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/MessageBody.java
@@ -55,6 +55,7 @@
      */
     public static void discard(ReadStream<Buffer> message) {
         message.endHandler(null);
+        message.exceptionHandler(ignored -> {});
         message.handler(ignored -> {});
     }
 
--- a/runtime/src/main/java/org/redwinghook/runtime/http/RequestHeadScan.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/RequestHeadScan.java
@@ -1,6 +1,7 @@
 package org.redwinghook.runtime.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Locale;
 
 import io.netty.buffer.ByteBuf;
@@ -64,6 +65,11 @@
         return -1;
     }
 
+    /** Whether nothing of a head has been scanned. */
+    boolean isNew() {
+        return scannedBytes == 0;
+    }
+
     /** Cause to refuse what has been scanned, null if there is none. */
     @Nullable
     ReceiveRefusal refusal(ReceiveLimitsInForce limits) {
@@ -122,7 +128,9 @@
         if (line.startsWith(CONTENT_LENGTH)) {
             contentLength = number(line.substring(CONTENT_LENGTH.length()).trim());
         } else {
-            isChunked |= line.contains("chunked");
+            isChunked |= Arrays.stream(
+                            line.substring(TRANSFER_ENCODING.length()).split(","))
+                    .anyMatch(coding -> coding.trim().equals("chunked"));
         }
     }
 
