--- a/core/src/main/java/org/redwinghook/core/relocation/ReportSchedule.java
+++ b/core/src/main/java/org/redwinghook/core/relocation/ReportSchedule.java
@@ -23,6 +23,9 @@
     /** Interval of reports that are read without a fault of the store, in milliseconds. */
     public static final long SPARSE_INTERVAL_MILLIS = 2_000;
 
+    /** Pause that doubles with each read of an engine that seems to leave but does not, in milliseconds. */
+    private static final long FIRST_TRIGGER_PAUSE_MILLIS = SPARSE_INTERVAL_MILLIS / 4;
+
     /** Longest pause between two reads of an engine that seems to leave but does not, in milliseconds. */
     private static final long MAXIMUM_TRIGGER_PAUSE_MILLIS = 60_000;
 
@@ -83,8 +86,9 @@
      * @return false if its report was read recently, or too many reports were
      */
     public boolean tryTake(String engine, long nowMillis) {
-        long pauseMillis = triggerPauseMillisByEngine.getOrDefault(engine, SPARSE_INTERVAL_MILLIS);
-        if (nowMillis - lastReadMillis(engine) < pauseMillis || !take(engine, nowMillis)) {
+        long pauseMillis = triggerPauseMillisByEngine.getOrDefault(engine, FIRST_TRIGGER_PAUSE_MILLIS);
+        if (nowMillis - lastReadMillis(engine) < Math.max(SPARSE_INTERVAL_MILLIS, pauseMillis)
+                || !take(engine, nowMillis)) {
             return false;
         }
         // An engine that closes each connection, or cannot be reached, is not read for ever at the same pace.
