--- a/core/src/main/java/org/redwinghook/core/dispatch/CapacityRule.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/CapacityRule.java
@@ -35,7 +35,7 @@
 
         @Override
         long idleMillis(DispatchRequest request) {
-            return Math.max(LEAST_PATIENCE_MILLIS, Math.min(MOST_PATIENCE_MILLIS, objectiveMillis(request) / 2));
+            return Math.max(LEAST_TOLERANCE_MILLIS, Math.min(MOST_TOLERANCE_MILLIS, objectiveMillis(request) / 2));
         }
 
         /** Time until the runs that end have released the missing memory; a run holds its memory until its end. */
@@ -108,7 +108,7 @@
 
         @Override
         boolean isOverdue(DispatchRequest request, long nowMillis) {
-            return nowMillis - request.arrivedAtMillis() >= objectiveMillis(request) / CALL_PATIENCE_DIVISOR;
+            return nowMillis - request.arrivedAtMillis() >= objectiveMillis(request) / CALL_WAIT_DIVISOR;
         }
 
         @Override
@@ -136,13 +136,13 @@
     private static final double LAST_CHANCE_FACTOR = 2;
 
     /** Shortest time beyond its objective after which a generation is sent although no capacity is known. */
-    private static final long LEAST_PATIENCE_MILLIS = 250;
+    private static final long LEAST_TOLERANCE_MILLIS = 250;
 
     /** Longest time beyond its objective after which a generation is sent although no capacity is known. */
-    private static final long MOST_PATIENCE_MILLIS = 2_000;
+    private static final long MOST_TOLERANCE_MILLIS = 2_000;
 
     /** A call waits for a slot for the part 1/n of its objective: reports of other routers may be outdated. */
-    private static final long CALL_PATIENCE_DIVISOR = 4;
+    private static final long CALL_WAIT_DIVISOR = 4;
 
     private final PlacementPolicy policy;
     private final long roundWork;
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -158,12 +158,7 @@
                         settings.callers(),
                         refusal -> metrics.recordRefusedConnection("ready", refusal.label())));
         routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock, promptGuard);
-        RolloutTracker rolloutTracker = new RolloutTracker(
-                new RolloutContext(vertx, state, routerExchange, ledger, platform.rolloutStore(), clock, metrics),
-                () -> reloadable.current().rollouts(),
-                settings.process(),
-                incarnation);
-        rolloutTracker.start();
+        RolloutTracker rolloutTracker = startRollouts(platform.rolloutStore(), ledger, clock, metrics);
         observers.register(rolloutTracker);
         eligibility.addRule(new RolloutRule(rolloutTracker, state.endpoints(), eligibility));
         EndpointSpeeds speeds = new EndpointSpeeds();
@@ -173,10 +168,7 @@
         speedExchange = new SpeedExchange(vertx, clock, settings.process(), incarnation, routerExchange, speeds);
         observers.register(speedTracker);
         routerExchange.onWorkReport(waiting::handleWorkReport);
-        RunRelocator relocator = new RunRelocator(context, streams, routerExchange::broadcast, settings.process());
-        state.onEndpointLeaving(relocator::handleEndpointLeaving);
-        routerExchange.onConnected(peer -> relocator.handleRouterConnected(peer.name()));
-        routerExchange.register(CopyReport.class, (peer, report) -> relocator.handleCopyReport(report));
+        connectRelocator(new RunRelocator(context, streams, routerExchange::broadcast, settings.process()));
         WireMetrics wireMetrics = new WireMetrics(meters);
         mesh = new RouterMesh(
                 vertx,
@@ -213,6 +205,23 @@
                 settings.process());
     }
 
+    private RolloutTracker startRollouts(
+            RolloutStore store, WorkLedger ledger, MonotonicClock clock, ForwardMetrics metrics) {
+        RolloutTracker tracker = new RolloutTracker(
+                new RolloutContext(vertx, state, routerExchange, ledger, store, clock, metrics),
+                () -> reloadable.current().rollouts(),
+                settings.process(),
+                incarnation);
+        tracker.start();
+        return tracker;
+    }
+
+    private void connectRelocator(RunRelocator relocator) {
+        state.onEndpointLeaving(relocator::handleEndpointLeaving);
+        routerExchange.onConnected(peer -> relocator.handleRouterConnected(peer.name()));
+        routerExchange.register(CopyReport.class, (peer, report) -> relocator.handleCopyReport(report));
+    }
+
     private void reportWork() {
         routerExchange.report();
     }
--- a/router/src/main/java/org/redwinghook/router/forward/WaitingRequest.java
+++ b/router/src/main/java/org/redwinghook/router/forward/WaitingRequest.java
@@ -32,10 +32,10 @@
     }
 
     /** Callers leave a stream without an event after the longest of this time and the two multiples below. */
-    private static final long LEAST_PATIENCE_MILLIS = 2_000;
+    private static final long LEAST_ABANDONMENT_MILLIS = 2_000;
 
-    private static final long PATIENCE_OBJECTIVES = 4;
-    private static final long PATIENCE_GAPS = 8;
+    private static final long ABANDONMENT_OBJECTIVES = 4;
+    private static final long ABANDONMENT_GAPS = 8;
 
     private final CallerExchange caller;
     private final Listener listener;
@@ -79,19 +79,19 @@
                 query,
                 arrivedAtMillis,
                 arrivedAtMillis + caller.route().latencyObjectiveMillis(),
-                Math.min(nowMillis + caller.remainingMillis(), arrivedAtMillis + patienceMillis(caller.route())));
+                Math.min(nowMillis + caller.remainingMillis(), arrivedAtMillis + abandonmentMillis(caller.route())));
     }
 
     /** Time after which the caller of a stream without any event leaves. */
-    private static long patienceMillis(Route route) {
+    private static long abandonmentMillis(Route route) {
         if (route.kind() != RequestKind.STREAMING) {
             return Long.MAX_VALUE / 2;
         }
         return Math.max(
-                LEAST_PATIENCE_MILLIS,
+                LEAST_ABANDONMENT_MILLIS,
                 Math.max(
-                        PATIENCE_OBJECTIVES * route.latencyObjectiveMillis(),
-                        PATIENCE_GAPS * route.gapObjectiveMillis()));
+                        ABANDONMENT_OBJECTIVES * route.latencyObjectiveMillis(),
+                        ABANDONMENT_GAPS * route.gapObjectiveMillis()));
     }
 
     CallerExchange caller() {
