--- a/core/src/main/java/org/redwinghook/core/forward/ForwardingConfiguration.java
+++ b/core/src/main/java/org/redwinghook/core/forward/ForwardingConfiguration.java
@@ -22,8 +22,8 @@
      *
      * @param version its version
      * @param routes all routes
-     * @param needsKeys whether requests need a key, which holds for any configuration with customers, also if none of
-     *     them has a key left
+     * @param needsKeys whether requests need a key, which holds for any configuration with a list of customers, also if the
+     *     list is empty or cannot be read, or no customer has a key left
      * @param accessByKey access that each API key grants
      * @param services services by name
      * @param limits limits on callers
@@ -76,7 +76,7 @@
     /**
      * Whether requests of routes that are not anonymous need a key.
      *
-     * @return true if there are customers
+     * @return true if the configuration contains a list of customers
      */
     public boolean needsKeys() {
         return needsKeys;
