Let restrictions that cannot be read allow nothing

Cause: as with the list of customers, JsonFields treats a field of an unexpected type as missing, and the default of a missing field was the widest one.

--- a/core/src/main/java/org/redwinghook/core/forward/CustomerAccess.java
+++ b/core/src/main/java/org/redwinghook/core/forward/CustomerAccess.java
@@ -9,11 +9,14 @@
  *
  * @param customer name of the customer to which the key belongs
  * @param priority priority that overrides the route's, null if the customer has none
- * @param allowedRegions regions that may serve the customer's requests; empty for all
+ * @param allowedRegions regions that may serve the customer's requests, null for all
  */
-public record CustomerAccess(String customer, @Nullable Integer priority, Set<String> allowedRegions) {
+public record CustomerAccess(
+        String customer,
+        @Nullable Integer priority,
+        @Nullable Set<String> allowedRegions) {
 
     public CustomerAccess {
-        allowedRegions = Set.copyOf(allowedRegions);
+        allowedRegions = allowedRegions == null ? null : Set.copyOf(allowedRegions);
     }
 }
--- a/core/src/main/java/org/redwinghook/core/forward/Route.java
+++ b/core/src/main/java/org/redwinghook/core/forward/Route.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.routing.RendezvousHash;
 
 /**
@@ -18,7 +19,7 @@
  * @param gapObjectiveMillis target for the longest gap between the events of a stream; 0 if none is set
  * @param maximumAttempts maximum number of endpoints that one request may be sent to
  * @param priority priority; 0 is the highest
- * @param allowedRegions regions that may serve the requests; empty for all
+ * @param allowedRegions regions that may serve the requests, null for all
  * @param anonymous whether requests need no API key
  * @param resumable whether a broken stream may continue at another endpoint after the last event received
  */
@@ -33,7 +34,7 @@
         long gapObjectiveMillis,
         int maximumAttempts,
         int priority,
-        Set<String> allowedRegions,
+        @Nullable Set<String> allowedRegions,
         boolean anonymous,
         boolean resumable) {
 
@@ -42,7 +43,7 @@
 
     public Route {
         services = List.copyOf(services);
-        allowedRegions = Set.copyOf(allowedRegions);
+        allowedRegions = allowedRegions == null ? null : Set.copyOf(allowedRegions);
     }
 
     /**
--- a/core/src/test/java/org/redwinghook/core/forward/ForwardingConfigurationTest.java
+++ b/core/src/test/java/org/redwinghook/core/forward/ForwardingConfigurationTest.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -41,7 +40,7 @@
                 0,
                 1,
                 0,
-                Set.of(),
+                null,
                 true,
                 false);
         Map<String, Integer> chosen = new HashMap<>();
@@ -73,7 +72,7 @@
                 0,
                 1,
                 0,
-                Set.of(),
+                null,
                 true,
                 false);
     }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -238,12 +238,9 @@
     private static @Nullable Set<String> allowedRegions(CallerExchange caller) {
         Set<String> ofRoute = caller.route().allowedRegions();
         Set<String> ofCustomer =
-                caller.access() == null ? Set.of() : caller.access().allowedRegions();
-        if (ofRoute.isEmpty() && ofCustomer.isEmpty()) {
-            return null;
-        }
-        if (ofRoute.isEmpty() || ofCustomer.isEmpty()) {
-            return ofRoute.isEmpty() ? ofCustomer : ofRoute;
+                caller.access() == null ? null : caller.access().allowedRegions();
+        if (ofRoute == null || ofCustomer == null) {
+            return ofRoute == null ? ofCustomer : ofRoute;
         }
         Set<String> both = new HashSet<>(ofRoute);
         both.retainAll(ofCustomer);
--- a/router/src/main/java/org/redwinghook/router/forward/WaitingRequest.java
+++ b/router/src/main/java/org/redwinghook/router/forward/WaitingRequest.java
@@ -65,11 +65,11 @@
     static DispatchRequest describe(CallerExchange caller, CapacityRule rule, PlacementQuery query, long nowMillis) {
         CustomerAccess access = caller.access();
         Integer customerPriority = access == null ? null : access.priority();
-        Set<String> regions = access == null ? Set.of() : access.allowedRegions();
+        Set<String> regions = access == null ? null : access.allowedRegions();
         long arrivedAtMillis = nowMillis - caller.elapsedMillis();
         return new DispatchRequest(
                 caller.requestId(),
-                regions.isEmpty()
+                regions == null
                         ? caller.route().name()
                         : caller.route().name() + " in "
                                 + regions.stream().sorted().toList(),
