Close connections of calls to the log and the VM list whose answers do not end

Report of another operator: a server sends bytes that are no answer, without end, in a head or a body.

Seen here: after a failed call the connection stayed open. The log client does so when a failure's body has no end, the VM list client when no head arrives (interim responses without end, or silence). Memory does not grow, since the bytes are discarded, but four such answers take all connections of the log client.

Cause: a timeout failed the future of the call and left its connection alone.

Fix: BoundedRequest closes the connection of a request without a head in time; failures' bodies are read within the limits.

--- a/runtime/src/main/java/org/redwinghook/runtime/platform/LogClient.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/LogClient.java
@@ -15,6 +15,7 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import org.redwinghook.runtime.http.BoundedRequest;
 import org.redwinghook.runtime.http.MessageBody;
 import org.redwinghook.runtime.http.MessageTooLargeException;
 import org.redwinghook.runtime.json.UntrustedJson;
@@ -58,10 +59,8 @@
      */
     public Future<Long> append(String stream, Buffer data) {
         return client.request(HttpMethod.POST, address.port(), address.host(), "/streams/" + stream + "/records")
-                .compose(request -> {
-                    request.idleTimeout(TIMEOUT_MILLIS);
-                    return request.send(data).compose(LogClient::readBody);
-                })
+                .compose(request ->
+                        BoundedRequest.send(request, data, TIMEOUT_MILLIS).compose(LogClient::readBody))
                 .map(body -> UntrustedJson.parseObject(body).getLong("offset"))
                 .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -77,10 +76,8 @@
     public Future<LogPage> read(String stream, long firstOffset, int maximumRecords) {
         String path = "/streams/" + stream + "/records?from=" + firstOffset + "&limit=" + maximumRecords;
         return client.request(HttpMethod.GET, address.port(), address.host(), path)
-                .compose(request -> {
-                    request.idleTimeout(TIMEOUT_MILLIS);
-                    return request.send().compose(LogClient::readBody);
-                })
+                .compose(request -> BoundedRequest.send(request, Buffer.buffer(), TIMEOUT_MILLIS)
+                        .compose(LogClient::readBody))
                 .map(LogClient::parsePage)
                 .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .recover(failure -> failure instanceof MessageTooLargeException && maximumRecords > 1
@@ -89,10 +86,11 @@
     }
 
     private static Future<Buffer> readBody(HttpClientResponse response) {
-        if (response.statusCode() != HTTP_OK && response.statusCode() != HTTP_GONE) {
-            return Future.failedFuture("log service answered with status " + response.statusCode());
-        }
-        return MessageBody.read(response, TIMEOUT_MILLIS);
+        int status = response.statusCode();
+        return MessageBody.read(response, TIMEOUT_MILLIS)
+                .compose(body -> status == HTTP_OK || status == HTTP_GONE
+                        ? Future.succeededFuture(body)
+                        : Future.failedFuture("log service answered with status " + status));
     }
 
     private static LogPage parsePage(Buffer body) {
--- a/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
@@ -16,6 +16,7 @@
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.membership.Member;
 import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.runtime.http.BoundedRequest;
 import org.redwinghook.runtime.http.MessageBody;
 import org.redwinghook.runtime.json.UntrustedJson;
 import org.redwinghook.runtime.settings.Address;
@@ -73,7 +74,8 @@
                     if (cached != null) {
                         request.putHeader(HttpHeaders.IF_NONE_MATCH, cached.tag());
                     }
-                    return request.send().compose(response -> handleResponse(response, cached));
+                    return BoundedRequest.send(request, Buffer.buffer(), timeoutMillis)
+                            .compose(response -> handleResponse(response, cached));
                 })
                 .timeout(timeoutMillis, TimeUnit.MILLISECONDS);
     }
--- /dev/null
+++ b/standins/src/main/java/org/redwinghook/standins/http/BrokenAnswer.java
@@ -0,0 +1,75 @@
+package org.redwinghook.standins.http;
+
+import java.nio.charset.StandardCharsets;
+
+import io.vertx.core.buffer.Buffer;
+
+/** Bytes of a faulty server in place of an answer. */
+public enum BrokenAnswer {
+    /** A body that ends with its connection, which does not end. */
+    BODY_WITHOUT_END("HTTP/1.1 200 OK\r\n\r\n", "x", true),
+    /** Chunks without a last one. */
+    CHUNKS_WITHOUT_END("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n", true),
+    /** Trailers without end after a complete body. */
+    TRAILERS_WITHOUT_END("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n", "a: b\r\n", true),
+    /** The body of a failure without end. */
+    FAILURE_WITHOUT_END("HTTP/1.1 500 Failed\r\n\r\n", "x", true),
+    /** A status line without end. */
+    STATUS_LINE_WITHOUT_END("HTTP/1.1 200 ", "x", true),
+    /** Fields without the empty line after them. */
+    FIELDS_WITHOUT_END("HTTP/1.1 200 OK\r\n", "a: b\r\n", true),
+    /** A field without a line end. */
+    FIELD_WITHOUT_END("HTTP/1.1 200 OK\r\na: ", "x", true),
+    /** Interim responses without a final one. */
+    INTERIM_RESPONSES_WITHOUT_END("", "HTTP/1.1 100 Continue\r\n\r\n", true),
+    /** Empty lines in place of a head. */
+    EMPTY_LINES_WITHOUT_END("", "\r\n", true),
+    /** A head that breaks off with its connection. */
+    CUT_HEAD("HTTP/1.1 200 OK\r\nContent-Le", "", true),
+    /** A body that breaks off with its connection. */
+    CUT_BODY("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}", "", true),
+    /** A head that breaks off while its connection stays open. */
+    SILENCE_IN_HEAD("HTTP/1.1 200 OK\r\nContent-Le", "", false),
+    /** A body that breaks off while its connection stays open. */
+    SILENCE_IN_BODY("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}", "", false);
+
+    private static final int PART_BYTES = 64 * 1024;
+
+    private final Buffer beginning;
+    private final Buffer part;
+    private final boolean goesOn;
+
+    BrokenAnswer(String beginning, String unit, boolean goesOn) {
+        this.beginning = Buffer.buffer(beginning);
+        this.part = Buffer.buffer(
+                unit.repeat(unit.isEmpty() ? 0 : PART_BYTES / unit.length()).getBytes(StandardCharsets.US_ASCII));
+        this.goesOn = goesOn;
+    }
+
+    /**
+     * Bytes with which the answer begins.
+     *
+     * @return the bytes, may be empty
+     */
+    Buffer beginning() {
+        return beginning;
+    }
+
+    /**
+     * Bytes that are repeated without end after the beginning.
+     *
+     * @return the bytes, empty if nothing follows
+     */
+    Buffer part() {
+        return part;
+    }
+
+    /**
+     * What happens after the beginning.
+     *
+     * @return true if further parts follow, or the connection ends if there are none; false for silence
+     */
+    boolean goesOn() {
+        return goesOn;
+    }
+}
