Close the sidecar's connections to an engine whose answers do not end

Seen here: connections of generations that had been cancelled or had ended, and of load reports, states and commands that had timed out, stayed open while the engine went on sending or stayed silent. Memory does not grow, but the bytes are read for nothing, and the client has 1,000 connections.

Cause: the stream knew its connection only from the head of the response on; a status other than 200, and the last event, left it open; idle timeouts do not end a connection on which bytes arrive.

Fix: EngineStream keeps the connection from the moment it is opened and closes it whenever the stream ends; the other calls go through BoundedRequest, and the body of a failed one is read within the limits.

--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineClient.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineClient.java
@@ -11,6 +11,8 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.json.JsonObject;
 import org.redwinghook.core.message.GenerationRequest;
+import org.redwinghook.runtime.http.BoundedRequest;
+import org.redwinghook.runtime.http.MessageBody;
 import org.redwinghook.runtime.settings.Address;
 
 /** HTTP client of a model engine that streams completions as server-sent events. */
@@ -18,8 +20,8 @@
 
     private static final int MAXIMUM_CONNECTIONS = 1_000;
 
-    /** A load report or state that takes longer to arrive is out of date. */
-    private static final long STATUS_TIMEOUT_MILLIS = 1_000;
+    /** Maximum time for which the answer to a cancellation is awaited, in milliseconds. */
+    private static final long CANCEL_TIMEOUT_MILLIS = 1_000;
 
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
@@ -65,14 +67,10 @@
         client.request(HttpMethod.POST, address.port(), address.host(), "/v1/completions")
                 .onFailure(failure -> listener.onRefused())
                 .onSuccess(httpRequest -> {
-                    if (stream.isEnded()) {
-                        httpRequest.connection().close();
-                        return;
+                    if (!stream.isEnded()) {
+                        listener.onConnected();
                     }
-                    listener.onConnected();
-                    stream.readFrom(httpRequest
-                            .putHeader("content-type", "application/json")
-                            .send(body.toBuffer()));
+                    stream.open(httpRequest.putHeader("content-type", "application/json"), body.toBuffer());
                 });
         return stream;
     }
@@ -85,58 +83,55 @@
      */
     public void cancel(String identifier) {
         client.request(HttpMethod.DELETE, address.port(), address.host(), generationPath(identifier))
-                .compose(HttpClientRequest::send);
+                .compose(request -> BoundedRequest.send(request, Buffer.buffer(), CANCEL_TIMEOUT_MILLIS))
+                .compose(response -> MessageBody.read(response, CANCEL_TIMEOUT_MILLIS));
     }
 
     /**
      * Reads the engine's load report.
      *
+     * @param timeoutMillis maximum time to the head of the response, in milliseconds
      * @return the response
      */
-    Future<HttpClientResponse> readLoad() {
+    Future<HttpClientResponse> readLoad(long timeoutMillis) {
         return client.request(HttpMethod.GET, address.port(), address.host(), "/load")
-                .compose(request -> {
-                    request.idleTimeout(STATUS_TIMEOUT_MILLIS);
-                    return request.send();
-                });
+                .compose(request -> BoundedRequest.send(request, Buffer.buffer(), timeoutMillis));
     }
 
     /**
      * Reads the engine's state: the model, version, adapters and role that it serves.
      *
+     * @param timeoutMillis maximum time to the head of the response, in milliseconds
      * @return the response
      */
-    Future<HttpClientResponse> readState() {
+    Future<HttpClientResponse> readState(long timeoutMillis) {
         return client.request(HttpMethod.GET, address.port(), address.host(), "/state")
-                .compose(request -> {
-                    request.idleTimeout(STATUS_TIMEOUT_MILLIS);
-                    return request.send();
-                });
+                .compose(request -> BoundedRequest.send(request, Buffer.buffer(), timeoutMillis));
     }
 
     /**
      * Sends a command to the engine.
      *
      * @param body the command
+     * @param timeoutMillis maximum time to the head of the response, in milliseconds
      * @return the response
      */
-    Future<HttpClientResponse> sendCommand(Buffer body) {
+    Future<HttpClientResponse> sendCommand(Buffer body, long timeoutMillis) {
         return client.request(HttpMethod.POST, address.port(), address.host(), "/commands")
-                .compose(request ->
-                        request.putHeader("content-type", "application/json").send(body));
+                .compose(request -> BoundedRequest.send(
+                        request.putHeader("content-type", "application/json"), body, timeoutMillis));
     }
 
     /**
-     * Reopens the stream of a running generation.
+     * Prepares to reopen the stream of a running generation.
      *
      * @param identifier identifier of the generation at the engine
      * @param receivedTokens number of tokens already received
-     * @return the response
+     * @return the request, not yet sent
      */
-    Future<HttpClientResponse> reopenStream(String identifier, long receivedTokens) {
+    Future<HttpClientRequest> reopenStream(String identifier, long receivedTokens) {
         String path = generationPath(identifier) + "/stream?after=" + receivedTokens;
-        return client.request(HttpMethod.GET, address.port(), address.host(), path)
-                .compose(HttpClientRequest::send);
+        return client.request(HttpMethod.GET, address.port(), address.host(), path);
     }
 
     private static String generationPath(String identifier) {
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineCommander.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineCommander.java
@@ -113,8 +113,7 @@
             return;
         }
         isReading = true;
-        engine.readState()
-                .timeout(timings.intervalMillis(), TimeUnit.MILLISECONDS)
+        engine.readState(timings.intervalMillis())
                 .compose(this::parseState)
                 .onComplete(ignored -> isReading = false)
                 .onFailure(failure -> metrics.recordReadFailure())
@@ -126,10 +125,10 @@
     }
 
     private Future<ReportedState> parseState(HttpClientResponse response) {
-        if (response.statusCode() != HTTP_OK) {
-            return Future.failedFuture("the engine answered GET /state with status " + response.statusCode());
-        }
-        return MessageBody.read(response, timings.intervalMillis()).map(EngineStateCodec::decode);
+        return MessageBody.read(response, timings.intervalMillis())
+                .compose(body -> response.statusCode() == HTTP_OK
+                        ? Future.succeededFuture(EngineStateCodec.decode(body))
+                        : Future.failedFuture("the engine answered GET /state with status " + response.statusCode()));
     }
 
     private void sendNextCommand() {
@@ -149,7 +148,7 @@
         }
         lastCommand = command;
         metrics.recordSent();
-        engine.sendCommand(EngineStateCodec.encode(command))
+        engine.sendCommand(EngineStateCodec.encode(command), timings.commandTimeoutMillis())
                 .compose(response -> MessageBody.read(response, timings.commandTimeoutMillis())
                         .map(ignored -> toResult(response.statusCode())))
                 .timeout(timings.commandTimeoutMillis(), TimeUnit.MILLISECONDS)
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineStream.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineStream.java
@@ -1,10 +1,11 @@
 package org.redwinghook.sidecar.engine;
 
 import io.vavr.control.Try;
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpConnection;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.message.FinishReason;
 import org.redwinghook.runtime.http.ServerSentEventParser;
@@ -34,6 +35,7 @@
     private boolean isPaused;
     private long receivedTokens;
     private int reopenings;
+    private @Nullable HttpConnection connection;
     private @Nullable HttpClientResponse currentResponse;
 
     EngineStream(Vertx vertx, EngineClient client, String identifier, EngineListener listener) {
@@ -70,14 +72,25 @@
         return isEnded;
     }
 
-    void readFrom(Future<HttpClientResponse> response) {
-        response.onSuccess(this::readEvents)
+    /**
+     * Sends a request whose response is the stream, unless the stream has ended meanwhile.
+     *
+     * @param request the request, not yet sent
+     * @param body its body
+     */
+    void open(HttpClientRequest request, Buffer body) {
+        connection = request.connection();
+        if (isEnded) {
+            closeConnection();
+            return;
+        }
+        request.send(body)
+                .onSuccess(this::readEvents)
                 .onFailure(failure -> handleBrokenConnection("engine closed the connection"));
     }
 
     private void readEvents(HttpClientResponse response) {
         if (isEnded) {
-            response.request().connection().close();
             return;
         }
         if (response.statusCode() != HTTP_OK) {
@@ -132,7 +145,7 @@
             return;
         }
         isEnded = true;
-        currentResponse = null;
+        closeConnection();
         listener.onFinished(finishReason);
     }
 
@@ -154,7 +167,9 @@
         reopenings++;
         vertx.setTimer(REOPEN_DELAY_MILLIS, ignored -> {
             if (!isEnded) {
-                readFrom(client.reopenStream(identifier, receivedTokens));
+                client.reopenStream(identifier, receivedTokens)
+                        .onSuccess(request -> open(request, Buffer.buffer()))
+                        .onFailure(failure -> handleBrokenConnection("engine closed the connection"));
             }
         });
     }
@@ -173,10 +188,11 @@
     }
 
     private void closeConnection() {
-        HttpClientResponse response = currentResponse;
+        HttpConnection open = connection;
+        connection = null;
         currentResponse = null;
-        if (response != null) {
-            response.request().connection().close();
+        if (open != null) {
+            open.close();
         }
     }
 }
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/LoadMonitor.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/LoadMonitor.java
@@ -64,7 +64,7 @@
             return;
         }
         isPolling = true;
-        engine.readLoad()
+        engine.readLoad(timeoutMillis)
                 .onFailure(failure -> handleUnreachable())
                 .compose(response -> MessageBody.read(response, timeoutMillis).map(body -> parseReport(response, body)))
                 .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
--- a/standins/src/main/java/org/redwinghook/standins/http/BrokenAnswer.java
+++ b/standins/src/main/java/org/redwinghook/standins/http/BrokenAnswer.java
@@ -8,6 +8,11 @@
 public enum BrokenAnswer {
     /** A body that ends with its connection, which does not end. */
     BODY_WITHOUT_END("HTTP/1.1 200 OK\r\n\r\n", "x", true),
+    /** A stream of a model engine whose last event is followed by others. */
+    EVENTS_AFTER_THE_LAST_ONE(
+            "HTTP/1.1 200 OK\r\n\r\ndata: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n",
+            "data: x\n\n",
+            true),
     /** Chunks without a last one. */
     CHUNKS_WITHOUT_END("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n", true),
     /** Trailers without end after a complete body. */
