Bound the time of a sidecar's call to its service

Seen: a call whose service sends no head, or interim responses without a final one, never ended and kept its place at the endpoint; with silence in the body it ended 30 s after the head whatever its deadline.

Cause: only the body had a time limit.

Evidence: BrokenServiceAnswersTest failed before in 3 of 14 rows (INTERIM_RESPONSES_WITHOUT_END, SILENCE_IN_HEAD, SILENCE_IN_BODY: no message from the sidecar within 10 s at a deadline of 500 ms). All 14 pass now, with KeyedCallsTest.

Fix: the answer must be complete by the deadline and an overtime of 1 s, or 30 s for keyed calls, whose answers are replayed. The other 11 rows (bodies, chunks, heads and failures without end, cut heads and bodies) held before: the caller gets no answer that looks whole.

--- a/sidecar/src/main/java/org/redwinghook/sidecar/call/CallService.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/call/CallService.java
@@ -22,6 +22,7 @@
 import org.redwinghook.core.once.OperationKey;
 import org.redwinghook.core.once.OutcomeKind;
 import org.redwinghook.core.once.StoredAnswer;
+import org.redwinghook.runtime.http.BoundedRequest;
 import org.redwinghook.runtime.http.MessageBody;
 import org.redwinghook.runtime.settings.Address;
 import org.redwinghook.runtime.wire.PeerConnection;
@@ -41,8 +42,11 @@
 
     private static final long RETRY_AFTER_MILLIS = 500;
 
-    /** Maximum time from the head of an answer to the end of its body, in milliseconds. */
-    private static final long BODY_TIMEOUT_MILLIS = 30_000;
+    /** Time after the deadline for which an answer is awaited, in milliseconds; the router has given up by then. */
+    private static final long OVERTIME_MILLIS = 1_000;
+
+    /** The same for keyed calls, whose answers are kept for repeats. */
+    private static final long KEYED_OVERTIME_MILLIS = 30_000;
 
     private static final String CONNECTION_BROKEN_DETAIL = "the connection to the service broke during the call";
 
@@ -140,19 +144,26 @@
                     gate.recordRestart();
                     reportResult.accept(new CallResult(OutcomeKind.NOT_RUN, null));
                 })
-                .onSuccess(request -> send(request, call, reportResult));
+                .onSuccess(request -> send(request, call, remainingMillis(call, item), reportResult));
+    }
+
+    private static long remainingMillis(CallRequest call, WorkItem item) {
+        long untilDeadlineMillis = Math.max(0, item.deadlineMillis() - EndpointGate.nowMillis());
+        return untilDeadlineMillis + (isKeyed(call) ? KEYED_OVERTIME_MILLIS : OVERTIME_MILLIS);
     }
 
-    private static void send(HttpClientRequest request, CallRequest call, Consumer<CallResult> reportResult) {
+    private static void send(
+            HttpClientRequest request, CallRequest call, long timeoutMillis, Consumer<CallResult> reportResult) {
         if (call.contentType() != null) {
             request.putHeader("content-type", call.contentType());
         }
         if (call.idempotencyKey() != null) {
             request.putHeader("idempotency-key", call.idempotencyKey());
         }
-        request.send(Buffer.buffer(call.body()))
-                .compose(response ->
-                        MessageBody.read(response, BODY_TIMEOUT_MILLIS).map(body -> toStoredAnswer(response, body)))
+        long endMillis = EndpointGate.nowMillis() + timeoutMillis;
+        BoundedRequest.send(request, Buffer.buffer(call.body()), timeoutMillis)
+                .compose(response -> MessageBody.read(response, Math.max(1, endMillis - EndpointGate.nowMillis()))
+                        .map(body -> toStoredAnswer(response, body)))
                 .onSuccess(answer -> reportResult.accept(new CallResult(OutcomeKind.DONE, answer)))
                 .onFailure(failure -> reportResult.accept(new CallResult(OutcomeKind.UNKNOWN, null)));
     }
