Ignore the rest of the bytes once a frame length has closed a connection

Seen while the report on bytes without end was examined for connections between routers: one read of bytes that are no frames wrote 512 log lines, one for each four bytes that the parser still had.

Cause: the parser goes on after the handler has closed the connection.

Evidence: PeerConnectionTest failed in all three rows before (512 lines instead of 1) and passes now.

--- a/runtime/src/main/java/org/redwinghook/runtime/wire/PeerConnection.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/PeerConnection.java
@@ -122,6 +122,10 @@
     }
 
     private void handleFramePart(Buffer part) {
+        if (!open) {
+            // The parser goes on with the bytes that it already has.
+            return;
+        }
         if (expectedBodyBytes == 0) {
             expectBody(part.getInt(0));
             return;
