--- a/standins/src/main/java/org/redwinghook/standins/http/BrokenAnswer.java
+++ b/standins/src/main/java/org/redwinghook/standins/http/BrokenAnswer.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
 
 /** Bytes of a faulty server in place of an answer. */
 public enum BrokenAnswer {
@@ -40,41 +41,36 @@
 
     private static final int PART_BYTES = 64 * 1024;
 
-    private final Buffer beginning;
+    private final String beginning;
     private final Buffer part;
     private final boolean goesOn;
 
     BrokenAnswer(String beginning, String unit, boolean goesOn) {
-        this.beginning = Buffer.buffer(beginning);
+        this.beginning = beginning;
         this.part = Buffer.buffer(
                 unit.repeat(unit.isEmpty() ? 0 : PART_BYTES / unit.length()).getBytes(StandardCharsets.US_ASCII));
         this.goesOn = goesOn;
     }
 
     /**
-     * Bytes with which the answer begins.
+     * Writes the answer, as fast as the other side reads and until the connection closes if it has no end.
      *
-     * @return the bytes, may be empty
+     * @param socket the connection
+     * @param fields field lines that follow the status line, may be empty
      */
-    Buffer beginning() {
-        return beginning;
+    public void writeTo(NetSocket socket, String fields) {
+        socket.write(beginning.replaceFirst("\r\n", "\r\n" + fields));
+        if (!goesOn) {
+            return;
+        }
+        if (part.length() == 0) {
+            socket.end();
+            return;
+        }
+        writeWithoutEnd(socket, part);
     }
 
-    /**
-     * Bytes that are repeated without end after the beginning.
-     *
-     * @return the bytes, empty if nothing follows
-     */
-    Buffer part() {
-        return part;
-    }
-
-    /**
-     * What happens after the beginning.
-     *
-     * @return true if further parts follow, or the connection ends if there are none; false for silence
-     */
-    boolean goesOn() {
-        return goesOn;
+    private static void writeWithoutEnd(NetSocket socket, Buffer part) {
+        socket.write(part).onSuccess(ignored -> writeWithoutEnd(socket, part));
     }
 }
--- a/standins/src/main/java/org/redwinghook/standins/http/BrokenServer.java
+++ b/standins/src/main/java/org/redwinghook/standins/http/BrokenServer.java
@@ -5,7 +5,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 
@@ -81,23 +80,7 @@
         socket.closeHandler(ignored -> openConnections.decrementAndGet());
         socket.handler(ignored -> {
             socket.handler(further -> {});
-            answer(socket);
+            answer.writeTo(socket, "");
         });
     }
-
-    private void answer(NetSocket socket) {
-        socket.write(answer.beginning());
-        if (!answer.goesOn()) {
-            return;
-        }
-        if (answer.part().length() == 0) {
-            socket.end();
-            return;
-        }
-        writeWithoutEnd(socket, answer.part());
-    }
-
-    private static void writeWithoutEnd(NetSocket socket, Buffer part) {
-        socket.write(part).onSuccess(ignored -> writeWithoutEnd(socket, part));
-    }
 }
