--- a/standins/src/test/java/org/redwinghook/standins/http/BrokenPlatformAnswersTest.java
+++ b/standins/src/test/java/org/redwinghook/standins/http/BrokenPlatformAnswersTest.java
@@ -34,9 +34,9 @@
 
     /** A call to the platform. */
     private enum Call {
-        APPEND((vertx, address) -> new LogClient(vertx, address).append("configuration", Buffer.buffer("record"))),
-        READ((vertx, address) -> new LogClient(vertx, address).read("configuration", 1, 10)),
-        VM_LIST((vertx, address) -> new VmListClient(vertx, address, 1_000).read());
+        APPEND((client, address) -> new LogClient(client, address).append("configuration", Buffer.buffer("record"))),
+        READ((client, address) -> new LogClient(client, address).read("configuration", 1, 10)),
+        VM_LIST((client, address) -> new VmListClient(client, address, 1_000).read());
 
         private final BiFunction<Vertx, Address, Future<?>> behaviour;
 
@@ -44,8 +44,8 @@
             this.behaviour = behaviour;
         }
 
-        Future<?> send(Vertx vertx, Address address) {
-            return behaviour.apply(vertx, address);
+        Future<?> send(Vertx client, Address address) {
+            return behaviour.apply(client, address);
         }
     }
 
