Ask for the state of the sidecar on the event loop in StreamsTest

Read from the code, not repeated: the chain of futures is built on the test's thread; if the response has arrived before its last part is attached, response.body() is called on that thread after the body was delivered, and never completes. The chain is now built on the event loop. The assertions are the same. All tests of core, runtime, standins and sidecar (576) pass with it.

--- a/sidecar/src/test/java/org/redwinghook/sidecar/StreamsTest.java
+++ b/sidecar/src/test/java/org/redwinghook/sidecar/StreamsTest.java
@@ -5,6 +5,7 @@
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
@@ -74,11 +75,14 @@
     }
 
     private JsonObject state() {
-        return admin.request(HttpMethod.GET, sidecar.adminPort(), "127.0.0.1", "/state")
+        // A body that is asked for on another thread than the event loop may have arrived already, and never does then.
+        Promise<JsonObject> generations = Promise.promise();
+        vertx.runOnContext(ignored -> admin.request(HttpMethod.GET, sidecar.adminPort(), "127.0.0.1", "/state")
                 .compose(request -> request.send())
                 .compose(response -> response.body())
                 .map(body -> new JsonObject(body).getJsonObject("generations"))
-                .await();
+                .onComplete(generations));
+        return generations.future().await();
     }
 
     /** Receives tokens up to a sequence number and checks that their sequence numbers are consecutive. */
