--- a/review/6/Case6.java
+++ b/review/6/Case6.java
@@ -40,7 +40,7 @@
                 out.write(server.answerHead(
                                 head, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
                         .getBytes(StandardCharsets.US_ASCII));
-                stage.write("engine %s runs %s faulty=%s", server.id, head.get("redwinghook-attempt-id"), isFaulty);
+                stage.write("engine %s runs %s faulty=%s", server.id, head.id(), isFaulty);
                 if (isFaulty) {
                     faulty.incrementAndGet();
                     while (true) {
@@ -92,9 +92,8 @@
                                     "/draft/" + number,
                                     id,
                                     39_000,
-                                    "Redwinghook-Model: m\r\nRedwinghook-Token-Count: 200,400\r\n"
-                                            + "Redwinghook-Prompt-Prefix: 5c1e07a2:79,9100" + number
-                                            + ":121\r\nContent-Length: 0\r\n")
+                                    Wire.generation(200, 400, "5c1e07a2:79,9100" + number + ":121")
+                                            + "Content-Length: 0\r\n")
                             .getBytes(StandardCharsets.US_ASCII));
             byte[] buffer = new byte[64 * 1024];
             for (int size = socket.getInputStream().read(buffer); size > 0; size = socket.getInputStream().read(buffer)) {
--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -94,10 +94,10 @@
     private static Stage.Server startEngine(Stage stage, String id) throws IOException {
         return stage.startServer(id, "engines", (server, head, in, connection) -> {
             String body = new String(Stage.readBody(in, head), StandardCharsets.UTF_8);
-            if (head.path().equals("/kv-move")) {
+            if (head.path().equals(Wire.text("call.move"))) {
                 return move(stage, server, body, connection);
             }
-            if (head.path().startsWith("/kv-handle/") || head.path().equals("/report")) {
+            if (head.path().startsWith(Wire.text("call.handle")) || head.path().equals("/report")) {
                 answer(connection, 200, "{\"state\":\"ready\"}");
                 return true;
             }
@@ -106,12 +106,12 @@
     }
 
     private static boolean run(Stage stage, Stage.Server server, Stage.Head head, Socket connection) throws Exception {
-        String id = head.get("redwinghook-attempt-id");
+        String id = head.id();
         String copy = head.get("kv-from");
         String last = head.get("last-event-id");
         if (copy != null && handles.remove(copy) == null) {
             connection.getOutputStream()
-                    .write("HTTP/1.1 503 X\r\nRedwinghook-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                    .write(("HTTP/1.1 503 X\r\n" + Wire.text("not-run") + ": 1\r\nContent-Length: 0\r\n\r\n")
                             .getBytes(StandardCharsets.US_ASCII));
             return true;
         }
@@ -145,8 +145,7 @@
         }
         if (!body.contains("\"last\"")) {
             Thread.sleep(COPY_MILLIS);
-            answer(connection, 200, "{\"kv-handle\":\"copy-" + handleNumbers.incrementAndGet() + "\",\"created\":"
-                    + run.made + "}");
+            answer(connection, 200, Wire.text("copied", "handle", "copy-" + handleNumbers.incrementAndGet(), "events", run.made));
             return true;
         }
         boolean isReset = stops.incrementAndGet() % 2 == 0 && stage.trouble;
@@ -167,7 +166,7 @@
         if (isReset) {
             return false;
         }
-        answer(connection, 200, "{\"kv-handle\":\"" + handle + "\",\"created\":" + run.made + "}");
+        answer(connection, 200, Wire.text("copied", "handle", handle, "events", run.made));
         return true;
     }
 
@@ -195,9 +194,8 @@
                                     "/draft/" + number,
                                     id,
                                     39_000,
-                                    "Redwinghook-Model: m\r\nRedwinghook-Token-Count: 200,600\r\n"
-                                            + "Redwinghook-Prompt-Prefix: 5c1e07a2:79,9100" + number
-                                            + ":121\r\nContent-Length: 0\r\n")
+                                    Wire.generation(200, 600, "5c1e07a2:79,9100" + number + ":121")
+                                            + "Content-Length: 0\r\n")
                             .getBytes(StandardCharsets.US_ASCII));
             InputStream in = new BufferedInputStream(socket.getInputStream());
             Stage.Head head = Stage.readHead(in);
--- a/review/stage/Stage.java
+++ b/review/stage/Stage.java
@@ -130,6 +130,11 @@
             return fields.get(name.toLowerCase(Locale.ROOT));
         }
 
+        /** Identifier of a client's attempt. */
+        String id() {
+            return get(Wire.text("request-id"));
+        }
+
         int status() {
             String[] words = first.split(" ");
             return words.length > 1 ? Integer.parseInt(words[1]) : -1;
@@ -276,7 +281,7 @@
                             topic,
                             new String(body, 5, keyLength, StandardCharsets.UTF_8),
                             java.util.Arrays.copyOfRange(body, 5 + keyLength, body.length));
-                    yield ("{\"offset\":" + offset + ",\"end-offset\":" + (offset + 1) + "}").getBytes(StandardCharsets.UTF_8);
+                    yield Wire.text("appended", "first", offset, "end", offset + 1).getBytes(StandardCharsets.UTF_8);
                 }
             };
         }
@@ -292,8 +297,7 @@
                             + Base64.getEncoder().encodeToString(entry.value()) + "\",\"offset\":" + offset + "}");
                 }
             }
-            return ("{\"entries\":[" + String.join(",", newest.values()) + "],\"has-more\":false,\"end-offset\":"
-                            + entries.size() + "}")
+            return Wire.text("newest", "entries", String.join(",", newest.values()), "end", entries.size())
                     .getBytes(StandardCharsets.UTF_8);
         }
 
@@ -363,12 +367,24 @@
 
         void register(String state) {
             store.put(
-                    "keyed.servers",
+                    Wire.text("topic.servers"),
                     id,
-                    "{\"service\":\"" + service + "\",\"address\":\"" + address() + "\",\"zone\":\"" + ZONE
-                            + "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
-                            + "\",\"cold-left-ms\":0,\"born\":" + born + ",\"sequence\":" + sequence.incrementAndGet()
-                            + "}");
+                    Wire.text(
+                            "entry",
+                            "service",
+                            service,
+                            "address",
+                            address(),
+                            "zone",
+                            ZONE,
+                            "slots",
+                            slots,
+                            "state",
+                            state,
+                            "born",
+                            born,
+                            "sequence",
+                            sequence.incrementAndGet()));
         }
 
         private void accept() {
@@ -401,8 +417,8 @@
 
         /** Head of an answer as a sound server gives it. */
         String answerHead(Head request, int status, String fields) {
-            return "HTTP/1.1 " + status + " X\r\nRedwinghook-Attempt-Id: " + request.get("redwinghook-attempt-id")
-                    + "\r\nRedwinghook-Server-Stamp: stamp-" + id + "\r\n" + fields + "\r\n";
+            return "HTTP/1.1 " + status + " X\r\n" + Wire.text("request-id") + ": " + request.id() + "\r\n"
+                    + Wire.text("stamp") + ": stamp-" + id + "\r\n" + fields + "\r\n";
         }
 
         @Override
@@ -533,25 +549,48 @@
     /** Writes a configuration with one tenant. */
     void configure(int version, String routes, String services) {
         store.put(
-                "keyed.op",
+                Wire.text("topic.operators"),
                 "config",
-                "{\"version\":" + version + ",\"routes\":[" + routes + "],\"services\":[" + services
-                        + "],\"tenants\":[{\"name\":\"" + TENANT + "\",\"api-keys\":[\"" + KEY
-                        + "\"]}],\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,"
-                        + "\"header-timeout-ms\":10000,\"idle-timeout-ms\":15000}}");
+                Wire.text(
+                        "configuration",
+                        "version",
+                        version,
+                        "routes",
+                        routes,
+                        "services",
+                        services,
+                        "tenant",
+                        TENANT,
+                        "key",
+                        KEY));
     }
 
     static String route(String prefix, String service, String type, int timeoutMillis, int attempts, boolean resumable) {
-        return "{\"name\":\"r" + prefix.replace('/', '-') + "\",\"host\":\"" + HOST + "\",\"path-prefix\":\"" + prefix
-                + "\",\"route-type\":\"" + type + "\",\"timeout-ms\":" + timeoutMillis
-                + ",\"latency-goal-ms\":1800,\"priority\":1,\"service\":\"" + service + "\",\"max-attempts\":"
-                + attempts + ",\"public\":false,\"sticky\":" + type.equals("streaming") + ",\"resumable\":" + resumable
-                + ",\"gap-target-ms\":180,\"allowed-regions\":[]}";
+        return Wire.text(
+                "route",
+                "name",
+                "r" + prefix.replace('/', '-'),
+                "host",
+                HOST,
+                "prefix",
+                prefix,
+                "type",
+                type,
+                "timeout",
+                timeoutMillis,
+                "service",
+                service,
+                "attempts",
+                attempts,
+                "sticky",
+                type.equals("streaming"),
+                "resumable",
+                resumable);
     }
 
     static String requestHead(String method, String path, String id, int deadlineMillis, String fields) {
-        return method + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nRedwinghook-Attempt-Id: " + id
-                + "\r\nRedwinghook-Deadline-Ms: " + deadlineMillis + "\r\nAuthorization: Token " + KEY + "\r\n"
+        return method + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\n" + Wire.text("request-id") + ": " + id
+                + "\r\n" + Wire.text("deadline") + ": " + deadlineMillis + "\r\nAuthorization: Token " + KEY + "\r\n"
                 + fields + "\r\n";
     }
 }
