--- a/router/src/main/java/org/redwinghook/router/forward/MemoryMover.java
+++ b/router/src/main/java/org/redwinghook/router/forward/MemoryMover.java
@@ -13,7 +13,8 @@
      * @param requestId identifier of the run
      * @param destination engine that receives the copy
      * @param stopsRun whether the engine stops the run before the copy
-     * @return the result; fails if the source does not respond
+     * @return the result; fails with {@link CallNotSentException} if the source cannot be reached, and with another failure
+     *     if it does not respond, although it may have executed the call or may still do so
      */
     Future<MoveResult> copy(EndpointEntry source, String requestId, EndpointEntry destination, boolean stopsRun);
 
--- a/router/src/main/java/org/redwinghook/router/forward/MoveResult.java
+++ b/router/src/main/java/org/redwinghook/router/forward/MoveResult.java
@@ -11,6 +11,15 @@
  */
 public record MoveResult(Status status, @Nullable String handle, long events) {
 
+    /**
+     * Whether a call that was to stop the run certainly did not.
+     *
+     * @return false if the run is stopped or may be
+     */
+    boolean isStopRejected() {
+        return handle == null && (status == Status.NO_RUN || status == Status.IN_PROGRESS);
+    }
+
     /** Outcome of a copy. */
     public enum Status {
         /** The copy is complete. */
@@ -20,6 +29,8 @@
         /** Another copy of the run is in progress. */
         IN_PROGRESS,
         /** The destination has no room or cannot be reached; the source keeps the memory. */
-        NO_ROOM
+        NO_ROOM,
+        /** The answer does not tell what the engine did. */
+        UNKNOWN
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/RunMove.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunMove.java
@@ -10,6 +10,7 @@
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.RunningRequest;
 import org.redwinghook.core.relocation.DeparturePlan;
+import org.redwinghook.core.relocation.StopState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -259,6 +260,7 @@
                 releaseReservation();
                 start();
             }
+            case UNKNOWN -> handleCopyFailure(new IllegalStateException("unexpected answer of the engine"), chosen);
             default -> postpone();
         }
     }
@@ -285,7 +287,7 @@
             postpone();
             return;
         }
-        stream.setStopping(true);
+        stream.recordStop(StopState::afterRequest);
         stopSentAtMillis = context.clock().millis();
         context.memoryMover()
                 .copy(source.entry(), stream.caller().requestId(), chosen.entry(), true)
@@ -294,9 +296,17 @@
         link.handleRelease(this);
     }
 
-    /** Handles a stop without an answer. Only a run whose stream goes on is tried again: it was not stopped. */
+    /** Handles a stop without an answer. Only a run whose stream goes on is tried again. */
     private void handleStopFailure(Throwable failure) {
-        stream.handleStopFailure();
+        boolean isSent = !(failure instanceof CallNotSentException);
+        LOGGER.info(
+                "stop failed id={} engine={} sent={} streamEnded={} cause={}",
+                stream.caller().requestId(),
+                source.entry().id(),
+                isSent,
+                stream.isStopped(),
+                failure.toString());
+        stream.handleStopFailure(isSent ? StopState::afterUnknownResult : StopState::afterRejection);
         lastFailure = "stop_failed " + failure.getMessage();
         if (isRunningAtSource() && !stream.isStopped()) {
             postpone();
@@ -308,7 +318,14 @@
     private void handleStopResult(MoveResult result, KnownEndpoint chosen) {
         String handle = result.handle();
         if (handle == null) {
-            stream.handleStopFailure();
+            LOGGER.info(
+                    "stop without copy id={} engine={} status={} streamEnded={}",
+                    stream.caller().requestId(),
+                    source.entry().id(),
+                    result.status(),
+                    stream.isStopped());
+            stream.handleStopFailure(
+                    result.isStopRejected() ? StopState::afterRejection : StopState::afterUnknownResult);
             excluded.add(chosen.entry().id());
             postpone();
             return;
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
@@ -17,6 +18,7 @@
 import org.redwinghook.core.quarantine.QuarantinedPart;
 import org.redwinghook.core.receive.ReceiveLimits;
 import org.redwinghook.core.relocation.RunAtEngine;
+import org.redwinghook.core.relocation.StopState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -112,22 +114,28 @@
     }
 
     /**
-     * Sets whether the endpoint is about to stop the run, so that the end of its stream is not treated as a failure.
+     * Records what is known about the calls that ask the endpoint to stop the run.
+     *
+     * @param transition the change of the state
      */
-    void setStopping(boolean stopping) {
+    void recordStop(UnaryOperator<StopState> transition) {
         StreamAttempt attempt = currentAttempt;
         if (attempt != null) {
-            attempt.isStopping = stopping;
+            attempt.stopState = transition.apply(attempt.stopState);
         }
     }
 
-    /** Handles a stop without a confirmation by the engine; if the stream has ended, the run is lost at that engine. */
-    void handleStopFailure() {
+    /**
+     * Handles a stop without a confirmation by the engine; if the stream has ended, the run is lost at that engine.
+     *
+     * @param transition the change of what is known about the stop
+     */
+    void handleStopFailure(UnaryOperator<StopState> transition) {
+        recordStop(transition);
         StreamAttempt attempt = currentAttempt;
         if (attempt == null) {
             return;
         }
-        attempt.isStopping = false;
         if (attempt.endpointAttempt.isEnded() && !caller.isEnded()) {
             attempt.handleBrokenStream(new IllegalStateException("the engine was lost while it stopped the run"));
         }
@@ -343,7 +351,7 @@
         private long eventsOfAttempt;
         private long firstEventOfAttemptMillis;
         private long lastEventOfAttemptMillis;
-        private boolean isStopping;
+        private StopState stopState = StopState.RUNNING;
 
         StreamAttempt(KnownEndpoint endpoint, @Nullable MemoryCopy copy) {
             this.endpoint = endpoint;
@@ -470,7 +478,7 @@
             if (endpointAttempt.isEnded()) {
                 return;
             }
-            boolean isCutOff = !isFramed() && (isStopping || eventsOfAttempt == 0);
+            boolean isCutOff = !isFramed() && (stopState.mayBeStopped() || eventsOfAttempt == 0);
             if (isCutOff || splitter.hasPartialEvent() || !responseStarted) {
                 handleFailure(
                         isFramed()
@@ -551,8 +559,8 @@
             if (endpointAttempt.isEnded()) {
                 return;
             }
-            endpointAttempt.end(isStopping ? AttemptOutcome.WITHDRAWN : endpointAttempt.failureOutcome());
-            if (!isStopping) {
+            endpointAttempt.end(stopState.mayBeStopped() ? AttemptOutcome.WITHDRAWN : endpointAttempt.failureOutcome());
+            if (!stopState.isRequestPending()) {
                 handleBrokenStream(failure);
                 return;
             }
