--- a/router/src/main/java/org/redwinghook/router/forward/EndpointExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointExchange.java
@@ -18,6 +18,7 @@
 import io.vertx.core.http.RequestOptions;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.EndpointEntry;
+import org.redwinghook.runtime.http.InterimResponses;
 
 /**
  * One request to an endpoint on a connection of its own. A new connection for each request protects other requests from
@@ -177,6 +178,7 @@
             return;
         }
         isSent = true;
+        InterimResponses.limit(request, responsePromise::tryFail);
         request.exceptionHandler(responsePromise::tryFail);
         request.response().onSuccess(responsePromise::tryComplete).onFailure(responsePromise::tryFail);
         request.end(body);
--- a/router/src/main/java/org/redwinghook/router/forward/EventSplitter.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EventSplitter.java
@@ -20,11 +20,12 @@
     private int lineStart;
     private @Nullable String id;
     private boolean isWellFormed = true;
+    private boolean hasFields;
 
     /**
      * An event.
      *
-     * @param bytes bytes of the event, including the empty line at its end
+     * @param bytes bytes of the event, including empty lines before it and the one at its end
      * @param id identifier of the event, null if it has none
      * @param isWellFormed whether each line is a comment or a field, unlike an error text or the head of a response
      */
@@ -44,14 +45,21 @@
             if (pending.getByte(scannedBytes) != '\n') {
                 continue;
             }
+            if (isEmptyLine() && !hasFields) {
+                // Empty lines before an event are no event of their own; they are forwarded with the one that follows.
+                lineStart = scannedBytes + 1;
+                continue;
+            }
             if (isEmptyLine()) {
                 events.add(new Event(pending.getBuffer(start, scannedBytes + 1), id, isWellFormed));
                 id = null;
                 isWellFormed = true;
+                hasFields = false;
                 start = scannedBytes + 1;
                 lineStart = start;
                 continue;
             }
+            hasFields = true;
             isWellFormed = isWellFormed && isCommentOrField();
             if (id == null && isIdLine()) {
                 id = pending.getString(lineStart + ID_FIELD.length, scannedBytes)
@@ -121,6 +129,15 @@
      * @return true if the rest of an event is missing
      */
     boolean hasPartialEvent() {
-        return pending.length() > 0;
+        return hasFields || lineStart < pending.length();
+    }
+
+    /**
+     * Empty lines after the last event.
+     *
+     * @return their bytes, to be forwarded at the end of a complete stream
+     */
+    Buffer trailingLines() {
+        return pending;
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -16,9 +16,11 @@
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.RunningRequest;
 import org.redwinghook.core.quarantine.QuarantinedPart;
+import org.redwinghook.core.receive.PartAllowance;
 import org.redwinghook.core.receive.ReceiveLimits;
 import org.redwinghook.core.relocation.RunAtEngine;
 import org.redwinghook.core.relocation.StopState;
+import org.redwinghook.runtime.http.PacedRead;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -35,6 +37,12 @@
 
     private static final int SERVICE_UNAVAILABLE = 503;
 
+    /** Number of events and chunks of a stream that are forwarded at once; several seconds of an engine's output. */
+    private static final int MAXIMUM_PARTS_AT_ONCE = 1_024;
+
+    /** Number of events and chunks of a stream per millisecond that are forwarded in the long run. */
+    private static final int MAXIMUM_PARTS_PER_MILLI = 5;
+
     /** Output tokens per event; from the engines' data sheet. */
     private static final long TOKENS_PER_EVENT = 4;
 
@@ -352,6 +360,7 @@
         private long firstEventOfAttemptMillis;
         private long lastEventOfAttemptMillis;
         private StopState stopState = StopState.RUNNING;
+        private boolean awaitsDrain;
 
         StreamAttempt(KnownEndpoint endpoint, @Nullable MemoryCopy copy) {
             this.endpoint = endpoint;
@@ -396,12 +405,14 @@
                 return;
             }
             currentResponse = response;
+            PacedRead pacing = new PacedRead(
+                    context.vertx(), response, new PartAllowance(MAXIMUM_PARTS_AT_ONCE, MAXIMUM_PARTS_PER_MILLI));
             response.exceptionHandler(this::handleFailure);
             response.endHandler(ignored -> handleEnd());
-            response.handler(bytes -> handleBytes(response, bytes));
+            response.handler(bytes -> handleBytes(response, pacing, bytes));
         }
 
-        private void handleBytes(HttpClientResponse response, Buffer bytes) {
+        private void handleBytes(HttpClientResponse response, PacedRead pacing, Buffer bytes) {
             if (endpointAttempt.isEnded()) {
                 return;
             }
@@ -411,25 +422,46 @@
             if (endpointAttempt.isEnded()) {
                 return;
             }
-            for (EventSplitter.Event event : events) {
-                if (responseStarted && !event.isWellFormed()) {
-                    handleFailure(new IllegalStateException("the stream has bytes that are no event"));
-                    return;
-                }
-                forwardEvent(response, event);
+            boolean isWellFormed = forwardEvents(response, events);
+            if (!isWellFormed) {
+                handleFailure(new IllegalStateException("the stream has bytes that are no event"));
+                return;
             }
+            pacing.record(1 + events.size());
             if (splitter.isTooLarge()) {
                 handleFailure(new IllegalStateException(
                         "an event is larger than " + ReceiveLimits.MAXIMUM_MESSAGE_BYTES + " bytes"));
                 return;
             }
-            if (caller.response().writeQueueFull()) {
-                response.pause();
-                caller.response().drainHandler(ignored -> response.resume());
+            if (caller.response().writeQueueFull() && !awaitsDrain) {
+                awaitsDrain = true;
+                pacing.hold();
+                caller.response().drainHandler(ignored -> {
+                    awaitsDrain = false;
+                    pacing.release();
+                });
             }
         }
 
-        private void forwardEvent(HttpClientResponse response, EventSplitter.Event event) {
+        /** Forwards the events up to the first one that is malformed; returns whether there is none. */
+        private boolean forwardEvents(HttpClientResponse response, List<EventSplitter.Event> events) {
+            Buffer forwarded = Buffer.buffer();
+            boolean isWellFormed = true;
+            for (EventSplitter.Event event : events) {
+                isWellFormed = event.isWellFormed() || !responseStarted;
+                if (!isWellFormed) {
+                    break;
+                }
+                recordEvent(response, event);
+                forwarded.appendBuffer(event.bytes());
+            }
+            if (forwarded.length() > 0) {
+                caller.response().write(forwarded);
+            }
+            return isWellFormed;
+        }
+
+        private void recordEvent(HttpClientResponse response, EventSplitter.Event event) {
             if (!responseStarted) {
                 responseStarted = true;
                 startedMediaType = mediaType(response);
@@ -443,7 +475,6 @@
             recordEventTime();
             recordProgress();
             notifyOfEvent();
-            caller.response().write(event.bytes());
             forwardedEvents++;
             runningRequest.recordProducedTokens(forwardedEvents * TOKENS_PER_EVENT);
             if (event.id() != null) {
@@ -486,6 +517,9 @@
                                 : new HttpClosedException("the stream ended before its last event"));
                 return;
             }
+            if (splitter.trailingLines().length() > 0) {
+                caller.response().write(splitter.trailingLines());
+            }
             endpointAttempt.end(AttemptOutcome.SUCCEEDED);
             end();
             attempts.recordAnswer();
--- a/router/src/test/java/org/redwinghook/router/forward/EventSplitterTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/EventSplitterTest.java
@@ -44,6 +44,18 @@
         Assert.assertTrue(splitter.hasPartialEvent());
     }
 
+    /** Guards against an event loop that is kept busy by empty lines without end, each of which was an event. */
+    @Test
+    public void emptyLinesAreNoEvents() {
+        EventSplitter splitter = new EventSplitter();
+        Assert.assertEquals(splitter.add(Buffer.buffer("\n".repeat(8_192))), List.of());
+        Assert.assertFalse(splitter.hasPartialEvent());
+        List<EventSplitter.Event> events = splitter.add(Buffer.buffer("data: a\n\n\r\n"));
+        Assert.assertEquals(events.size(), 1);
+        Assert.assertEquals(events.get(0).bytes().length(), 8_192 + "data: a\n\n".length());
+        Assert.assertEquals(splitter.trailingLines().toString(), "\r\n");
+    }
+
     /** Guards against work that grows with the square of the size of an event. */
     @Test(timeOut = 5_000)
     public void eventWithoutEndIsReadOnceAndTooLarge() {
--- a/runtime/src/main/java/org/redwinghook/runtime/http/BoundedRequest.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/BoundedRequest.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -22,8 +23,10 @@
      * @return the response, none of whose body has been read
      */
     public static Future<HttpClientResponse> send(HttpClientRequest request, Buffer body, long timeoutMillis) {
-        return request.send(body)
-                .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
-                .onFailure(failure -> request.connection().close());
+        Promise<HttpClientResponse> response = Promise.promise();
+        InterimResponses.limit(request, response::tryFail);
+        request.send(body).onSuccess(response::tryComplete).onFailure(response::tryFail);
+        return response.future().timeout(timeoutMillis, TimeUnit.MILLISECONDS).onFailure(failure -> request.connection()
+                .close());
     }
 }
--- a/runtime/src/main/java/org/redwinghook/runtime/http/MessageBody.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/MessageBody.java
@@ -5,10 +5,12 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.streams.ReadStream;
 import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.receive.PartAllowance;
 import org.redwinghook.core.receive.ReceiveLimits;
 
 /** Reads the bodies of messages of other processes into memory, up to a limit. */
@@ -17,6 +19,12 @@
     /** Memory of a body of a few bytes. */
     private static final int MINIMUM_BUFFER_BYTES = 256;
 
+    /** Number of parts of a body that are collected before other connections have their turn. */
+    private static final int MAXIMUM_PARTS_AT_ONCE = 512;
+
+    /** Number of parts of a body per millisecond that are collected in the long run. */
+    private static final int MAXIMUM_PARTS_PER_MILLI = 100;
+
     private MessageBody() {}
 
     /**
@@ -30,7 +38,11 @@
      *     message ends early
      */
     public static Future<Buffer> read(ReadStream<Buffer> message, int maximumBytes, IntConsumer onReceived) {
-        Collector collector = new Collector(maximumBytes, onReceived);
+        PacedRead pacing = new PacedRead(
+                Vertx.currentContext().owner(),
+                message,
+                new PartAllowance(MAXIMUM_PARTS_AT_ONCE, MAXIMUM_PARTS_PER_MILLI));
+        Collector collector = new Collector(maximumBytes, onReceived, pacing);
         Future<Buffer> body = collector.future();
         message.exceptionHandler(collector::fail);
         message.endHandler(ignored -> collector.complete());
@@ -78,12 +90,14 @@
 
         private final int maximumBytes;
         private final IntConsumer onReceived;
+        private final PacedRead pacing;
         private Buffer body = Buffer.buffer();
         private @Nullable Promise<Buffer> promise = Promise.promise();
 
-        Collector(int maximumBytes, IntConsumer onReceived) {
+        Collector(int maximumBytes, IntConsumer onReceived, PacedRead pacing) {
             this.maximumBytes = maximumBytes;
             this.onReceived = onReceived;
+            this.pacing = pacing;
         }
 
         Future<Buffer> future() {
@@ -102,6 +116,7 @@
             int before = heldBytes(body.length());
             body.appendBuffer(part);
             onReceived.accept(heldBytes(body.length()) - before);
+            pacing.record(1);
         }
 
         void complete() {
--- a/runtime/src/main/java/org/redwinghook/runtime/http/ServerSentEventParser.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/ServerSentEventParser.java
@@ -2,17 +2,17 @@
 
 import java.util.function.Consumer;
 
-import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.parsetools.RecordParser;
 import org.redwinghook.core.receive.ReceiveLimits;
 
 /** Parses the data fields of a stream of server-sent events. */
-public final class ServerSentEventParser implements Handler<Buffer> {
+public final class ServerSentEventParser {
 
     private static final String DATA_FIELD = "data:";
 
     private final RecordParser lineParser;
+    private int lines;
 
     /**
      * Creates a parser.
@@ -21,6 +21,7 @@
      */
     public ServerSentEventParser(Consumer<String> onData) {
         this.lineParser = RecordParser.newDelimited("\n", line -> {
+            lines++;
             String text = line.toString();
             if (text.startsWith(DATA_FIELD)) {
                 onData.accept(text.substring(DATA_FIELD.length()).strip());
@@ -29,8 +30,15 @@
         lineParser.maxRecordSize(ReceiveLimits.MAXIMUM_MESSAGE_BYTES);
     }
 
-    @Override
-    public void handle(Buffer chunk) {
+    /**
+     * Parses the next bytes of the stream.
+     *
+     * @param chunk the bytes
+     * @return number of lines that these bytes complete
+     */
+    public int handle(Buffer chunk) {
+        lines = 0;
         lineParser.handle(chunk);
+        return lines;
     }
 }
--- a/runtime/src/main/java/org/redwinghook/runtime/wire/PeerConnection.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/wire/PeerConnection.java
@@ -3,11 +3,14 @@
 import java.util.function.Consumer;
 
 import io.vertx.core.Future;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.message.Message;
+import org.redwinghook.core.receive.PartAllowance;
+import org.redwinghook.runtime.http.PacedRead;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -16,10 +19,17 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(PeerConnection.class);
 
+    /** Number of frames that are processed before other connections have their turn. */
+    private static final int MAXIMUM_FRAMES_AT_ONCE = 1_024;
+
+    /** Number of frames per millisecond that are processed in the long run. */
+    private static final int MAXIMUM_FRAMES_PER_MILLI = 10;
+
     private final NetSocket socket;
     private final FrameCodec codec;
     private final WireMetrics metrics;
     private final RecordParser parser;
+    private final PacedRead reading;
     private int expectedBodyBytes;
     private long messagesReceived;
     private Future<Void> lastWrite = Future.succeededFuture();
@@ -38,8 +48,12 @@
         this.socket = socket;
         this.codec = codec;
         this.metrics = metrics;
-        this.parser = RecordParser.newFixed(FrameCodec.LENGTH_BYTES, this::handleFramePart);
-        socket.handler(parser::handle);
+        this.parser = RecordParser.newFixed(FrameCodec.LENGTH_BYTES, socket);
+        this.reading = new PacedRead(
+                Vertx.currentContext().owner(),
+                parser,
+                new PartAllowance(MAXIMUM_FRAMES_AT_ONCE, MAXIMUM_FRAMES_PER_MILLI));
+        parser.handler(this::handleFramePart);
         socket.exceptionHandler(failure -> close());
         socket.closeHandler(ignored -> handleClosed());
     }
@@ -132,6 +146,7 @@
         }
         expectedBodyBytes = 0;
         parser.fixedSizeMode(FrameCodec.LENGTH_BYTES);
+        reading.record(1);
         messagesReceived++;
         metrics.recordReceived(part.length() + FrameCodec.LENGTH_BYTES);
         codec.decode(part)
--- a/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineStream.java
+++ b/sidecar/src/main/java/org/redwinghook/sidecar/engine/EngineStream.java
@@ -8,6 +8,9 @@
 import io.vertx.core.http.HttpConnection;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.message.FinishReason;
+import org.redwinghook.core.receive.PartAllowance;
+import org.redwinghook.runtime.http.InterimResponses;
+import org.redwinghook.runtime.http.PacedRead;
 import org.redwinghook.runtime.http.ServerSentEventParser;
 import org.redwinghook.runtime.json.UntrustedJson;
 
@@ -22,6 +25,12 @@
     private static final String END_OF_STREAM = "[DONE]";
     private static final int MAXIMUM_REOPENINGS = 2;
 
+    /** Number of lines and chunks that are read at once. */
+    private static final int MAXIMUM_PARTS_AT_ONCE = 2_048;
+
+    /** Number of lines and chunks per millisecond that are read in the long run. */
+    private static final int MAXIMUM_PARTS_PER_MILLI = 10;
+
     /** Delay before the stream is reopened. */
     private static final long REOPEN_DELAY_MILLIS = 100;
 
@@ -37,6 +46,7 @@
     private int reopenings;
     private @Nullable HttpConnection connection;
     private @Nullable HttpClientResponse currentResponse;
+    private @Nullable PacedRead reading;
 
     EngineStream(Vertx vertx, EngineClient client, String identifier, EngineListener listener) {
         this.vertx = vertx;
@@ -47,18 +57,18 @@
 
     /** Stops reading from the engine until {@link #resume}. */
     public void pause() {
-        isPaused = true;
-        if (currentResponse != null) {
-            currentResponse.pause();
+        if (!isPaused && reading != null) {
+            reading.hold();
         }
+        isPaused = true;
     }
 
     /** Resumes reading after {@link #pause}. */
     public void resume() {
-        isPaused = false;
-        if (currentResponse != null) {
-            currentResponse.resume();
+        if (isPaused && reading != null) {
+            reading.release();
         }
+        isPaused = false;
     }
 
     /** Ends the stream without notifying the listener and cancels the generation at the engine. */
@@ -84,6 +94,7 @@
             closeConnection();
             return;
         }
+        InterimResponses.limit(request, failure -> handleBrokenConnection(failure.getMessage()));
         request.send(body)
                 .onSuccess(this::readEvents)
                 .onFailure(failure -> handleBrokenConnection("engine closed the connection"));
@@ -101,13 +112,17 @@
             return;
         }
         currentResponse = response;
+        PacedRead paced =
+                new PacedRead(vertx, response, new PartAllowance(MAXIMUM_PARTS_AT_ONCE, MAXIMUM_PARTS_PER_MILLI));
+        reading = paced;
         ServerSentEventParser events = new ServerSentEventParser(this::handleData);
         response.exceptionHandler(failure -> handleBrokenConnection(response, "engine closed the connection"));
         response.endHandler(ignored -> handleBrokenConnection(response, "engine ended the stream early"));
         // The parser throws on an overlong line; an uncaught exception would leave the generation without an end.
-        response.handler(chunk -> Try.run(() -> events.handle(chunk)).onFailure(failure -> failOnMalformedEvent()));
+        response.handler(chunk ->
+                Try.run(() -> paced.record(1 + events.handle(chunk))).onFailure(failure -> failOnMalformedEvent()));
         if (isPaused) {
-            response.pause();
+            paced.hold();
         }
     }
 
@@ -191,6 +206,7 @@
         HttpConnection open = connection;
         connection = null;
         currentResponse = null;
+        reading = null;
         if (open != null) {
             open.close();
         }
--- a/standins/src/main/java/org/redwinghook/standins/http/BrokenAnswer.java
+++ b/standins/src/main/java/org/redwinghook/standins/http/BrokenAnswer.java
@@ -16,6 +16,12 @@
             true),
     /** Chunks without a last one. */
     CHUNKS_WITHOUT_END("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n", true),
+    /** Empty lines in the place of events. */
+    EMPTY_EVENTS_WITHOUT_END("HTTP/1.1 200 OK\r\n\r\n", "\n", true),
+    /** Events that hold only a comment. */
+    COMMENTS_WITHOUT_END("HTTP/1.1 200 OK\r\n\r\n", ":\n\n", true),
+    /** Chunks of one byte. */
+    SMALL_CHUNKS_WITHOUT_END("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\n:\r\n", true),
     /** Trailers without end after a complete body. */
     TRAILERS_WITHOUT_END("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n", "a: b\r\n", true),
     /** The body of a failure without end. */
