--- a/core/src/main/java/org/redwinghook/core/quarantine/CrashHistory.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/CrashHistory.java
@@ -19,8 +19,14 @@
     /** Maximum number of crashes that are remembered. */
     static final int MAXIMUM_CRASHES = 256;
 
-    /** Maximum number of suspect requests of one crash; the waiting requests of a large endpoint. */
-    static final int MAXIMUM_SUSPECTS = 128;
+    /** Maximum number of suspect requests of one crash. */
+    static final int MAXIMUM_SUSPECTS = 1_024;
+
+    /** Maximum number of parts of the suspect requests of one crash; 32 requests with the largest number of parts. */
+    static final int MAXIMUM_PARTS_PER_CRASH = 32_768;
+
+    /** Maximum number of parts of all suspect requests; those of four of the largest crashes. */
+    static final int MAXIMUM_PARTS = 131_072;
 
     /**
      * Time between reports of one endpoint from which they belong to different events; longer than routers differ in
@@ -35,6 +41,7 @@
     private final Map<String, Long> replacedMillis = new HashMap<>();
     private final Map<String, PartCrashes> crashesByPart = new HashMap<>();
     private final Set<String> repeatedParts = new HashSet<>();
+    private int parts;
 
     /** Crashes with a part: the last time at which a request with it was sent to each endpoint. */
     private static final class PartCrashes {
@@ -60,6 +67,7 @@
         if (earlier != null && isSeparate(earlier.atMillis(), reported.atMillis())) {
             replacedMillis.put(reported.endpoint(), earlier.atMillis());
             crashes.remove(reported.endpoint());
+            parts -= earlier.partCount();
             rebuildIndex();
         }
         EndpointCrash known = crashes.getOrDefault(
@@ -68,11 +76,17 @@
         Map<String, SuspectRequest> suspects = new LinkedHashMap<>();
         known.suspects().forEach(suspect -> suspects.put(suspect.requestId(), suspect));
         List<SuspectRequest> added = new ArrayList<>();
+        int partsOfCrash = known.partCount();
         for (SuspectRequest suspect : reported.suspects()) {
-            if (suspects.size() < MAXIMUM_SUSPECTS && suspects.putIfAbsent(suspect.requestId(), suspect) == null) {
+            int withSuspect = partsOfCrash + suspect.parts().size();
+            if (suspects.size() < MAXIMUM_SUSPECTS
+                    && withSuspect <= MAXIMUM_PARTS_PER_CRASH
+                    && suspects.putIfAbsent(suspect.requestId(), suspect) == null) {
                 added.add(suspect);
+                partsOfCrash = withSuspect;
             }
         }
+        parts += partsOfCrash - known.partCount();
         boolean refuted = reported.refuted() || known.refuted();
         EndpointCrash merged =
                 new EndpointCrash(reported.endpoint(), atMillis, List.copyOf(suspects.values()), refuted);
@@ -112,11 +126,18 @@
      */
     boolean limit(Predicate<EndpointCrash> isOutdated, Predicate<EndpointCrash> isNeeded) {
         boolean changed = crashes.values().removeIf(isOutdated);
-        if (crashes.size() > MAXIMUM_CRASHES) {
+        if (changed) {
+            parts = crashes.values().stream().mapToInt(EndpointCrash::partCount).sum();
+        }
+        if (isFull()) {
             changed = true;
             List<EndpointCrash> removable = new ArrayList<>(crashes.values());
             removable.sort(Comparator.comparing(isNeeded::test));
-            removable.subList(0, crashes.size() - MAXIMUM_CRASHES).forEach(crash -> crashes.remove(crash.endpoint()));
+            for (int index = 0; isFull(); index++) {
+                EndpointCrash removed = removable.get(index);
+                crashes.remove(removed.endpoint());
+                parts -= removed.partCount();
+            }
         }
         if (changed) {
             replacedMillis.keySet().retainAll(crashes.keySet());
@@ -125,6 +146,10 @@
         return changed;
     }
 
+    private boolean isFull() {
+        return crashes.size() > MAXIMUM_CRASHES || parts > MAXIMUM_PARTS;
+    }
+
     boolean isEmpty() {
         return crashes.isEmpty();
     }
@@ -147,7 +172,7 @@
         return repeatedParts;
     }
 
-    /** Largest position of a part in a prompt. */
+    /** Largest position of a part in a prompt, -1 for parts that are judged together. */
     int position(String part) {
         PartCrashes found = crashesByPart.get(part);
         return found == null ? 0 : found.position;
@@ -201,7 +226,7 @@
         for (int position = 0; position < suspect.parts().size(); position++) {
             String part = suspect.parts().get(position);
             PartCrashes entry = crashesByPart.computeIfAbsent(part, ignored -> new PartCrashes());
-            entry.position = Math.max(entry.position, position);
+            entry.position = part.equals(PromptParts.REMAINDER) ? -1 : Math.max(entry.position, position);
             entry.lastSentByEndpoint.merge(crash.endpoint(), suspect.sentAtMillis(), Math::max);
             entry.firstCrashMillis = Math.min(entry.firstCrashMillis, crash.atMillis());
             entry.lastCrashMillis = Math.max(entry.lastCrashMillis, crash.atMillis());
--- a/core/src/main/java/org/redwinghook/core/quarantine/EndpointCrash.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/EndpointCrash.java
@@ -19,6 +19,21 @@
         suspects = List.copyOf(suspects);
     }
 
+    /** Reports of the same crash with one suspect request each. */
+    List<EndpointCrash> perSuspect() {
+        if (suspects.size() < 2) {
+            return List.of(this);
+        }
+        return suspects.stream()
+                .map(suspect -> new EndpointCrash(endpoint, atMillis, List.of(suspect), refuted))
+                .toList();
+    }
+
+    /** Number of parts of all suspect requests. */
+    int partCount() {
+        return suspects.stream().mapToInt(suspect -> suspect.parts().size()).sum();
+    }
+
     /** Whether a request is a suspect of both crashes. */
     boolean sharesSuspectWith(EndpointCrash other) {
         return suspects.stream().anyMatch(suspect -> other.suspects.stream()
--- a/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
@@ -18,18 +18,18 @@
  */
 public final class PromptQuarantine {
 
-    /** Maximum length of identifiers. Parts with longer ones are not judged. */
-    public static final int MAXIMUM_ID_LENGTH = 96;
-
-    /** Maximum number of parts of a request that are judged. */
-    public static final int MAXIMUM_PARTS = 32;
-
     /** Maximum number of trials that are remembered. */
     static final int MAXIMUM_TRIALS = 256;
 
     /** Maximum number of parts whose last success is remembered. */
     static final int MAXIMUM_SUCCESSES = 8_192;
 
+    /**
+     * Maximum number of parts of one request whose success is remembered although they are not under suspicion, so that few
+     * requests with many parts do not displace all others.
+     */
+    static final int MAXIMUM_SUCCESSES_PER_REQUEST = 32;
+
     /** Time after which evidence is forgotten; that of a quarantined part, after its next trial was due. */
     static final long MEMORY_MILLIS = 600_000;
 
@@ -100,15 +100,15 @@
         if (quarantined.isEmpty()) {
             return PromptAdmission.ADMITTED;
         }
+        String request = PromptParts.name(requestId);
         List<PartTrial> begun = new ArrayList<>();
         QuarantinedPart rejectedFor = null;
         long waitMillis = 0;
-        for (String part : new LinkedHashSet<>(parts)) {
-            QuarantinedPart candidate = quarantined.get(part);
-            if (candidate == null) {
+        for (QuarantinedPart candidate : quarantined.values()) {
+            if (!PromptParts.contain(parts, candidate.part())) {
                 continue;
             }
-            begun.add(new PartTrial(part, requestId, nowMillis, false));
+            begun.add(new PartTrial(candidate.part(), request, nowMillis, false));
             long candidateWaitMillis = trialWaitMillis(candidate, nowMillis);
             if (candidateWaitMillis > waitMillis) {
                 waitMillis = candidateWaitMillis;
@@ -149,11 +149,11 @@
      * @return evidence for the other routers, empty if the request was no trial
      */
     public QuarantineEvidence recordUnusedTrial(String requestId, List<String> parts, long nowMillis) {
+        String request = PromptParts.name(requestId);
         List<PartTrial> unused = new ArrayList<>();
-        for (String part : parts) {
-            PartTrial known = trials.get(new TrialKey(part, requestId));
-            if (known != null && !known.unused()) {
-                unused.add(new PartTrial(part, requestId, known.startedAtMillis(), true));
+        for (PartTrial known : trials.values()) {
+            if (known.requestId().equals(request) && !known.unused() && PromptParts.contain(parts, known.part())) {
+                unused.add(new PartTrial(known.part(), request, known.startedAtMillis(), true));
             }
         }
         if (unused.isEmpty()) {
@@ -176,12 +176,14 @@
         if (suspect.parts().isEmpty()) {
             return QuarantineEvidence.NONE;
         }
-        EndpointCrash crash = new EndpointCrash(endpoint, nowMillis, List.of(suspect), false);
+        SuspectRequest named = new SuspectRequest(
+                PromptParts.name(suspect.requestId()), PromptParts.suspects(suspect.parts()), suspect.sentAtMillis());
+        EndpointCrash crash = new EndpointCrash(PromptParts.name(endpoint), nowMillis, List.of(named), false);
         if (mergeCrash(crash, nowMillis) == null) {
             return QuarantineEvidence.NONE;
         }
         update(nowMillis);
-        return new QuarantineEvidence(List.of(crash), knownSuccesses(suspect.parts(), nowMillis), List.of());
+        return new QuarantineEvidence(List.of(crash), knownSuccesses(named.parts(), nowMillis), List.of());
     }
 
     /**
@@ -193,11 +195,15 @@
      */
     public QuarantineEvidence recordSuccess(List<String> parts, long nowMillis) {
         List<PartSuccess> cleared = new ArrayList<>();
-        for (String part : parts) {
-            if (history.lastCrashMillis(part) > lastSuccessMillis(part)) {
+        for (int index = 0; index < parts.size(); index++) {
+            String part = parts.get(index);
+            long lastCrash = history.lastCrashMillis(part);
+            if (lastCrash > lastSuccessMillis(part)) {
                 cleared.add(new PartSuccess(part, nowMillis));
             }
-            successes.put(part, nowMillis);
+            if (index < MAXIMUM_SUCCESSES_PER_REQUEST || lastCrash > Long.MIN_VALUE) {
+                successes.put(part, nowMillis);
+            }
         }
         if (cleared.isEmpty()) {
             return QuarantineEvidence.NONE;
@@ -216,14 +222,14 @@
      * @return evidence for the other routers, empty unless a crash was refuted
      */
     public QuarantineEvidence recordResponse(String endpoint, long sentAtMillis, long nowMillis) {
-        EndpointCrash crash = history.find(endpoint);
+        EndpointCrash crash = history.find(PromptParts.name(endpoint));
         if (crash == null
                 || crash.refuted()
                 || sentAtMillis > crash.atMillis()
                 || nowMillis - crash.atMillis() < RESPONSE_DELAY_MILLIS) {
             return QuarantineEvidence.NONE;
         }
-        EndpointCrash refuted = new EndpointCrash(endpoint, crash.atMillis(), List.of(), true);
+        EndpointCrash refuted = new EndpointCrash(crash.endpoint(), crash.atMillis(), List.of(), true);
         mergeCrash(refuted, nowMillis);
         update(nowMillis);
         return new QuarantineEvidence(List.of(refuted), List.of(), List.of());
@@ -308,7 +314,7 @@
 
     /** Adds what a crash report has beyond the known ones; null if nothing. */
     private @Nullable EndpointCrash mergeCrash(EndpointCrash reported, long nowMillis) {
-        if (!isValidId(reported.endpoint()) || isOutdated(reported.atMillis(), nowMillis)) {
+        if (!isValidName(reported.endpoint()) || isOutdated(reported.atMillis(), nowMillis)) {
             return null;
         }
         long atMillis = Math.min(reported.atMillis(), nowMillis);
@@ -323,7 +329,9 @@
     }
 
     private boolean mergeSuccess(PartSuccess success, long nowMillis) {
-        if (!isValidId(success.part()) || isOutdated(success.atMillis(), nowMillis)) {
+        if (!isValidName(success.part())
+                || success.part().equals(PromptParts.REMAINDER)
+                || isOutdated(success.atMillis(), nowMillis)) {
             return false;
         }
         long atMillis = Math.min(success.atMillis(), nowMillis);
@@ -426,20 +434,20 @@
     }
 
     private static boolean isValid(SuspectRequest suspect) {
-        return isValidId(suspect.requestId())
+        return isValidName(suspect.requestId())
                 && !suspect.parts().isEmpty()
-                && suspect.parts().size() <= MAXIMUM_PARTS
-                && suspect.parts().stream().allMatch(PromptQuarantine::isValidId);
+                && suspect.parts().size() <= PromptParts.MAXIMUM_PARTS + 1
+                && suspect.parts().stream().allMatch(PromptQuarantine::isValidName);
     }
 
     private static boolean isValid(PartTrial trial, long nowMillis) {
-        return isValidId(trial.part())
-                && isValidId(trial.requestId())
+        return isValidName(trial.part())
+                && isValidName(trial.requestId())
                 && !isOutdated(trial.startedAtMillis(), nowMillis)
                 && trial.startedAtMillis() <= nowMillis;
     }
 
-    private static boolean isValidId(@Nullable String id) {
-        return id != null && !id.isEmpty() && id.length() <= MAXIMUM_ID_LENGTH;
+    private static boolean isValidName(@Nullable String name) {
+        return name != null && !name.isEmpty() && name.length() <= PromptParts.MAXIMUM_NAME_LENGTH;
     }
 }
--- a/core/src/main/java/org/redwinghook/core/quarantine/QuarantineEvidence.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/QuarantineEvidence.java
@@ -17,6 +17,9 @@
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record QuarantineEvidence(List<EndpointCrash> crashes, List<PartSuccess> successes, List<PartTrial> trials) {
 
+    /** Maximum number of parts in one piece, unless a single request has more; 800 kB with the longest names. */
+    private static final int MAXIMUM_PARTS_PER_PIECE = 8_192;
+
     /** No evidence. */
     public static final QuarantineEvidence NONE = new QuarantineEvidence(List.of(), List.of(), List.of());
 
@@ -60,6 +63,35 @@
                 joined(crashes, other.crashes), joined(successes, other.successes), joined(trials, other.trials));
     }
 
+    /**
+     * Splits the evidence into pieces whose messages stay far below the limit of a message. Successes come first, so that a
+     * part is not quarantined before its successes are known.
+     *
+     * @return the pieces, to be sent in this order
+     */
+    public List<QuarantineEvidence> split() {
+        if (crashes.stream().mapToInt(EndpointCrash::partCount).sum() <= MAXIMUM_PARTS_PER_PIECE) {
+            return List.of(this);
+        }
+        List<QuarantineEvidence> pieces = new ArrayList<>();
+        pieces.add(new QuarantineEvidence(List.of(), successes, List.of()));
+        List<EndpointCrash> gathered = new ArrayList<>();
+        int parts = 0;
+        for (EndpointCrash crash : crashes) {
+            for (EndpointCrash single : crash.perSuspect()) {
+                if (parts > 0 && parts + single.partCount() > MAXIMUM_PARTS_PER_PIECE) {
+                    pieces.add(new QuarantineEvidence(gathered, List.of(), List.of()));
+                    gathered.clear();
+                    parts = 0;
+                }
+                gathered.add(single);
+                parts += single.partCount();
+            }
+        }
+        pieces.add(new QuarantineEvidence(gathered, List.of(), trials));
+        return pieces;
+    }
+
     private static <T> List<T> joined(List<T> first, List<T> second) {
         List<T> all = new ArrayList<>(first);
         all.addAll(second);
--- a/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
@@ -8,6 +8,7 @@
 
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -339,6 +340,109 @@
         Assert.assertTrue(quarantine.quarantinedParts().isEmpty());
     }
 
+    /** Guards against a part that is never judged because of its place, its name, or what comes with it. */
+    public static class Limits {
+
+        private PromptQuarantine quarantine = new PromptQuarantine("router-1");
+
+        @BeforeMethod
+        public void start() {
+            quarantine = new PromptQuarantine("router-1");
+        }
+
+        /** A prompt with a number of sound parts and another part at a place. */
+        private static List<String> prompt(int soundParts, int place, String other) {
+            List<String> identifiers = new ArrayList<>();
+            IntStream.range(0, soundParts).forEach(number -> identifiers.add("sound-" + number));
+            identifiers.add(place, other);
+            identifiers.add("last");
+            return PromptParts.shared(identifiers);
+        }
+
+        private void crash(String engine, long atMillis, String requestId, List<String> parts) {
+            quarantine.recordCrash(engine, new SuspectRequest(requestId, parts, atMillis - 100), atMillis);
+        }
+
+        private boolean isRejected(List<String> parts) {
+            return quarantine.admit("next", parts, 10_000).rejectedFor() != null;
+        }
+
+        @DataProvider
+        public Object[][] places() {
+            return new Object[][] {{0}, {31}, {32}, {35}, {1_000}};
+        }
+
+        @Test(dataProvider = "places")
+        public void partIsFoundAtAnyPlace(int place) {
+            for (int number = 1; number <= 5; number++) {
+                crash("engine-" + number, number * 1_000, "r-" + number, prompt(1_000, place, CRASHING));
+                quarantine.recordSuccess(prompt(1_000, place, "sound"), number * 1_000 + 500);
+            }
+            Assert.assertTrue(isRejected(prompt(3, 1, CRASHING)));
+            Assert.assertFalse(isRejected(prompt(1_000, place, "sound")));
+        }
+
+        @Test
+        public void longNamesAreJudged() {
+            String name = "a".repeat(500);
+            crash(name, 1_000, name, prompt(1, 1, name));
+            crash(name + "b", 2_000, name + "b", prompt(1, 1, name));
+            Assert.assertTrue(isRejected(prompt(1, 1, name)));
+            Assert.assertFalse(isRejected(prompt(1, 1, name + "a")));
+        }
+
+        /** Successes of other prompts say nothing about the parts that are judged together. */
+        @Test
+        public void partsBeyondTheLimitAreRejectedTogether() {
+            for (int number = 1; number <= 2; number++) {
+                crash("engine-" + number, number * 1_000, "r-" + number, prompt(1_500, 1_400, CRASHING));
+                quarantine.recordSuccess(prompt(1_500, 1_400, "sound"), number * 1_000 + 500);
+            }
+            Assert.assertTrue(isRejected(prompt(1_500, 1_400, CRASHING)));
+            Assert.assertFalse(isRejected(prompt(1_000, 500, "sound")));
+        }
+
+        @Test
+        public void partInQuarantineIsFoundBeyondTheLimit() {
+            crash("engine-1", 1_000, "r-1", prompt(1, 1, CRASHING));
+            crash("engine-2", 2_000, "r-2", prompt(1, 1, CRASHING));
+            Assert.assertTrue(isRejected(prompt(1_500, 1_400, CRASHING)));
+            Assert.assertFalse(isRejected(prompt(1_500, 1_400, "sound")));
+        }
+
+        @Test
+        public void suspectAfterManyOthersCounts() {
+            for (int engine = 1; engine <= 2; engine++) {
+                for (int number = 0; number < 900; number++) {
+                    crash("engine-" + engine, engine * 1_000, engine + "-" + number, List.of("p-" + engine + number));
+                }
+                crash("engine-" + engine, engine * 1_000, "r-" + engine, prompt(1, 1, CRASHING));
+            }
+            Assert.assertTrue(isRejected(prompt(1, 1, CRASHING)));
+        }
+
+        /** Evidence about prompts with many parts must neither fill the memory nor exceed the limit of a message. */
+        @Test
+        public void evidenceIsLimitedInParts() {
+            for (int engine = 0; engine < 10; engine++) {
+                for (int number = 0; number < 40; number++) {
+                    List<String> parts = prompt(1_200, 0, engine + "-" + number);
+                    crash("engine-" + engine, engine * 1_000, engine + "-" + number, parts);
+                }
+            }
+            QuarantineEvidence evidence = quarantine.evidence(10_000);
+            int parts = 0;
+            for (QuarantineEvidence piece : evidence.split()) {
+                int inPiece = piece.crashes().stream()
+                        .mapToInt(EndpointCrash::partCount)
+                        .sum();
+                Assert.assertTrue(inPiece <= 8_192, inPiece + " parts in a piece");
+                parts += inPiece;
+            }
+            Assert.assertTrue(parts > 0 && parts <= CrashHistory.MAXIMUM_PARTS, parts + " parts");
+        }
+    }
+
     /** Exchange between routers. */
     public static class Exchange {
 
@@ -454,7 +558,7 @@
                                 List.of(new PartTrial("part", "trial-" + number, number, false))),
                         1_000);
             }
-            String longId = "x".repeat(PromptQuarantine.MAXIMUM_ID_LENGTH + 1);
+            String longId = "x".repeat(PromptParts.MAXIMUM_NAME_LENGTH + 1);
             quarantine.merge(
                     new QuarantineEvidence(
                             List.of(
--- a/router/src/main/java/org/redwinghook/router/forward/PromptGuard.java
+++ b/router/src/main/java/org/redwinghook/router/forward/PromptGuard.java
@@ -22,6 +22,8 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(PromptGuard.class);
 
+    private static final int MAXIMUM_LOGGED_PARTS = 64;
+
     private final PromptQuarantine quarantine;
     private final MonotonicClock clock;
     private final ForwardMetrics metrics;
@@ -111,14 +113,23 @@
         QuarantineEvidence evidence = quarantine.recordCrash(
                 endpoint.incarnation(), new SuspectRequest(caller.requestId(), parts, sentAtMillis), clock.millis());
         if (evidence.isEmpty()) {
+            LOGGER.info(
+                    "crash suspect left out id={} endpoint={} partCount={}",
+                    caller.requestId(),
+                    endpoint.incarnation(),
+                    parts.size());
             return;
         }
         LOGGER.info(
-                "crash suspect id={} endpoint={} parts={} soundParts={}",
+                "crash suspect id={} endpoint={} partCount={} parts={} soundParts={}",
                 caller.requestId(),
                 endpoint.incarnation(),
-                parts,
-                evidence.successes().stream().map(PartSuccess::part).toList());
+                parts.size(),
+                parts.subList(0, Math.min(parts.size(), MAXIMUM_LOGGED_PARTS)),
+                evidence.successes().stream()
+                        .map(PartSuccess::part)
+                        .limit(MAXIMUM_LOGGED_PARTS)
+                        .toList());
         metrics.recordQuarantine("suspect");
         share(evidence);
     }
--- a/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
@@ -10,6 +10,7 @@
 import org.redwinghook.core.forward.KnownEndpoint;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.quarantine.PromptAdmission;
+import org.redwinghook.core.quarantine.PromptParts;
 import org.redwinghook.core.quarantine.QuarantinedPart;
 
 /** Tracks the endpoints tried for one request and decides whether another one may be tried. */
@@ -115,7 +116,7 @@
      * @return true if the request has the part, is no trial and its answer has not begun
      */
     boolean mayCrashEndpoint(String part) {
-        return !isTrial && !hasAnswered && caller.head().sharedParts().contains(part);
+        return !isTrial && !hasAnswered && PromptParts.contain(caller.head().sharedParts(), part);
     }
 
     /**
--- a/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
@@ -4,7 +4,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.placement.PlacementQuery;
-import org.redwinghook.core.quarantine.PromptQuarantine;
+import org.redwinghook.core.quarantine.PromptParts;
 
 /**
  * Values from the head of a caller's request.
@@ -15,7 +15,7 @@
  * @param promptTokens number of prompt tokens, 0 for calls
  * @param maximumOutputTokens maximum number of output tokens, 0 for calls
  * @param expectedOutputTokens number of output tokens that the caller expects, 0 if absent
- * @param promptParts parts of the prompt, in order
+ * @param promptParts identifiers of the parts of the prompt, in order
  */
 public record RequestHead(
         @Nullable String requestId,
@@ -24,7 +24,7 @@
         long promptTokens,
         long maximumOutputTokens,
         long expectedOutputTokens,
-        List<PromptPart> promptParts) {
+        List<String> promptParts) {
 
     /**
      * Size of the generation.
@@ -41,24 +41,11 @@
     }
 
     /**
-     * Parts that other requests may share: all but the last one, which belongs to the request or its session.
+     * Parts that other requests may share.
      *
-     * @return the identifiers of the first ones, without those that are too long to be judged
+     * @return the names of all of them
      */
     List<String> sharedParts() {
-        return promptParts.stream()
-                .limit(Math.max(0, promptParts.size() - 1))
-                .map(PromptPart::id)
-                .filter(id -> !id.isEmpty() && id.length() <= PromptQuarantine.MAXIMUM_ID_LENGTH)
-                .limit(PromptQuarantine.MAXIMUM_PARTS)
-                .toList();
+        return PromptParts.shared(promptParts);
     }
-
-    /**
-     * A part of a prompt that may be shared with other prompts.
-     *
-     * @param id identifier of the part
-     * @param tokens length of the part, in tokens
-     */
-    public record PromptPart(String id, long tokens) {}
 }
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -217,7 +217,7 @@
         peer.send(new WorkReport(self, toEndpointWork(own), true, canReadStore.getAsBoolean(), recordOffsetSums()));
         QuarantineEvidence evidence = promptGuard.evidence();
         if (!evidence.isEmpty()) {
-            peer.send(toReport(evidence));
+            toReports(evidence).forEach(peer::send);
         }
         connectionHandlers.forEach(handler -> handler.accept(peer));
     }
@@ -249,10 +249,10 @@
         if (message instanceof RelayedRecords relayed) {
             handleRelayedRecords(peer, relayed);
         }
-        if (message instanceof QuarantineReport report) {
-            MergedEvidence merged = promptGuard.merge(report.evidence());
+        if (message instanceof QuarantineReport received) {
+            MergedEvidence merged = promptGuard.merge(received.evidence());
             if (!isFullyConnected && !merged.added().isEmpty()) {
-                broadcast(peer, toReport(merged.added()));
+                toReports(merged.added()).forEach(report -> broadcast(peer, report));
             }
             share(merged.reply());
         }
@@ -443,14 +443,16 @@
         pendingEvidence = pendingEvidence.plus(evidence);
         if (!isScheduled) {
             vertx.setTimer(EVIDENCE_DELAY_MILLIS, ignored -> {
-                broadcast(null, toReport(pendingEvidence));
+                toReports(pendingEvidence).forEach(report -> broadcast(null, report));
                 pendingEvidence = QuarantineEvidence.NONE;
             });
         }
     }
 
-    private QuarantineReport toReport(QuarantineEvidence evidence) {
-        return new QuarantineReport(evidence.shiftedBy(-clock.millis()));
+    private List<QuarantineReport> toReports(QuarantineEvidence evidence) {
+        return evidence.shiftedBy(-clock.millis()).split().stream()
+                .map(QuarantineReport::new)
+                .toList();
     }
 
     private void broadcast(@Nullable ConfigurationPeer except, Message message) {
