Take no response whose status ends no exchange (status 000)

What callers saw: an endpoint that answers 000 with an otherwise sound response is passed on as `HTTP/1.1 0` with its stamp, from calls and new streams.

Cause: heads were judged by signature, identifier and encoding, not by status, and other readers took an unknown status for one of those they know.

Change: only 200 to 599 end an exchange (ResponseStatus). Attempts at endpoints fail as soon as the head has arrived, notices in it are ignored; BoundedRequest does the same for the store, log, VM list, reports, copies, commands and plain services. The VM list was read from any status and requires 200 now.

Evidence: on the code before, 30 rows fail: calls and new streams, copies, freed copies and reports, each with 0, 99, 101, 199, 600 and 999. Resumed and moved streams and the store's client held before. All 284 tests of the classes pass.

Open: the HTTP library reads `0200` and `+200` as 200 and hides the digits.

--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -159,6 +159,11 @@
                 return;
             }
             ResponseHead head = endpointAttempt.readResponseHead(response);
+            IllegalStateException defect = endpointAttempt.findDefect(head);
+            if (defect != null) {
+                handleFailure(defect);
+                return;
+            }
             endpointAttempt
                     .readBody(response)
                     .onSuccess(body -> handleBody(response, head, body))
@@ -169,10 +174,6 @@
             if (endpointAttempt.isEnded()) {
                 return;
             }
-            if (!endpointAttempt.isValidResponse(head)) {
-                handleFailure(new IllegalStateException("the answer is not the request's own"));
-                return;
-            }
             end(outcomeOf(head));
             attempts.recordResponse();
             context.callDurations().record(caller.service(), context.clock().millis() - startedAtMillis);
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -10,6 +10,7 @@
 import org.redwinghook.core.placement.RunningRequest;
 import org.redwinghook.core.receive.ReceiveLimits;
 import org.redwinghook.runtime.http.MessageBody;
+import org.redwinghook.runtime.http.ResponseStatus;
 
 /** One attempt of a request at one endpoint: its exchange and its entry in the work ledger. */
 final class EndpointAttempt {
@@ -106,7 +107,9 @@
     ResponseHead readResponseHead(HttpClientResponse response) {
         recordResponse();
         ResponseHead head = context.protocol().readResponseHead(response);
-        context.observers().notify(observer -> observer.handleResponseHead(caller, endpoint, head));
+        if (ResponseStatus.isFinal(head.status())) {
+            context.observers().notify(observer -> observer.handleResponseHead(caller, endpoint, head));
+        }
         return head;
     }
 
@@ -116,13 +119,19 @@
     }
 
     /**
-     * Whether a response is intact so far and belongs to the request.
+     * Finds a reason why no part of a response may reach the caller.
      *
      * @param head head of the response
-     * @return false if no part of the response may reach the caller
+     * @return the failure, null if the response is intact so far and belongs to the request
      */
-    boolean isValidResponse(ResponseHead head) {
-        return head.intact() && head.belongsTo(caller.requestId());
+    @Nullable
+    IllegalStateException findDefect(ResponseHead head) {
+        if (!ResponseStatus.isFinal(head.status())) {
+            return new IllegalStateException("the answer has status " + head.status());
+        }
+        return head.intact() && head.belongsTo(caller.requestId())
+                ? null
+                : new IllegalStateException("the answer is not the request's own");
     }
 
     /**
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -385,8 +385,9 @@
                 return;
             }
             ResponseHead head = endpointAttempt.readResponseHead(response);
-            if (!endpointAttempt.isValidResponse(head)) {
-                handleFailure(new IllegalStateException("the answer is not the request's own"));
+            IllegalStateException defect = endpointAttempt.findDefect(head);
+            if (defect != null) {
+                handleFailure(defect);
                 return;
             }
             if (!head.isSuccess() && responseStarted) {
--- a/runtime/src/main/java/org/redwinghook/runtime/http/BoundedRequest.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/BoundedRequest.java
@@ -14,7 +14,7 @@
     private BoundedRequest() {}
 
     /**
-     * Sends a request and waits for the head of its response. If that fails, the connection is closed: an idle timeout does
+     * Sends a request and waits for the head of its response, whose status must be final. If that fails, the connection is closed: an idle timeout does
      * not end a connection on which bytes arrive that are no head.
      *
      * @param request the request, not yet sent
@@ -26,7 +26,15 @@
         Promise<HttpClientResponse> response = Promise.promise();
         InterimResponses.limit(request, response::tryFail);
         request.send(body).onSuccess(response::tryComplete).onFailure(response::tryFail);
-        return response.future().timeout(timeoutMillis, TimeUnit.MILLISECONDS).onFailure(failure -> request.connection()
-                .close());
+        return response.future()
+                .compose(BoundedRequest::requireFinalStatus)
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                .onFailure(failure -> request.connection().close());
+    }
+
+    private static Future<HttpClientResponse> requireFinalStatus(HttpClientResponse response) {
+        return ResponseStatus.isFinal(response.statusCode())
+                ? Future.succeededFuture(response)
+                : Future.failedFuture("status " + response.statusCode() + " does not end an exchange");
     }
 }
--- a/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/platform/VmListClient.java
@@ -32,6 +32,7 @@
     /** Time after which a read fails, in milliseconds; the next one follows soon. */
     private static final long DEFAULT_TIMEOUT_MILLIS = 2_000;
 
+    private static final int HTTP_OK = 200;
     private static final int HTTP_NOT_MODIFIED = 304;
 
     private final HttpClient client;
@@ -87,6 +88,9 @@
         }
         String tag = response.getHeader(HttpHeaders.ETAG);
         return MessageBody.read(response, timeoutMillis)
+                .compose(body -> response.statusCode() == HTTP_OK
+                        ? Future.succeededFuture(body)
+                        : Future.failedFuture("the VM list answered with status " + response.statusCode()))
                 .map(VmListClient::parseMembers)
                 .onSuccess(members -> {
                     cachedList = tag == null ? null : new CachedList(tag, members);
--- a/standins/src/main/java/org/redwinghook/standins/http/BrokenAnswer.java
+++ b/standins/src/main/java/org/redwinghook/standins/http/BrokenAnswer.java
@@ -26,6 +26,18 @@
     TRAILERS_WITHOUT_END("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n", "a: b\r\n", true),
     /** The body of a failure without end. */
     FAILURE_WITHOUT_END("HTTP/1.1 500 Failed\r\n\r\n", "x", true),
+    /** A status that is none, with an otherwise sound response. */
+    STATUS_0("HTTP/1.1 000 x\r\nContent-Length: 2\r\n\r\n{}", "", false),
+    /** A status below those of interim responses. */
+    STATUS_99("HTTP/1.1 099 x\r\nContent-Length: 2\r\n\r\n{}", "", false),
+    /** A status that changes the protocol, although nobody asked for it. */
+    STATUS_101("HTTP/1.1 101 x\r\nContent-Length: 2\r\n\r\n{}", "", false),
+    /** An interim status in the place of a final one. */
+    STATUS_199("HTTP/1.1 199 x\r\nContent-Length: 2\r\n\r\n{}", "", false),
+    /** The first status above those of final responses. */
+    STATUS_600("HTTP/1.1 600 x\r\nContent-Length: 2\r\n\r\n{}", "", false),
+    /** The last status of three digits. */
+    STATUS_999("HTTP/1.1 999 x\r\nContent-Length: 2\r\n\r\n{}", "", false),
     /** A status line without end. */
     STATUS_LINE_WITHOUT_END("HTTP/1.1 200 ", "x", true),
     /** Fields without the empty line after them. */
