--- a/core/src/main/java/org/redwinghook/core/receive/ReceiveLimits.java
+++ b/core/src/main/java/org/redwinghook/core/receive/ReceiveLimits.java
@@ -12,7 +12,7 @@
     /** Number of fields of a request head above which it counts as large. */
     public static final int LARGE_HEAD_FIELDS = 100;
 
-    /** Heap that a field of a decoded head takes, in bytes, if it is short. */
+    /** Heap that a field of a decoded head takes beside its characters, in bytes. */
     private static final int FIELD_HEAP_BYTES = 200;
 
     /** Heap that a request takes beside its fields and its body, in bytes. */
@@ -24,9 +24,10 @@
      * Heap that a request takes beside its body.
      *
      * @param fields number of fields of its head
+     * @param headBytes size of its head, in bytes
      * @return the memory, in bytes
      */
-    public static int headHeapBytes(int fields) {
-        return REQUEST_HEAP_BYTES + FIELD_HEAP_BYTES * fields;
+    public static int headHeapBytes(int fields, int headBytes) {
+        return REQUEST_HEAP_BYTES + FIELD_HEAP_BYTES * fields + headBytes;
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -295,7 +295,7 @@
     private void holdHead(HttpServerRequest request) {
         ReceiveBudget.Share share = context.receiveBudget().open(() -> rejectForMemory(request));
         heldBytes.put(request, share);
-        share.add(ReceiveLimits.headHeapBytes(fields(request)));
+        share.add(ReceiveLimits.headHeapBytes(fields(request), headBytes(request)));
     }
 
     /** Number of fields of a head; the size of the headers is the number of different names. */
@@ -303,6 +303,14 @@
         return request.headers().entries().size();
     }
 
+    private static int headBytes(HttpServerRequest request) {
+        int bytes = request.uri().length();
+        for (Map.Entry<String, String> field : request.headers()) {
+            bytes += field.getKey().length() + field.getValue().length();
+        }
+        return bytes;
+    }
+
     private void releaseHeldBytes(HttpServerRequest request) {
         ReceiveBudget.Share share = heldBytes.remove(request);
         if (share != null) {
--- a/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
@@ -1,6 +1,7 @@
 package org.redwinghook.router.forward;
 
 import java.util.List;
+import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.placement.PlacementQuery;
@@ -15,7 +16,8 @@
  * @param promptTokens number of prompt tokens, 0 for calls
  * @param maximumOutputTokens maximum number of output tokens, 0 for calls
  * @param expectedOutputTokens number of output tokens that the caller expects, 0 if absent
- * @param promptParts identifiers of the parts of the prompt, in order
+ * @param promptParts reads the identifiers of the parts of the prompt, in order, from the received head; a prompt may have
+ *     thousands of parts, whose objects take many times the memory of their bytes
  */
 public record RequestHead(
         @Nullable String requestId,
@@ -24,7 +26,7 @@
         long promptTokens,
         long maximumOutputTokens,
         long expectedOutputTokens,
-        List<String> promptParts) {
+        Supplier<List<String>> promptParts) {
 
     /**
      * Size of the generation.
@@ -46,6 +48,6 @@
      * @return the names of all of them
      */
     List<String> sharedParts() {
-        return PromptParts.shared(promptParts);
+        return PromptParts.shared(promptParts.get());
     }
 }
--- a/runtime/src/main/java/org/redwinghook/runtime/http/ConnectionGuard.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/ConnectionGuard.java
@@ -336,7 +336,7 @@
         if (size < 0) {
             return false;
         }
-        if (!connections.mayDecode(head.fields())) {
+        if (!connections.mayDecode(head.fields(), size)) {
             end(ReceiveRefusal.MEMORY_EXHAUSTED);
             return false;
         }
--- a/runtime/src/main/java/org/redwinghook/runtime/http/GuardedConnections.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/GuardedConnections.java
@@ -179,9 +179,10 @@
         return limits.get();
     }
 
-    /** Whether a head with a number of fields may be decoded now. */
-    boolean mayDecode(int fields) {
-        return fields <= ReceiveLimits.LARGE_HEAD_FIELDS || budget.hasRoomFor(ReceiveLimits.headHeapBytes(fields));
+    /** Whether a head with a number of fields and bytes may be decoded now. */
+    boolean mayDecode(int fields, int headBytes) {
+        return fields <= ReceiveLimits.LARGE_HEAD_FIELDS
+                || budget.hasRoomFor(ReceiveLimits.headHeapBytes(fields, headBytes));
     }
 
     int progressBytes() {
