--- a/core/src/main/java/org/redwinghook/core/receive/ReceiveBudget.java
+++ b/core/src/main/java/org/redwinghook/core/receive/ReceiveBudget.java
@@ -16,6 +16,15 @@
     /** Part of the budget above which requests that make no progress are given up. */
     private static final double SHORT_PART = 0.75;
 
+    /** Memory of a message that waits for room, in bytes: what its connection has received before it was paused. */
+    private static final int WAITING_MESSAGE_BYTES = 64 * 1024;
+
+    /** Part of the budget that messages may take beside it while they wait for room. */
+    private static final double WAITING_PART = 0.5;
+
+    /** Number of messages that may wait for room even if the budget is small. */
+    private static final int MINIMUM_WAITING_LIMIT = 16;
+
     /** Age in which a message without progress weighs as much as one of twice its size, in milliseconds. */
     private static final long AGE_UNIT_MILLIS = 1_000;
 
@@ -168,7 +177,7 @@
 
         /**
          * Adds a large message before it is read, once that does not make memory short. It is not read if the share is
-         * closed before.
+         * closed before, as it is at once if too many messages wait.
          *
          * @param messageBytes size of the message, in bytes
          * @param reader starts to read the message
@@ -177,6 +186,11 @@
             int largestBytes = (int) Math.min(Integer.MAX_VALUE, (long) (maximumBytes * SHORT_PART));
             waiting.add(new Waiting(this, Math.min(messageBytes, largestBytes), reader));
             startWaiting();
+            waiting.removeIf(message -> !shares.contains(message.share));
+            if (waiting.size() > Math.max(MINIMUM_WAITING_LIMIT, maximumBytes * WAITING_PART / WAITING_MESSAGE_BYTES)) {
+                close();
+                onEviction.run();
+            }
         }
 
         /** Releases all bytes. */
--- a/core/src/test/java/org/redwinghook/core/receive/ReceiveBudgetTest.java
+++ b/core/src/test/java/org/redwinghook/core/receive/ReceiveBudgetTest.java
@@ -49,6 +49,19 @@
         Assert.assertEquals(small.heldBytes(), 1_000);
     }
 
+    /** Guards against memory outside the budget that is exhausted by messages that wait for room in it. */
+    @Test
+    public void messagesThatWaitForRoomAreLimited() {
+        ReceiveBudget limited = new ReceiveBudget(4 * MEBIBYTE);
+        List<Integer> refused = new ArrayList<>();
+        limited.open(() -> {}).whenRoom(3 * MEBIBYTE, () -> {});
+        for (int number = 1; number <= 40; number++) {
+            int waiting = number;
+            limited.open(() -> refused.add(waiting)).whenRoom(MEBIBYTE, () -> Assert.fail("there is no room"));
+        }
+        Assert.assertEquals(refused, List.of(33, 34, 35, 36, 37, 38, 39, 40));
+    }
+
     private ReceiveBudget.Share open(String name) {
         return budget.open(() -> evicted.add(name));
     }
--- a/runtime/src/main/java/org/redwinghook/runtime/http/GuardedConnections.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/GuardedConnections.java
@@ -43,7 +43,7 @@
     private static final int FIRST_READ_BYTES = 2_048;
 
     /** Reads once for each time that a connection is ready, so that a pause takes effect after one read. */
-    private static final RecvByteBufAllocator RECEIVE_ALLOCATOR = new AdaptiveRecvByteBufAllocator(
+    public static final RecvByteBufAllocator RECEIVE_ALLOCATOR = new AdaptiveRecvByteBufAllocator(
                     MINIMUM_READ_BYTES, FIRST_READ_BYTES, MAXIMUM_READ_BYTES)
             .maxMessagesPerRead(1);
 
--- a/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/ProcessLauncher.java
@@ -12,7 +12,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
 import org.jspecify.annotations.Nullable;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -131,8 +130,7 @@
             watch.hasChanged();
             reload(file, settings);
         });
-        // With a single event loop, the services of a process run on one thread and need no locks.
-        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+        Vertx vertx = LimitedReadTransport.createVertx();
         ProcessVerticle verticle = new ProcessVerticle(processVertx -> factory.apply(processVertx, settings));
         Promise<Void> started = Promise.promise();
         CountDownLatch stopped = new CountDownLatch(1);
