Refuse request lines with bytes outside ASCII

Cause: the network library decodes the first line as ISO 8859-1 and encodes it as UTF-8. Such a line breaks the grammar of HTTP; it is refused with 400 now.

Evidence: the row MALFORMED_FIRST_LINE of ConnectionGuardTest fails without the check (no refusal) and passes with it.

--- a/runtime/src/main/java/org/redwinghook/runtime/http/ReceiveRefusal.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/ReceiveRefusal.java
@@ -10,6 +10,8 @@
     HEAD_TOO_LARGE("431 Request Header Fields Too Large"),
     /** The request has too many fields. */
     TOO_MANY_FIELDS("431 Request Header Fields Too Large"),
+    /** The first line has bytes outside ASCII, which would reach the endpoint as other bytes. */
+    MALFORMED_FIRST_LINE("400 Bad Request"),
     /** The framing of a body is malformed. */
     MALFORMED_FRAMING("400 Bad Request"),
     /** The memory for messages is exhausted, and the connection holds much of it. */
--- a/runtime/src/main/java/org/redwinghook/runtime/http/RequestHeadScan.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/http/RequestHeadScan.java
@@ -22,6 +22,7 @@
     private int lines;
     private boolean isChunked;
     private boolean isFramingLine;
+    private boolean isFirstLineMalformed;
     private boolean isMalformed;
     private long contentLength;
 
@@ -33,6 +34,7 @@
         lines = 0;
         isChunked = false;
         isFramingLine = false;
+        isFirstLineMalformed = false;
         isMalformed = false;
         contentLength = 0;
     }
@@ -77,6 +79,9 @@
         if (firstBytes > limits.maximumHeadBytes() || scannedBytes - firstBytes > limits.maximumHeadBytes()) {
             return ReceiveRefusal.HEAD_TOO_LARGE;
         }
+        if (isFirstLineMalformed) {
+            return ReceiveRefusal.MALFORMED_FIRST_LINE;
+        }
         if (isMalformed) {
             return ReceiveRefusal.MALFORMED_FRAMING;
         }
@@ -106,6 +111,7 @@
         lines++;
         if (lines == 1) {
             firstLineBytes = scannedBytes;
+            isFirstLineMalformed = buffer.forEachByte(start, length, character -> character >= 0) >= 0;
             return;
         }
         byte first = buffer.getByte(start);
--- a/runtime/src/test/java/org/redwinghook/runtime/http/ConnectionGuardTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/http/ConnectionGuardTest.java
@@ -136,6 +136,7 @@
             {"GET /" + "x".repeat(MAXIMUM_HEAD_BYTES), ReceiveRefusal.HEAD_TOO_LARGE},
             {HEAD + "a: " + "x".repeat(MAXIMUM_HEAD_BYTES), ReceiveRefusal.HEAD_TOO_LARGE},
             {HEAD + "a:b\r\n".repeat(MAXIMUM_FIELDS), ReceiveRefusal.TOO_MANY_FIELDS},
+            {"GET /\u00c3\u0093 HTTP/1.1\r\n", ReceiveRefusal.MALFORMED_FIRST_LINE},
             {HEAD + "Transfer-Encoding:\r\n chunked\r\n", ReceiveRefusal.MALFORMED_FRAMING},
             {chunked + "x\r\n", ReceiveRefusal.MALFORMED_FRAMING},
             {chunked + "1\r\nxy", ReceiveRefusal.MALFORMED_FRAMING},
