--- a/review/11/RestoredStore.java
+++ b/review/11/RestoredStore.java
@@ -95,9 +95,7 @@
     private static Client.Answer send(Router router, String attempt, String key) throws Exception {
         return Client.send(
                 router.callerPort,
-                "POST /filing/1 HTTP/1.1\r\nHost: " + Config.HOST + "\r\nRedwinghook-Attempt-Id: " + attempt
-                        + "\r\nRedwinghook-Deadline-Ms: 3000\r\nAuthorization: Token " + key
-                        + "\r\nContent-Length: 2\r\n\r\nhi",
+                Client.head("POST", "/filing/1", attempt, 3_000, key, 2, "") + "hi",
                 3_500);
     }
 
--- a/review/12/CrowdedPrompts.java
+++ b/review/12/CrowdedPrompts.java
@@ -3,6 +3,7 @@
 import common3.Deployment;
 import common3.HttpPort;
 import common3.Lookups;
+import common3.Names;
 import common3.Router;
 import common3.Server;
 import common3.Store;
@@ -116,9 +117,11 @@
         engine.setAnswering((request, socket) -> {
             engine.recordRun(request);
             Thread.sleep(PREFILL_MILLIS);
-            String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                    + "Redwinghook-Attempt-Id: " + request.header("redwinghook-attempt-id")
-                    + "\r\nRedwinghook-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\r\n";
+            StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
+            Server.stamped(request)
+                    .forEach((name, value) ->
+                            head.append(name).append(": ").append(value).append("\r\n"));
+            head.append("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
             String event = "id: 1\ndata: text of " + id + "\n\n";
             HttpPort.write(
                     socket,
@@ -137,10 +140,9 @@
                 parts.append(Integer.toHexString(random.nextInt(POOL))).append(":1,");
             }
             String attempt = "draft-" + NUMBER.incrementAndGet();
-            String request = "POST /draft/1 HTTP/1.1\r\nHost: " + Config.HOST + "\r\nRedwinghook-Attempt-Id: "
-                    + attempt + "\r\nRedwinghook-Model: m\r\nRedwinghook-Token-Count: " + (PARTS + 1)
-                    + ",4\r\nRedwinghook-Prompt-Prefix: " + parts + "f" + attempt.substring(6)
-                    + ":1\r\nRedwinghook-Deadline-Ms: 39000\r\nAuthorization: Token k-1\r\nContent-Length: 2\r\n\r\nhi";
+            parts.append("f").append(attempt.substring("draft-".length())).append(":1");
+            String prompt = Names.message("prompt", "prompt", PARTS + 1, "output", 4, "parts", parts);
+            String request = Client.head("POST", "/draft/1", attempt, 39_000, "k-1", 2, prompt) + "hi";
             try {
                 Client.Answer answer = Client.send(router.callerPort, request, 40_000);
                 deployment.journal.add("crowd: " + router.name + " " + attempt + " (" + request.length()
--- a/review/common3/Client.java
+++ b/review/common3/Client.java
@@ -36,6 +36,29 @@
         }
     }
 
+    /** Head of a request with a key. */
+    public static String head(
+            String method, String path, String attempt, int deadlineMillis, String key, int length, String more) {
+        return Names.message(
+                "call",
+                "method",
+                method,
+                "path",
+                path,
+                "host",
+                Config.HOST,
+                "attempt",
+                attempt,
+                "deadline",
+                deadlineMillis,
+                "key",
+                key,
+                "length",
+                length,
+                "more",
+                more);
+    }
+
     /** Sends a request and reads its answer. */
     public static Answer send(int port, String request, int timeoutMillis) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", port)) {
--- a/review/common3/Config.java
+++ b/review/common3/Config.java
@@ -23,37 +23,40 @@
 
     public Config route(
             String name, String path, String type, String service, int timeoutMillis, int goalMillis, int attempts) {
-        routes.add(("{\"name\":\"%s\",\"host\":\"%s\",\"path-prefix\":\"%s\",\"route-type\":\"%s\",\"timeout-ms\":%d,"
-                        + "\"latency-goal-ms\":%d,\"priority\":0,\"service\":\"%s\",\"max-attempts\":%d,"
-                        + "\"public\":false,\"sticky\":false,\"resumable\":false,\"gap-target-ms\":180,"
-                        + "\"allowed-regions\":[]}")
-                .formatted(name, HOST, path, type, timeoutMillis, goalMillis, service, attempts));
+        routes.add(Names.message(
+                "route",
+                "name",
+                name,
+                "host",
+                HOST,
+                "path",
+                path,
+                "type",
+                type,
+                "timeout",
+                timeoutMillis,
+                "goal",
+                goalMillis,
+                "service",
+                service,
+                "attempts",
+                attempts));
         return this;
     }
 
     public Config service(String name) {
-        services.add(("{\"name\":\"%s\",\"health-path\":\"/healthz\",\"max-conns\":100,\"protocol\":\"h1\","
-                        + "\"tls\":false,\"cold-start-s\":0.0,\"cold-per-s\":0.0}")
-                .formatted(name));
-        return this;
+        return coldService(name, 0, 0);
     }
 
     /** A service whose servers are cold for some time after they start. */
     public Config coldService(String name, int coldSeconds, int coldPerSecond) {
-        services.add(("{\"name\":\"%s\",\"health-path\":\"/healthz\",\"max-conns\":302,\"protocol\":\"h1\","
-                        + "\"tls\":false,\"cold-start-s\":%d,\"cold-per-s\":%d}")
-                .formatted(name, coldSeconds, coldPerSecond));
+        services.add(Names.message("service", "name", name, "seconds", coldSeconds, "rate", coldPerSecond));
         return this;
     }
 
     /** A service of engines that can move runs. */
     public Config engines(String name) {
-        services.add(("{\"name\":\"%s\",\"health-path\":\"/healthz\",\"max-conns\":302,\"protocol\":\"h1\","
-                        + "\"tls\":false,\"cold-start-s\":1.0,\"cold-per-s\":38.0,\"engine\":{\"slots\":32,"
-                        + "\"kv-capacity\":34342,\"kv-bytes\":35136,\"link-mbps\":5100.0,\"moves\":true,"
-                        + "\"backups\":true,\"stride\":4,\"most\":12,\"pin-ms\":4000.0,\"hold-ms\":2000.0,"
-                        + "\"handle-ttl-s\":5.0,\"models\":[{\"name\":\"m\"}]}}")
-                .formatted(name));
+        services.add(Names.message("engines", "name", name));
         return this;
     }
 
@@ -63,9 +66,15 @@
     }
 
     public String json() {
-        return "{\"version\":" + version + ",\"routes\":[" + String.join(",", routes) + "],\"services\":["
-                + String.join(",", services) + "],\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,"
-                + "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},\"tenants\":[{\"name\":\"tenant-a\","
-                + "\"api-keys\":[" + String.join(",", keys) + "],\"priority\":1,\"allowed-regions\":[]}]}";
+        return Names.message(
+                "configuration",
+                "version",
+                version,
+                "routes",
+                String.join(",", routes),
+                "services",
+                String.join(",", services),
+                "keys",
+                String.join(",", keys));
     }
 }
--- a/review/common3/Lookups.java
+++ b/review/common3/Lookups.java
@@ -89,9 +89,7 @@
         try {
             status = Client.send(
                             router.callerPort,
-                            "GET /lookup/1 HTTP/1.1\r\nHost: " + Config.HOST + "\r\nRedwinghook-Attempt-Id: " + attempt
-                                    + "\r\nRedwinghook-Deadline-Ms: " + PATIENCE_MILLIS
-                                    + "\r\nAuthorization: Token k-1\r\n\r\n",
+                            Client.head("GET", "/lookup/1", attempt, PATIENCE_MILLIS, "k-1", 0, ""),
                             PATIENCE_MILLIS)
                     .status();
         } catch (Exception exception) {
--- a/review/common3/Server.java
+++ b/review/common3/Server.java
@@ -29,7 +29,6 @@
     private final List<Run> runs;
     private final long born = System.currentTimeMillis();
     private volatile int sequence;
-    private volatile String state = "ready";
     private volatile long coldUntilMillis;
     private volatile Answering answering = (request, socket) -> null;
 
@@ -58,10 +57,6 @@
         return Math.max(0, coldUntilMillis - journal.millis());
     }
 
-    public void setState(String newState) {
-        state = newState;
-    }
-
     public String address() {
         return port.address();
     }
@@ -69,22 +64,35 @@
     /** Entry of the server in the store; its sequence rises with each one. */
     public String entry() {
         sequence++;
-        return ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":32,"
-                        + "\"state\":\"%s\",\"cold-left-ms\":%d,\"sequence\":%d,\"born\":%d}")
-                .formatted(service, address(), state, coldLeftMillis(), sequence, born);
+        return Names.message(
+                "entry",
+                "service",
+                service,
+                "address",
+                address(),
+                "cold",
+                coldLeftMillis(),
+                "sequence",
+                sequence,
+                "born",
+                born);
+    }
+
+    private static String attempt(HttpPort.Request request) {
+        return request.header(Names.of("attempt").toLowerCase());
     }
 
     /** Records a run. */
     public void recordRun(HttpPort.Request request) {
-        Run run = new Run(id, request.header("redwinghook-attempt-id"), request.path(), journal.millis());
+        Run run = new Run(id, attempt(request), request.path(), journal.millis());
         runs.add(run);
         journal.add("server " + id + " (" + service + "): runs " + run.attempt() + " " + run.path());
     }
 
     public static Map<String, String> stamped(HttpPort.Request request) {
         Map<String, String> headers = new LinkedHashMap<>();
-        headers.put("Redwinghook-Attempt-Id", request.header("redwinghook-attempt-id"));
-        headers.put("Redwinghook-Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1");
+        headers.put(Names.of("attempt"), attempt(request));
+        headers.put(Names.of("stamp"), "3e1b.07.5a2.600.0.c9f2a4d1");
         return headers;
     }
 
@@ -93,18 +101,14 @@
         port.close();
     }
 
-    public void dropConnections() {
-        port.dropConnections();
-    }
-
     private boolean handle(HttpPort.Request request, Socket socket) throws Exception {
         String expected = request.header("redwinghook-expect-instance");
         if (expected != null && !expected.equals(id)) {
-            HttpPort.respond(socket, 421, Map.of("Redwinghook-Instance-Id", id), new byte[0]);
+            HttpPort.respond(socket, 421, Map.of(Names.of("instance"), id), new byte[0]);
             return true;
         }
         if (request.path().equals("/healthz") || request.path().equals("/report")) {
-            HttpPort.respond(socket, 200, Map.of("Redwinghook-Instance-Id", id), "{}".getBytes());
+            HttpPort.respond(socket, 200, Map.of(Names.of("instance"), id), "{}".getBytes());
             return true;
         }
         Boolean special = answering.answer(request, socket);
--- a/review/common3/Store.java
+++ b/review/common3/Store.java
@@ -17,9 +17,9 @@
 /** Stand-in for the platform's store: keyed topics of one partition each. It may come back from an older copy. */
 public final class Store implements AutoCloseable {
 
-    public static final String OPERATORS = "keyed.op";
-    public static final String SERVERS = "keyed.servers";
-    public static final String ROUTERS = "keyed.routers";
+    public static final String OPERATORS = Names.of("topic.operators");
+    public static final String SERVERS = Names.of("topic.servers");
+    public static final String ROUTERS = Names.of("topic.routers");
 
     private static final byte[] NO_VALUE = new byte[0];
     private static final int SHORTEST_DELAY_MILLIS = 1_000;
@@ -27,21 +27,12 @@
 
     private record Entry(String key, byte[] value) {}
 
-    /** What stands between the store and a caller, asked before each call. */
-    @FunctionalInterface
-    public interface Gate {
-
-        /** Returns false if the call is to be refused. */
-        boolean admits(HttpPort.Request request);
-    }
-
     private final HttpPort port;
     private final Journal journal;
     private Map<String, List<Entry>> topics = new HashMap<>();
     private Map<String, List<Entry>> copy = new HashMap<>();
     private int era = 1;
     private volatile boolean isAway;
-    private volatile Gate gate = request -> true;
     private double lostShare;
     private Random random = new Random(0);
 
@@ -54,10 +45,6 @@
         return port.address();
     }
 
-    public void setGate(Gate newGate) {
-        gate = newGate;
-    }
-
     /**
      * Loses the answers of some of the system's writes, and executes these writes 1 to 6 s later.
      *
@@ -137,10 +124,6 @@
         if (isAway) {
             return false;
         }
-        if (!gate.admits(request)) {
-            respond(socket, 503, NO_VALUE);
-            return true;
-        }
         String topic = request.parameter("topic");
         switch (request.path()) {
             case "/log-newest" -> respond(socket, 200, newest(topic).getBytes(StandardCharsets.UTF_8));
@@ -165,7 +148,7 @@
                 respond(
                         socket,
                         200,
-                        ("{\"offset\":" + offset + ",\"end-offset\":" + (offset + 1) + "}")
+                        Names.message("appended", "offset", offset, "end", offset + 1)
                                 .getBytes(StandardCharsets.UTF_8));
             }
             default -> respond(socket, 404, NO_VALUE);
@@ -184,7 +167,7 @@
         synchronized (this) {
             currentEra = era;
         }
-        HttpPort.respond(socket, status, Map.of("Store-Era", Integer.toString(currentEra)), body);
+        HttpPort.respond(socket, status, Map.of(Names.of("era"), Integer.toString(currentEra)), body);
     }
 
     private synchronized String newest(String topic) {
@@ -200,8 +183,7 @@
                                 + Base64.getEncoder().encodeToString(entry.value()) + "\",\"offset\":" + offset + "}");
             }
         }
-        return "{\"entries\":[" + String.join(",", newest.values()) + "],\"has-more\":false,\"end-offset\":"
-                + entries.size() + "}";
+        return Names.message("newest", "entries", String.join(",", newest.values()), "end", entries.size());
     }
 
     private void read(HttpPort.Request request, String topic, Socket socket) throws Exception {
