--- a/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.ToDoubleFunction;
 
 import io.micrometer.core.instrument.DistributionSummary;
@@ -23,8 +24,12 @@
     /** Names of the routes with gauges, kept since the registry refers to them only weakly. */
     private final Set<String> routesWithGauges = new HashSet<>();
 
+    /** Era of the store, kept since the registry refers to it only weakly. */
+    private final AtomicLong storeEra = new AtomicLong();
+
     ForwardMetrics(MeterRegistry registry) {
         this.registry = registry;
+        registry.gauge("redwinghook.forward.store.era", storeEra);
     }
 
     /**
@@ -254,6 +259,15 @@
                 .increment();
     }
 
+    /**
+     * Records the era of the store.
+     *
+     * @param era the newest era that the store has named
+     */
+    void recordStoreEra(long era) {
+        storeEra.set(era);
+    }
+
     /**
      * Counts a notice that an endpoint gave in a response.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -107,6 +107,7 @@
         RunningStreams streams = new RunningStreams();
         pollBarrier = new PollBarrier(vertx, clock);
         ForwardMetrics metrics = new ForwardMetrics(meters);
+        platform.store().onEra(metrics::recordStoreEra);
         observers.register(new NoticeObserver(notices, state, clock, metrics));
         PromptGuard promptGuard = new PromptGuard(new PromptQuarantine(settings.process()), clock, metrics);
         promptGuard.onQuarantine(streams::withdraw);
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -38,6 +38,7 @@
     private final StoreTrust trust = new StoreTrust();
     private long lastFailureAtMillis = Long.MIN_VALUE / 2;
     private int failures;
+    private long lastExpiredPosition = -1;
     private boolean snapshotNeeded = true;
     private boolean stopped;
 
@@ -180,11 +181,8 @@
     }
 
     private void handleFailure(Throwable failure) {
-        if (failure instanceof RecordsExpiredException) {
-            LOGGER.info(
-                    "records expired topic={} position={}",
-                    topic,
-                    state.replica(topic).nextOffset());
+        if (failure instanceof RecordsExpiredException expiry) {
+            logExpiry(expiry);
             snapshotNeeded = true;
             trust.recordExpiry(clock.millis());
             readNext();
@@ -199,4 +197,18 @@
         failures++;
         vertx.setTimer(pauseMillis, ignored -> readNext());
     }
+
+    /** Logs what tells a trimmed history, whose first retained offset has passed the position, from a lost end. */
+    private void logExpiry(RecordsExpiredException expiry) {
+        long position = state.replica(topic).nextOffset();
+        LOGGER.info(
+                "records expired topic={} position={} previous={} firstRetained={} end={} era={}",
+                topic,
+                position,
+                lastExpiredPosition,
+                expiry.firstOffset(),
+                expiry.endOffset(),
+                expiry.era());
+        lastExpiredPosition = position;
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/RecordStore.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordStore.java
@@ -1,5 +1,7 @@
 package org.redwinghook.router.forward;
 
+import java.util.function.LongConsumer;
+
 import io.vertx.core.Future;
 import org.redwinghook.core.replica.RecordTopic;
 
@@ -33,4 +35,13 @@
      * @return completes when the store has the record
      */
     Future<Void> write(RecordTopic topic, String key, byte[] value);
+
+    /**
+     * Registers a listener for eras of the store. A new era begins when the store comes back from a copy: records are
+     * lost, and their offsets are given out again.
+     *
+     * @param listener receives, on the event loop, the era of each answer to any call whose era is later than the last one;
+     *     refused calls are included, and the call itself ends afterwards
+     */
+    void onEra(LongConsumer listener);
 }
--- a/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongConsumer;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -119,17 +120,21 @@
         @Override
         public Future<RecordPage> read(RecordTopic topic, long firstOffset, long waitMillis) {
             reads++;
-            return Future.succeededFuture(new RecordPage(List.of(record("e-" + reads, firstOffset)), firstOffset + 1));
+            return Future.succeededFuture(
+                    new RecordPage(List.of(record("e-" + reads, firstOffset)), firstOffset + 1, 0));
         }
 
         @Override
         public Future<RecordPage> snapshot(RecordTopic topic) {
-            return Future.succeededFuture(new RecordPage(List.of(), 0));
+            return Future.succeededFuture(new RecordPage(List.of(), 0, 0));
         }
 
         @Override
         public Future<Void> write(RecordTopic topic, String key, byte[] value) {
             return Future.succeededFuture();
         }
+
+        @Override
+        public void onEra(LongConsumer listener) {}
     }
 }
