--- a/core/src/main/java/org/redwinghook/core/message/RelayedRecords.java
+++ b/core/src/main/java/org/redwinghook/core/message/RelayedRecords.java
@@ -8,8 +8,13 @@
  * @param topic name of the topic
  * @param records the records; the receiver applies those that are newer than its own
  * @param mayHaveLapsed whether removals may be expiries that were caused only by an outage of the store
+ * @param era era of the store that the sender follows, 0 if it knows none
+ * @param writtenEra era of the log that has the records; an earlier one if the log of the sender's era has lost them
+ * @param endOffset offset before which these are the newest records of all keys, 0 if they are only some records
  */
-public record RelayedRecords(String topic, List<KeyedRecord> records, boolean mayHaveLapsed) implements Message {
+public record RelayedRecords(
+        String topic, List<KeyedRecord> records, boolean mayHaveLapsed, long era, long writtenEra, long endOffset)
+        implements Message {
 
     public RelayedRecords {
         records = List.copyOf(records);
--- a/core/src/main/java/org/redwinghook/core/message/WorkReport.java
+++ b/core/src/main/java/org/redwinghook/core/message/WorkReport.java
@@ -11,8 +11,10 @@
  * @param readsStore whether the router's last read of the platform's store succeeded
  * @param known offset sum of the router's copy of each topic of the platform's store, in the order of the topics; see
  *     RecordReplica.offsetSum
+ * @param era era of the store to which the offsets belong, 0 if the router knows none
  */
-public record WorkReport(String router, List<EndpointWork> work, boolean whole, boolean readsStore, List<Long> known)
+public record WorkReport(
+        String router, List<EndpointWork> work, boolean whole, boolean readsStore, List<Long> known, long era)
         implements Message {
 
     public WorkReport {
--- /dev/null
+++ b/core/src/main/java/org/redwinghook/core/replica/CopyDetector.java
@@ -0,0 +1,63 @@
+package org.redwinghook.core.replica;
+
+/**
+ * Tells the records that the log of an era took over from those that were written in that era. A log that came back from a
+ * copy begins with the first records of the earlier log, so one recognized record decides on all on one side of it.
+ */
+final class CopyDetector {
+
+    private final RecordHistory earlier;
+    private long copiedBelow;
+    private long writtenFrom = Long.MAX_VALUE;
+
+    /**
+     * Creates a detector.
+     *
+     * @param earlier records that were seen in earlier eras
+     */
+    CopyDetector(RecordHistory earlier) {
+        this.earlier = earlier;
+    }
+
+    /**
+     * Uses a record of the era's log to decide on others.
+     *
+     * @param record the record
+     * @return whether it changes what is known of others
+     */
+    boolean observe(VersionedRecord record) {
+        long copiedBefore = copiedBelow;
+        long writtenBefore = writtenFrom;
+        if (earlier.contains(record)) {
+            copiedBelow = Math.max(copiedBelow, record.offset() + 1);
+        } else if (earlier.knowsOffset(record.offset())) {
+            writtenFrom = Math.min(writtenFrom, record.offset());
+        }
+        return copiedBelow != copiedBefore || writtenFrom != writtenBefore;
+    }
+
+    /**
+     * Records an end of the log during the era: all later records are written in it.
+     *
+     * @param endOffset offset after the last record
+     */
+    void observeEnd(long endOffset) {
+        writtenFrom = Math.min(writtenFrom, endOffset);
+    }
+
+    /**
+     * Origin of a record.
+     *
+     * @param record the record
+     * @return its origin, as far as the router can tell
+     */
+    RecordOrigin originOf(VersionedRecord record) {
+        if (earlier.contains(record)) {
+            return RecordOrigin.COPIED;
+        }
+        if (record.offset() >= writtenFrom) {
+            return RecordOrigin.WRITTEN;
+        }
+        return record.offset() < copiedBelow ? RecordOrigin.COPIED : RecordOrigin.POSSIBLY_COPIED;
+    }
+}
--- a/core/src/main/java/org/redwinghook/core/replica/RecordReplica.java
+++ b/core/src/main/java/org/redwinghook/core/replica/RecordReplica.java
@@ -3,57 +3,202 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Replica of one keyed log. Records may arrive in any order, repeatedly and from several senders: for each key the one
- * with the highest offset wins, so the replica never reverts to older records.
+ * with the highest offset wins. When the store comes back from a copy, an era begins with a log that may lack the newest
+ * records and gives their offsets out again. What was believed until then stays believed as a floor, until the log of
+ * the new era has a later record of the key. Records of earlier eras are ignored.
  */
 public final class RecordReplica {
 
-    private final Map<String, VersionedRecord> records = new HashMap<>();
+    private final Map<String, VersionedRecord> log = new HashMap<>();
+    private final RecordFloor floor;
+    private final RecordHistory earlierHistory = new RecordHistory();
+    private RecordHistory history = new RecordHistory();
+    private CopyDetector copies = new CopyDetector(earlierHistory);
+    private long era;
     private long nextOffset;
     private long offsetSum;
+    private boolean isComplete;
+
+    /** End of the newest complete replica of an earlier era; keys that it lacked had been removed before this offset. */
+    private long earlierEndOffset;
+
+    /**
+     * Creates an empty replica of era 0.
+     *
+     * @param numbers reads the numbers of the records
+     */
+    public RecordReplica(StatementNumbers numbers) {
+        this.floor = new RecordFloor(numbers);
+    }
+
+    /**
+     * Begins an era: the log is followed from its start, and all beliefs become the floor.
+     *
+     * @param newEra the era; the present one if the log was found to have begun anew without a new era
+     */
+    public void beginEra(long newEra) {
+        log.values().forEach(record -> floor.add(new EarlierRecord(era, record)));
+        if (isComplete) {
+            earlierEndOffset = nextOffset;
+        }
+        earlierHistory.addAll(history);
+        history = new RecordHistory();
+        copies = new CopyDetector(earlierHistory);
+        log.clear();
+        era = newEra;
+        nextOffset = 0;
+        offsetSum = 0;
+        isComplete = false;
+    }
 
     /**
      * Merges records.
      *
+     * @param recordsEra era of the records' log
      * @param incoming the records
-     * @return those that were newer than the replica's
+     * @return those that changed what is believed
      */
-    public List<VersionedRecord> merge(Collection<VersionedRecord> incoming) {
+    public List<VersionedRecord> merge(long recordsEra, Collection<VersionedRecord> incoming) {
+        return recordsEra == era ? merge(incoming, false) : List.of();
+    }
+
+    private List<VersionedRecord> merge(Collection<VersionedRecord> incoming, boolean hasEvidence) {
         List<VersionedRecord> changed = new ArrayList<>();
+        Set<String> pending = new HashSet<>();
+        boolean hasNewEvidence = hasEvidence;
         for (VersionedRecord record : incoming) {
-            VersionedRecord existing = records.get(record.key());
+            hasNewEvidence |= observe(record);
+            VersionedRecord existing = log.get(record.key());
             if (existing != null && existing.offset() >= record.offset()) {
                 continue;
             }
-            records.put(record.key(), record);
-            offsetSum += record.offset() - (existing == null ? -1 : existing.offset());
-            changed.add(record);
+            putIntoLog(record);
+            if (floor.contains(record.key())) {
+                pending.add(record.key());
+            } else if (existing == null && wasRemovedEarlier(record)) {
+                VersionedRecord removal = new VersionedRecord(record.key(), earlierEndOffset - 1, null);
+                floor.add(new EarlierRecord(era - 1, removal));
+            } else {
+                changed.add(record);
+            }
+        }
+        // Each record may reveal the origin of others.
+        for (EarlierRecord earlier : floor.all()) {
+            VersionedRecord newest = log.get(earlier.record().key());
+            if (newest != null
+                    && (hasNewEvidence || pending.contains(newest.key()))
+                    && floor.yieldsTo(newest, copies.originOf(newest))) {
+                changed.add(newest);
+            }
         }
         return changed;
     }
 
+    /** Uses a record to recognize copies. Removals may be derived from a snapshot and are not at their offset in the log. */
+    private boolean observe(VersionedRecord record) {
+        if (record.value() == null) {
+            return false;
+        }
+        history.add(record);
+        return copies.observe(record);
+    }
+
+    /** Whether a copied record belongs to a key that had been removed in an earlier era. */
+    private boolean wasRemovedEarlier(VersionedRecord record) {
+        return record.offset() < earlierEndOffset && copies.originOf(record) != RecordOrigin.WRITTEN;
+    }
+
     /**
      * Merges a complete snapshot: a key that is missing from it was removed before the snapshot's end.
      *
+     * @param recordsEra era of the snapshot's log
      * @param snapshot newest record of each key
      * @param endOffset offset after the last record that the snapshot covers
-     * @return the changed records, including removals
-     */
-    public List<VersionedRecord> mergeSnapshot(Collection<VersionedRecord> snapshot, long endOffset) {
-        Map<String, VersionedRecord> present = new HashMap<>();
-        snapshot.forEach(record -> present.put(record.key(), record));
-        List<VersionedRecord> incoming = new ArrayList<>(snapshot);
-        for (VersionedRecord existing : records.values()) {
-            if (!present.containsKey(existing.key()) && existing.value() != null && existing.offset() < endOffset) {
-                incoming.add(new VersionedRecord(existing.key(), endOffset - 1, null));
+     * @return the records that changed what is believed, including removals
+     */
+    public List<VersionedRecord> mergeSnapshot(long recordsEra, Collection<VersionedRecord> snapshot, long endOffset) {
+        if (recordsEra != era) {
+            return List.of();
+        }
+        if (!isComplete) {
+            snapshot.forEach(copies::observe);
+            copies.observeEnd(endOffset);
+        }
+        List<VersionedRecord> changed = merge(snapshot, !isComplete);
+        Set<String> present = new HashSet<>();
+        snapshot.forEach(record -> present.add(record.key()));
+        for (VersionedRecord existing : List.copyOf(log.values())) {
+            if (!present.contains(existing.key()) && existing.value() != null && existing.offset() < endOffset) {
+                VersionedRecord removal = new VersionedRecord(existing.key(), endOffset - 1, null);
+                putIntoLog(removal);
+                floor.remove(existing.key());
+                changed.add(removal);
             }
         }
+        if (!isComplete) {
+            floor.dropRemovals(log.keySet());
+        }
+        isComplete = true;
         advanceTo(endOffset);
-        return merge(incoming);
+        return changed;
+    }
+
+    private void putIntoLog(VersionedRecord record) {
+        VersionedRecord existing = log.put(record.key(), record);
+        offsetSum += record.offset() - (existing == null ? -1 : existing.offset());
+    }
+
+    /**
+     * Merges what another router believes from earlier eras and did not find in the log of this era.
+     *
+     * @param recordsEra era that the other router follows
+     * @param earlier the records
+     * @return those that changed what is believed
+     */
+    public List<VersionedRecord> mergeEarlier(long recordsEra, Collection<EarlierRecord> earlier) {
+        List<VersionedRecord> changed = new ArrayList<>();
+        if (recordsEra != era) {
+            return changed;
+        }
+        for (EarlierRecord candidate : earlier) {
+            VersionedRecord logged = log.get(candidate.record().key());
+            RecordOrigin origin = logged == null ? RecordOrigin.POSSIBLY_COPIED : copies.originOf(logged);
+            if (candidate.era() < era && floor.merge(candidate, logged, origin)) {
+                changed.add(candidate.record());
+            }
+        }
+        return changed;
+    }
+
+    /**
+     * Beliefs whose keys are not in the complete log of this era: the copy lacked them, and their writers have not written
+     * them again.
+     *
+     * @return the records, empty before the first snapshot of the era
+     */
+    public List<VersionedRecord> lostRecords() {
+        return isComplete ? floor.lostRecords(log.keySet()) : List.of();
+    }
+
+    /**
+     * Gives up the lost records.
+     *
+     * @return a removal for each of them
+     */
+    public List<VersionedRecord> dropLost() {
+        List<VersionedRecord> removals = new ArrayList<>();
+        for (VersionedRecord lost : lostRecords()) {
+            floor.remove(lost.key());
+            removals.add(new VersionedRecord(lost.key(), lost.offset(), null));
+        }
+        return removals;
     }
 
     /**
@@ -66,17 +211,44 @@
     }
 
     /**
-     * Offset before which all records have been merged.
+     * Era of the log that is followed.
      *
-     * @return the offset, 0 before the first snapshot
+     * @return the era, 0 if the store has named none
+     */
+    public long era() {
+        return era;
+    }
+
+    /**
+     * Offset before which all records of this era's log have been merged.
+     *
+     * @return the offset, 0 before the first snapshot of the era
      */
     public long nextOffset() {
         return nextOffset;
     }
 
     /**
-     * Sum of the newest offsets of all keys, each counted from 1. It only grows. If one of two replicas has all records
-     * of the other, they are equal if their sums are.
+     * End of the log of the newest earlier era that was followed completely.
+     *
+     * @return the offset, 0 if there is none
+     */
+    public long earlierEndOffset() {
+        return earlierEndOffset;
+    }
+
+    /**
+     * Whether a snapshot of this era has been merged.
+     *
+     * @return false until then
+     */
+    public boolean isComplete() {
+        return isComplete;
+    }
+
+    /**
+     * Sum of the newest offsets of all keys in the log of this era, each counted from 1. It only grows within an era. If one
+     * of two replicas has all records of the other, they are equal if their sums are.
      *
      * @return the sum
      */
@@ -85,11 +257,31 @@
     }
 
     /**
-     * Newest record of each key, including removed keys.
+     * Believed record of each key, including removed keys.
      *
      * @return the records
      */
     public List<VersionedRecord> allRecords() {
-        return List.copyOf(records.values());
+        Map<String, VersionedRecord> believed = new HashMap<>(log);
+        floor.all().forEach(earlier -> believed.put(earlier.record().key(), earlier.record()));
+        return List.copyOf(believed.values());
+    }
+
+    /**
+     * Newest record of each key in the log of this era, including removed keys.
+     *
+     * @return the records
+     */
+    public List<VersionedRecord> logRecords() {
+        return List.copyOf(log.values());
+    }
+
+    /**
+     * Beliefs of earlier eras that the log of this era has not confirmed.
+     *
+     * @return the records, including removed keys
+     */
+    public List<EarlierRecord> earlierRecords() {
+        return floor.all();
     }
 }
--- a/core/src/main/java/org/redwinghook/core/replica/ReplicaRepairPolicy.java
+++ b/core/src/main/java/org/redwinghook/core/replica/ReplicaRepairPolicy.java
@@ -9,8 +9,8 @@
  * Decides which routers repair the replica of a router that lags behind in one topic. If every router relayed every
  * record to all others, a series of configuration changes would saturate small links for seconds. Therefore the routers
  * that read the store relay each record once, and routers compare the offset sums of their replicas. A lagging router
- * receives the records from a few of the routers that have them, and from more of them the longer it lags. Times are
- * milliseconds of a monotonic clock.
+ * receives the records from a few of the routers that have them, and from more of them the longer it lags. Offset sums
+ * are compared within one era of the store; a router of an earlier era lags. Times are milliseconds of a monotonic clock.
  */
 public final class ReplicaRepairPolicy {
 
@@ -34,18 +34,30 @@
     /** Number of rounds in which only the records are sent that changed since the other router was in sync. */
     private static final int PARTIAL_ROUNDS = 2;
 
+    /** Offset sum of a replica without records. */
+    private static final long NO_RECORDS = 0;
+
     private final Deque<OwnState> ownHistory = new ArrayDeque<>();
     private final Map<String, Long> peerOffsetSums = new HashMap<>();
     private final Map<String, LaggingPeer> laggingPeers = new HashMap<>();
     private final Map<String, Long> inSyncAtMillis = new HashMap<>();
+    private long era;
 
     /**
      * Records the offset sum of this router's replica.
      *
+     * @param newestEra era of the replica
      * @param offsetSum offset sum of its replica
      * @param nowMillis current time
      */
-    public void recordOwnOffsetSum(long offsetSum, long nowMillis) {
+    public void recordOwnOffsetSum(long newestEra, long offsetSum, long nowMillis) {
+        if (newestEra != era) {
+            era = newestEra;
+            ownHistory.clear();
+            peerOffsetSums.clear();
+            laggingPeers.clear();
+            inSyncAtMillis.clear();
+        }
         OwnState last = ownHistory.peekLast();
         if (last == null || last.offsetSum() != offsetSum) {
             ownHistory.addLast(new OwnState(offsetSum, nowMillis));
@@ -58,16 +70,23 @@
      *
      * @param self name of this router
      * @param peer name of the other router
-     * @param offsetSum offset sum of its replica
+     * @param peerEra era of its replica
+     * @param reportedOffsetSum offset sum of its replica
      * @param nowMillis current time
      * @return true if this router should send its records to the other one
      */
-    public boolean shouldRepair(String self, String peer, long offsetSum, long nowMillis) {
+    public boolean shouldRepair(String self, String peer, long peerEra, long reportedOffsetSum, long nowMillis) {
+        if (peerEra > era || isIncomparable(peerEra, reportedOffsetSum)) {
+            peerOffsetSums.remove(peer);
+            laggingPeers.remove(peer);
+            return false;
+        }
+        long offsetSum = peerEra == era ? reportedOffsetSum : NO_RECORDS;
         peerOffsetSums.put(peer, offsetSum);
         long propagatedOffsetSum = propagatedOffsetSum(nowMillis);
         if (offsetSum >= propagatedOffsetSum) {
             laggingPeers.remove(peer);
-            if (propagatedOffsetSum != Long.MIN_VALUE) {
+            if (propagatedOffsetSum != Long.MIN_VALUE && peerEra == era) {
                 inSyncAtMillis.put(peer, nowMillis);
             }
             return false;
@@ -84,6 +103,11 @@
         return rank(self, peer, propagatedOffsetSum) < repairers;
     }
 
+    /** Whether a router has records of an unknown era, as one of a version before eras; it may have all records. */
+    private boolean isIncomparable(long peerEra, long offsetSum) {
+        return peerEra == 0 && era > 0 && offsetSum > NO_RECORDS;
+    }
+
     /**
      * Time since which records that a lagging router may lack have changed. All records are sent to a router that was never
      * seen in sync, and to one that still lags after the first rounds.
--- a/core/src/test/java/org/redwinghook/core/replica/ReplicaRepairPolicyTest.java
+++ b/core/src/test/java/org/redwinghook/core/replica/ReplicaRepairPolicyTest.java
@@ -13,6 +13,8 @@
  */
 public class ReplicaRepairPolicyTest {
 
+    private static final long ERA = 3;
+
     /** Load: 27 routers, and a change every 200 ms for seven seconds, as recorded in a large deployment. */
     public static class SeriesOfChanges {
 
@@ -20,9 +22,9 @@
         public void doesNotRepairRoutersThatReceiveChangesInTime() {
             ReplicaRepairPolicy policy = new ReplicaRepairPolicy();
             for (long now = 0; now < 7_000; now += 200) {
-                policy.recordOwnOffsetSum(now, now);
+                policy.recordOwnOffsetSum(ERA, now, now);
                 for (int peer = 0; peer < 26; peer++) {
-                    Assert.assertFalse(policy.shouldRepair("r-13", "p-" + peer, now - 300, now));
+                    Assert.assertFalse(policy.shouldRepair("r-13", "p-" + peer, ERA, now - 300, now));
                 }
             }
         }
@@ -32,13 +34,13 @@
             int repairers = 0;
             for (int router = 0; router < 26; router++) {
                 ReplicaRepairPolicy policy = new ReplicaRepairPolicy();
-                policy.recordOwnOffsetSum(100, 0);
+                policy.recordOwnOffsetSum(ERA, 100, 0);
                 for (int peer = 0; peer < 26; peer++) {
                     if (peer != router) {
-                        policy.shouldRepair(name(router), name(peer), 100, 900);
+                        policy.shouldRepair(name(router), name(peer), ERA, 100, 900);
                     }
                 }
-                repairers += policy.shouldRepair(name(router), "behind", 40, 1_000) ? 1 : 0;
+                repairers += policy.shouldRepair(name(router), "behind", ERA, 40, 1_000) ? 1 : 0;
             }
             Assert.assertEquals(repairers, 2);
         }
@@ -50,13 +52,13 @@
         @Test
         public void moreRoutersRepairItWhileItLags() {
             ReplicaRepairPolicy policy = new ReplicaRepairPolicy();
-            policy.recordOwnOffsetSum(100, 0);
+            policy.recordOwnOffsetSum(ERA, 100, 0);
             for (int peer = 0; peer < 20; peer++) {
-                policy.shouldRepair(name(30), name(peer), 100, 900);
+                policy.shouldRepair(name(30), name(peer), ERA, 100, 900);
             }
             List<Boolean> repairs = new ArrayList<>();
             for (long now = 1_000; now <= 6_000; now += 1_000) {
-                repairs.add(policy.shouldRepair(name(30), "behind", 40, now));
+                repairs.add(policy.shouldRepair(name(30), "behind", ERA, 40, now));
             }
             Assert.assertEquals(repairs, List.of(false, false, false, false, true, true));
         }
@@ -64,10 +66,10 @@
         @Test
         public void isRepairedAtMostOncePerSecond() {
             ReplicaRepairPolicy policy = new ReplicaRepairPolicy();
-            policy.recordOwnOffsetSum(100, 0);
-            Assert.assertTrue(policy.shouldRepair("a", "behind", 40, 1_000));
-            Assert.assertFalse(policy.shouldRepair("a", "behind", 40, 1_500));
-            Assert.assertTrue(policy.shouldRepair("a", "behind", 40, 2_000));
+            policy.recordOwnOffsetSum(ERA, 100, 0);
+            Assert.assertTrue(policy.shouldRepair("a", "behind", ERA, 40, 1_000));
+            Assert.assertFalse(policy.shouldRepair("a", "behind", ERA, 40, 1_500));
+            Assert.assertTrue(policy.shouldRepair("a", "behind", ERA, 40, 2_000));
         }
     }
 
@@ -78,13 +80,13 @@
         @Test
         public void firstRoundsContainOnlyWhatChangedSinceTheRouterWasInSync() {
             ReplicaRepairPolicy policy = new ReplicaRepairPolicy();
-            policy.recordOwnOffsetSum(100, 0);
+            policy.recordOwnOffsetSum(ERA, 100, 0);
             Assert.assertEquals(policy.missingSinceMillis("behind"), Long.MIN_VALUE);
-            policy.shouldRepair("a", "behind", 100, 1_000);
-            policy.recordOwnOffsetSum(140, 1_500);
+            policy.shouldRepair("a", "behind", ERA, 100, 1_000);
+            policy.recordOwnOffsetSum(ERA, 140, 1_500);
             List<Long> since = new ArrayList<>();
             for (long now = 2_000; now <= 4_000; now += 1_000) {
-                Assert.assertTrue(policy.shouldRepair("a", "behind", 100, now));
+                Assert.assertTrue(policy.shouldRepair("a", "behind", ERA, 100, now));
                 since.add(policy.missingSinceMillis("behind"));
             }
             Assert.assertEquals(since, List.of(600L, 600L, Long.MIN_VALUE));
@@ -104,17 +106,43 @@
         }
     }
 
+    /** Load: the store came back from a copy, and offsets of its log begin anew at lower ones. */
+    public static class StoreEras {
+
+        /** Guards against a router that stays at the log of before, as its higher offsets look complete. */
+        @Test
+        public void routerOfAnEarlierEraLags() {
+            ReplicaRepairPolicy policy = new ReplicaRepairPolicy();
+            policy.recordOwnOffsetSum(ERA, 100, 0);
+            policy.shouldRepair("a", "behind", ERA, 100, 1_000);
+            policy.recordOwnOffsetSum(ERA + 1, 40, 2_000);
+            Assert.assertFalse(policy.shouldRepair("a", "behind", ERA, 100, 2_100));
+            Assert.assertTrue(policy.shouldRepair("a", "behind", ERA, 100, 2_500));
+            Assert.assertEquals(policy.missingSinceMillis("behind"), Long.MIN_VALUE);
+        }
+
+        /** Guards against repairs from the log of before, and against endless ones of routers that report no era. */
+        @Test
+        public void otherErasAreNotCompared() {
+            ReplicaRepairPolicy policy = new ReplicaRepairPolicy();
+            policy.recordOwnOffsetSum(ERA, 100, 0);
+            Assert.assertFalse(policy.shouldRepair("a", "ahead", ERA + 1, 40, 1_000));
+            Assert.assertFalse(policy.shouldRepair("a", "before eras", 0, 40, 1_000));
+            Assert.assertTrue(policy.shouldRepair("a", "started", 0, 0, 1_000));
+        }
+    }
+
     /** Load: a router misses a record and receives a later one from another sender. */
     @Test
     public void offsetSumRevealsAMissingRecordBeforeALaterOne() {
-        RecordReplica complete = new RecordReplica();
-        RecordReplica partial = new RecordReplica();
+        RecordReplica complete = new RecordReplica(StatementNumbers.NONE);
+        RecordReplica partial = new RecordReplica(StatementNumbers.NONE);
         VersionedRecord configuration = new VersionedRecord("config", 4, new byte[1]);
         VersionedRecord withdrawal = new VersionedRecord("withdrawal", 5, new byte[1]);
-        complete.merge(List.of(configuration, withdrawal));
-        partial.merge(List.of(withdrawal));
+        complete.merge(0, List.of(configuration, withdrawal));
+        partial.merge(0, List.of(withdrawal));
         Assert.assertTrue(partial.offsetSum() < complete.offsetSum());
-        partial.merge(List.of(configuration));
+        partial.merge(0, List.of(configuration));
         Assert.assertEquals(partial.offsetSum(), complete.offsetSum());
     }
 
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -108,6 +108,7 @@
         pollBarrier = new PollBarrier(vertx, clock);
         ForwardMetrics metrics = new ForwardMetrics(meters);
         platform.store().onEra(metrics::recordStoreEra);
+        platform.store().onEra(state::beginEra);
         observers.register(new NoticeObserver(notices, state, clock, metrics));
         PromptGuard promptGuard = new PromptGuard(new PromptQuarantine(settings.process()), clock, metrics);
         promptGuard.onQuarantine(streams::withdraw);
@@ -249,7 +250,7 @@
         followers.forEach(RecordFollower::start);
         leaveWatch.start();
         state.onChange((topic, changed) -> handleStateChange());
-        vertx.setPeriodic(EXPIRY_CHECK_INTERVAL_MILLIS, ignored -> state.removeExpiredEndpoints());
+        vertx.setPeriodic(EXPIRY_CHECK_INTERVAL_MILLIS, ignored -> state.removeLapsedEntries());
         vertx.setTimer(SECONDARY_SERVICES_LATEST_START_MILLIS, ignored -> startSecondaryServices());
         return Future.all(server.start(), readinessServer.start())
                 .onSuccess(ignored -> pollBarrier.start())
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
@@ -9,12 +9,14 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongConsumer;
 
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.EndpointEntry;
 import org.redwinghook.core.forward.EndpointTable;
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.forward.KnownEndpoint;
+import org.redwinghook.core.replica.EarlierRecord;
 import org.redwinghook.core.replica.RecordReplica;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.VersionedRecord;
@@ -36,6 +38,11 @@
     private final List<Consumer<KnownEndpoint>> leavingHandlers = new ArrayList<>();
     private final List<BiConsumer<RecordTopic, List<VersionedRecord>>> changeHandlers = new ArrayList<>();
     private final List<Consumer<OperatorRecord.Rollout>> rolloutHandlers = new ArrayList<>();
+    private final List<LongConsumer> eraHandlers = new ArrayList<>();
+    private final List<Consumer<RecordTopic>> completionHandlers = new ArrayList<>();
+    private long era;
+    private long previousEra;
+    private long routersLostAtMillis;
     private @Nullable ForwardingConfiguration configuration;
 
     /**
@@ -48,7 +55,7 @@
         this.decoder = decoder;
         this.clock = clock;
         for (RecordTopic topic : RecordTopic.values()) {
-            replicas.put(topic, new RecordReplica());
+            replicas.put(topic, new RecordReplica(record -> decoder.statementNumber(topic, record)));
         }
     }
 
@@ -79,6 +86,59 @@
         rolloutHandlers.add(handler);
     }
 
+    /**
+     * Registers a listener for eras of the store.
+     *
+     * @param handler receives each new era, after all copies have begun it
+     */
+    public void onEra(LongConsumer handler) {
+        eraHandlers.add(handler);
+    }
+
+    /**
+     * Registers a listener for copies that are complete.
+     *
+     * @param handler receives the topic when the first snapshot of an era has been applied
+     */
+    void onComplete(Consumer<RecordTopic> handler) {
+        completionHandlers.add(handler);
+    }
+
+    /**
+     * Era of the store.
+     *
+     * @return the newest one that the store or another router named, 0 before the first
+     */
+    public long era() {
+        return era;
+    }
+
+    /**
+     * Begins an era of the store unless it is known: what is known so far holds until the records of the new era have been
+     * read.
+     *
+     * @param newEra the era
+     */
+    public void beginEra(long newEra) {
+        if (newEra <= era) {
+            return;
+        }
+        LOGGER.info("store era begins era={} previous={}", newEra, era);
+        previousEra = era;
+        era = newEra;
+        replicas.values().forEach(replica -> replica.beginEra(newEra));
+        eraHandlers.forEach(handler -> handler.accept(newEra));
+    }
+
+    /**
+     * Follows the log of a topic from its start, since it has begun anew without a new era.
+     *
+     * @param topic the topic
+     */
+    void restartLog(RecordTopic topic) {
+        replica(topic).beginEra(era);
+    }
+
     /**
      * Configuration in force.
      *
@@ -117,30 +177,92 @@
     }
 
     /**
-     * Applies records, which may repeat what the copy already has.
+     * Applies records, which may repeat what the copy already has. Those of an earlier era are ignored.
      *
      * @param topic their topic
+     * @param recordsEra era of their log
      * @param records the records
      * @param storeWasUnavailable whether entries may have lapsed only because the store was unavailable
      * @return the records that were new
      */
     public List<VersionedRecord> apply(
-            RecordTopic topic, Collection<VersionedRecord> records, boolean storeWasUnavailable) {
-        return handleChanges(topic, replica(topic).merge(records), storeWasUnavailable);
+            RecordTopic topic, long recordsEra, Collection<VersionedRecord> records, boolean storeWasUnavailable) {
+        beginEra(recordsEra);
+        return handleChanges(topic, replica(topic).merge(recordsEra, records), storeWasUnavailable);
     }
 
     /**
-     * Applies a snapshot.
+     * Applies a snapshot. One of an earlier era is ignored.
      *
      * @param topic its topic
+     * @param recordsEra era of its log
      * @param snapshot newest record of each key
      * @param endOffset offset after the last record that the snapshot covers
      * @param storeWasUnavailable whether entries may have lapsed only because the store was unavailable
      * @return the records that changed
      */
     public List<VersionedRecord> applySnapshot(
-            RecordTopic topic, Collection<VersionedRecord> snapshot, long endOffset, boolean storeWasUnavailable) {
-        return handleChanges(topic, replica(topic).mergeSnapshot(snapshot, endOffset), storeWasUnavailable);
+            RecordTopic topic,
+            long recordsEra,
+            Collection<VersionedRecord> snapshot,
+            long endOffset,
+            boolean storeWasUnavailable) {
+        beginEra(recordsEra);
+        RecordReplica replica = replica(topic);
+        boolean isFirst = recordsEra == era && !replica.isComplete();
+        List<VersionedRecord> changed = replica.mergeSnapshot(recordsEra, snapshot, endOffset);
+        if (isFirst && replica.earlierEndOffset() > 0) {
+            logBeginning(replica, topic, changed.size());
+        }
+        handleChanges(topic, changed, storeWasUnavailable);
+        if (isFirst) {
+            handleLost(topic);
+            completionHandlers.forEach(handler -> handler.accept(topic));
+        }
+        return changed;
+    }
+
+    /**
+     * Applies what another router knows from earlier eras and did not find in the log of its era.
+     *
+     * @param topic the topic
+     * @param recordsEra era that the other router follows
+     * @param records the records
+     * @return the records that were new
+     */
+    List<VersionedRecord> applyEarlier(RecordTopic topic, long recordsEra, Collection<EarlierRecord> records) {
+        beginEra(recordsEra);
+        List<VersionedRecord> changed = handleChanges(topic, replica(topic).mergeEarlier(recordsEra, records), true);
+        if (!changed.isEmpty()) {
+            handleLost(topic);
+        }
+        return changed;
+    }
+
+    private void logBeginning(RecordReplica replica, RecordTopic topic, int changed) {
+        int lost = replica.lostRecords().size();
+        LOGGER.info(
+                "log began anew topic={} era={} previous={} endOffset={} previousEnd={} records={} changed={} kept={}"
+                        + " lost={}",
+                topic,
+                era,
+                previousEra,
+                replica.nextOffset(),
+                replica.earlierEndOffset(),
+                replica.logRecords().size(),
+                changed,
+                replica.earlierRecords().size() - lost,
+                lost);
+    }
+
+    /** Begins the time in which the writers of lost records write them again. Operators' records have no such limit. */
+    private void handleLost(RecordTopic topic) {
+        if (topic == RecordTopic.ENDPOINTS) {
+            handleChanges(topic, replica(topic).dropLost(), true);
+        }
+        if (topic == RecordTopic.ROUTERS) {
+            routersLostAtMillis = clock.millis();
+        }
     }
 
     /**
@@ -176,11 +298,14 @@
         }
     }
 
-    /** Removes endpoints whose entries lapsed and were not registered again in time. */
-    public void removeExpiredEndpoints() {
+    /** Removes endpoints and routers whose entries lapsed or were lost, and were not written again in time. */
+    public void removeLapsedEntries() {
         for (String id : endpoints.expire(clock.millis())) {
             LOGGER.info("endpoint removed id={} cause=lapsed", id);
         }
+        if (clock.millis() - routersLostAtMillis >= EndpointTable.REREGISTRATION_GRACE_MILLIS) {
+            handleChanges(RecordTopic.ROUTERS, replica(RecordTopic.ROUTERS).dropLost(), false);
+        }
     }
 
     private List<VersionedRecord> handleChanges(
--- a/router/src/main/java/org/redwinghook/router/forward/RecordDecoder.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordDecoder.java
@@ -2,7 +2,10 @@
 
 import java.util.Optional;
 
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.EndpointEntry;
+import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.StatementNumber;
 import org.redwinghook.core.replica.VersionedRecord;
 
 /** Decodes the platform's records into the project's types. */
@@ -23,4 +26,15 @@
      * @return the entry, empty if it was removed or is unreadable
      */
     Optional<EndpointEntry> decodeEndpoint(VersionedRecord record);
+
+    /**
+     * Reads the number that the writer of a record gave to it.
+     *
+     * @param topic topic of the record
+     * @param record the record
+     * @return the number, null if the record has none
+     */
+    default @Nullable StatementNumber statementNumber(RecordTopic topic, VersionedRecord record) {
+        return null;
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Supplier;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.StoreRole;
@@ -40,6 +41,10 @@
     private int failures;
     private long lastExpiredPosition = -1;
     private boolean snapshotNeeded = true;
+    private boolean hasSnapshot;
+    private boolean hasExpired;
+    private boolean isReading;
+    private long reads;
     private boolean stopped;
 
     /**
@@ -86,6 +91,7 @@
 
     /** Starts to follow the topic. */
     public void start() {
+        state.onEra(ignored -> handleEra());
         readNext();
     }
 
@@ -121,46 +127,106 @@
         return trust;
     }
 
+    /** Reads a snapshot at once, since the positions in the log of the era before mean nothing in the new one. */
+    private void handleEra() {
+        if (hasSnapshot) {
+            // Entries may also have lapsed while the store was away.
+            lastFailureAtMillis = clock.millis();
+            trust.recordExpiry(lastFailureAtMillis);
+        }
+        boolean isSnapshotUnderWay = snapshotNeeded && isReading;
+        snapshotNeeded = true;
+        if (!isSnapshotUnderWay) {
+            readNext();
+        }
+    }
+
+    /** Begins a read in place of one that is under way, or of the pause before the next one. */
     private void readNext() {
         if (stopped) {
             return;
         }
+        long readNumber = ++reads;
+        isReading = true;
+        long era = state.era();
         trust.recordReadStart(snapshotNeeded ? 0 : role.get().waitMillis(), clock.millis());
-        if (snapshotNeeded) {
-            store.snapshot(topic).onSuccess(this::handleSnapshot).onFailure(this::handleFailure);
+        Future<RecordPage> page = snapshotNeeded
+                ? store.snapshot(topic)
+                : store.read(
+                        topic, state.replica(topic).nextOffset(), role.get().waitMillis());
+        page.onSuccess(records -> {
+                    if (readNumber == reads) {
+                        isReading = false;
+                        handlePage(records, era);
+                    }
+                })
+                .onFailure(failure -> {
+                    if (readNumber == reads) {
+                        isReading = false;
+                        handleFailure(failure);
+                    }
+                });
+    }
+
+    private void handlePage(RecordPage page, long eraBefore) {
+        long era = page.era() == 0 ? state.era() : page.era();
+        state.beginEra(era);
+        boolean isStale = era < state.era() || (!snapshotNeeded && era != eraBefore);
+        if (isReading) {
             return;
         }
-        store.read(topic, state.replica(topic).nextOffset(), role.get().waitMillis())
-                .onSuccess(this::handleRecords)
-                .onFailure(this::handleFailure);
+        if (isStale) {
+            recordSuccess();
+            readAfter(INITIAL_RETRY_MILLIS);
+        } else if (snapshotNeeded) {
+            handleSnapshot(page, era);
+        } else {
+            handleRecords(page, era);
+        }
     }
 
-    private void handleSnapshot(RecordPage page) {
+    private void handleSnapshot(RecordPage page, long era) {
         snapshotNeeded = false;
+        hasSnapshot = true;
         recordSuccess();
-        try {
-            relay.relay(
+        if (hasExpired && page.endOffset() < state.replica(topic).nextOffset()) {
+            LOGGER.info(
+                    "log began anew without an era topic={} position={} endOffset={}",
                     topic,
-                    state.applySnapshot(topic, page.records(), page.endOffset(), storeWasUnavailable()),
-                    storeWasUnavailable());
+                    state.replica(topic).nextOffset(),
+                    page.endOffset());
+            state.restartLog(topic);
+        }
+        hasExpired = false;
+        try {
+            List<VersionedRecord> changed =
+                    state.applySnapshot(topic, era, page.records(), page.endOffset(), storeWasUnavailable());
+            // Followers read snapshots too when an era begins; if each relayed its own, the links would saturate.
+            if (role.get() != StoreRole.FOLLOWER) {
+                relay.relay(topic, changed, storeWasUnavailable());
+            }
         } finally {
             readAfterPause();
         }
     }
 
-    private void handleRecords(RecordPage page) {
+    private void handleRecords(RecordPage page, long era) {
         recordSuccess();
         try {
-            relay.relay(topic, state.apply(topic, page.records(), storeWasUnavailable()), storeWasUnavailable());
+            relay.relay(topic, state.apply(topic, era, page.records(), storeWasUnavailable()), storeWasUnavailable());
         } finally {
             state.replica(topic).advanceTo(page.endOffset());
             readAfterPause();
         }
     }
 
+    private void readAfter(long pauseMillis) {
+        runAfter(pauseMillis, this::readNext);
+    }
+
     private void readAfterPause() {
         long sinceMillis = clock.millis();
-        vertx.setTimer(StoreRole.FIRST_READER.pauseMillis(), ignored -> readWhenDue(sinceMillis));
+        runAfter(StoreRole.FIRST_READER.pauseMillis(), () -> readWhenDue(sinceMillis));
     }
 
     private void readWhenDue(long sinceMillis) {
@@ -169,7 +235,17 @@
             readNext();
             return;
         }
-        vertx.setTimer(Math.min(remainingMillis, ROLE_CHECK_INTERVAL_MILLIS), ignored -> readWhenDue(sinceMillis));
+        runAfter(Math.min(remainingMillis, ROLE_CHECK_INTERVAL_MILLIS), () -> readWhenDue(sinceMillis));
+    }
+
+    /** Runs an action after a pause unless another read begins first. */
+    private void runAfter(long pauseMillis, Runnable action) {
+        long readNumber = reads;
+        vertx.setTimer(pauseMillis, ignored -> {
+            if (readNumber == reads) {
+                action.run();
+            }
+        });
     }
 
     private void recordSuccess() {
@@ -183,9 +259,13 @@
     private void handleFailure(Throwable failure) {
         if (failure instanceof RecordsExpiredException expiry) {
             logExpiry(expiry);
-            snapshotNeeded = true;
-            trust.recordExpiry(clock.millis());
-            readNext();
+            state.beginEra(expiry.era());
+            if (!isReading) {
+                hasExpired = true;
+                snapshotNeeded = true;
+                trust.recordExpiry(clock.millis());
+                readNext();
+            }
             return;
         }
         if (failures == 0) {
@@ -195,7 +275,7 @@
         trust.recordFailure(lastFailureAtMillis);
         long pauseMillis = Math.min(MAXIMUM_RETRY_MILLIS, INITIAL_RETRY_MILLIS << Math.min(failures, 4));
         failures++;
-        vertx.setTimer(pauseMillis, ignored -> readNext());
+        readAfter(pauseMillis);
     }
 
     /** Logs what tells a trimmed history, whose first retained offset has passed the position, from a lost end. */
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -26,6 +27,8 @@
 import org.redwinghook.core.placement.WorkTotals;
 import org.redwinghook.core.quarantine.MergedEvidence;
 import org.redwinghook.core.quarantine.QuarantineEvidence;
+import org.redwinghook.core.replica.EarlierRecord;
+import org.redwinghook.core.replica.RecordReplica;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.RepairBudget;
 import org.redwinghook.core.replica.ReplicaRepairPolicy;
@@ -85,6 +88,7 @@
     private Runnable workReportHandler = () -> {};
     private QuarantineEvidence pendingEvidence = QuarantineEvidence.NONE;
     private boolean lastReportedStoreAccess = true;
+    private long lastReportedEra;
     private BooleanSupplier canReadStore = () -> true;
     private BooleanSupplier storeWasUnavailable = () -> false;
     private boolean isFullyConnected = true;
@@ -111,6 +115,8 @@
             changedAtMillis.put(topic, new HashMap<>());
         }
         state.onChange(this::recordChanges);
+        state.onEra(ignored -> handleEra());
+        state.onComplete(this::handleComplete);
     }
 
     /**
@@ -214,7 +220,14 @@
         // copies
         // with each new connection kept a congested link congested: silent connections are opened again and again.
         Map<String, WorkTotals> own = ledger.ownWork();
-        peer.send(new WorkReport(self, toEndpointWork(own), true, canReadStore.getAsBoolean(), recordOffsetSums()));
+        peer.send(new WorkReport(
+                self, toEndpointWork(own), true, canReadStore.getAsBoolean(), recordOffsetSums(), state.era()));
+        for (RecordTopic topic : RecordTopic.values()) {
+            for (RelayedRecords message : toEarlierRecords(topic)) {
+                logEarlierRecords(message, peer.name());
+                peer.send(message);
+            }
+        }
         QuarantineEvidence evidence = promptGuard.evidence();
         if (!evidence.isEmpty()) {
             toReports(evidence).forEach(peer::send);
@@ -244,6 +257,7 @@
             ledger.updatePeer(report.router(), totals, report.whole(), clock.millis());
             workReportHandler.run();
             storeAccessByRouter.put(report.router(), report.readsStore());
+            state.beginEra(report.era());
             repairIfLagging(peer, report);
         }
         if (message instanceof RelayedRecords relayed) {
@@ -321,8 +335,7 @@
     private void repairIfLagging(ConfigurationPeer peer, WorkReport report) {
         recordOffsetSums();
         for (RecordTopic topic : RecordTopic.values()) {
-            if (topic.ordinal() < report.known().size()
-                    && isRepairDue(topic, peer, report.known().get(topic.ordinal()))) {
+            if (topic.ordinal() < report.known().size() && isRepairDue(topic, peer, report)) {
                 repair(topic, peer);
             }
         }
@@ -330,7 +343,8 @@
 
     private void repair(RecordTopic topic, ConfigurationPeer peer) {
         long sinceMillis = repairPolicies.get(topic).missingSinceMillis(peer.name());
-        List<VersionedRecord> records = state.replica(topic).allRecords().stream()
+        RecordReplica replica = state.replica(topic);
+        List<VersionedRecord> records = replica.logRecords().stream()
                 .filter(record -> changedAtMillis(topic, record) >= sinceMillis)
                 .toList();
         long bytes = records.stream().mapToLong(RouterExchange::size).sum();
@@ -343,10 +357,67 @@
                 bytes,
                 isSent);
         if (isSent) {
-            peer.send(toRelayedRecords(topic, records, storeWasUnavailable.getAsBoolean()));
+            boolean isWhole = sinceMillis == Long.MIN_VALUE && replica.isComplete();
+            peer.send(new RelayedRecords(
+                    topic.name(),
+                    toKeyedRecords(records),
+                    storeWasUnavailable.getAsBoolean(),
+                    state.era(),
+                    state.era(),
+                    isWhole ? replica.nextOffset() : 0));
         }
     }
 
+    /** Tells the other routers of a new era, and forgets what concerns the log of the era before. */
+    private void handleEra() {
+        pendingOperatorRecords.clear();
+        changedAtMillis.values().forEach(Map::clear);
+        recordOffsetSums();
+        report();
+    }
+
+    /** Tells other routers how much of the log this one has, and what the log has lost: they may know nothing of it. */
+    private void handleComplete(RecordTopic topic) {
+        recordOffsetSums();
+        state.replica(topic)
+                .logRecords()
+                .forEach(record -> changedAtMillis.get(topic).putIfAbsent(record.key(), clock.millis()));
+        if (storeRole() == StoreRole.FOLLOWER) {
+            return;
+        }
+        for (RelayedRecords message : toEarlierRecords(topic)) {
+            logEarlierRecords(message, "all");
+            broadcast(null, message);
+        }
+    }
+
+    private static void logEarlierRecords(RelayedRecords message, String receiver) {
+        LOGGER.info(
+                "earlier records sent topic={} to={} era={} writtenEra={} records={}",
+                message.topic(),
+                receiver,
+                message.era(),
+                message.writtenEra(),
+                message.records().size());
+    }
+
+    /** Messages with the records of earlier eras that the log of this era has not confirmed, one for each such era. */
+    private List<RelayedRecords> toEarlierRecords(RecordTopic topic) {
+        RecordReplica replica = state.replica(topic);
+        Map<Long, List<VersionedRecord>> recordsByEra = new TreeMap<>();
+        if (replica.isComplete()) {
+            for (EarlierRecord earlier : replica.earlierRecords()) {
+                recordsByEra
+                        .computeIfAbsent(earlier.era(), ignored -> new ArrayList<>())
+                        .add(earlier.record());
+            }
+        }
+        List<RelayedRecords> messages = new ArrayList<>();
+        recordsByEra.forEach((writtenEra, records) -> messages.add(
+                new RelayedRecords(topic.name(), toKeyedRecords(records), true, state.era(), writtenEra, 0)));
+        return messages;
+    }
+
     private long changedAtMillis(RecordTopic topic, VersionedRecord record) {
         return changedAtMillis.get(topic).getOrDefault(record.key(), Long.MAX_VALUE);
     }
@@ -363,9 +434,13 @@
     }
 
     /** Whether this router sends its records of a topic now: to a router that has just started without the store, at once. */
-    private boolean isRepairDue(RecordTopic topic, ConfigurationPeer peer, long offsetSum) {
-        boolean isDue = repairPolicies.get(topic).shouldRepair(self, peer.name(), offsetSum, clock.millis());
-        return isDue || (offsetSum == 0 && state.replica(topic).offsetSum() > 0);
+    private boolean isRepairDue(RecordTopic topic, ConfigurationPeer peer, WorkReport report) {
+        long offsetSum = report.known().get(topic.ordinal());
+        boolean isDue =
+                repairPolicies.get(topic).shouldRepair(self, peer.name(), report.era(), offsetSum, clock.millis());
+        // All routers are without records for a moment when an era begins.
+        boolean hasStarted = offsetSum == 0 && (report.era() == 0 || report.whole());
+        return isDue || (hasStarted && state.replica(topic).offsetSum() > 0);
     }
 
     /** Records the offset sums of this router's copies of the topics and returns them. */
@@ -373,7 +448,7 @@
         List<Long> offsetSums = new ArrayList<>();
         for (RecordTopic topic : RecordTopic.values()) {
             long offsetSum = state.replica(topic).offsetSum();
-            repairPolicies.get(topic).recordOwnOffsetSum(offsetSum, clock.millis());
+            repairPolicies.get(topic).recordOwnOffsetSum(state.era(), offsetSum, clock.millis());
             offsetSums.add(offsetSum);
         }
         return offsetSums;
@@ -385,16 +460,38 @@
         for (KeyedRecord record : relayed.records()) {
             records.add(new VersionedRecord(record.key(), record.offset(), record.value()));
         }
-        List<VersionedRecord> changed = state.apply(topic, records, relayed.mayHaveLapsed());
+        List<VersionedRecord> changed = apply(topic, relayed, records);
         if (!isFullyConnected && !changed.isEmpty()) {
             // In a large deployment a router is connected to few others, so records are relayed from router to router.
-            broadcast(peer, toRelayedRecords(topic, changed, relayed.mayHaveLapsed()));
+            broadcast(
+                    peer,
+                    new RelayedRecords(
+                            relayed.topic(),
+                            toKeyedRecords(changed),
+                            relayed.mayHaveLapsed(),
+                            relayed.era(),
+                            relayed.writtenEra(),
+                            0));
         }
         if (topic != RecordTopic.ENDPOINTS && !changed.isEmpty()) {
             LOGGER.info("records relayed topic={} from={} changed={}", topic, peer.name(), changed.size());
         }
     }
 
+    private List<VersionedRecord> apply(RecordTopic topic, RelayedRecords relayed, List<VersionedRecord> records) {
+        if (relayed.writtenEra() < relayed.era()) {
+            List<EarlierRecord> earlier = records.stream()
+                    .map(record -> new EarlierRecord(relayed.writtenEra(), record))
+                    .toList();
+            return state.applyEarlier(topic, relayed.era(), earlier);
+        }
+        state.beginEra(relayed.era());
+        if (relayed.endOffset() > 0 && !state.replica(topic).isComplete()) {
+            return state.applySnapshot(topic, relayed.era(), records, relayed.endOffset(), relayed.mayHaveLapsed());
+        }
+        return state.apply(topic, relayed.era(), records, relayed.mayHaveLapsed());
+    }
+
     /** Reports changes of this router's work. */
     void report() {
         Map<String, WorkTotals> changed = changedTotals(ledger.ownWork());
@@ -402,14 +499,18 @@
         boolean storeAccess = canReadStore.getAsBoolean();
         if (changed.isEmpty()
                 && storeAccess == lastReportedStoreAccess
+                && state.era() == lastReportedEra
                 && now - lastReportAtMillis < UNCHANGED_REPORT_INTERVAL_MILLIS) {
             return;
         }
         lastReportedTotals.putAll(changed);
         lastReportedTotals.values().removeIf(WorkTotals.NONE::equals);
         lastReportedStoreAccess = storeAccess;
+        lastReportedEra = state.era();
         lastReportAtMillis = now;
-        broadcast(null, new WorkReport(self, toEndpointWork(changed), false, storeAccess, recordOffsetSums()));
+        broadcast(
+                null,
+                new WorkReport(self, toEndpointWork(changed), false, storeAccess, recordOffsetSums(), state.era()));
     }
 
     private Map<String, WorkTotals> changedTotals(Map<String, WorkTotals> own) {
@@ -464,10 +565,14 @@
         }
     }
 
-    private static RelayedRecords toRelayedRecords(
+    private RelayedRecords toRelayedRecords(
             RecordTopic topic, Collection<VersionedRecord> records, boolean mayHaveLapsed) {
+        return new RelayedRecords(topic.name(), toKeyedRecords(records), mayHaveLapsed, state.era(), state.era(), 0);
+    }
+
+    private static List<KeyedRecord> toKeyedRecords(Collection<VersionedRecord> records) {
         List<KeyedRecord> keyed = new ArrayList<>();
         records.forEach(record -> keyed.add(new KeyedRecord(record.key(), record.offset(), record.value())));
-        return new RelayedRecords(topic.name(), keyed, mayHaveLapsed);
+        return keyed;
     }
 }
--- a/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import org.redwinghook.core.forward.EndpointEntry;
+import org.redwinghook.core.forward.EndpointTable;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.StoreRole;
 import org.redwinghook.core.replica.VersionedRecord;
@@ -62,12 +63,12 @@
     public void recordsBehindAMalformedOneAreApplied() {
         List<String> changed = new ArrayList<>();
         state.onChange((topic, records) -> records.forEach(record -> changed.add(record.key())));
-        state.apply(RecordTopic.ENDPOINTS, List.of(record("e-1", 0), record(MALFORMED, 1), record("e-2", 2)), false);
+        state.apply(RecordTopic.ENDPOINTS, 0, List.of(record("e-1", 0), record(MALFORMED, 1), record("e-2", 2)), false);
         Assert.assertTrue(state.endpoints().find("e-1").isPresent());
         Assert.assertTrue(state.endpoints().find("e-2").isPresent());
         Assert.assertTrue(state.endpoints().find(MALFORMED).isEmpty());
         Assert.assertEquals(changed, List.of("e-1", MALFORMED, "e-2"));
-        state.apply(RecordTopic.OPERATORS, List.of(record("config", 0)), false);
+        state.apply(RecordTopic.OPERATORS, 0, List.of(record("config", 0)), false);
         Assert.assertTrue(state.configuration().isEmpty());
     }
 
@@ -76,16 +77,42 @@
     public void reportAndRecordOfADepartureAreHandledOnce() {
         List<String> leaving = new ArrayList<>();
         state.onEndpointLeaving(endpoint -> leaving.add(endpoint.entry().id()));
-        state.apply(RecordTopic.ENDPOINTS, List.of(record("m-1", 0)), false);
+        state.apply(RecordTopic.ENDPOINTS, 0, List.of(record("m-1", 0)), false);
         state.recordLeaveNotice(state.endpoints().find("m-1").get(), 1_500);
         state.recordLeaveNotice(state.endpoints().find("m-1").get(), 1_400);
-        state.apply(RecordTopic.ENDPOINTS, List.of(new VersionedRecord("m-1", 1, new byte[] {DRAINING})), false);
+        state.apply(RecordTopic.ENDPOINTS, 0, List.of(new VersionedRecord("m-1", 1, new byte[] {DRAINING})), false);
         Assert.assertEquals(leaving, List.of("m-1"));
         Assert.assertTrue(state.endpoints().find("m-1").get().hasLeaveNotice());
-        state.apply(RecordTopic.ENDPOINTS, List.of(record("m-1", 10)), false);
+        state.apply(RecordTopic.ENDPOINTS, 0, List.of(record("m-1", 10)), false);
         Assert.assertFalse(state.endpoints().find("m-1").get().isLeaving());
     }
 
+    /**
+     * Load: the store came back from a copy without a server, a router and a withdrawal. Guards against entries that are
+     * lost before their writers could write them again, or served for ever.
+     */
+    @Test
+    public void lostEntriesStayForTheTimeOfTheirWriters() {
+        long[] now = {50_000};
+        ForwardingState timed = new ForwardingState(FAILING_ON_MALFORMED, () -> now[0]);
+        for (RecordTopic topic : RecordTopic.values()) {
+            timed.applySnapshot(topic, 1, List.of(record("a", 1), record("b", 4)), 5, false);
+        }
+        for (RecordTopic topic : RecordTopic.values()) {
+            timed.applySnapshot(topic, 2, List.of(record("a", 1)), 2, false);
+        }
+        now[0] += EndpointTable.REREGISTRATION_GRACE_MILLIS - 1;
+        timed.removeLapsedEntries();
+        Assert.assertTrue(timed.endpoints().find("b").isPresent());
+        Assert.assertEquals(timed.replica(RecordTopic.ROUTERS).allRecords().size(), 2);
+        now[0]++;
+        timed.removeLapsedEntries();
+        Assert.assertTrue(timed.endpoints().find("a").isPresent());
+        Assert.assertTrue(timed.endpoints().find("b").isEmpty());
+        Assert.assertEquals(timed.replica(RecordTopic.ROUTERS).allRecords().size(), 1);
+        Assert.assertEquals(timed.replica(RecordTopic.OPERATORS).allRecords().size(), 2);
+    }
+
     @Test
     public void readingContinuesAfterAnErrorOfAListener() throws Exception {
         Vertx vertx = Vertx.vertx();
--- a/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
@@ -112,7 +112,7 @@
 
         private void apply(RecordTopic topic, String key, String value) {
             byte[] bytes = value.isEmpty() ? null : value.getBytes(StandardCharsets.UTF_8);
-            state.apply(topic, List.of(new VersionedRecord(key, offset, bytes)), false);
+            state.apply(topic, 0, List.of(new VersionedRecord(key, offset, bytes)), false);
             offset++;
         }
 
--- a/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
@@ -41,7 +41,7 @@
 
     private static final int FEW_ROUTERS = 27;
     private static final int MANY_ROUTERS = 360;
-    private static final RecordDecoder NO_RECORDS = new RecordDecoder() {
+    static final RecordDecoder NO_RECORDS = new RecordDecoder() {
         @Override
         public Optional<OperatorRecord> decodeOperatorRecord(VersionedRecord record) {
             return Optional.empty();
@@ -75,8 +75,15 @@
             return sent.stream().filter(QuarantineReport.class::isInstance).count();
         }
 
+        List<RelayedRecords> relayed() {
+            return sent.stream()
+                    .filter(RelayedRecords.class::isInstance)
+                    .map(RelayedRecords.class::cast)
+                    .toList();
+        }
+
         long relayedMessages() {
-            return sent.stream().filter(RelayedRecords.class::isInstance).count();
+            return relayed().size();
         }
     }
 
@@ -120,7 +127,7 @@
         exchange.handleMessage(firstPeer, relayedRecord(3));
         exchange.report();
         Thread.sleep(500);
-        exchange.handleMessage(otherPeer, new WorkReport("router-c", List.of(), false, false, List.of(0L, 0L, 0L)));
+        exchange.handleMessage(otherPeer, new WorkReport("router-c", List.of(), false, false, List.of(0L, 0L, 0L), 0));
         Assert.assertEquals(otherPeer.relayedMessages(), 1);
     }
 
@@ -136,14 +143,78 @@
         RecordingPeer reconnected = new RecordingPeer("router-c");
         exchange.handleConnected(reconnected);
         exchange.handleMessage(
-                reconnected, new WorkReport("router-c", List.of(), true, true, List.of(offsetSum, 0L, 0L)));
+                reconnected, new WorkReport("router-c", List.of(), true, true, List.of(offsetSum, 0L, 0L), 0));
         Assert.assertEquals(reconnected.relayedMessages(), 0);
         RecordingPeer started = new RecordingPeer("router-d");
         exchange.handleConnected(started);
-        exchange.handleMessage(started, new WorkReport("router-d", List.of(), true, false, List.of(0L, 0L, 0L)));
+        exchange.handleMessage(started, new WorkReport("router-d", List.of(), true, false, List.of(0L, 0L, 0L), 0));
         Assert.assertEquals(started.relayedMessages(), 1);
     }
 
+    /** Load: the store came back from a copy that ends before offset 3; this router read the log of both eras. */
+    private void beginSecondEra() {
+        connect(FEW_ROUTERS);
+        state.applySnapshot(RecordTopic.OPERATORS, 1, List.of(record("config", 2), record("withdrawal", 5)), 6, false);
+        state.applySnapshot(RecordTopic.OPERATORS, 2, List.of(record("config", 2)), 3, false);
+    }
+
+    /** Guards against a router that cannot reach the store and does not learn of an era. */
+    @Test
+    public void eraReachesOtherRoutersAtOnce() {
+        connect(FEW_ROUTERS);
+        state.beginEra(2);
+        Assert.assertTrue(otherPeer.sent().stream()
+                .anyMatch(message -> message instanceof WorkReport report && report.era() == 2));
+        exchange.handleMessage(firstPeer, new WorkReport("router-a", List.of(), false, true, List.of(0L, 0L, 0L), 3));
+        Assert.assertEquals(state.era(), 3);
+    }
+
+    /** Guards against relays of the log of before that undo what was read from the new one. */
+    @Test
+    public void relayOfAnEarlierEraIsIgnored() {
+        beginSecondEra();
+        exchange.handleMessage(firstPeer, relayedRecord(9, 1));
+        Assert.assertEquals(state.replica(RecordTopic.OPERATORS).offsetSum(), 3);
+        exchange.handleMessage(firstPeer, relayedRecord(3, 2));
+        Assert.assertEquals(state.replica(RecordTopic.OPERATORS).offsetSum(), 4);
+    }
+
+    /**
+     * Guards against a router that is cut off from the store and stays at the higher offsets of before, and against a
+     * complete copy from each router to each other one while all begin the era.
+     */
+    @Test
+    public void routerOfAnEarlierEraIsSentTheLog() throws InterruptedException {
+        beginSecondEra();
+        long before = otherPeer.relayedMessages();
+        exchange.handleMessage(otherPeer, new WorkReport("router-c", List.of(), false, false, List.of(0L, 0L, 0L), 2));
+        Assert.assertEquals(otherPeer.relayedMessages(), before);
+        Thread.sleep(500);
+        exchange.handleMessage(otherPeer, new WorkReport("router-c", List.of(), false, false, List.of(9L, 0L, 0L), 1));
+        List<RelayedRecords> repairs = otherPeer.relayed();
+        Assert.assertEquals(repairs.size(), before + 1);
+        start();
+        state.applySnapshot(RecordTopic.OPERATORS, 1, List.of(record("withdrawal", 5)), 6, false);
+        exchange.handleMessage(firstPeer, repairs.get((int) before));
+        Assert.assertTrue(state.replica(RecordTopic.OPERATORS).isComplete());
+        Assert.assertEquals(state.replica(RecordTopic.OPERATORS).offsetSum(), 3);
+    }
+
+    /** Guards against a router that starts after the return and knows only the copy. */
+    @Test
+    public void startedRouterIsToldWhatTheLogHasLost() {
+        beginSecondEra();
+        RecordingPeer started = new RecordingPeer("router-d");
+        exchange.handleConnected(started);
+        List<RelayedRecords> lost = started.relayed();
+        Assert.assertEquals(lost.size(), 1);
+        start();
+        state.applySnapshot(RecordTopic.OPERATORS, 2, List.of(record("config", 2)), 3, false);
+        lost.forEach(message -> exchange.handleMessage(firstPeer, message));
+        Assert.assertTrue(state.replica(RecordTopic.OPERATORS).allRecords().stream()
+                .anyMatch(known -> known.key().equals("withdrawal")));
+    }
+
     /** Each router sees the crashes of other requests; a router that connects later has to know them, too. */
     @Test
     public void evidenceOfCrashesReachesRoutersThatConnectLater() {
@@ -226,8 +297,16 @@
     }
 
     private static RelayedRecords relayedRecord(long offset) {
+        return relayedRecord(offset, 0);
+    }
+
+    private static RelayedRecords relayedRecord(long offset, long era) {
         byte[] value = "value".getBytes(StandardCharsets.UTF_8);
         return new RelayedRecords(
-                RecordTopic.OPERATORS.name(), List.of(new KeyedRecord("config", offset, value)), false);
+                RecordTopic.OPERATORS.name(), List.of(new KeyedRecord("config", offset, value)), false, era, era, 0);
+    }
+
+    private static VersionedRecord record(String key, long offset) {
+        return new VersionedRecord(key, offset, "value".getBytes(StandardCharsets.UTF_8));
     }
 }
