--- a/core/src/main/java/org/redwinghook/core/message/RolloutReport.java
+++ b/core/src/main/java/org/redwinghook/core/message/RolloutReport.java
@@ -11,8 +11,10 @@
  * @param to version that is rolled out
  * @param order offset of the newest record with the order
  * @param evidence the evidence
+ * @param stateEra era of the store in which the router has seen the state in the evidence, 0 if it knows none
  */
-public record RolloutReport(String service, String to, long order, RouterEvidence evidence) implements Message {
+public record RolloutReport(String service, String to, long order, RouterEvidence evidence, long stateEra)
+        implements Message {
 
     public RolloutReport {
         Objects.requireNonNull(service);
--- a/core/src/main/java/org/redwinghook/core/rollout/RolloutDecision.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/RolloutDecision.java
@@ -81,7 +81,7 @@
     private boolean wasConfirmed;
     private boolean runsAtNewVersion;
     private @Nullable String badBecause;
-    private @Nullable RolloutState storedState;
+    private final StoredState stored = new StoredState();
     private long sequence;
 
     /**
@@ -178,10 +178,11 @@
      * Merges the evidence of another router.
      *
      * @param report the evidence
+     * @param stateEra era of the store that has the state in the evidence, 0 if it is not known
      * @param nowMillis current time
      * @return whether it was newer than what was known
      */
-    public boolean merge(RouterEvidence report, long nowMillis) {
+    public boolean merge(RouterEvidence report, long stateEra, long nowMillis) {
         long badBefore = others.newVersionBad();
         if (report.router().equals(self) || !others.merge(report, nowMillis)) {
             return false;
@@ -194,7 +195,7 @@
             setBad(report.badBecause(), nowMillis);
         }
         if (report.state() != null) {
-            recordState(report.state());
+            recordState(report.state(), stateEra);
         }
         if (others.newVersionBad() > badBefore) {
             judge(total(), nowMillis);
@@ -206,20 +207,46 @@
      * Records the state that the store has.
      *
      * @param state the state; a final one never changes again
+     * @param era era of the store in which it was seen, 0 if the store has named none
      */
-    public void recordState(RolloutState state) {
-        if (storedState == null || !storedState.isFinal()) {
-            storedState = state;
-        }
+    public void recordState(RolloutState state, long era) {
+        stored.record(state, era);
+    }
+
+    /**
+     * Begins an era of the store, whose copy may lack the state. The decision stays and the state is written again.
+     *
+     * @param era the era
+     */
+    public void beginEra(long era) {
+        stored.beginEra(era);
+    }
+
+    /**
+     * Whether the store may have lost the state.
+     *
+     * @return true until the state is seen in the present era
+     */
+    public boolean hasLostState() {
+        return stored.isLost();
+    }
+
+    /**
+     * Era of the state.
+     *
+     * @return era of the store in which the state was seen last, 0 if it has named none
+     */
+    public long stateEra() {
+        return stored.stateEra();
     }
 
     /**
-     * Whether the store has the final state.
+     * Whether the store has had the final state.
      *
      * @return true at the end of the roll-out
      */
     public boolean isEnded() {
-        return storedState != null && storedState.isFinal();
+        return stored.isFinal();
     }
 
     /**
@@ -421,7 +448,7 @@
      */
     public RolloutPhase phase(long nowMillis) {
         if (isEnded()) {
-            return storedState == RolloutState.COMPLETE ? RolloutPhase.COMPLETE : RolloutPhase.REVERTED;
+            return stored.state() == RolloutState.COMPLETE ? RolloutPhase.COMPLETE : RolloutPhase.REVERTED;
         }
         if (badBecause != null) {
             return RolloutPhase.REVERTING;
@@ -443,7 +470,7 @@
      */
     public @Nullable RolloutState wantedState(long nowMillis) {
         if (isEnded()) {
-            return null;
+            return stored.isLost() ? stored.state() : null;
         }
         if (badBecause == null) {
             return isConfirmed ? RolloutState.COMPLETE : running();
@@ -458,7 +485,7 @@
     }
 
     private @Nullable RolloutState running() {
-        return storedState == null ? RolloutState.RUNNING : null;
+        return stored.state() == null || stored.isLost() ? RolloutState.RUNNING : null;
     }
 
     /**
@@ -480,7 +507,7 @@
                 local.hasRunning(true),
                 isProven,
                 badBecause,
-                storedState,
+                stored.state(),
                 local.routes());
     }
 
--- a/core/src/test/java/org/redwinghook/core/rollout/SimulatedRollout.java
+++ b/core/src/test/java/org/redwinghook/core/rollout/SimulatedRollout.java
@@ -122,7 +122,7 @@
             RolloutDecision receiver = decisions.get(other);
             if (other != index && random.nextDouble() >= site.loss()) {
                 long delay = 1 + (long) (random.nextDouble() * 2 * site.delayMillis());
-                events.add(new Event(now + delay, () -> receiver.merge(report, now)));
+                events.add(new Event(now + delay, () -> receiver.merge(report, 0, now)));
             }
         }
     }
--- a/router/src/main/java/org/redwinghook/router/forward/RolloutStatusPage.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RolloutStatusPage.java
@@ -9,5 +9,6 @@
  * @param status the status, null if there is none or it is unreadable
  * @param offset offset of its record, -1 if there is none
  * @param endOffset offset at which the next record of the topic is appended
+ * @param era era of the store that the offsets belong to, 0 if the store has named none
  */
-public record RolloutStatusPage(@Nullable RolloutStatus status, long offset, long endOffset) {}
+public record RolloutStatusPage(@Nullable RolloutStatus status, long offset, long endOffset, long era) {}
--- a/router/src/main/java/org/redwinghook/router/forward/RolloutStatusWriter.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RolloutStatusWriter.java
@@ -1,6 +1,7 @@
 package org.redwinghook.router.forward;
 
 import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
@@ -37,11 +38,14 @@
     private final RolloutOrder order;
     private final MonotonicClock clock;
     private final Supplier<@Nullable RolloutState> wantedState;
-    private final Consumer<RolloutState> stateHandler;
+    private final ObjLongConsumer<RolloutState> stateHandler;
     private final Consumer<String> unfinishedHandler;
     private @Nullable RolloutState lastWanted;
     private long wantedSinceMillis;
     private long firstOffset = Long.MAX_VALUE;
+    private long era;
+    private boolean hasRead;
+    private boolean knowsEarlierRollouts;
     private long nextTryMillis;
     private int failures;
     private boolean isBusy;
@@ -54,7 +58,7 @@
      * @param order the order of the roll-out
      * @param clock monotonic clock
      * @param wantedState the status that the store has to have, null if it has it
-     * @param stateHandler receives the state of this roll-out that the store has
+     * @param stateHandler receives the state of this roll-out that the store has, and the era of the store
      * @param unfinishedHandler receives the version of an earlier roll-out that did not complete
      */
     RolloutStatusWriter(
@@ -62,7 +66,7 @@
             RolloutOrder order,
             MonotonicClock clock,
             Supplier<@Nullable RolloutState> wantedState,
-            Consumer<RolloutState> stateHandler,
+            ObjLongConsumer<RolloutState> stateHandler,
             Consumer<String> unfinishedHandler) {
         this.store = store;
         this.order = order;
@@ -77,6 +81,23 @@
         isStopped = true;
     }
 
+    /**
+     * Begins an era of the store, which gives offsets out again. Statuses of earlier roll-outs that were read before stay
+     * known, since the copy may have older ones.
+     *
+     * @param newEra the era
+     */
+    void beginEra(long newEra) {
+        era = newEra;
+        firstOffset = Long.MAX_VALUE;
+        knowsEarlierRollouts = hasRead;
+    }
+
+    /** Leaves the status to another router, which states that it has a newer order. */
+    void yieldToNewerOrder() {
+        nextTryMillis = Math.max(nextTryMillis, clock.millis() + SUPERSEDED_MILLIS);
+    }
+
     /**
      * Begins to write the status if it is due; to be called several times a second.
      *
@@ -105,14 +126,19 @@
         if (isStopped) {
             return;
         }
+        if (page.era() < era) {
+            pause(0);
+            return;
+        }
+        hasRead = true;
         RolloutStatus status = page.status();
         if (status != null && status.to().equals(order.to())) {
-            stateHandler.accept(status.state());
+            stateHandler.accept(status.state(), page.era());
         } else if (page.offset() > firstOffset) {
             LOGGER.info("rollout superseded service={} to={} offset={}", order.service(), order.to(), page.offset());
             pause(SUPERSEDED_MILLIS);
             return;
-        } else if (status != null && status.state() != RolloutState.COMPLETE) {
+        } else if (status != null && status.state() != RolloutState.COMPLETE && !knowsEarlierRollouts) {
             unfinishedHandler.accept(status.to());
         }
         firstOffset = Math.min(firstOffset, page.offset());
@@ -121,18 +147,23 @@
             pause(0);
             return;
         }
-        append(wanted, page.endOffset());
+        append(wanted, page);
     }
 
-    private void append(RolloutState wanted, long endOffset) {
+    private void append(RolloutState wanted, RolloutStatusPage page) {
         LOGGER.info(
-                "rollout status write service={} to={} state={} at={}", order.service(), order.to(), wanted, endOffset);
-        store.appendStatus(order.service(), new RolloutStatus(wanted, order.to()), endOffset)
-                .onSuccess(isAppended -> handleAppend(wanted, isAppended))
+                "rollout status write service={} to={} state={} at={} era={}",
+                order.service(),
+                order.to(),
+                wanted,
+                page.endOffset(),
+                page.era());
+        store.appendStatus(order.service(), new RolloutStatus(wanted, order.to()), page)
+                .onSuccess(isAppended -> handleAppend(wanted, page.era(), isAppended))
                 .onFailure(this::handleFailure);
     }
 
-    private void handleAppend(RolloutState wanted, boolean isAppended) {
+    private void handleAppend(RolloutState wanted, long era, boolean isAppended) {
         LOGGER.info(
                 "rollout status {} service={} to={} state={}",
                 isAppended ? "written" : "conflict",
@@ -147,7 +178,7 @@
             return;
         }
         pause(0);
-        stateHandler.accept(wanted);
+        stateHandler.accept(wanted, era);
     }
 
     private void handleFailure(Throwable failure) {
--- a/router/src/main/java/org/redwinghook/router/forward/RolloutStore.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RolloutStore.java
@@ -20,8 +20,9 @@
      *
      * @param service name of the service
      * @param status the status
-     * @param endOffset end of the topic for which the status was decided
-     * @return false if the topic ends elsewhere
+     * @param page end of the topic, and its era, for which the status was decided
+     * @return false if the topic ends elsewhere, or if the store has meanwhile come back from a copy, so that the end says
+     *     nothing about the records before it
      */
-    Future<Boolean> appendStatus(String service, RolloutStatus status, long endOffset);
+    Future<Boolean> appendStatus(String service, RolloutStatus status, RolloutStatusPage page);
 }
--- a/router/src/main/java/org/redwinghook/router/forward/RolloutTracker.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RolloutTracker.java
@@ -79,6 +79,7 @@
     /** Registers for orders and for the messages of other routers. */
     void start() {
         state.onRollout(this::handleRecord);
+        state.onEra(this::handleEra);
         exchange.register(RolloutReport.class, (peer, report) -> handleReport(report));
         exchange.onConnected(this::handleConnected);
     }
@@ -123,7 +124,9 @@
             end(current);
         }
         if (order != null) {
-            begin(order, isProven, current == null ? -1 : current.newestOffset());
+            // A lower offset belongs to a log that has begun anew, so that the offsets cannot be compared.
+            boolean isComparable = current != null && current.newestOffset() < order.offset();
+            begin(order, isProven, isComparable ? current.newestOffset() : -1);
         }
     }
 
@@ -150,12 +153,13 @@
     private void begin(RolloutOrder order, boolean isProven, long supersededOffset) {
         removeUnfinishedVersion(order.service(), order.to());
         RolloutDecision decision = new RolloutDecision(order, limits.get(), self, isProven, clock.millis());
+        decision.beginEra(state.era());
         RolloutStatusWriter writer = new RolloutStatusWriter(
                 context.store(),
                 order,
                 clock,
-                () -> decision.wantedState(clock.millis()),
-                stored -> handleStoredState(order, stored),
+                () -> wantedState(decision),
+                (stored, era) -> handleStoredState(order, stored, era),
                 version -> handleUnfinishedRollout(order, version));
         ServiceRollout rollout = new ServiceRollout(decision, writer, supersededOffset);
         rollouts.put(order.service(), rollout);
@@ -170,6 +174,22 @@
         startTimer();
     }
 
+    /** A state that the store may have lost is written again only if the order is still the newest one in its new log. */
+    private @Nullable RolloutState wantedState(RolloutDecision decision) {
+        if (decision.hasLostState() && !state.replica(RecordTopic.OPERATORS).isComplete()) {
+            return null;
+        }
+        return decision.wantedState(clock.millis());
+    }
+
+    private void handleEra(long era) {
+        if (rollouts.isEmpty()) {
+            return;
+        }
+        rollouts.values().forEach(rollout -> rollout.beginEra(era));
+        startTimer();
+    }
+
     private void removeUnfinishedVersion(String service, String version) {
         Set<String> versions = unfinishedVersions.get(service);
         if (versions != null && versions.remove(version) && versions.isEmpty()) {
@@ -177,12 +197,12 @@
         }
     }
 
-    private void handleStoredState(RolloutOrder order, RolloutState stored) {
+    private void handleStoredState(RolloutOrder order, RolloutState stored, long era) {
         ServiceRollout rollout = rollouts.get(order.service());
         if (rollout == null || rollout.decision().order() != order) {
             return;
         }
-        rollout.decision().recordState(stored);
+        rollout.decision().recordState(stored, era);
         log(rollout);
         report(rollout);
         startTimer();
@@ -240,7 +260,8 @@
     }
 
     private static boolean isOver(ServiceRollout rollout) {
-        return rollout.decision().isEnded() && rollout.finalReports() >= FINAL_REPORTS;
+        RolloutDecision decision = rollout.decision();
+        return decision.isEnded() && !decision.hasLostState() && rollout.finalReports() >= FINAL_REPORTS;
     }
 
     private void advance(ServiceRollout rollout) {
@@ -318,11 +339,12 @@
         if (!rollout.decision().order().to().equals(report.to())) {
             if (report.order() > rollout.newestOffset()) {
                 // Another router has a newer order already, whose status must not be replaced.
-                rollout.writer().stop();
+                rollout.writer().yieldToNewerOrder();
             }
             return;
         }
-        if (rollout.isOutdated(report.order()) || !rollout.decision().merge(report.evidence(), clock.millis())) {
+        if (rollout.isOutdated(report.order())
+                || !rollout.decision().merge(report.evidence(), report.stateEra(), clock.millis())) {
             return;
         }
         log(rollout);
@@ -346,7 +368,8 @@
                 order.service(),
                 order.to(),
                 rollout.newestOffset(),
-                rollout.decision().report(incarnation, clock.millis()));
+                rollout.decision().report(incarnation, clock.millis()),
+                rollout.decision().stateEra());
     }
 
     private void log(ServiceRollout rollout) {
--- a/router/src/main/java/org/redwinghook/router/forward/ServiceRollout.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ServiceRollout.java
@@ -18,7 +18,7 @@
 
     private final RolloutDecision decision;
     private final RolloutStatusWriter writer;
-    private final long supersededOffset;
+    private long supersededOffset;
     private final Map<AttemptKey, ObservedAttempt> attempts = new HashMap<>();
     private Set<String> versionsInUse = Set.of();
     private @Nullable RolloutPhase loggedPhase;
@@ -99,9 +99,19 @@
         versionsInUse = Set.copyOf(versions);
     }
 
-    /** Records another record with the same order. */
+    /** Records another record with the same order. A lower offset belongs to a log that has begun anew. */
     void recordRepetition(long offset) {
-        newestOffset = Math.max(newestOffset, offset);
+        if (offset < newestOffset) {
+            supersededOffset = -1;
+        }
+        newestOffset = offset;
+    }
+
+    /** Begins an era of the store, which may have lost the status. The others are told again when it has the final one. */
+    void beginEra(long era) {
+        decision.beginEra(era);
+        writer.beginEra(era);
+        finalReports = 0;
     }
 
     /** Offset of the newest record with the order. */
--- a/router/src/test/java/org/redwinghook/router/forward/FakeRolloutStore.java
+++ b/router/src/test/java/org/redwinghook/router/forward/FakeRolloutStore.java
@@ -12,9 +12,11 @@
 
     final List<RolloutStatus> statuses = new ArrayList<>();
     int reads;
+    long era;
     boolean isAway;
     boolean losesAppends;
     boolean losesResponses;
+    Runnable afterRead = () -> {};
     Runnable beforeAppend = () -> {};
     Runnable lateAppend = () -> {};
 
@@ -25,18 +27,20 @@
             return Future.failedFuture("away");
         }
         int last = statuses.size() - 1;
-        return Future.succeededFuture(
-                new RolloutStatusPage(last < 0 ? null : statuses.get(last), last, statuses.size()));
+        RolloutStatusPage page =
+                new RolloutStatusPage(last < 0 ? null : statuses.get(last), last, statuses.size(), era);
+        afterRead.run();
+        return Future.succeededFuture(page);
     }
 
     @Override
-    public Future<Boolean> appendStatus(String service, RolloutStatus status, long endOffset) {
+    public Future<Boolean> appendStatus(String service, RolloutStatus status, RolloutStatusPage page) {
         beforeAppend.run();
         if (losesAppends) {
-            lateAppend = () -> append(status, endOffset);
+            lateAppend = () -> append(status, page);
             return Future.failedFuture("no response");
         }
-        boolean isAppended = append(status, endOffset);
+        boolean isAppended = append(status, page);
         return losesResponses ? Future.failedFuture("no response") : Future.succeededFuture(isAppended);
     }
 
@@ -44,11 +48,11 @@
         statuses.add(new RolloutStatus(state, to));
     }
 
-    private boolean append(RolloutStatus status, long endOffset) {
-        if (endOffset != statuses.size()) {
+    private boolean append(RolloutStatus status, RolloutStatusPage page) {
+        if (page.endOffset() != statuses.size()) {
             return false;
         }
         statuses.add(status);
-        return true;
+        return page.era() == era;
     }
 }
--- a/router/src/test/java/org/redwinghook/router/forward/RolloutStatusWriterTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RolloutStatusWriterTest.java
@@ -1,5 +1,6 @@
 package org.redwinghook.router.forward;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.jspecify.annotations.Nullable;
@@ -19,6 +20,7 @@
     private static final RolloutStatus REVERTED = new RolloutStatus(RolloutState.REVERTED, "v2");
 
     private FakeRolloutStore store = new FakeRolloutStore();
+    private final List<String> unfinished = new ArrayList<>();
     private long now;
     private Router first = new Router();
     private Router second = new Router();
@@ -29,9 +31,9 @@
         private @Nullable RolloutState wanted = RolloutState.COMPLETE;
         private @Nullable RolloutState stored;
         private final RolloutStatusWriter writer =
-                new RolloutStatusWriter(store, ORDER, () -> now, () -> wanted, this::handleState, version -> {});
+                new RolloutStatusWriter(store, ORDER, () -> now, () -> wanted, this::handleState, unfinished::add);
 
-        private void handleState(RolloutState state) {
+        private void handleState(RolloutState state, long era) {
             stored = state;
             if (state.isFinal()) {
                 wanted = null;
@@ -42,6 +44,7 @@
     @BeforeMethod
     public void start() {
         now = 0;
+        unfinished.clear();
         store = new FakeRolloutStore();
         store.statuses.add(RUNNING);
         first = new Router();
@@ -131,4 +134,72 @@
         advance(5_000, first);
         Assert.assertEquals(store.statuses.size(), 2);
     }
+
+    private void returnFromCopy(RolloutStatus... copied) {
+        store.statuses.clear();
+        store.statuses.addAll(List.of(copied));
+        store.era++;
+        first.writer.beginEra(store.era);
+        second.writer.beginEra(store.era);
+    }
+
+    /** Guards against a lost status that nobody writes again, and against one that each router writes. */
+    @Test
+    public void lostStatusIsWrittenAgainOnce() {
+        advance(1_000, first, second);
+        Assert.assertEquals(store.statuses, List.of(RUNNING, COMPLETE));
+        returnFromCopy(new RolloutStatus(RolloutState.REVERTED, "v1"), RUNNING);
+        first.wanted = RolloutState.COMPLETE;
+        second.wanted = RolloutState.COMPLETE;
+        advance(3_000, first, second);
+        Assert.assertEquals(store.statuses.subList(1, store.statuses.size()), List.of(RUNNING, COMPLETE));
+    }
+
+    /** Guards against a version that counts as unfinished again, since the copy has an older status of its roll-out. */
+    @Test
+    public void copyWithoutTheEndOfAnEarlierRolloutChangesNothing() {
+        store.statuses.set(0, new RolloutStatus(RolloutState.COMPLETE, "v1"));
+        advance(1_000, first);
+        returnFromCopy(new RolloutStatus(RolloutState.RUNNING, "v1"));
+        first.wanted = RolloutState.COMPLETE;
+        advance(1_000, first);
+        Assert.assertEquals(store.statuses.get(1), COMPLETE);
+        Assert.assertEquals(unfinished, List.of());
+    }
+
+    /** Guards against a status that is withheld since one of an earlier order has a higher offset than before the return. */
+    @Test
+    public void earlierStatusAtAnotherOffsetDoesNotSupersedeTheOrder() {
+        store.statuses.clear();
+        advance(1_000, first);
+        Assert.assertEquals(store.statuses, List.of(COMPLETE));
+        returnFromCopy(new RolloutStatus(RolloutState.COMPLETE, "v1"));
+        first.wanted = RolloutState.COMPLETE;
+        advance(1_000, first);
+        Assert.assertEquals(store.statuses.get(1), COMPLETE);
+    }
+
+    /** Guards against a contradiction, since the end of the new log happens to be the one that was read before. */
+    @Test
+    public void pageOfTheEraBeforeIsReadAgain() {
+        store.afterRead = () -> {
+            store.afterRead = () -> {};
+            returnFromCopy(REVERTED);
+        };
+        advance(1_000, first);
+        Assert.assertEquals(store.statuses, List.of(REVERTED));
+        Assert.assertEquals(first.stored, RolloutState.REVERTED);
+    }
+
+    /** Guards against a write at an end that was read before the store came back, whose offset is given out again. */
+    @Test
+    public void writeForTheEraBeforeIsRepeated() {
+        store.beforeAppend = () -> {
+            store.beforeAppend = () -> {};
+            returnFromCopy(REVERTED);
+        };
+        advance(1_000, first);
+        Assert.assertEquals(first.stored, RolloutState.COMPLETE);
+        Assert.assertEquals(store.reads, 2);
+    }
 }
--- a/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
@@ -112,10 +112,21 @@
 
         private void apply(RecordTopic topic, String key, String value) {
             byte[] bytes = value.isEmpty() ? null : value.getBytes(StandardCharsets.UTF_8);
-            state.apply(topic, 0, List.of(new VersionedRecord(key, offset, bytes)), false);
+            state.apply(topic, store.era, List.of(new VersionedRecord(key, offset, bytes)), false);
             offset++;
         }
 
+        /** The store comes back from a copy without records and statuses; the operators write again as given. */
+        private Router returnFromCopy(String to) {
+            offset = 0;
+            store.statuses.clear();
+            store.era++;
+            state.beginEra(store.era);
+            advance(1_000);
+            state.applySnapshot(RecordTopic.OPERATORS, store.era, List.of(), 0, false);
+            return to.isEmpty() ? advance(1_000) : order(to).advance(1_000);
+        }
+
         private Router advance(long millis) {
             for (long end = nowMillis + millis; nowMillis < end; nowMillis += 100) {
                 tracker.advanceAll();
@@ -188,6 +199,26 @@
                 Set.of("v2"),
                 new RolloutStatus(RolloutState.COMPLETE, "v2")
             },
+            {
+                "status lost",
+                (Script) router -> router.list("v1", "v2").order("v2").returnFromCopy(""),
+                Set.of("v1", "v2"),
+                runningV2
+            },
+            {
+                "final status lost",
+                (Script) router ->
+                        router.list("v1", "v2").order("v2").advance(11_000).returnFromCopy("v2"),
+                Set.of("v1"),
+                revertedV2
+            },
+            {
+                "order and status of a replaced order lost",
+                (Script)
+                        router -> router.list("v1", "v2").order("v2").list("v3").returnFromCopy("v3"),
+                Set.of("v1", "v3"),
+                new RolloutStatus(RolloutState.RUNNING, "v3")
+            },
             {
                 "router starts after the end",
                 (Script) router -> {
--- a/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
@@ -82,7 +82,8 @@
                                         VersionCounts.NONE,
                                         40,
                                         new TimeSum(3, 2.5),
-                                        TimeSum.NONE))))
+                                        TimeSum.NONE))),
+                        2)
             },
             {new SpeedReport("router-1", 1L << 41, List.of(new SharedSpeed(-7, 170, 21)))},
             {new Submit(9, "copy", "parna", "retail", 5, 30_000, 256, new GenerationRequest("copy", "Hi", 1, 64), null)
