--- a/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallForwarding.java
@@ -215,9 +215,10 @@
             }
             attempts.recordRefusal(endpoint);
             LOGGER.info(
-                    "endpoint refused id={} endpoint={} status={}",
+                    "endpoint refused id={} endpoint={} version={} status={}",
                     caller.requestId(),
                     endpointAttempt.endpointId(),
+                    endpointAttempt.version(),
                     head.status());
             if (attempts.tryRetry(0)) {
                 startNextAttempt();
@@ -232,9 +233,10 @@
             }
             end(endpointAttempt.failureOutcome());
             LOGGER.info(
-                    "call failed id={} endpoint={} sent={} cause={}",
+                    "call failed id={} endpoint={} version={} sent={} cause={}",
                     caller.requestId(),
                     endpointAttempt.endpointId(),
+                    endpointAttempt.version(),
                     endpointAttempt.isSent(),
                     failure.toString());
             attempts.recordFailure(endpointAttempt, failure);
--- a/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
+++ b/router/src/main/java/org/redwinghook/router/forward/EndpointAttempt.java
@@ -57,6 +57,11 @@
         return endpoint.entry().id();
     }
 
+    /** Software version of the endpoint according to the entry to which the request is sent. */
+    String version() {
+        return exchange.endpoint().version();
+    }
+
     /** Adds the request to the work of the endpoint. */
     void recordStart() {
         startedAtMillis = context.clock().millis();
--- a/router/src/main/java/org/redwinghook/router/forward/RunMove.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunMove.java
@@ -371,10 +371,13 @@
         KnownEndpoint target = destination;
         long now = context.clock().millis();
         LOGGER.info(
-                "move ended id={} from={} to={} outcome={} millis={} lastCopyMillis={} restMillis={} tries={}",
+                "move ended id={} from={} to={} fromVersion={} toVersion={} outcome={} millis={} lastCopyMillis={}"
+                        + " restMillis={} tries={}",
                 stream.caller().requestId(),
                 source.entry().id(),
                 target == null ? "none" : target.entry().id(),
+                source.entry().version(),
+                target == null ? "none" : target.entry().version(),
                 outcome,
                 now - createdAtMillis,
                 stoppedAtMillis == 0 ? 0 : stoppedAtMillis - stopSentAtMillis,
--- a/router/src/main/java/org/redwinghook/router/forward/SpeedTracker.java
+++ b/router/src/main/java/org/redwinghook/router/forward/SpeedTracker.java
@@ -107,9 +107,10 @@
         }
         attempt.recordDuration(SpeedSample.FIRST_EVENT, sinceStartMillis);
         LOGGER.info(
-                "first event id={} endpoint={} predictedMillis={} actualMillis={} running={} slowdown={}",
+                "first event id={} endpoint={} version={} predictedMillis={} actualMillis={} running={} slowdown={}",
                 caller.requestId(),
                 endpoint.entry().id(),
+                endpoint.entry().version(),
                 Math.round(attempt.expected.predictedMillis()),
                 sinceStartMillis,
                 attempt.candidate.work().running(),
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -285,9 +285,10 @@
             return;
         }
         LOGGER.info(
-                "request withdrawn id={} endpoint={} part={} sent={}",
+                "request withdrawn id={} endpoint={} version={} part={} sent={}",
                 caller.requestId(),
                 attempt.endpointAttempt.endpointId(),
+                attempt.endpointAttempt.version(),
                 part.part(),
                 attempt.endpointAttempt.isSent());
         attempts.recordWithdrawal(attempt.endpointAttempt.isSent(), part);
@@ -372,6 +373,16 @@
         }
 
         void start() {
+            if (responseStarted) {
+                LOGGER.info(
+                        "stream continues id={} endpoint={} version={} events={} lastEventId={} memory={}",
+                        caller.requestId(),
+                        endpointAttempt.endpointId(),
+                        endpointAttempt.version(),
+                        forwardedEvents,
+                        lastEventId,
+                        copy != null);
+            }
             endpointAttempt.recordStart();
             context.reportWork().run();
             endpointAttempt
@@ -544,9 +555,10 @@
             attempts.recordRefusal(endpoint);
             endpoint.health().recordFailure(context.clock().millis());
             LOGGER.info(
-                    "endpoint refused id={} endpoint={} status={} notRun={} memory={}",
+                    "endpoint refused id={} endpoint={} version={} status={} notRun={} memory={}",
                     caller.requestId(),
                     endpoint.entry().id(),
+                    endpointAttempt.version(),
                     head.status(),
                     head.notRun(),
                     copy != null);
@@ -607,9 +619,10 @@
         /** Continues the stream after an attempt that ended before the end of the stream, if possible. */
         private void handleBrokenStream(Throwable failure) {
             LOGGER.info(
-                    "stream broken id={} endpoint={} events={} lastEventId={} sent={} cause={}",
+                    "stream broken id={} endpoint={} version={} events={} lastEventId={} sent={} cause={}",
                     caller.requestId(),
                     endpointAttempt.endpointId(),
+                    endpointAttempt.version(),
                     forwardedEvents,
                     lastEventId,
                     endpointAttempt.isSent(),
