--- a/core/src/main/java/org/redwinghook/core/forward/EndpointEligibility.java
+++ b/core/src/main/java/org/redwinghook/core/forward/EndpointEligibility.java
@@ -49,6 +49,23 @@
         return eligible;
     }
 
+    /**
+     * Whether an endpoint may take a request now or soon.
+     *
+     * @param scope the request
+     * @param nowMillis current monotonic time
+     * @return false if the request waits in vain unless the endpoints change
+     */
+    public boolean hasEndpointSoon(RequestScope scope, long nowMillis) {
+        for (KnownEndpoint endpoint : endpoints.endpointsOf(scope.service())) {
+            Exclusion exclusion = exclusion(endpoint, scope, nowMillis);
+            if (exclusion == null || exclusion.isTemporary()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Why a request may not go to an endpoint of its service.
      *
@@ -61,6 +78,10 @@
         if (scope.triedEndpoints().contains(endpoint.entry().id())) {
             return Exclusion.ALREADY_TRIED;
         }
+        String requiredVersion = scope.requiredVersion();
+        if (requiredVersion != null && !requiredVersion.equals(endpoint.entry().version())) {
+            return Exclusion.SOFTWARE_VERSION;
+        }
         Exclusion ofTable = endpoints.exclusion(endpoint.entry());
         if (ofTable != null) {
             return ofTable;
--- a/core/src/main/java/org/redwinghook/core/forward/RequestScope.java
+++ b/core/src/main/java/org/redwinghook/core/forward/RequestScope.java
@@ -12,10 +12,12 @@
  * @param route name of its route
  * @param allowedRegions regions that may serve the request, null for all
  * @param triedEndpoints identifiers of the endpoints that may not be tried again
+ * @param requiredVersion software version of the endpoints that may serve the request, null for all
  */
 public record RequestScope(
         String requestId,
         String service,
         String route,
         @Nullable Set<String> allowedRegions,
-        Set<String> triedEndpoints) {}
+        Set<String> triedEndpoints,
+        @Nullable String requiredVersion) {}
--- a/core/src/test/java/org/redwinghook/core/dispatch/ServiceQueueTest.java
+++ b/core/src/test/java/org/redwinghook/core/dispatch/ServiceQueueTest.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 
 import org.redwinghook.core.placement.Candidate;
 import org.redwinghook.core.placement.Distance;
@@ -142,9 +141,24 @@
         @Override
         public List<Candidate> candidates(DispatchRequest request) {
             int slots = request.rule() == CapacityRule.CALL ? 6 : 24;
-            return Stream.of(work, workAtOther)
+            List<WorkTotals> works =
+                    switch (request.scope()) {
+                        case "route at busy" -> List.of(work);
+                        case "route at gone" -> List.of();
+                        default -> List.of(work, workAtOther);
+                    };
+            return works.stream()
                     .map(total -> new Candidate(
-                            "e", slots, EngineReplay.MEMORY_TOKENS, total, 0, Distance.LOCAL, 0, 1, false, 0))
+                            total == work ? "e" : "other",
+                            slots,
+                            EngineReplay.MEMORY_TOKENS,
+                            total,
+                            0,
+                            Distance.LOCAL,
+                            0,
+                            1,
+                            false,
+                            0))
                     .toList();
         }
 
@@ -238,6 +252,22 @@
             Assert.assertEquals(decide(queue, NOW + elapsed), expected);
         }
 
+        /** Guards against streams of a busy version that delay new ones, and of a gone version that wait in vain. */
+        @Test
+        public void versionWithoutCapacityDelaysOnlyItsOwnStreams() {
+            work = new WorkTotals(6, 0, 24_000, 24_000);
+            workAtOther = WorkTotals.NONE;
+            ServiceQueue queue = new ServiceQueue();
+            for (String scope : List.of("route at busy", "route at gone", "route")) {
+                queue.add(
+                        new DispatchRequest(
+                                scope, scope, "", 0, CapacityRule.GENERATION, LONG, NOW, NOW + 4_000, NOW + 39_000),
+                        NOW);
+            }
+            Assert.assertEquals(decide(queue, NOW), List.of("route at gone NO_ENDPOINT", "route SENT"));
+            Assert.assertEquals(queue.size(), 1);
+        }
+
         /** Guards against generations that wait for ever because of wrong estimates, or overflow the memory by much. */
         @Test
         public void overdueGenerationIsSentOnlyIfItNearlyFits() {
--- a/core/src/test/java/org/redwinghook/core/forward/EndpointNoticesTest.java
+++ b/core/src/test/java/org/redwinghook/core/forward/EndpointNoticesTest.java
@@ -9,7 +9,7 @@
 /** Guards against requests to endpoints that have announced that they leave or want no requests for some time. */
 public class EndpointNoticesTest {
 
-    private static final RequestScope SCOPE = new RequestScope("id", "calls", "route", null, Set.of());
+    private static final RequestScope SCOPE = new RequestScope("id", "calls", "route", null, Set.of(), null);
     private static final long PAUSE_MILLIS = 3_500;
 
     private EndpointTable endpoints = new EndpointTable();
--- a/router/src/main/java/org/redwinghook/router/forward/AttemptObserver.java
+++ b/router/src/main/java/org/redwinghook/router/forward/AttemptObserver.java
@@ -13,6 +13,15 @@
      */
     default void handleStart(CallerExchange caller, KnownEndpoint endpoint) {}
 
+    /**
+     * Handles the first event of an answer, before it is forwarded to the caller; once for each answer. The software version
+     * of the endpoint is {@link CallerExchange#requiredVersion}.
+     *
+     * @param caller the request
+     * @param endpoint the endpoint
+     */
+    default void handleFirstForwardedEvent(CallerExchange caller, KnownEndpoint endpoint) {}
+
     /**
      * Handles the first event of a generation.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -53,6 +53,7 @@
     private Consumer<Refusal> interruptionHandler = this::refuse;
     private long timeoutTimer = -1;
     private boolean isEnded;
+    private @Nullable String requiredVersion;
 
     /**
      * Creates an exchange for an admitted request.
@@ -187,6 +188,26 @@
         return service;
     }
 
+    /**
+     * Software version of the endpoints that may serve the request.
+     *
+     * @return the version, null if all may
+     */
+    @Nullable
+    String requiredVersion() {
+        return requiredVersion;
+    }
+
+    /**
+     * Restricts the request to the endpoints of one software version, because endpoints of different versions do not
+     * produce the same events.
+     *
+     * @param version version of the endpoint at which the stream began
+     */
+    void requireVersion(String version) {
+        requiredVersion = version;
+    }
+
     Buffer body() {
         return body;
     }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -103,7 +103,7 @@
             PlacementQuery query,
             Set<String> excluded,
             String originDataCentre) {
-        List<Candidate> candidates = candidates(caller, excluded, originDataCentre);
+        List<Candidate> candidates = candidates(caller, scope(caller, excluded), originDataCentre);
         List<Candidate> considered = policy.samplesCandidates() ? sample(candidates) : candidates;
         return policy.choose(considered, query)
                 .flatMap(best -> state.endpoints().find(best.id()));
@@ -117,14 +117,14 @@
      * @return the endpoints with their present work
      */
     List<Candidate> candidates(CallerExchange caller, Set<String> excluded) {
-        return candidates(caller, excluded, dataCentre);
+        return candidates(caller, scope(caller, excluded), dataCentre);
     }
 
-    private List<Candidate> candidates(CallerExchange caller, Set<String> excluded, String originDataCentre) {
+    private List<Candidate> candidates(CallerExchange caller, RequestScope scope, String originDataCentre) {
         long now = clock.millis();
         long memoryTokens = memory(caller.service()).capacityTokens();
         List<Candidate> candidates = new ArrayList<>();
-        for (KnownEndpoint endpoint : eligibleEndpoints(caller, excluded, now)) {
+        for (KnownEndpoint endpoint : eligibleEndpoints(scope, now)) {
             candidates.add(candidate(
                     endpoint,
                     memoryTokens,
@@ -145,7 +145,8 @@
     }
 
     /**
-     * Chooses an engine for a run that moves.
+     * Chooses an engine for a run that moves. The engine has the version of the source, even if the caller has received
+     * no event, because the run goes on at the source while its memory is copied.
      *
      * @param caller exchange with the caller
      * @param query size of the run
@@ -155,7 +156,9 @@
      */
     Optional<KnownEndpoint> chooseDestination(
             CallerExchange caller, PlacementQuery query, Set<String> excluded, EndpointEntry source) {
-        List<Candidate> candidates = candidates(caller, excluded, source.dataCentre());
+        String begunAt = caller.requiredVersion();
+        RequestScope scope = scope(caller, excluded, begunAt == null ? source.version() : begunAt);
+        List<Candidate> candidates = candidates(caller, scope, source.dataCentre());
         List<String> leaving = new ArrayList<>();
         for (EndpointEntry entry : state.endpoints().entries()) {
             boolean isNeighbour = entry.service().equals(source.service())
@@ -173,17 +176,37 @@
     }
 
     /** Endpoints that may take a request, without those that cannot be reached if there are others. */
-    private List<KnownEndpoint> eligibleEndpoints(CallerExchange caller, Set<String> excluded, long now) {
-        List<KnownEndpoint> eligible = eligibility.eligibleEndpoints(scope(caller, excluded), now);
+    private List<KnownEndpoint> eligibleEndpoints(RequestScope scope, long now) {
+        List<KnownEndpoint> eligible = eligibility.eligibleEndpoints(scope, now);
         List<KnownEndpoint> reachable = eligible.stream()
                 .filter(endpoint -> !endpoint.health().shouldAvoid(now))
                 .toList();
         return reachable.isEmpty() ? eligible : reachable;
     }
 
+    /**
+     * Whether a begun stream has no endpoint any more at which it may continue, now or soon.
+     *
+     * @param caller exchange with the caller
+     * @return false if any version may serve the request, or an endpoint of its version is left
+     */
+    boolean isVersionGone(CallerExchange caller) {
+        return caller.requiredVersion() != null
+                && !eligibility.hasEndpointSoon(scope(caller, Set.of()), clock.millis());
+    }
+
     private static RequestScope scope(CallerExchange caller, Set<String> excluded) {
+        return scope(caller, excluded, caller.requiredVersion());
+    }
+
+    private static RequestScope scope(CallerExchange caller, Set<String> excluded, @Nullable String requiredVersion) {
         return new RequestScope(
-                caller.requestId(), caller.service(), caller.route().name(), allowedRegions(caller), excluded);
+                caller.requestId(),
+                caller.service(),
+                caller.route().name(),
+                allowedRegions(caller),
+                excluded,
+                requiredVersion);
     }
 
     private @Nullable Exclusion checkRegion(KnownEndpoint endpoint, RequestScope scope, long now) {
--- a/router/src/main/java/org/redwinghook/router/forward/RefusalCause.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RefusalCause.java
@@ -6,6 +6,8 @@
     NOT_READY(503, "the router is not ready"),
     /** No endpoint may take the request. */
     NO_ENDPOINT(503, "no endpoint may take the request"),
+    /** No endpoint of the software version at which the stream began may take the request any more. */
+    VERSION_GONE(503, "no endpoint of the stream's software version is left"),
     /** All endpoints that were tried reported that they did not run the request, or could not be reached. */
     ENDPOINTS_FULL(503, "no endpoint took the request"),
     /** No endpoint will have capacity in time. */
--- a/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
@@ -157,6 +157,9 @@
         if (ofQuarantine != null) {
             return ofQuarantine;
         }
+        if (context.selector().isVersionGone(caller)) {
+            return new Refusal(RefusalCause.VERSION_GONE, 0);
+        }
         long retryAfterMillis = context.waiting().retryAfterMillis(caller, rule, query);
         if (!context.selector().candidates(caller, Set.of()).isEmpty()) {
             return new Refusal(cause, retryAfterMillis);
--- a/router/src/main/java/org/redwinghook/router/forward/RunMove.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RunMove.java
@@ -371,8 +371,7 @@
         KnownEndpoint target = destination;
         long now = context.clock().millis();
         LOGGER.info(
-                "move ended id={} from={} to={} fromVersion={} toVersion={} outcome={} millis={} lastCopyMillis={}"
-                        + " restMillis={} tries={}",
+                "move ended id={} from={} to={} fromVersion={} toVersion={} outcome={} millis={} lastCopyMillis={} restMillis={} tries={}",
                 stream.caller().requestId(),
                 source.entry().id(),
                 target == null ? "none" : target.entry().id(),
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -227,7 +227,10 @@
 
     private void refuseOrFail(RefusalCause cause) {
         if (responseStarted) {
-            abort("no endpoint left to continue the stream");
+            abort(
+                    context.selector().isVersionGone(caller)
+                            ? RefusalCause.VERSION_GONE.description()
+                            : "no endpoint left to continue the stream");
             return;
         }
         end();
@@ -477,6 +480,8 @@
             if (!responseStarted) {
                 responseStarted = true;
                 startedMediaType = mediaType(response);
+                caller.requireVersion(endpointAttempt.version());
+                context.observers().notify(observer -> observer.handleFirstForwardedEvent(caller, endpoint));
                 context.metrics().recordFirstEvent(caller.service(), caller.elapsedMillis());
                 caller.response()
                         .setStatusCode(response.statusCode())
--- a/router/src/main/java/org/redwinghook/router/forward/WaitingRequest.java
+++ b/router/src/main/java/org/redwinghook/router/forward/WaitingRequest.java
@@ -65,14 +65,10 @@
     static DispatchRequest describe(CallerExchange caller, CapacityRule rule, PlacementQuery query, long nowMillis) {
         CustomerAccess access = caller.access();
         Integer customerPriority = access == null ? null : access.priority();
-        Set<String> regions = access == null ? null : access.allowedRegions();
         long arrivedAtMillis = nowMillis - caller.elapsedMillis();
         return new DispatchRequest(
                 caller.requestId(),
-                regions == null
-                        ? caller.route().name()
-                        : caller.route().name() + " in "
-                                + regions.stream().sorted().toList(),
+                scope(caller),
                 access == null ? "" : access.customer(),
                 DispatchRequest.rank(customerPriority, caller.route().priority()),
                 rule,
@@ -82,6 +78,15 @@
                 Math.min(nowMillis + caller.remainingMillis(), arrivedAtMillis + abandonmentMillis(caller.route())));
     }
 
+    private static String scope(CallerExchange caller) {
+        CustomerAccess access = caller.access();
+        Set<String> regions = access == null ? null : access.allowedRegions();
+        String version = caller.requiredVersion();
+        return caller.route().name()
+                + (regions == null ? "" : " in " + regions.stream().sorted().toList())
+                + (version == null ? "" : " at " + version);
+    }
+
     /** Time after which the caller of a stream without any event leaves. */
     private static long abandonmentMillis(Route route) {
         if (route.kind() != RequestKind.STREAMING) {
--- a/router/src/main/java/org/redwinghook/router/forward/WaitingRequests.java
+++ b/router/src/main/java/org/redwinghook/router/forward/WaitingRequests.java
@@ -226,6 +226,12 @@
             caller.interrupt(new Refusal(RefusalCause.NO_ENDPOINT, 0));
             return;
         }
+        String service = route.get().selectService(caller.requestId());
+        if (caller.requiredVersion() != null && !service.equals(caller.service())) {
+            // The version says nothing about the endpoints of another service.
+            caller.interrupt(new Refusal(RefusalCause.VERSION_GONE, 0));
+            return;
+        }
         if (!route.get().equals(caller.route()) || !Objects.equals(access, caller.access())) {
             caller.readmit(route.get(), access);
             move(request);
--- a/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
@@ -138,7 +138,7 @@
         private Set<String> eligibleVersions() {
             Set<String> versions = new TreeSet<>();
             for (int index = 0; index < REQUESTS; index++) {
-                RequestScope scope = new RequestScope("request-" + index, "calls", "route", null, Set.of());
+                RequestScope scope = new RequestScope("request-" + index, "calls", "route", null, Set.of(), null);
                 for (KnownEndpoint endpoint : eligibility.eligibleEndpoints(scope, nowMillis)) {
                     versions.add(endpoint.entry().version());
                 }
