--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
@@ -375,9 +375,10 @@
         Optional<KnownEndpoint> after = endpoints.find(record.key());
         if (before.isEmpty() && after.isPresent()) {
             LOGGER.info(
-                    "endpoint listed id={} service={} address={} offset={}",
+                    "endpoint listed id={} service={} version={} address={} offset={}",
                     record.key(),
                     after.get().entry().service(),
+                    after.get().entry().version(),
                     after.get().entry().address(),
                     record.offset());
         }
