--- a/core/src/main/java/org/redwinghook/core/forward/EndpointEntry.java
+++ b/core/src/main/java/org/redwinghook/core/forward/EndpointEntry.java
@@ -45,7 +45,8 @@
     }
 
     /**
-     * Whether another entry belongs to the same endpoint and the same start of it.
+     * Whether another entry belongs to the same endpoint and the same start of it. The version tells restarts apart whose
+     * entries have no time of their start.
      *
      * @param other the other entry
      * @return false after a restart
@@ -53,6 +54,7 @@
     public boolean isSameIncarnation(EndpointEntry other) {
         return id.equals(other.id)
                 && startedAtMillis == other.startedAtMillis
+                && version.equals(other.version)
                 && address().equals(other.address());
     }
 }
--- a/core/src/test/java/org/redwinghook/core/forward/EndpointTableTest.java
+++ b/core/src/test/java/org/redwinghook/core/forward/EndpointTableTest.java
@@ -84,6 +84,16 @@
         Assert.assertFalse(table.find("a").orElseThrow().health().shouldAvoid(NOW + 2));
     }
 
+    /** Guards against a run that moves from one version to another because its engine changed its version. */
+    @Test
+    public void otherVersionUnderTheSameIdentifierIsAnotherStart() {
+        EndpointTable table = table();
+        KnownEndpoint before = table.find("a").orElseThrow();
+        table.put(new EndpointEntry("a", "calls", "127.0.0.1", 1, "dc", 2, false, 0, 1, "v2"), NOW + 1);
+        Assert.assertEquals(before.entry().version(), "");
+        Assert.assertEquals(table.find("a").orElseThrow().entry().version(), "v2");
+    }
+
     private static EndpointTable table() {
         EndpointTable table = new EndpointTable();
         table.put(entry("a", false, 1), NOW);
--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -437,6 +437,10 @@
             if (endpointAttempt.isEnded()) {
                 return;
             }
+            if (!events.isEmpty() && isVersionUncertain()) {
+                handleFailure(new IllegalStateException("the endpoint changed its version before its first event"));
+                return;
+            }
             boolean isWellFormed = forwardEvents(response, events);
             if (!isWellFormed) {
                 handleFailure(new IllegalStateException("the stream has bytes that are no event"));
@@ -458,6 +462,20 @@
             }
         }
 
+        /**
+         * Whether the first event of a stream that may continue elsewhere may be of another version than that of the entry to
+         * which the request was sent, because the endpoint has started again.
+         */
+        private boolean isVersionUncertain() {
+            return eventsOfAttempt == 0
+                    && caller.route().mayRunAgain()
+                    && context.state()
+                            .endpoints()
+                            .find(endpointAttempt.endpointId())
+                            .filter(known -> !known.entry().version().equals(endpointAttempt.version()))
+                            .isPresent();
+        }
+
         /** Forwards the events up to the first one that is malformed; returns whether there is none. */
         private boolean forwardEvents(HttpClientResponse response, List<EventSplitter.Event> events) {
             Buffer forwarded = Buffer.buffer();
