--- a/core/src/main/java/org/redwinghook/core/dispatch/CandidateSource.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/CandidateSource.java
@@ -15,6 +15,18 @@
      */
     List<Candidate> candidates(DispatchRequest request);
 
+    /**
+     * Number of endpoints among which the more urgent requests of the queue are spread. A request that continues a stream may
+     * go to few of them, which do not receive all urgent requests.
+     *
+     * @param request the request
+     * @param candidates endpoints that may receive it now
+     * @return the number
+     */
+    default int endpointsOfUrgentRequests(DispatchRequest request, List<Candidate> candidates) {
+        return candidates.size();
+    }
+
     /**
      * Reduces endpoints to those that this router prefers, so that many routers do not all choose the same one.
      *
--- a/core/src/main/java/org/redwinghook/core/dispatch/ServiceQueue.java
+++ b/core/src/main/java/org/redwinghook/core/dispatch/ServiceQueue.java
@@ -133,8 +133,8 @@
      */
     public double capacityMillis(DispatchRequest request, CandidateSource source, long nowMillis) {
         List<Candidate> candidates = source.candidates(request);
-        ExpectedDemand urgent =
-                urgentDemand.moreUrgentThan(request.priority(), candidates.size(), source.routers(), nowMillis);
+        ExpectedDemand urgent = urgentDemand.moreUrgentThan(
+                request.priority(), source.endpointsOfUrgentRequests(request, candidates), source.routers(), nowMillis);
         double shortestMillis = Double.POSITIVE_INFINITY;
         for (Candidate candidate : candidates) {
             shortestMillis = Math.min(shortestMillis, request.rule().waitMillis(candidate, request, urgent, nowMillis));
@@ -216,7 +216,11 @@
             }
             ExpectedDemand urgent = selected.isPromoted
                     ? ExpectedDemand.NONE
-                    : urgentDemand.moreUrgentThan(request.priority(), candidates.size(), source.routers(), nowMillis);
+                    : urgentDemand.moreUrgentThan(
+                            request.priority(),
+                            source.endpointsOfUrgentRequests(request, candidates),
+                            source.routers(),
+                            nowMillis);
             List<BlockedRequests.EndpointWait> waits = new ArrayList<>();
             Optional<Candidate> chosen = choose(request, candidates, urgent, waits);
             if (chosen.isPresent()) {
--- a/core/src/test/java/org/redwinghook/core/dispatch/ServiceQueueTest.java
+++ b/core/src/test/java/org/redwinghook/core/dispatch/ServiceQueueTest.java
@@ -137,6 +137,7 @@
         private static final long NOW = 1_000_000;
         private WorkTotals work = WorkTotals.NONE;
         private WorkTotals workAtOther = WorkTotals.NONE;
+        private int endpointsOfAllVersions = 2;
 
         @Override
         public List<Candidate> candidates(DispatchRequest request) {
@@ -167,6 +168,11 @@
             return candidates.subList(0, Math.min(1, candidates.size()));
         }
 
+        @Override
+        public int endpointsOfUrgentRequests(DispatchRequest request, List<Candidate> candidates) {
+            return request.scope().equals("route") ? candidates.size() : endpointsOfAllVersions;
+        }
+
         @Override
         public int routers() {
             return 2;
@@ -268,6 +274,34 @@
             Assert.assertEquals(queue.size(), 1);
         }
 
+        /** Guards against continued streams that wait since their few endpoints seem to receive all urgent requests. */
+        @Test
+        public void continuedStreamLeavesMemoryForItsShareOfUrgentRequestsOnly() {
+            for (int endpoints : new int[] {1, 40}) {
+                endpointsOfAllVersions = endpoints;
+                work = new WorkTotals(4, 0, 14_000, 14_000);
+                ServiceQueue queue = new ServiceQueue();
+                for (int index = 0; index < 40; index++) {
+                    DispatchRequest urgent = request("urgent", 0, CapacityRule.GENERATION, LONG, 4_000, 39_000);
+                    queue.add(urgent, NOW);
+                    queue.remove(urgent);
+                }
+                queue.add(
+                        new DispatchRequest(
+                                "continued",
+                                "route at busy",
+                                "",
+                                DispatchRequest.rank(1, 0),
+                                CapacityRule.GENERATION,
+                                LONG,
+                                NOW,
+                                NOW + 4_000,
+                                NOW + 39_000),
+                        NOW);
+                Assert.assertEquals(decide(queue, NOW), endpoints == 1 ? List.of() : List.of("continued SENT"));
+            }
+        }
+
         /** Guards against generations that wait for ever because of wrong estimates, or overflow the memory by much. */
         @Test
         public void overdueGenerationIsSentOnlyIfItNearlyFits() {
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardSelector.java
@@ -120,6 +120,16 @@
         return candidates(caller, scope(caller, excluded), dataCentre);
     }
 
+    /**
+     * Number of endpoints that might take a request if it did not continue a stream.
+     *
+     * @param caller exchange with the caller
+     * @return the number
+     */
+    int countEndpointsOfAllVersions(CallerExchange caller) {
+        return eligibleEndpoints(scope(caller, Set.of(), null), clock.millis()).size();
+    }
+
     private List<Candidate> candidates(CallerExchange caller, RequestScope scope, String originDataCentre) {
         long now = clock.millis();
         long memoryTokens = memory(caller.service()).capacityTokens();
--- a/router/src/main/java/org/redwinghook/router/forward/WaitingCandidates.java
+++ b/router/src/main/java/org/redwinghook/router/forward/WaitingCandidates.java
@@ -25,6 +25,12 @@
         return selector.candidates(callers.apply(request), Set.of());
     }
 
+    @Override
+    public int endpointsOfUrgentRequests(DispatchRequest request, List<Candidate> candidates) {
+        CallerExchange caller = callers.apply(request);
+        return caller.requiredVersion() == null ? candidates.size() : selector.countEndpointsOfAllVersions(caller);
+    }
+
     @Override
     public List<Candidate> sample(List<Candidate> candidates) {
         return selector.sample(candidates);
