--- a/core/src/main/java/org/redwinghook/core/forward/EndpointNotices.java
+++ b/core/src/main/java/org/redwinghook/core/forward/EndpointNotices.java
@@ -119,11 +119,14 @@
      * Time until a paused endpoint of a service may be asked again.
      *
      * @param service name of the service
+     * @param requiredVersion software version of the endpoint, null for any
      * @param nowMillis current monotonic time
-     * @return the shortest time in milliseconds, empty if no endpoint of the service pauses
+     * @return the shortest time in milliseconds, empty if no such endpoint pauses
      */
-    public OptionalLong millisUntilReturn(String service, long nowMillis) {
+    public OptionalLong millisUntilReturn(String service, @Nullable String requiredVersion, long nowMillis) {
         return endpoints.usableEndpoints(service).stream()
+                .filter(endpoint -> requiredVersion == null
+                        || requiredVersion.equals(endpoint.entry().version()))
                 .map(endpoint -> noticesByIncarnation.get(endpoint.entry().incarnation()))
                 .filter(notice -> notice != null && !notice.isLeaving && notice.returnPace != null)
                 .mapToLong(notice -> Math.max(1, notice.returnPace.nextStartMillis(nowMillis) - nowMillis))
--- a/core/src/test/java/org/redwinghook/core/forward/EndpointNoticesTest.java
+++ b/core/src/test/java/org/redwinghook/core/forward/EndpointNoticesTest.java
@@ -55,7 +55,7 @@
         EndpointEntry entry = list("b", 1);
         notices.recordPause(entry, PAUSE_MILLIS, 0);
         Assert.assertEquals(exclusion("b", PAUSE_MILLIS - 1), Exclusion.PAUSED);
-        Assert.assertEquals(notices.millisUntilReturn("calls", 500).orElseThrow(), PAUSE_MILLIS - 500);
+        Assert.assertEquals(notices.millisUntilReturn("calls", null, 500).orElseThrow(), PAUSE_MILLIS - 500);
         int sent = 0;
         for (long now = PAUSE_MILLIS; now < PAUSE_MILLIS + 900; now++) {
             if (exclusion("b", now) == null) {
@@ -70,7 +70,16 @@
         }
         Assert.assertNull(exclusion("b", PAUSE_MILLIS + 1_000));
         Assert.assertTrue(
-                notices.millisUntilReturn("calls", PAUSE_MILLIS + 1_000).isEmpty());
+                notices.millisUntilReturn("calls", null, PAUSE_MILLIS + 1_000).isEmpty());
+    }
+
+    /** Guards against callers that come back to continue a stream before an endpoint of its version does. */
+    @Test
+    public void pauseOfAnotherVersionIsNotWaitedFor() {
+        EndpointEntry entry = list("d", 1);
+        notices.recordPause(entry, PAUSE_MILLIS, 0);
+        Assert.assertEquals(notices.millisUntilReturn("calls", "", 0).orElseThrow(), PAUSE_MILLIS);
+        Assert.assertTrue(notices.millisUntilReturn("calls", "v2", 0).isEmpty());
     }
 
     /** Guards against a short pause that ends a longer one, and against an overflow of a huge one. */
--- a/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestAttempts.java
@@ -166,7 +166,10 @@
         }
         // Without an endpoint that may be asked now, the end of the shortest pause is the time to come back.
         long untilReturnMillis = context.notices()
-                .millisUntilReturn(caller.service(), context.clock().millis())
+                .millisUntilReturn(
+                        caller.service(),
+                        caller.requiredVersion(),
+                        context.clock().millis())
                 .orElse(retryAfterMillis);
         return new Refusal(cause, Math.max(retryAfterMillis, untilReturnMillis));
     }
