--- a/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
@@ -10,9 +10,9 @@
 import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.EndpointEligibility;
 import org.redwinghook.core.forward.EndpointEntry;
-import org.redwinghook.core.forward.KnownEndpoint;
 import org.redwinghook.core.forward.RequestScope;
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.quarantine.PromptQuarantine;
@@ -138,13 +138,18 @@
         private Set<String> eligibleVersions() {
             Set<String> versions = new TreeSet<>();
             for (int index = 0; index < REQUESTS; index++) {
-                RequestScope scope = new RequestScope("request-" + index, "calls", "route", null, Set.of(), null);
-                for (KnownEndpoint endpoint : eligibility.eligibleEndpoints(scope, nowMillis)) {
-                    versions.add(endpoint.entry().version());
-                }
+                versions.addAll(eligibleVersions(index, null));
             }
             return versions;
         }
+
+        private List<String> eligibleVersions(int index, @Nullable String requiredVersion) {
+            RequestScope scope =
+                    new RequestScope("request-" + index, "calls", "route", null, Set.of(), requiredVersion);
+            return eligibility.eligibleEndpoints(scope, nowMillis).stream()
+                    .map(endpoint -> endpoint.entry().version())
+                    .toList();
+        }
     }
 
     /** Scripts, the versions that requests may go to afterwards, and the newest status. */
@@ -259,4 +264,23 @@
         });
         done.future().timeout(5, TimeUnit.SECONDS).await();
     }
+
+    /** Guards against begun streams that a roll-out sends to the other version, or keeps from their own during its trial. */
+    @Test
+    public void begunStreamStaysAtItsVersionDuringARollout() throws Exception {
+        Promise<Void> done = Promise.promise();
+        vertx.runOnContext(ignored -> {
+            try {
+                Router router = new Router().list("v1", "v2").order("v2");
+                for (int index = 0; index < REQUESTS; index++) {
+                    Assert.assertEquals(router.eligibleVersions(index, "v1"), List.of("v1"));
+                    Assert.assertFalse(router.eligibleVersions(index, "v2").contains("v1"));
+                }
+                done.complete();
+            } catch (AssertionError error) {
+                done.fail(error);
+            }
+        });
+        done.future().timeout(5, TimeUnit.SECONDS).await();
+    }
 }
