--- a/core/src/main/java/org/redwinghook/core/forward/ForwardingConfiguration.java
+++ b/core/src/main/java/org/redwinghook/core/forward/ForwardingConfiguration.java
@@ -48,6 +48,15 @@
         this.limits = limits;
     }
 
+    /**
+     * All routes.
+     *
+     * @return the routes, in no particular order
+     */
+    public List<Route> routes() {
+        return routesByHost.values().stream().flatMap(List::stream).toList();
+    }
+
     /**
      * Version of the configuration.
      *
