--- a/core/src/main/java/org/redwinghook/core/message/Message.java
+++ b/core/src/main/java/org/redwinghook/core/message/Message.java
@@ -43,7 +43,10 @@
     @JsonSubTypes.Type(value = RolloutReport.class, name = "rolloutReport"),
     @JsonSubTypes.Type(value = SpeedReport.class, name = "speedReport"),
     @JsonSubTypes.Type(value = LeaveReport.class, name = "leaveReport"),
-    @JsonSubTypes.Type(value = CopyReport.class, name = "copyReport")
+    @JsonSubTypes.Type(value = CopyReport.class, name = "copyReport"),
+    @JsonSubTypes.Type(value = OriginReport.class, name = "originReport"),
+    @JsonSubTypes.Type(value = OriginQuestion.class, name = "originQuestion"),
+    @JsonSubTypes.Type(value = OriginAnswer.class, name = "originAnswer")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public interface Message {}
--- a/core/src/main/java/org/redwinghook/core/origin/PossibleVersions.java
+++ b/core/src/main/java/org/redwinghook/core/origin/PossibleVersions.java
@@ -32,6 +32,18 @@
         listed.forEach(version -> lastListedMillis.put(version, nowMillis));
     }
 
+    /**
+     * Adds the version of a listed endpoint.
+     *
+     * @param version the version
+     * @param nowMillis current time
+     * @return whether it was not known
+     */
+    public boolean addListed(ServiceVersion version, long nowMillis) {
+        listed.add(version);
+        return lastListedMillis.put(version, nowMillis) == null;
+    }
+
     /**
      * Updates the versions that have a record in the store.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -80,7 +80,7 @@
         this.requestId = admitted.requestId();
         this.route = admitted.route();
         this.access = admitted.access();
-        this.service = route.selectService(requestId);
+        this.service = selectService(route);
         this.body = body;
         this.receivedAtMillis = admitted.receivedAtMillis();
         this.deadlineMillis = admitted.deadlineMillis();
@@ -118,7 +118,18 @@
     void readmit(Route newRoute, @Nullable CustomerAccess newAccess) {
         route = newRoute;
         access = newAccess;
-        service = newRoute.selectService(requestId);
+        service = selectService(newRoute);
+    }
+
+    /**
+     * Selects the service of the request. A resumed stream stays at the service of the attempt that began it.
+     *
+     * @param candidate route of the request
+     * @return name of the service
+     */
+    final String selectService(Route candidate) {
+        String first = head.firstAttempt();
+        return candidate.selectService(first == null ? requestId : first);
     }
 
     /**
@@ -361,7 +372,8 @@
         isEnded = true;
         vertx.cancelTimer(timeoutTimer);
         LOGGER.info(
-                "request ended id={} route={} service={} outcome={} status={} endpoint={} cause=\"{}\" elapsedMillis={}",
+                "request ended id={} route={} service={} outcome={} status={} endpoint={} cause=\"{}\""
+                        + " elapsedMillis={}",
                 requestId,
                 route.name(),
                 service,
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
@@ -27,6 +27,7 @@
  * @param pollBarrier delays work while the event loop is late
  * @param receiveBudget memory for received messages
  * @param waiting requests that wait for capacity
+ * @param resumedStreams finds the software version of resumed streams
  * @param reportWork reports changes of this router's work to the other routers at once
  */
 record ForwardContext(
@@ -47,4 +48,5 @@
         PollBarrier pollBarrier,
         ReceiveBudget receiveBudget,
         WaitingRequests waiting,
+        ResumedStreams resumedStreams,
         Runnable reportWork) {}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardMetrics.java
@@ -249,6 +249,17 @@
                 .increment();
     }
 
+    /**
+     * Counts a resumed stream.
+     *
+     * @param service service of the stream
+     * @param origin where its software version was found, or why it was refused
+     */
+    void recordResumedStream(String service, String origin) {
+        registry.counter("redwinghook.forward.resumed.streams", "service", service, "origin", origin)
+                .increment();
+    }
+
     /**
      * Counts a change of the trust in the store.
      *
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -452,6 +452,10 @@
             caller.refuse(stopRefusal(caller.request()));
             return;
         }
+        if (ResumedStreams.isResumed(caller) && caller.requiredVersion() == null) {
+            context.resumedStreams().resolve(caller, () -> startForwarding(caller));
+            return;
+        }
         if (caller.route().kind() == RequestKind.STREAMING) {
             new StreamForwarding(context, caller, streams).start();
             return;
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -20,11 +20,13 @@
 import org.redwinghook.core.message.CopyReport;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.origin.PossibleVersions;
 import org.redwinghook.core.placement.EndpointSpeeds;
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.quarantine.PromptQuarantine;
 import org.redwinghook.core.receive.ReceiveBudget;
 import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.StoreRole;
 import org.redwinghook.router.peer.MeshSetup;
 import org.redwinghook.router.peer.MeshTiming;
 import org.redwinghook.router.peer.MeshTopology;
@@ -77,6 +79,7 @@
     private final RouterMesh mesh;
     private final RouterMembership membership;
     private final List<RecordFollower> followers;
+    private final VersionRecords versionRecords;
     private final LeaveWatch leaveWatch;
     private final CompositeMeterRegistry meters = new CompositeMeterRegistry();
     private final long incarnation = System.currentTimeMillis();
@@ -129,6 +132,28 @@
                 () -> reloadable.current().waiting(),
                 this::routerCount);
         observers.register(waiting);
+        routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock, promptGuard);
+        followers = new ArrayList<>();
+        for (RecordTopic topic : RecordTopic.values()) {
+            followers.add(new RecordFollower(
+                    vertx, platform.store(), state, topic, clock, routerExchange::relay, routerExchange::storeRole));
+        }
+        PossibleVersions versions = new PossibleVersions();
+        versionRecords = new VersionRecords(vertx, clock, platform.store(), state, versions, this::isFirstReader);
+        ResumedStreams resumedStreams = new ResumedStreams(
+                vertx,
+                clock,
+                routerExchange,
+                versionRecords,
+                versions,
+                new ListFreshness(
+                        clock,
+                        routerExchange,
+                        followers.get(RecordTopic.ENDPOINTS.ordinal()),
+                        followers.get(RecordTopic.ROUTERS.ordinal()))::isCurrent,
+                selector,
+                metrics);
+        observers.register(resumedStreams);
         ForwardContext context = new ForwardContext(
                 vertx,
                 clock,
@@ -147,6 +172,7 @@
                 pollBarrier,
                 new ReceiveBudget(settings.callers().maximumBytes(), clock::millis),
                 waiting,
+                resumedStreams,
                 this::reportWork);
         server = new ForwardServer(
                 vertx, settings.caller(), context, streams, this::hasOtherRouters, settings.callers());
@@ -159,7 +185,6 @@
                         "ready",
                         settings.callers(),
                         refusal -> metrics.recordRefusedConnection("ready", refusal.label())));
-        routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock, promptGuard);
         RolloutTracker rolloutTracker = startRollouts(platform.rolloutStore(), ledger, clock, metrics);
         observers.register(rolloutTracker);
         eligibility.addRule(new RolloutRule(rolloutTracker, state.endpoints(), eligibility));
@@ -194,11 +219,6 @@
             }
             waiting.scheduleService();
         });
-        followers = new ArrayList<>();
-        for (RecordTopic topic : RecordTopic.values()) {
-            followers.add(new RecordFollower(
-                    vertx, platform.store(), state, topic, clock, routerExchange::relay, routerExchange::storeRole));
-        }
         leaveWatch = new LeaveWatch(
                 context,
                 routerExchange,
@@ -228,6 +248,10 @@
         routerExchange.report();
     }
 
+    private boolean isFirstReader() {
+        return canReadStore() && routerExchange.storeRole() == StoreRole.FIRST_READER;
+    }
+
     private boolean canReadStore() {
         return followers.stream().allMatch(RecordFollower::canReadStore);
     }
@@ -249,6 +273,7 @@
         // The store is read first: its records are all that the first requests need.
         followers.forEach(RecordFollower::start);
         leaveWatch.start();
+        versionRecords.start();
         state.onChange((topic, changed) -> handleStateChange());
         vertx.setPeriodic(EXPIRY_CHECK_INTERVAL_MILLIS, ignored -> state.removeLapsedEntries());
         vertx.setTimer(SECONDARY_SERVICES_LATEST_START_MILLIS, ignored -> startSecondaryServices());
@@ -275,6 +300,7 @@
         routerExchange.start();
         speedTracker.start();
         speedExchange.start();
+        versionRecords.startWriting();
         membership.register();
         mesh.start().onFailure(failure -> LOGGER.error("port for routers not opened cause={}", failure.toString()));
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -38,6 +38,7 @@
     private final Supplier<StoreRole> role;
     private final StoreTrust trust = new StoreTrust();
     private long lastFailureAtMillis = Long.MIN_VALUE / 2;
+    private long lastSuccessAtMillis = Long.MIN_VALUE / 2;
     private int failures;
     private long lastExpiredPosition = -1;
     private boolean snapshotNeeded = true;
@@ -127,6 +128,24 @@
         return trust;
     }
 
+    /**
+     * Whether the topic has been read since the start.
+     *
+     * @return false before the first snapshot
+     */
+    boolean hasRead() {
+        return lastSuccessAtMillis > Long.MIN_VALUE / 2;
+    }
+
+    /**
+     * Time of the last read that succeeded.
+     *
+     * @return monotonic time in milliseconds, long ago if there was none
+     */
+    long lastSuccessAtMillis() {
+        return lastSuccessAtMillis;
+    }
+
     /** Reads a snapshot at once, since the positions in the log of the era before mean nothing in the new one. */
     private void handleEra() {
         if (hasSnapshot) {
@@ -253,6 +272,7 @@
             LOGGER.info("store regained topic={} failures={}", topic, failures);
         }
         failures = 0;
+        lastSuccessAtMillis = clock.millis();
         trust.recordSuccess(clock.millis());
     }
 
--- a/router/src/main/java/org/redwinghook/router/forward/RefusalCause.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RefusalCause.java
@@ -8,6 +8,8 @@
     NO_ENDPOINT(503, "no endpoint may take the request"),
     /** No endpoint of the software version at which the stream began may take the request any more. */
     VERSION_GONE(503, "no endpoint of the stream's software version is left"),
+    /** Nothing shows at which software version the resumed stream began, and several may have begun it. */
+    ORIGIN_UNKNOWN(503, "the software version of the resumed stream is not known"),
     /** All endpoints that were tried reported that they did not run the request, or could not be reached. */
     ENDPOINTS_FULL(503, "no endpoint took the request"),
     /** No endpoint will have capacity in time. */
--- a/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RequestHead.java
@@ -18,6 +18,9 @@
  * @param expectedOutputTokens number of output tokens that the caller expects, 0 if absent
  * @param promptParts reads the identifiers of the parts of the prompt, in order, from the received head; a prompt may have
  *     thousands of parts, whose objects take many times the memory of their bytes
+ * @param resumesStream whether the caller resumes a stream that an earlier attempt of its began
+ * @param firstAttempt identifier of the caller's attempt that brought the first event of that stream, null if absent or too
+ *     long
  */
 public record RequestHead(
         @Nullable String requestId,
@@ -26,7 +29,9 @@
         long promptTokens,
         long maximumOutputTokens,
         long expectedOutputTokens,
-        Supplier<List<String>> promptParts) {
+        Supplier<List<String>> promptParts,
+        boolean resumesStream,
+        @Nullable String firstAttempt) {
 
     /**
      * Size of the generation.
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
@@ -0,0 +1,231 @@
+package org.redwinghook.router.forward;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+import io.vertx.core.Vertx;
+import org.jspecify.annotations.Nullable;
+import org.redwinghook.core.forward.KnownEndpoint;
+import org.redwinghook.core.origin.OriginDecision;
+import org.redwinghook.core.origin.PossibleVersions;
+import org.redwinghook.core.origin.ServiceVersion;
+import org.redwinghook.core.origin.StreamLifetimes;
+import org.redwinghook.core.origin.StreamOrigin;
+import org.redwinghook.core.origin.StreamOrigins;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Finds the software version at which a resumed stream may go on: in this router's memory, from the set of possible
+ * versions, then from the connected routers. A stream whose version stays unknown, or has no endpoint left, is
+ * refused. Confined to one event loop.
+ */
+final class ResumedStreams implements AttemptObserver {
+
+    /** Longest wait of a resumed stream for the store, in milliseconds. */
+    private static final long MAXIMUM_STORE_MILLIS = 1_000;
+
+    /** Interval at which a waiting request checks what has been read, in milliseconds. */
+    private static final long CHECK_INTERVAL_MILLIS = 20;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(ResumedStreams.class);
+
+    private final Vertx vertx;
+    private final MonotonicClock clock;
+    private final VersionRecords records;
+    private final PossibleVersions versions;
+    private final BooleanSupplier isListComplete;
+    private final StreamOrigins ownOrigins = new StreamOrigins();
+    private final StreamOrigins otherOrigins = new StreamOrigins();
+    private final OriginExchange exchange;
+    private final ForwardSelector selector;
+    private final ForwardMetrics metrics;
+    private final Set<String> servicesWithSeveralVersions = new HashSet<>();
+
+    /** Source of the version of a resumed stream, as in the log and in metrics. */
+    private enum Source {
+        MEMORY,
+        SINGLE_VERSION,
+        ROUTERS,
+        STORE
+    }
+
+    /**
+     * Creates the tracking of origins.
+     *
+     * @param vertx timers
+     * @param clock monotonic clock
+     * @param routerExchange connections to the other routers
+     * @param records records of versions in the store
+     * @param versions versions that may have begun streams
+     * @param isListComplete whether no version can be missing from these
+     * @param selector tells whether a version has endpoints left
+     * @param metrics counters
+     */
+    ResumedStreams(
+            Vertx vertx,
+            MonotonicClock clock,
+            RouterExchange routerExchange,
+            VersionRecords records,
+            PossibleVersions versions,
+            BooleanSupplier isListComplete,
+            ForwardSelector selector,
+            ForwardMetrics metrics) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.records = records;
+        this.versions = versions;
+        this.isListComplete = isListComplete;
+        this.selector = selector;
+        this.metrics = metrics;
+        this.exchange = new OriginExchange(vertx, routerExchange, this::find, this::recordOther);
+        records.onCheck(this::update);
+    }
+
+    /**
+     * Whether a request resumes a stream that an earlier attempt of the caller began.
+     *
+     * @param caller the request
+     * @return false for a new stream, and on routes whose streams cannot be resumed
+     */
+    static boolean isResumed(CallerExchange caller) {
+        return StreamLifetimes.isResumable(caller.route()) && caller.head().resumesStream();
+    }
+
+    @Override
+    public void handleFirstForwardedEvent(CallerExchange caller, KnownEndpoint endpoint) {
+        String version = caller.requiredVersion();
+        if (version == null || !StreamLifetimes.isResumable(caller.route())) {
+            return;
+        }
+        ServiceVersion begunAt = new ServiceVersion(caller.service(), version);
+        recordOwn(new StreamOrigin(caller.requestId(), begunAt));
+        String first = caller.head().firstAttempt();
+        if (first != null && !first.equals(caller.requestId())) {
+            // The caller goes on naming its first attempt when it resumes the stream again.
+            recordOwn(new StreamOrigin(first, begunAt));
+        }
+    }
+
+    private void recordOwn(StreamOrigin origin) {
+        ownOrigins.record(origin, clock.millis());
+        if (servicesWithSeveralVersions.contains(origin.begunAt().service())) {
+            exchange.share(origin);
+        }
+    }
+
+    private void recordOther(StreamOrigin origin) {
+        otherOrigins.record(origin, clock.millis());
+    }
+
+    private @Nullable String find(String service, String attempt) {
+        return ownOrigins
+                .find(service, attempt)
+                .or(() -> otherOrigins.find(service, attempt))
+                .orElse(null);
+    }
+
+    /** Follows the possible versions; when a service gets a second one, the streams that began before are sent. */
+    private void update() {
+        long oldestMillis = clock.millis() - records.lifetimes().longestMillis();
+        ownOrigins.removeBefore(oldestMillis);
+        otherOrigins.removeBefore(oldestMillis);
+        for (String service : records.lifetimes().services()) {
+            if (versions.of(service).size() < 2) {
+                servicesWithSeveralVersions.remove(service);
+                continue;
+            }
+            if (servicesWithSeveralVersions.add(service)) {
+                LOGGER.info("several versions service={} versions={}", service, versions.of(service));
+                recent(service).forEach(exchange::share);
+            }
+        }
+    }
+
+    private List<StreamOrigin> recent(String service) {
+        return ownOrigins.recordedSince(
+                service, clock.millis() - records.lifetimes().millis(service));
+    }
+
+    /**
+     * Finds the version of a resumed stream. The request is refused if it may not go on anywhere.
+     *
+     * @param caller the request
+     * @param proceed called when the request has been restricted to its version
+     */
+    void resolve(CallerExchange caller, Runnable proceed) {
+        if (tryProceed(caller, Source.MEMORY, proceed)) {
+            return;
+        }
+        String attempt = caller.head().firstAttempt();
+        long untilMillis = clock.millis() + Math.min(MAXIMUM_STORE_MILLIS, caller.remainingMillis());
+        if (attempt == null) {
+            awaitStore(caller, proceed, untilMillis);
+            return;
+        }
+        exchange.ask(caller.service(), attempt).onSuccess(version -> {
+            if (version != null) {
+                recordOther(new StreamOrigin(attempt, new ServiceVersion(caller.service(), version)));
+            }
+            if (!caller.isEnded() && !tryProceed(caller, Source.ROUTERS, proceed)) {
+                awaitStore(caller, proceed, untilMillis);
+            }
+        });
+    }
+
+    private void awaitStore(CallerExchange caller, Runnable proceed, long untilMillis) {
+        if (caller.isEnded() || tryProceed(caller, Source.STORE, proceed)) {
+            return;
+        }
+        if (isListComplete.getAsBoolean() || clock.millis() >= untilMillis) {
+            refuse(caller, RefusalCause.ORIGIN_UNKNOWN);
+            return;
+        }
+        vertx.setTimer(CHECK_INTERVAL_MILLIS, ignored -> awaitStore(caller, proceed, untilMillis));
+    }
+
+    /** Lets the request go on, or refuses it for its version, if the version is known; returns whether it is. */
+    private boolean tryProceed(CallerExchange caller, Source source, Runnable proceed) {
+        String attempt = caller.head().firstAttempt();
+        String known = attempt == null ? null : find(caller.service(), attempt);
+        Set<String> possible = versions.of(caller.service());
+        OriginDecision decision = OriginDecision.of(known, possible, isListComplete.getAsBoolean());
+        Optional<String> version = decision.version(known, possible);
+        if (version.isEmpty()) {
+            return false;
+        }
+        caller.requireVersion(version.get());
+        if (selector.isVersionGone(caller)) {
+            refuse(caller, RefusalCause.VERSION_GONE);
+            return true;
+        }
+        Source found = decision == OriginDecision.SINGLE ? Source.SINGLE_VERSION : source;
+        metrics.recordResumedStream(caller.service(), found.name().toLowerCase(Locale.ROOT));
+        LOGGER.info(
+                "stream resumed id={} attempt={} version={} source={}",
+                caller.requestId(),
+                attempt,
+                version.get(),
+                found);
+        proceed.run();
+        return true;
+    }
+
+    private void refuse(CallerExchange caller, RefusalCause cause) {
+        metrics.recordResumedStream(caller.service(), cause.name().toLowerCase(Locale.ROOT));
+        LOGGER.info(
+                "stream not resumed id={} attempt={} service={} reason={} version={} possible={}" + " listComplete={}",
+                caller.requestId(),
+                caller.head().firstAttempt(),
+                caller.service(),
+                cause,
+                caller.requiredVersion(),
+                versions.of(caller.service()),
+                isListComplete.getAsBoolean());
+        caller.refuse(new Refusal(cause, 0));
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
@@ -71,7 +71,7 @@
     void update() {
         List<Member> members = new ArrayList<>();
         for (VersionedRecord record : state.replica(RecordTopic.ROUTERS).allRecords()) {
-            if (record.value() != null) {
+            if (record.value() != null && !VersionRecords.isVersionRecord(record)) {
                 addMember(record, members);
             }
         }
--- /dev/null
+++ b/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
@@ -0,0 +1,239 @@
+package org.redwinghook.router.forward;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import org.redwinghook.core.forward.EndpointEntry;
+import org.redwinghook.core.forward.ForwardingConfiguration;
+import org.redwinghook.core.forward.KnownEndpoint;
+import org.redwinghook.core.origin.PossibleVersions;
+import org.redwinghook.core.origin.ServiceVersion;
+import org.redwinghook.core.origin.StreamLifetimes;
+import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.VersionedRecord;
+import org.redwinghook.core.routing.RendezvousHash;
+import org.redwinghook.runtime.json.UntrustedJson;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Records in the store of the software versions that may have begun streams, so that routers that have all started again
+ * know the versions whose endpoints have left meanwhile. The first reader of the store writes them. Confined to one event
+ * loop.
+ */
+final class VersionRecords {
+
+    /** Prefix of the records' keys among those of the routers. */
+    private static final String KEY_PREFIX = "version/";
+
+    /** Interval at which the records are compared with the listed endpoints, in milliseconds. */
+    private static final long CHECK_INTERVAL_MILLIS = 250;
+
+    /** Time after the start until this router writes records, in milliseconds; the routers connect in it. */
+    private static final long FIRST_WRITE_MILLIS = 1_000;
+
+    /** Time within which this router reads a record that it has written, in milliseconds. */
+    private static final long READ_BACK_MILLIS = 2_000;
+
+    private static final int MAXIMUM_KEY_BYTES = 255;
+    private static final int HEXADECIMAL = 16;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(VersionRecords.class);
+
+    private final Vertx vertx;
+    private final MonotonicClock clock;
+    private final RecordStore store;
+    private final ForwardingState state;
+    private final PossibleVersions versions;
+    private final BooleanSupplier isWriter;
+    private final List<Runnable> checkHandlers = new ArrayList<>();
+    private final Map<ServiceVersion, Long> writtenAtMillis = new HashMap<>();
+    private StreamLifetimes lifetimes = new StreamLifetimes(List.of());
+    private long firstWriteMillis = Long.MAX_VALUE;
+    private boolean isWriting;
+
+    /**
+     * Creates the records.
+     *
+     * @param vertx timers
+     * @param clock monotonic clock
+     * @param store the store
+     * @param state records and endpoints known to this router
+     * @param versions receives the versions
+     * @param isWriter whether this router writes the records now
+     */
+    VersionRecords(
+            Vertx vertx,
+            MonotonicClock clock,
+            RecordStore store,
+            ForwardingState state,
+            PossibleVersions versions,
+            BooleanSupplier isWriter) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.store = store;
+        this.state = state;
+        this.versions = versions;
+        this.isWriter = isWriter;
+        state.onChange(this::handleChange);
+    }
+
+    /**
+     * Whether a record of the routers' topic is one of a version.
+     *
+     * @param record the record
+     * @return false for the entry of a router
+     */
+    static boolean isVersionRecord(VersionedRecord record) {
+        return record.key().startsWith(KEY_PREFIX);
+    }
+
+    /**
+     * Registers a part of the router that follows the possible versions.
+     *
+     * @param handler called several times a second, and when a version has appeared
+     */
+    void onCheck(Runnable handler) {
+        checkHandlers.add(handler);
+    }
+
+    void start() {
+        vertx.setPeriodic(CHECK_INTERVAL_MILLIS, ignored -> check());
+    }
+
+    /** Begins to write records, once the routers have had the time to connect. */
+    void startWriting() {
+        firstWriteMillis = clock.millis() + FIRST_WRITE_MILLIS;
+    }
+
+    /**
+     * Lifetimes of streams by the configuration in force.
+     *
+     * @return the lifetimes
+     */
+    StreamLifetimes lifetimes() {
+        return lifetimes;
+    }
+
+    private void handleChange(RecordTopic topic, List<VersionedRecord> changed) {
+        switch (topic) {
+            case OPERATORS ->
+                lifetimes = new StreamLifetimes(state.configuration()
+                        .map(ForwardingConfiguration::routes)
+                        .orElse(List.of()));
+            case ROUTERS -> updateRecorded();
+            case ENDPOINTS -> addListed(changed);
+            default -> throw new IllegalStateException("unknown topic " + topic);
+        }
+    }
+
+    /** Adds the versions of changed entries at once; requests that follow may be resumed ones. */
+    private void addListed(List<VersionedRecord> changed) {
+        boolean isAdded = false;
+        for (VersionedRecord record : changed) {
+            KnownEndpoint endpoint = state.endpoints().find(record.key()).orElse(null);
+            isAdded |= endpoint != null && versions.addListed(toVersion(endpoint.entry()), clock.millis());
+        }
+        if (isAdded) {
+            checkHandlers.forEach(Runnable::run);
+        }
+    }
+
+    private void updateRecorded() {
+        Set<ServiceVersion> recorded = new LinkedHashSet<>();
+        for (VersionedRecord record : state.replica(RecordTopic.ROUTERS).allRecords()) {
+            byte[] value = record.value();
+            if (value != null && isVersionRecord(record)) {
+                addRecorded(record, value, recorded);
+            }
+        }
+        versions.updateRecorded(recorded, clock.millis());
+    }
+
+    private static void addRecorded(VersionedRecord record, byte[] value, Set<ServiceVersion> recorded) {
+        try {
+            JsonObject fields = UntrustedJson.parseObject(Buffer.buffer(value));
+            String service = fields.getString("service");
+            String version = fields.getString("version");
+            if (service != null && version != null) {
+                recorded.add(new ServiceVersion(service, version));
+                return;
+            }
+            LOGGER.warn("version record unreadable key={} offset={}", record.key(), record.offset());
+        } catch (DecodeException | ClassCastException exception) {
+            LOGGER.warn(
+                    "version record unreadable key={} offset={} cause={}",
+                    record.key(),
+                    record.offset(),
+                    exception.toString());
+        }
+    }
+
+    private void check() {
+        long now = clock.millis();
+        Set<ServiceVersion> listed = new LinkedHashSet<>();
+        for (EndpointEntry entry : state.endpoints().entries()) {
+            listed.add(toVersion(entry));
+        }
+        versions.updateListed(listed, now);
+        versions.expire(lifetimes, now);
+        checkHandlers.forEach(Runnable::run);
+        if (now >= firstWriteMillis && !isWriting && isWriter.getAsBoolean()) {
+            writeNext(now);
+        }
+    }
+
+    private void writeNext(long now) {
+        writtenAtMillis.values().removeIf(millis -> now - millis >= READ_BACK_MILLIS);
+        for (ServiceVersion missing : versions.withoutRecord(lifetimes)) {
+            if (!writtenAtMillis.containsKey(missing)) {
+                JsonObject fields =
+                        new JsonObject().put("service", missing.service()).put("version", missing.version());
+                write(missing, "written", fields.toBuffer().getBytes());
+                return;
+            }
+        }
+        for (ServiceVersion outlived : versions.withOutlivedRecord(lifetimes, now)) {
+            if (!writtenAtMillis.containsKey(outlived)) {
+                write(outlived, "removed", new byte[0]);
+                return;
+            }
+        }
+    }
+
+    private void write(ServiceVersion version, String change, byte[] value) {
+        isWriting = true;
+        writtenAtMillis.put(version, clock.millis());
+        store.write(RecordTopic.ROUTERS, key(version), value)
+                .onSuccess(ignored -> LOGGER.info(
+                        "version record {} service={} version={}", change, version.service(), version.version()))
+                .onFailure(failure -> LOGGER.warn(
+                        "version record not {} service={} version={} cause={}",
+                        change,
+                        version.service(),
+                        version.version(),
+                        failure.toString()))
+                .onComplete(ignored -> isWriting = false);
+    }
+
+    private static String key(ServiceVersion version) {
+        String key = KEY_PREFIX + version.service() + "/" + version.version();
+        return key.getBytes(StandardCharsets.UTF_8).length <= MAXIMUM_KEY_BYTES
+                ? key
+                : KEY_PREFIX + Long.toUnsignedString(RendezvousHash.hash(key), HEXADECIMAL);
+    }
+
+    private static ServiceVersion toVersion(EndpointEntry entry) {
+        return new ServiceVersion(entry.service(), entry.version());
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/forward/WaitingRequests.java
+++ b/router/src/main/java/org/redwinghook/router/forward/WaitingRequests.java
@@ -226,7 +226,7 @@
             caller.interrupt(new Refusal(RefusalCause.NO_ENDPOINT, 0));
             return;
         }
-        String service = route.get().selectService(caller.requestId());
+        String service = caller.selectService(route.get());
         if (caller.requiredVersion() != null && !service.equals(caller.service())) {
             // The version says nothing about the endpoints of another service.
             caller.interrupt(new Refusal(RefusalCause.VERSION_GONE, 0));
--- a/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
@@ -12,6 +12,10 @@
 import org.redwinghook.core.message.Heartbeat;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.Message;
+import org.redwinghook.core.message.OriginAnswer;
+import org.redwinghook.core.message.OriginGroup;
+import org.redwinghook.core.message.OriginQuestion;
+import org.redwinghook.core.message.OriginReport;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.message.QuarantineReport;
 import org.redwinghook.core.message.RolloutReport;
@@ -85,6 +89,9 @@
                                         TimeSum.NONE))),
                         2)
             },
+            {new OriginReport(List.of(new OriginGroup("models", "v1", List.of("a", "b"))))},
+            {new OriginQuestion(7, "models", "a")},
+            {new OriginAnswer(7, null)},
             {new SpeedReport("router-1", 1L << 41, List.of(new SharedSpeed(-7, 170, 21)))},
             {new Submit(9, "copy", "parna", "retail", 5, 30_000, 256, new GenerationRequest("copy", "Hi", 1, 64), null)
             },
