--- /dev/null
+++ b/core/src/test/java/org/redwinghook/core/origin/OriginBatchesTest.java
@@ -0,0 +1,81 @@
+package org.redwinghook.core.origin;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** Guards what the store has of the origins of streams when all routers lose power. */
+public class OriginBatchesTest {
+
+    private static StreamOrigin origin(int number) {
+        return new StreamOrigin("0123456789abcd" + number, new ServiceVersion("models", "v1"));
+    }
+
+    private final OriginBatches batches = new OriginBatches(41, 0);
+
+    @Test
+    public void writesOfAllRoutersStayWithinTheirShareOfTheStore() {
+        Assert.assertEquals(OriginBatches.intervalMillis(1), 500);
+        Assert.assertEquals(OriginBatches.intervalMillis(26), 500);
+        Assert.assertEquals(OriginBatches.intervalMillis(300), 3_000);
+    }
+
+    /** A record that begins anew too early would replace one whose streams callers still hold. */
+    @Test
+    public void newestRecordGrowsUntilItIsOldOrLarge() {
+        OriginBatches fresh = new OriginBatches(41, 0);
+        Assert.assertNull(fresh.next());
+        fresh.add(origin(1));
+        Assert.assertEquals(Objects.requireNonNull(fresh.next()).origins().size(), 1);
+        fresh.recordWritten(500);
+        Assert.assertNull(fresh.next());
+        fresh.add(origin(2));
+        OriginBatch second = Objects.requireNonNull(fresh.next());
+        Assert.assertEquals(second.origins().size(), 2);
+        Assert.assertEquals(second.number(), 41);
+        fresh.recordWritten(OriginBatches.RECORD_MILLIS);
+        fresh.add(origin(3));
+        OriginBatch third = Objects.requireNonNull(fresh.next());
+        Assert.assertEquals(third.number(), 42);
+        Assert.assertEquals(third.origins().size(), 1);
+        Assert.assertTrue(OriginBatches.SLOTS * OriginBatches.RECORD_MILLIS > StreamLifetimes.MINIMUM_MILLIS);
+    }
+
+    /** Under load there are always streams that began since the last write; the record has to end all the same. */
+    @Test
+    public void recordEndsThoughStreamsBeginDuringItsWrite() {
+        OriginBatches fresh = new OriginBatches(1, 0);
+        fresh.add(origin(1));
+        fresh.next();
+        fresh.add(origin(2));
+        fresh.recordWritten(OriginBatches.RECORD_MILLIS);
+        Assert.assertEquals(fresh.next(), new OriginBatch(2, List.of(origin(2))));
+    }
+
+    /** The store may execute a write without an answer seconds later, over a newer one of the same record. */
+    @Test
+    public void failedWriteIsRepeatedAsAnotherRecord() {
+        OriginBatches fresh = new OriginBatches(1, 0);
+        fresh.add(origin(1));
+        OriginBatch failed = Objects.requireNonNull(fresh.next());
+        fresh.recordFailure();
+        OriginBatch repeated = Objects.requireNonNull(fresh.next());
+        Assert.assertEquals(repeated.origins(), failed.origins());
+        Assert.assertNotEquals(repeated.slot(), failed.slot());
+    }
+
+    /** A record that the store does not accept would block all later ones. */
+    @Test
+    public void recordsStayBelowTheLimitOfTheStore() {
+        int dropped = 0;
+        for (int number = 0; number < 10_000; number++) {
+            dropped += batches.add(origin(number));
+        }
+        OriginBatch largest = Objects.requireNonNull(batches.next());
+        Assert.assertEquals(largest.origins().size(), 10_000 - dropped);
+        Assert.assertTrue(largest.origins().size() * 25 < OriginBatches.MAXIMUM_RECORD_BYTES);
+        Assert.assertEquals(largest.origins().get(largest.origins().size() - 1), origin(9_999));
+    }
+}
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -151,6 +151,14 @@
                         routerExchange,
                         followers.get(RecordTopic.ENDPOINTS.ordinal()),
                         followers.get(RecordTopic.ROUTERS.ordinal()))::isCurrent,
+                (receiver, readHandler) -> new OriginLog(
+                        vertx,
+                        clock,
+                        settings.process(),
+                        platform.originStore(),
+                        this::routerCount,
+                        receiver,
+                        readHandler),
                 selector,
                 metrics);
         observers.register(resumedStreams);
--- a/router/src/main/java/org/redwinghook/router/forward/PlatformAccess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/PlatformAccess.java
@@ -5,6 +5,7 @@
  *
  * @param store the platform's store
  * @param rolloutStore statuses of roll-outs in the store
+ * @param originStore log of streams' origins in the store
  * @param decoder decodes the records of the store
  * @param protocol mapping of HTTP headers
  * @param memoryMover moves the memory of runs between engines
@@ -13,6 +14,7 @@
 public record PlatformAccess(
         RecordStore store,
         RolloutStore rolloutStore,
+        OriginStore originStore,
         RecordDecoder decoder,
         ForwardProtocol protocol,
         MemoryMover memoryMover,
--- a/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 import io.vertx.core.Vertx;
 import org.jspecify.annotations.Nullable;
@@ -21,7 +22,7 @@
 
 /**
  * Finds the software version at which a resumed stream may go on: in this router's memory, from the set of possible
- * versions, then from the connected routers. A stream whose version stays unknown, or has no endpoint left, is
+ * versions, from the connected routers, then in the store. A stream whose version stays unknown, or has no endpoint left, is
  * refused. Confined to one event loop.
  */
 final class ResumedStreams implements AttemptObserver {
@@ -42,6 +43,7 @@
     private final StreamOrigins ownOrigins = new StreamOrigins();
     private final StreamOrigins otherOrigins = new StreamOrigins();
     private final OriginExchange exchange;
+    private final OriginLog log;
     private final ForwardSelector selector;
     private final ForwardMetrics metrics;
     private final Set<String> servicesWithSeveralVersions = new HashSet<>();
@@ -54,6 +56,20 @@
         STORE
     }
 
+    /** Creates the part that writes and reads the log of origins. */
+    @FunctionalInterface
+    interface LogFactory {
+
+        /**
+         * Creates the log.
+         *
+         * @param receiver receives the origins that the store has
+         * @param readHandler called once when the log has been read
+         * @return the log
+         */
+        OriginLog create(Consumer<StreamOrigin> receiver, Runnable readHandler);
+    }
+
     /**
      * Creates the tracking of origins.
      *
@@ -63,6 +79,7 @@
      * @param records records of versions in the store
      * @param versions versions that may have begun streams
      * @param isListComplete whether no version can be missing from these
+     * @param logFactory creates the log of origins
      * @param selector tells whether a version has endpoints left
      * @param metrics counters
      */
@@ -73,6 +90,7 @@
             VersionRecords records,
             PossibleVersions versions,
             BooleanSupplier isListComplete,
+            LogFactory logFactory,
             ForwardSelector selector,
             ForwardMetrics metrics) {
         this.vertx = vertx;
@@ -83,6 +101,7 @@
         this.selector = selector;
         this.metrics = metrics;
         this.exchange = new OriginExchange(vertx, routerExchange, this::find, this::recordOther);
+        this.log = logFactory.create(this::recordOther, () -> servicesWithSeveralVersions.forEach(this::logRecent));
         records.onCheck(this::update);
     }
 
@@ -115,6 +134,7 @@
         ownOrigins.record(origin, clock.millis());
         if (servicesWithSeveralVersions.contains(origin.begunAt().service())) {
             exchange.share(origin);
+            log.add(origin);
         }
     }
 
@@ -139,9 +159,11 @@
                 servicesWithSeveralVersions.remove(service);
                 continue;
             }
+            log.read();
             if (servicesWithSeveralVersions.add(service)) {
                 LOGGER.info("several versions service={} versions={}", service, versions.of(service));
                 recent(service).forEach(exchange::share);
+                logRecent(service);
             }
         }
     }
@@ -151,6 +173,10 @@
                 service, clock.millis() - records.lifetimes().millis(service));
     }
 
+    private void logRecent(String service) {
+        recent(service).forEach(log::add);
+    }
+
     /**
      * Finds the version of a resumed stream. The request is refused if it may not go on anywhere.
      *
@@ -181,7 +207,8 @@
         if (caller.isEnded() || tryProceed(caller, Source.STORE, proceed)) {
             return;
         }
-        if (isListComplete.getAsBoolean() || clock.millis() >= untilMillis) {
+        log.read();
+        if ((log.isRead() && isListComplete.getAsBoolean()) || clock.millis() >= untilMillis) {
             refuse(caller, RefusalCause.ORIGIN_UNKNOWN);
             return;
         }
@@ -218,13 +245,15 @@
     private void refuse(CallerExchange caller, RefusalCause cause) {
         metrics.recordResumedStream(caller.service(), cause.name().toLowerCase(Locale.ROOT));
         LOGGER.info(
-                "stream not resumed id={} attempt={} service={} reason={} version={} possible={}" + " listComplete={}",
+                "stream not resumed id={} attempt={} service={} reason={} version={} possible={} logRead={}"
+                        + " listComplete={}",
                 caller.requestId(),
                 caller.head().firstAttempt(),
                 caller.service(),
                 cause,
                 caller.requiredVersion(),
                 versions.of(caller.service()),
+                log.isRead(),
                 isListComplete.getAsBoolean());
         caller.refuse(new Refusal(cause, 0));
     }
