--- a/router/src/main/java/org/redwinghook/router/forward/RolloutStatusWriter.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RolloutStatusWriter.java
@@ -163,7 +163,7 @@
                 .onFailure(this::handleFailure);
     }
 
-    private void handleAppend(RolloutState wanted, long era, boolean isAppended) {
+    private void handleAppend(RolloutState wanted, long pageEra, boolean isAppended) {
         LOGGER.info(
                 "rollout status {} service={} to={} state={}",
                 isAppended ? "written" : "conflict",
@@ -178,7 +178,7 @@
             return;
         }
         pause(0);
-        stateHandler.accept(wanted, era);
+        stateHandler.accept(wanted, pageEra);
     }
 
     private void handleFailure(Throwable failure) {
