--- a/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterMembership.java
@@ -3,13 +3,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.ThreadLocalRandom;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
+import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.membership.Member;
 import org.redwinghook.core.message.ProcessRole;
+import org.redwinghook.core.replica.OwnRecord;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.VersionedRecord;
 import org.redwinghook.router.peer.RouterMesh;
@@ -20,7 +23,8 @@
 
 /**
  * Registers this router and keeps the list of all routers. Each router writes its address into the store when it starts
- * and removes it when it stops; the others read it from the store or receive it from each other.
+ * and removes it when it stops; the others read it from the store or receive it from each other. A record that the store
+ * lost is written again.
  */
 final class RouterMembership {
 
@@ -34,6 +38,10 @@
     private final ForwardingState state;
     private final ForwardingSettings settings;
     private final RouterMesh mesh;
+    private final OwnRecord ownRecord = new OwnRecord();
+    private long logs;
+    private int writes;
+    private boolean wasWritten;
     private boolean isLeaving;
     private int size = 1;
     private boolean hasOthers;
@@ -45,6 +53,7 @@
         this.state = state;
         this.settings = settings;
         this.mesh = mesh;
+        state.onComplete(this::handleLog);
     }
 
     void register() {
@@ -55,16 +64,75 @@
                 .put("host", settings.peer().host())
                 .put("port", settings.peer().port())
                 .put("dataCentre", settings.dataCentre());
-        store.write(RecordTopic.ROUTERS, settings.process(), entry.toBuffer().getBytes())
-                .onSuccess(ignored -> LOGGER.info("router registered name={}", settings.process()))
-                .onFailure(failure -> vertx.setTimer(REGISTRATION_RETRY_MILLIS, ignored -> register()));
+        ownRecord.set(entry.toBuffer().getBytes());
+        write();
     }
 
     /** Removes this router's entry. If that fails, the other routers detect that it is unreachable. */
     void leave() {
         isLeaving = true;
-        store.write(RecordTopic.ROUTERS, settings.process(), new byte[0])
-                .onFailure(failure -> LOGGER.warn("router not removed cause={}", failure.toString()));
+        ownRecord.set(new byte[0]);
+        write();
+    }
+
+    private void write() {
+        boolean isRemoval = isLeaving;
+        long logAtStart = logs;
+        writes++;
+        wasWritten = true;
+        store.write(RecordTopic.ROUTERS, settings.process(), ownRecord.value())
+                .onSuccess(ignored -> {
+                    writes--;
+                    LOGGER.info("router {} name={}", isRemoval ? "removed" : "registered", settings.process());
+                    if (logs != logAtStart) {
+                        // The store may have acknowledged the write before it came back from a copy.
+                        scheduleCheck();
+                    }
+                })
+                .onFailure(failure -> {
+                    writes--;
+                    handleFailure(isRemoval, failure);
+                });
+    }
+
+    private void handleFailure(boolean isRemoval, Throwable failure) {
+        if (isRemoval) {
+            LOGGER.warn("router not removed cause={}", failure.toString());
+            return;
+        }
+        vertx.setTimer(REGISTRATION_RETRY_MILLIS, ignored -> {
+            if (!isLeaving) {
+                write();
+            }
+        });
+    }
+
+    /** Checks a log of routers that begins, also anew since the store came back from a copy, for this router's record. */
+    private void handleLog(RecordTopic topic) {
+        if (topic == RecordTopic.ROUTERS && wasWritten) {
+            logs++;
+            scheduleCheck();
+        }
+    }
+
+    private void scheduleCheck() {
+        long delayMillis =
+                ownRecord.checkDelayMillis(ThreadLocalRandom.current().nextDouble());
+        vertx.setTimer(Math.max(1, delayMillis), ignored -> {
+            if (writes == 0 && ownRecord.isLost(findOwnRecord())) {
+                LOGGER.info("router record lost name={} era={}", settings.process(), state.era());
+                write();
+            }
+        });
+    }
+
+    private @Nullable VersionedRecord findOwnRecord() {
+        for (VersionedRecord record : state.replica(RecordTopic.ROUTERS).logRecords()) {
+            if (record.key().equals(settings.process())) {
+                return record;
+            }
+        }
+        return null;
     }
 
     /** Updates the list of routers from the newest records. */
