--- a/core/src/main/java/org/redwinghook/core/origin/PossibleVersions.java
+++ b/core/src/main/java/org/redwinghook/core/origin/PossibleVersions.java
@@ -57,6 +57,15 @@
         recorded.forEach(version -> lastListedMillis.putIfAbsent(version, nowMillis));
     }
 
+    /**
+     * Counts all known versions as listed until now, since they may have been while nothing was heard of the list.
+     *
+     * @param nowMillis current time
+     */
+    public void renew(long nowMillis) {
+        lastListedMillis.replaceAll((version, millis) -> nowMillis);
+    }
+
     /**
      * Versions that may have begun streams.
      *
--- a/core/src/test/java/org/redwinghook/core/origin/StreamOriginsTest.java
+++ b/core/src/test/java/org/redwinghook/core/origin/StreamOriginsTest.java
@@ -104,6 +104,18 @@
             Assert.assertEquals(possible.of("models"), Set.of("v2"));
         }
 
+        /** The router that removes records was frozen while a version was listed again and began streams. */
+        @Test
+        public void versionMayHaveBeenListedWhileNothingWasHeardOfTheList() {
+            StreamLifetimes lifetimes = lifetimes(1_000);
+            PossibleVersions possible = new PossibleVersions();
+            possible.updateRecorded(Set.of(OLD, NEW), 0);
+            possible.updateListed(Set.of(NEW), 0);
+            possible.renew(70_000);
+            Assert.assertEquals(possible.withOutlivedRecord(lifetimes, 70_000), Set.of());
+            Assert.assertEquals(possible.withOutlivedRecord(lifetimes, 130_000), Set.of(OLD));
+        }
+
         @Test
         public void servicesWithoutResumableStreamsNeedNoRecord() {
             PossibleVersions possible = new PossibleVersions();
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 
 import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -21,6 +22,7 @@
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
 import org.redwinghook.core.origin.PossibleVersions;
+import org.redwinghook.core.origin.StreamOrigin;
 import org.redwinghook.core.placement.EndpointSpeeds;
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.quarantine.PromptQuarantine;
@@ -139,26 +141,21 @@
                     vertx, platform.store(), state, topic, clock, routerExchange::relay, routerExchange::storeRole));
         }
         PossibleVersions versions = new PossibleVersions();
-        versionRecords = new VersionRecords(vertx, clock, platform.store(), state, versions, this::isFirstReader);
+        ListFreshness freshness = new ListFreshness(
+                clock,
+                routerExchange,
+                followers.get(RecordTopic.ENDPOINTS.ordinal()),
+                followers.get(RecordTopic.ROUTERS.ordinal()));
+        versionRecords = new VersionRecords(
+                vertx, clock, platform.store(), state, versions, freshness::isCurrent, this::isFirstReader);
         ResumedStreams resumedStreams = new ResumedStreams(
                 vertx,
                 clock,
                 routerExchange,
                 versionRecords,
                 versions,
-                new ListFreshness(
-                        clock,
-                        routerExchange,
-                        followers.get(RecordTopic.ENDPOINTS.ordinal()),
-                        followers.get(RecordTopic.ROUTERS.ordinal()))::isCurrent,
-                (receiver, readHandler) -> new OriginLog(
-                        vertx,
-                        clock,
-                        settings.process(),
-                        platform.originStore(),
-                        this::routerCount,
-                        receiver,
-                        readHandler),
+                freshness::isCurrent,
+                (receiver, readHandler) -> createOriginLog(platform.originStore(), clock, receiver, readHandler),
                 selector,
                 metrics);
         observers.register(resumedStreams);
@@ -235,6 +232,11 @@
                 settings.process());
     }
 
+    private OriginLog createOriginLog(
+            OriginStore store, MonotonicClock clock, Consumer<StreamOrigin> receiver, Runnable readHandler) {
+        return new OriginLog(vertx, clock, settings.process(), store, this::routerCount, receiver, readHandler);
+    }
+
     private RolloutTracker startRollouts(
             RolloutStore store, WorkLedger ledger, MonotonicClock clock, ForwardMetrics metrics) {
         RolloutTracker tracker = new RolloutTracker(
--- a/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
+++ b/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
@@ -55,6 +55,7 @@
     private final RecordStore store;
     private final ForwardingState state;
     private final PossibleVersions versions;
+    private final BooleanSupplier isListCurrent;
     private final BooleanSupplier isWriter;
     private final List<Runnable> checkHandlers = new ArrayList<>();
     private final Map<ServiceVersion, Long> writtenAtMillis = new HashMap<>();
@@ -70,6 +71,7 @@
      * @param store the store
      * @param state records and endpoints known to this router
      * @param versions receives the versions
+     * @param isListCurrent whether the list of endpoints is up to date
      * @param isWriter whether this router writes the records now
      */
     VersionRecords(
@@ -78,12 +80,14 @@
             RecordStore store,
             ForwardingState state,
             PossibleVersions versions,
+            BooleanSupplier isListCurrent,
             BooleanSupplier isWriter) {
         this.vertx = vertx;
         this.clock = clock;
         this.store = store;
         this.state = state;
         this.versions = versions;
+        this.isListCurrent = isListCurrent;
         this.isWriter = isWriter;
         state.onChange(this::handleChange);
     }
@@ -127,16 +131,19 @@
 
     private void handleChange(RecordTopic topic, List<VersionedRecord> changed) {
         switch (topic) {
-            case OPERATORS ->
-                lifetimes = new StreamLifetimes(state.configuration()
-                        .map(ForwardingConfiguration::routes)
-                        .orElse(List.of()));
+            case OPERATORS -> updateLifetimes();
             case ROUTERS -> updateRecorded();
             case ENDPOINTS -> addListed(changed);
             default -> throw new IllegalStateException("unknown topic " + topic);
         }
     }
 
+    private void updateLifetimes() {
+        lifetimes = new StreamLifetimes(
+                state.configuration().map(ForwardingConfiguration::routes).orElse(List.of()));
+        checkHandlers.forEach(Runnable::run);
+    }
+
     /** Adds the versions of changed entries at once; requests that follow may be resumed ones. */
     private void addListed(List<VersionedRecord> changed) {
         boolean isAdded = false;
@@ -186,9 +193,13 @@
             listed.add(toVersion(entry));
         }
         versions.updateListed(listed, now);
+        boolean isCurrent = isListCurrent.getAsBoolean();
+        if (!isCurrent) {
+            versions.renew(now);
+        }
         versions.expire(lifetimes, now);
         checkHandlers.forEach(Runnable::run);
-        if (now >= firstWriteMillis && !isWriting && isWriter.getAsBoolean()) {
+        if (isCurrent && now >= firstWriteMillis && !isWriting && isWriter.getAsBoolean()) {
             writeNext(now);
         }
     }
