--- a/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/CallerExchange.java
@@ -127,7 +127,7 @@
      * @param candidate route of the request
      * @return name of the service
      */
-    final String selectService(Route candidate) {
+    String selectService(Route candidate) {
         String first = head.firstAttempt();
         return candidate.selectService(first == null ? requestId : first);
     }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -21,7 +21,6 @@
 import org.redwinghook.core.message.CopyReport;
 import org.redwinghook.core.message.Hello;
 import org.redwinghook.core.message.ProcessRole;
-import org.redwinghook.core.origin.PossibleVersions;
 import org.redwinghook.core.origin.StreamOrigin;
 import org.redwinghook.core.placement.EndpointSpeeds;
 import org.redwinghook.core.placement.WorkLedger;
@@ -140,21 +139,18 @@
             followers.add(new RecordFollower(
                     vertx, platform.store(), state, topic, clock, routerExchange::relay, routerExchange::storeRole));
         }
-        PossibleVersions versions = new PossibleVersions();
         ListFreshness freshness = new ListFreshness(
                 clock,
                 routerExchange,
                 followers.get(RecordTopic.ENDPOINTS.ordinal()),
                 followers.get(RecordTopic.ROUTERS.ordinal()));
-        versionRecords = new VersionRecords(
-                vertx, clock, platform.store(), state, versions, freshness::isCurrent, this::isFirstReader);
+        versionRecords =
+                new VersionRecords(vertx, clock, platform.store(), state, freshness::isCurrent, this::isFirstReader);
         ResumedStreams resumedStreams = new ResumedStreams(
                 vertx,
                 clock,
                 routerExchange,
                 versionRecords,
-                versions,
-                freshness::isCurrent,
                 (receiver, readHandler) -> createOriginLog(platform.originStore(), clock, receiver, readHandler),
                 selector,
                 metrics);
--- a/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
@@ -5,14 +5,12 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.vertx.core.Vertx;
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.forward.KnownEndpoint;
 import org.redwinghook.core.origin.OriginDecision;
-import org.redwinghook.core.origin.PossibleVersions;
 import org.redwinghook.core.origin.ServiceVersion;
 import org.redwinghook.core.origin.StreamLifetimes;
 import org.redwinghook.core.origin.StreamOrigin;
@@ -38,8 +36,6 @@
     private final Vertx vertx;
     private final MonotonicClock clock;
     private final VersionRecords records;
-    private final PossibleVersions versions;
-    private final BooleanSupplier isListComplete;
     private final StreamOrigins ownOrigins = new StreamOrigins();
     private final StreamOrigins otherOrigins = new StreamOrigins();
     private final OriginExchange exchange;
@@ -76,9 +72,7 @@
      * @param vertx timers
      * @param clock monotonic clock
      * @param routerExchange connections to the other routers
-     * @param records records of versions in the store
-     * @param versions versions that may have begun streams
-     * @param isListComplete whether no version can be missing from these
+     * @param records versions that may have begun streams
      * @param logFactory creates the log of origins
      * @param selector tells whether a version has endpoints left
      * @param metrics counters
@@ -88,16 +82,12 @@
             MonotonicClock clock,
             RouterExchange routerExchange,
             VersionRecords records,
-            PossibleVersions versions,
-            BooleanSupplier isListComplete,
             LogFactory logFactory,
             ForwardSelector selector,
             ForwardMetrics metrics) {
         this.vertx = vertx;
         this.clock = clock;
         this.records = records;
-        this.versions = versions;
-        this.isListComplete = isListComplete;
         this.selector = selector;
         this.metrics = metrics;
         this.exchange = new OriginExchange(vertx, routerExchange, this::find, this::recordOther);
@@ -155,13 +145,13 @@
         ownOrigins.removeBefore(oldestMillis);
         otherOrigins.removeBefore(oldestMillis);
         for (String service : records.lifetimes().services()) {
-            if (versions.of(service).size() < 2) {
+            if (records.versions(service).size() < 2) {
                 servicesWithSeveralVersions.remove(service);
                 continue;
             }
             log.read();
             if (servicesWithSeveralVersions.add(service)) {
-                LOGGER.info("several versions service={} versions={}", service, versions.of(service));
+                LOGGER.info("several versions service={} versions={}", service, records.versions(service));
                 recent(service).forEach(exchange::share);
                 logRecent(service);
             }
@@ -208,7 +198,7 @@
             return;
         }
         log.read();
-        if ((log.isRead() && isListComplete.getAsBoolean()) || clock.millis() >= untilMillis) {
+        if ((log.isRead() && records.isComplete()) || clock.millis() >= untilMillis) {
             refuse(caller, RefusalCause.ORIGIN_UNKNOWN);
             return;
         }
@@ -219,8 +209,8 @@
     private boolean tryProceed(CallerExchange caller, Source source, Runnable proceed) {
         String attempt = caller.head().firstAttempt();
         String known = attempt == null ? null : find(caller.service(), attempt);
-        Set<String> possible = versions.of(caller.service());
-        OriginDecision decision = OriginDecision.of(known, possible, isListComplete.getAsBoolean());
+        Set<String> possible = records.versions(caller.service());
+        OriginDecision decision = OriginDecision.of(known, possible, records.isComplete());
         Optional<String> version = decision.version(known, possible);
         if (version.isEmpty()) {
             return false;
@@ -252,9 +242,9 @@
                 caller.service(),
                 cause,
                 caller.requiredVersion(),
-                versions.of(caller.service()),
+                records.versions(caller.service()),
                 log.isRead(),
-                isListComplete.getAsBoolean());
+                records.isComplete());
         caller.refuse(new Refusal(cause, 0));
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
+++ b/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
@@ -54,7 +54,7 @@
     private final MonotonicClock clock;
     private final RecordStore store;
     private final ForwardingState state;
-    private final PossibleVersions versions;
+    private final PossibleVersions versions = new PossibleVersions();
     private final BooleanSupplier isListCurrent;
     private final BooleanSupplier isWriter;
     private final List<Runnable> checkHandlers = new ArrayList<>();
@@ -70,7 +70,6 @@
      * @param clock monotonic clock
      * @param store the store
      * @param state records and endpoints known to this router
-     * @param versions receives the versions
      * @param isListCurrent whether the list of endpoints is up to date
      * @param isWriter whether this router writes the records now
      */
@@ -79,14 +78,12 @@
             MonotonicClock clock,
             RecordStore store,
             ForwardingState state,
-            PossibleVersions versions,
             BooleanSupplier isListCurrent,
             BooleanSupplier isWriter) {
         this.vertx = vertx;
         this.clock = clock;
         this.store = store;
         this.state = state;
-        this.versions = versions;
         this.isListCurrent = isListCurrent;
         this.isWriter = isWriter;
         state.onChange(this::handleChange);
@@ -111,6 +108,25 @@
         checkHandlers.add(handler);
     }
 
+    /**
+     * Versions that may have begun streams.
+     *
+     * @param service name of the service
+     * @return the versions that are known
+     */
+    Set<String> versions(String service) {
+        return versions.of(service);
+    }
+
+    /**
+     * Whether no version can be missing from the known ones.
+     *
+     * @return false while this router has heard nothing of the store
+     */
+    boolean isComplete() {
+        return isListCurrent.getAsBoolean();
+    }
+
     void start() {
         vertx.setPeriodic(CHECK_INTERVAL_MILLIS, ignored -> check());
     }
