--- a/core/src/main/java/org/redwinghook/core/replica/CopyDetector.java
+++ b/core/src/main/java/org/redwinghook/core/replica/CopyDetector.java
@@ -37,12 +37,21 @@
     }
 
     /**
-     * Records an end of the log during the era: all later records are written in it.
+     * Records that all records from an offset on were written in the era, as those after the end of a snapshot.
      *
-     * @param endOffset offset after the last record
+     * @param offset the offset
      */
-    void observeEnd(long endOffset) {
-        writtenFrom = Math.min(writtenFrom, endOffset);
+    void observeWrittenFrom(long offset) {
+        writtenFrom = Math.min(writtenFrom, offset);
+    }
+
+    /**
+     * Offset from which all records were written in the era.
+     *
+     * @return the lowest such offset that is known, {@link Long#MAX_VALUE} if none is
+     */
+    long writtenFrom() {
+        return writtenFrom;
     }
 
     /**
--- a/core/src/main/java/org/redwinghook/core/replica/RecordFloor.java
+++ b/core/src/main/java/org/redwinghook/core/replica/RecordFloor.java
@@ -1,10 +1,10 @@
 package org.redwinghook.core.replica;
 
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
@@ -71,7 +71,7 @@
      *
      * @param candidate the belief
      * @param logged newest record of the key in the log, null if there is none
-     * @param origin origin of that record
+     * @param origin origin of that record; without one {@link RecordOrigin#WRITTEN} if the key is known to be removed
      * @return whether it is believed from now on
      */
     boolean merge(EarlierRecord candidate, @Nullable VersionedRecord logged, RecordOrigin origin) {
@@ -84,7 +84,7 @@
                     : candidate.era() > known.era() ? RecordOrigin.WRITTEN : RecordOrigin.COPIED;
             isTaken = isLater(record, known.record(), order);
         } else if (logged == null) {
-            isTaken = record.value() != null;
+            isTaken = record.value() != null && origin != RecordOrigin.WRITTEN;
         } else {
             isTaken = origin != RecordOrigin.WRITTEN && isLater(record, logged, RecordOrigin.POSSIBLY_COPIED);
         }
@@ -95,30 +95,28 @@
     }
 
     /**
-     * Removes the removals of keys that the log does not have either.
+     * Forgets the removals of keys that the log does not have either. Another router could still know an older record while
+     * the era lasts, so they are kept until its end.
      *
      * @param loggedKeys keys of the complete log
      */
-    void dropRemovals(Set<String> loggedKeys) {
+    void forgetRemovals(Set<String> loggedKeys) {
         records.values()
                 .removeIf(earlier -> earlier.record().value() == null
                         && !loggedKeys.contains(earlier.record().key()));
     }
 
     /**
-     * Beliefs whose keys the log does not have.
+     * Records that the key of a belief is no longer there.
      *
-     * @param loggedKeys keys of the complete log
-     * @return the records
+     * @param key the key
+     * @return the removal
      */
-    List<VersionedRecord> lostRecords(Set<String> loggedKeys) {
-        List<VersionedRecord> lost = new ArrayList<>();
-        records.forEach((key, earlier) -> {
-            if (!loggedKeys.contains(key)) {
-                lost.add(earlier.record());
-            }
-        });
-        return lost;
+    VersionedRecord drop(String key) {
+        EarlierRecord earlier = Objects.requireNonNull(records.get(key));
+        VersionedRecord removal = new VersionedRecord(key, earlier.record().offset(), null);
+        records.put(key, new EarlierRecord(earlier.era(), removal));
+        return removal;
     }
 
     /** Whether a record is later than a belief of an earlier era: by the writer's number, otherwise by its origin. */
--- a/core/src/main/java/org/redwinghook/core/replica/RecordReplica.java
+++ b/core/src/main/java/org/redwinghook/core/replica/RecordReplica.java
@@ -29,6 +29,8 @@
     /** End of the newest complete replica of an earlier era; keys that it lacked had been removed before this offset. */
     private long earlierEndOffset;
 
+    private long earlierEra;
+
     /**
      * Creates an empty replica of era 0.
      *
@@ -44,10 +46,12 @@
      * @param newEra the era; the present one if the log was found to have begun anew without a new era
      */
     public void beginEra(long newEra) {
-        log.values().forEach(record -> floor.add(new EarlierRecord(era, record)));
         if (isComplete) {
+            floor.forgetRemovals(log.keySet());
             earlierEndOffset = nextOffset;
+            earlierEra = era;
         }
+        log.values().forEach(record -> floor.add(new EarlierRecord(era, record)));
         earlierHistory.addAll(history);
         history = new RecordHistory();
         copies = new CopyDetector(earlierHistory);
@@ -129,7 +133,7 @@
         }
         if (!isComplete) {
             snapshot.forEach(copies::observe);
-            copies.observeEnd(endOffset);
+            copies.observeWrittenFrom(endOffset);
         }
         List<VersionedRecord> changed = merge(snapshot, !isComplete);
         Set<String> present = new HashSet<>();
@@ -142,9 +146,6 @@
                 changed.add(removal);
             }
         }
-        if (!isComplete) {
-            floor.dropRemovals(log.keySet());
-        }
         isComplete = true;
         advanceTo(endOffset);
         return changed;
@@ -169,7 +170,12 @@
         }
         for (EarlierRecord candidate : earlier) {
             VersionedRecord logged = log.get(candidate.record().key());
-            RecordOrigin origin = logged == null ? RecordOrigin.POSSIBLY_COPIED : copies.originOf(logged);
+            RecordOrigin origin = RecordOrigin.POSSIBLY_COPIED;
+            if (logged != null) {
+                origin = copies.originOf(logged);
+            } else if (precedesEarlierEnd(candidate)) {
+                origin = RecordOrigin.WRITTEN;
+            }
             if (candidate.era() < era && floor.merge(candidate, logged, origin)) {
                 changed.add(candidate.record());
             }
@@ -177,6 +183,36 @@
         return changed;
     }
 
+    /** Whether this replica has read more of the log of an earlier era than the record. */
+    private boolean precedesEarlierEnd(EarlierRecord earlier) {
+        return earlier.era() < earlierEra
+                || (earlier.era() == earlierEra && earlier.record().offset() < earlierEndOffset);
+    }
+
+    /**
+     * Uses what another router knows of the origin of records.
+     *
+     * @param recordsEra era that the other router follows
+     * @param writtenFrom offset from which all records were written in that era
+     * @return the records that changed what is believed
+     */
+    public List<VersionedRecord> observeWrittenFrom(long recordsEra, long writtenFrom) {
+        if (recordsEra != era || writtenFrom >= copies.writtenFrom()) {
+            return List.of();
+        }
+        copies.observeWrittenFrom(writtenFrom);
+        return merge(List.of(), true);
+    }
+
+    /**
+     * Offset from which all records of the log were written in this era.
+     *
+     * @return the lowest such offset that is known, {@link Long#MAX_VALUE} if none is
+     */
+    public long writtenFrom() {
+        return copies.writtenFrom();
+    }
+
     /**
      * Beliefs whose keys are not in the complete log of this era: the copy lacked them, and their writers have not written
      * them again.
@@ -184,7 +220,15 @@
      * @return the records, empty before the first snapshot of the era
      */
     public List<VersionedRecord> lostRecords() {
-        return isComplete ? floor.lostRecords(log.keySet()) : List.of();
+        List<VersionedRecord> lost = new ArrayList<>();
+        for (EarlierRecord earlier : floor.all()) {
+            if (isComplete
+                    && earlier.record().value() != null
+                    && !log.containsKey(earlier.record().key())) {
+                lost.add(earlier.record());
+            }
+        }
+        return lost;
     }
 
     /**
@@ -195,8 +239,7 @@
     public List<VersionedRecord> dropLost() {
         List<VersionedRecord> removals = new ArrayList<>();
         for (VersionedRecord lost : lostRecords()) {
-            floor.remove(lost.key());
-            removals.add(new VersionedRecord(lost.key(), lost.offset(), null));
+            removals.add(floor.drop(lost.key()));
         }
         return removals;
     }
@@ -279,9 +322,16 @@
     /**
      * Beliefs of earlier eras that the log of this era has not confirmed.
      *
-     * @return the records, including removed keys
+     * @return the records, including removals of keys that the log has
      */
     public List<EarlierRecord> earlierRecords() {
-        return floor.all();
+        List<EarlierRecord> earlierRecords = new ArrayList<>();
+        for (EarlierRecord earlier : floor.all()) {
+            if (earlier.record().value() != null
+                    || log.containsKey(earlier.record().key())) {
+                earlierRecords.add(earlier);
+            }
+        }
+        return earlierRecords;
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingState.java
@@ -239,6 +239,18 @@
         return changed;
     }
 
+    /**
+     * Uses what another router knows of the origin of records. Those that are believed now are handled as changes.
+     *
+     * @param topic their topic
+     * @param recordsEra era that the other router follows
+     * @param writtenFrom offset from which all records were written in that era
+     */
+    void observeWrittenFrom(RecordTopic topic, long recordsEra, long writtenFrom) {
+        beginEra(recordsEra);
+        handleChanges(topic, replica(topic).observeWrittenFrom(recordsEra, writtenFrom), true);
+    }
+
     private void logBeginning(RecordReplica replica, RecordTopic topic, int changed) {
         int lost = replica.lostRecords().size();
         LOGGER.info(
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -364,7 +364,8 @@
                     storeWasUnavailable.getAsBoolean(),
                     state.era(),
                     state.era(),
-                    isWhole ? replica.nextOffset() : 0));
+                    isWhole ? replica.nextOffset() : 0,
+                    writtenFrom(topic)));
         }
     }
 
@@ -413,8 +414,8 @@
             }
         }
         List<RelayedRecords> messages = new ArrayList<>();
-        recordsByEra.forEach((writtenEra, records) -> messages.add(
-                new RelayedRecords(topic.name(), toKeyedRecords(records), true, state.era(), writtenEra, 0)));
+        recordsByEra.forEach((writtenEra, records) -> messages.add(new RelayedRecords(
+                topic.name(), toKeyedRecords(records), true, state.era(), writtenEra, 0, writtenFrom(topic))));
         return messages;
     }
 
@@ -471,7 +472,8 @@
                             relayed.mayHaveLapsed(),
                             relayed.era(),
                             relayed.writtenEra(),
-                            0));
+                            0,
+                            writtenFrom(topic)));
         }
         if (topic != RecordTopic.ENDPOINTS && !changed.isEmpty()) {
             LOGGER.info("records relayed topic={} from={} changed={}", topic, peer.name(), changed.size());
@@ -479,6 +481,9 @@
     }
 
     private List<VersionedRecord> apply(RecordTopic topic, RelayedRecords relayed, List<VersionedRecord> records) {
+        if (relayed.writtenFrom() > 0) {
+            state.observeWrittenFrom(topic, relayed.era(), relayed.writtenFrom());
+        }
         if (relayed.writtenEra() < relayed.era()) {
             List<EarlierRecord> earlier = records.stream()
                     .map(record -> new EarlierRecord(relayed.writtenEra(), record))
@@ -567,7 +572,13 @@
 
     private RelayedRecords toRelayedRecords(
             RecordTopic topic, Collection<VersionedRecord> records, boolean mayHaveLapsed) {
-        return new RelayedRecords(topic.name(), toKeyedRecords(records), mayHaveLapsed, state.era(), state.era(), 0);
+        return new RelayedRecords(
+                topic.name(), toKeyedRecords(records), mayHaveLapsed, state.era(), state.era(), 0, writtenFrom(topic));
+    }
+
+    private long writtenFrom(RecordTopic topic) {
+        long writtenFrom = state.replica(topic).writtenFrom();
+        return writtenFrom == Long.MAX_VALUE ? 0 : writtenFrom;
     }
 
     private static List<KeyedRecord> toKeyedRecords(Collection<VersionedRecord> records) {
