--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -188,7 +188,8 @@
     }
 
     private void handlePage(RecordPage page, long eraBefore) {
-        long era = page.era() == 0 ? state.era() : page.era();
+        // The log without a named era is the one that was followed when the read began.
+        long era = page.era() == 0 ? eraBefore : page.era();
         state.beginEra(era);
         boolean isStale = era < state.era() || (!snapshotNeeded && era != eraBefore);
         if (isReading) {
--- a/router/src/test/java/org/redwinghook/router/forward/RecordFollowerTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RecordFollowerTest.java
@@ -179,6 +179,18 @@
         Assert.assertEquals(belief(), "of era 3");
     }
 
+    /** Load: the store counts its eras from 0, and a snapshot of the first one arrives late. */
+    @Test
+    public void lateSnapshotOfEraZeroIsReadAgain() throws InterruptedException {
+        Call overtaken = nextCall();
+        run(() -> state.beginEra(1));
+        answer(overtaken, 0, 10, record(9, "of era 0"));
+        Call snapshot = nextCall();
+        Assert.assertTrue(snapshot.isSnapshot());
+        answer(snapshot, 1, 4, record(3, "of era 1"));
+        Assert.assertEquals(belief(), "of era 1");
+    }
+
     /** Load: the store names no era, and its end lies before the position. */
     @Test
     public void lostEndIsRecognizedWithoutAnEra() throws InterruptedException {
