--- a/core/src/main/java/org/redwinghook/core/replica/RecordFloor.java
+++ b/core/src/main/java/org/redwinghook/core/replica/RecordFloor.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
+import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 
@@ -98,12 +98,12 @@
      * Forgets the removals of keys that the log does not have either. Another router could still know an older record while
      * the era lasts, so they are kept until its end.
      *
-     * @param loggedKeys keys of the complete log
+     * @param isLogged whether the complete log has a key
      */
-    void forgetRemovals(Set<String> loggedKeys) {
+    void forgetRemovals(Predicate<String> isLogged) {
         records.values()
                 .removeIf(earlier -> earlier.record().value() == null
-                        && !loggedKeys.contains(earlier.record().key()));
+                        && !isLogged.test(earlier.record().key()));
     }
 
     /**
--- a/core/src/main/java/org/redwinghook/core/replica/RecordReplica.java
+++ b/core/src/main/java/org/redwinghook/core/replica/RecordReplica.java
@@ -47,7 +47,7 @@
      */
     public void beginEra(long newEra) {
         if (isComplete) {
-            floor.forgetRemovals(log.keySet());
+            floor.forgetRemovals(this::isLogged);
             earlierEndOffset = nextOffset;
             earlierEra = era;
         }
@@ -224,13 +224,18 @@
         for (EarlierRecord earlier : floor.all()) {
             if (isComplete
                     && earlier.record().value() != null
-                    && !log.containsKey(earlier.record().key())) {
+                    && !isLogged(earlier.record().key())) {
                 lost.add(earlier.record());
             }
         }
         return lost;
     }
 
+    private boolean isLogged(String key) {
+        VersionedRecord logged = log.get(key);
+        return logged != null && logged.value() != null;
+    }
+
     /**
      * Gives up the lost records.
      *
--- a/core/src/test/java/org/redwinghook/core/replica/RecordReplicaTest.java
+++ b/core/src/test/java/org/redwinghook/core/replica/RecordReplicaTest.java
@@ -181,6 +181,17 @@
             Assert.assertEquals(keys(replica.mergeSnapshot(2, records("a@4=2 b@5=2"), 6)), "a b");
         }
 
+        /** Guards against an endpoint that is served for ever, as its removal was relayed before the first snapshot. */
+        @Test
+        public void recordRemovedBeforeTheFirstSnapshotIsLost() {
+            RecordReplica replica = reader("endpoint@2=ready endpoint@6=back");
+            replica.beginEra(2);
+            Assert.assertEquals(keys(replica.merge(2, records("endpoint@4"))), "");
+            replica.mergeSnapshot(2, List.of(), 5);
+            Assert.assertEquals(keys(replica.dropLost()), "endpoint");
+            assertBeliefs(replica, "");
+        }
+
         /** Guards against removals that a router derived from a snapshot and that look like records of other content. */
         @Test
         public void relayedRemovalIsNoEvidence() {
