--- a/core/src/main/java/org/redwinghook/core/replica/CopyDetector.java
+++ b/core/src/main/java/org/redwinghook/core/replica/CopyDetector.java
@@ -61,12 +61,13 @@
      * @return its origin, as far as the router can tell
      */
     RecordOrigin originOf(VersionedRecord record) {
-        if (earlier.contains(record)) {
-            return RecordOrigin.COPIED;
-        }
+        // A record may be written again at the offset that it had.
         if (record.offset() >= writtenFrom) {
             return RecordOrigin.WRITTEN;
         }
+        if (earlier.contains(record)) {
+            return RecordOrigin.COPIED;
+        }
         return record.offset() < copiedBelow ? RecordOrigin.COPIED : RecordOrigin.POSSIBLY_COPIED;
     }
 }
--- a/core/src/main/java/org/redwinghook/core/replica/RecordFloor.java
+++ b/core/src/main/java/org/redwinghook/core/replica/RecordFloor.java
@@ -57,9 +57,9 @@
         if (earlier == null) {
             return false;
         }
-        boolean isOverridden = isLater(record, earlier.record(), origin);
         boolean isConfirmed = record.offset() == earlier.record().offset()
                 && Arrays.equals(record.value(), earlier.record().value());
+        boolean isOverridden = !isConfirmed && isLater(record, earlier.record(), origin);
         if (isOverridden || isConfirmed) {
             records.remove(record.key());
         }
--- a/core/src/test/java/org/redwinghook/core/replica/RecordReplicaTest.java
+++ b/core/src/test/java/org/redwinghook/core/replica/RecordReplicaTest.java
@@ -192,6 +192,16 @@
             assertBeliefs(replica, "");
         }
 
+        /** Guards against a router that stays unknown, since it writes its entry again at the offset of before. */
+        @Test
+        public void lostRecordWrittenAgainAtItsOffsetIsBelieved() {
+            RecordReplica replica = reader("other@2=a late@3=ready");
+            comeBack(replica, 2, "other@2=a", 3);
+            replica.dropLost();
+            Assert.assertEquals(keys(replica.merge(2, records("late@3=ready"))), "late");
+            assertBeliefs(replica, "late=ready other=a");
+        }
+
         /** Guards against removals that a router derived from a snapshot and that look like records of other content. */
         @Test
         public void relayedRemovalIsNoEvidence() {
