--- a/core/src/main/java/org/redwinghook/core/replica/RecordFloor.java
+++ b/core/src/main/java/org/redwinghook/core/replica/RecordFloor.java
@@ -57,9 +57,12 @@
         if (earlier == null) {
             return false;
         }
-        boolean isConfirmed = record.offset() == earlier.record().offset()
-                && Arrays.equals(record.value(), earlier.record().value());
-        boolean isOverridden = !isConfirmed && isLater(record, earlier.record(), origin);
+        boolean isAtSameOffset = record.offset() == earlier.record().offset();
+        boolean isConfirmed =
+                isAtSameOffset && Arrays.equals(record.value(), earlier.record().value());
+        // A copy would have the belief itself at this offset.
+        RecordOrigin knownOrigin = isAtSameOffset ? RecordOrigin.WRITTEN : origin;
+        boolean isOverridden = !isConfirmed && isLater(record, earlier.record(), knownOrigin);
         if (isOverridden || isConfirmed) {
             records.remove(record.key());
         }
--- a/core/src/test/java/org/redwinghook/core/replica/RecordReplicaTest.java
+++ b/core/src/test/java/org/redwinghook/core/replica/RecordReplicaTest.java
@@ -202,6 +202,13 @@
             assertBeliefs(replica, "late=ready other=a");
         }
 
+        /** Guards against a withdrawal that is ignored, since it stands at the offset of its removal of before. */
+        @Test
+        public void otherRecordAtTheOffsetOfABeliefIsBelieved() {
+            RecordReplica replica = reader("withdrawal@2=on withdrawal@5");
+            Assert.assertEquals(comeBack(replica, 2, "withdrawal@5=again", 6), "withdrawal");
+        }
+
         /** Guards against removals that a router derived from a snapshot and that look like records of other content. */
         @Test
         public void relayedRemovalIsNoEvidence() {
