--- a/runtime/src/main/java/org/redwinghook/runtime/process/LimitedReadTransport.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/LimitedReadTransport.java
@@ -1,6 +1,8 @@
 package org.redwinghook.runtime.process;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelOption;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -30,6 +32,11 @@
                 .build();
     }
 
+    @Override
+    public ChannelFactory<? extends Channel> channelFactory(boolean isDomainSocket) {
+        return isDomainSocket ? super.channelFactory(true) : ClientSocketChannel::new;
+    }
+
     @Override
     public void configure(
             ClientOptionsBase options, int connectTimeoutMillis, boolean isDomainSocket, Bootstrap bootstrap) {
