--- a/runtime/src/main/java/org/redwinghook/runtime/process/LimitedReadTransport.java
+++ b/runtime/src/main/java/org/redwinghook/runtime/process/LimitedReadTransport.java
@@ -14,7 +14,7 @@
 
 /**
  * Opens connections that read little at once. The default reads up to sixteen times before a pause takes effect, and the
- * bytes that have been read stay in direct memory, which nothing else limits.
+ * bytes that have been read stay in direct memory, which nothing else limits. A write that fails is reported like a read.
  */
 public final class LimitedReadTransport extends NioTransport implements Transport {
 
