--- a/core/src/main/java/org/redwinghook/core/replica/CopyDetector.java
+++ b/core/src/main/java/org/redwinghook/core/replica/CopyDetector.java
@@ -1,22 +1,31 @@
 package org.redwinghook.core.replica;
 
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
 /**
- * Tells the records that the log of an era took over from those that were written in that era. A log that came back from a
- * copy begins with the first records of the earlier log, so one recognized record decides on all on one side of it.
+ * Tells the records that the log of an era took over from earlier eras from those that were written since. A log that came
+ * back from a copy begins with the first records of the earlier log, so one recognized record decides on all on one side
+ * of it.
  */
 final class CopyDetector {
 
     private final RecordHistory earlier;
+    private final long era;
     private long copiedBelow;
-    private long writtenFrom = Long.MAX_VALUE;
+
+    /** By era, the lowest offset from which all records of the log were written after the end of that era. */
+    private final NavigableMap<Long, Long> writtenAfterEra = new TreeMap<>();
 
     /**
      * Creates a detector.
      *
      * @param earlier records that were seen in earlier eras
+     * @param era era of the log
      */
-    CopyDetector(RecordHistory earlier) {
+    CopyDetector(RecordHistory earlier, long era) {
         this.earlier = earlier;
+        this.era = era;
     }
 
     /**
@@ -26,14 +35,13 @@
      * @return whether it changes what is known of others
      */
     boolean observe(VersionedRecord record) {
-        long copiedBefore = copiedBelow;
-        long writtenBefore = writtenFrom;
         if (earlier.contains(record)) {
+            boolean isNews = copiedBelow <= record.offset();
             copiedBelow = Math.max(copiedBelow, record.offset() + 1);
-        } else if (earlier.knowsOffset(record.offset())) {
-            writtenFrom = Math.min(writtenFrom, record.offset());
+            return isNews;
         }
-        return copiedBelow != copiedBefore || writtenFrom != writtenBefore;
+        long seenEra = earlier.eraOf(record.offset());
+        return seenEra != RecordHistory.NO_ERA && observeWrittenAfter(seenEra, record.offset());
     }
 
     /**
@@ -42,7 +50,11 @@
      * @param offset the offset
      */
     void observeWrittenFrom(long offset) {
-        writtenFrom = Math.min(writtenFrom, offset);
+        observeWrittenAfter(era - 1, offset);
+    }
+
+    private boolean observeWrittenAfter(long earlierEra, long offset) {
+        return writtenAfterEra.merge(earlierEra, offset, Math::min) == offset;
     }
 
     /**
@@ -51,18 +63,27 @@
      * @return the lowest such offset that is known, {@link Long#MAX_VALUE} if none is
      */
     long writtenFrom() {
-        return writtenFrom;
+        return writtenAfter(era - 1);
+    }
+
+    private long writtenAfter(long earlierEra) {
+        long lowest = Long.MAX_VALUE;
+        for (long offset : writtenAfterEra.tailMap(earlierEra, true).values()) {
+            lowest = Math.min(lowest, offset);
+        }
+        return lowest;
     }
 
     /**
-     * Origin of a record.
+     * Origin of a record, as far as the router can tell.
      *
      * @param record the record
-     * @return its origin, as far as the router can tell
+     * @param earlierEra era of the belief to which the record is compared
+     * @return whether it was written after that era
      */
-    RecordOrigin originOf(VersionedRecord record) {
+    RecordOrigin originOf(VersionedRecord record, long earlierEra) {
         // A record may be written again at the offset that it had.
-        if (record.offset() >= writtenFrom) {
+        if (record.offset() >= writtenAfter(earlierEra)) {
             return RecordOrigin.WRITTEN;
         }
         if (earlier.contains(record)) {
--- a/core/src/main/java/org/redwinghook/core/replica/RecordHistory.java
+++ b/core/src/main/java/org/redwinghook/core/replica/RecordHistory.java
@@ -8,23 +8,34 @@
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 
-/** Offsets and digests of the newest records that were seen in one or several logs. */
+/** Offsets and digests of the newest records that were seen in the logs of one or several eras. */
 final class RecordHistory {
 
     /** Maximum number of offsets: several times what is written in the seconds that a copy of the store lacks. */
     static final int MAXIMUM_OFFSETS = 4_096;
 
-    /** More than one digest if logs of several eras differ at an offset. */
-    private final Map<Long, Set<Long>> digestsByOffset = new LinkedHashMap<>();
+    /** Era of an offset that was not seen. */
+    static final long NO_ERA = -1;
+
+    private final Map<Long, Seen> seenByOffset = new LinkedHashMap<>();
+
+    /**
+     * What was seen at an offset.
+     *
+     * @param digests more than one if logs of several eras differ there
+     * @param era newest era in which a record was seen there
+     */
+    private record Seen(Set<Long> digests, long era) {}
 
     /**
      * Adds a record of a log.
      *
      * @param record the record
+     * @param era era of the log
      */
-    void add(VersionedRecord record) {
-        if (!knowsOffset(record.offset())) {
-            add(record.offset(), Set.of(digest(record)));
+    void add(VersionedRecord record, long era) {
+        if (eraOf(record.offset()) != era) {
+            add(record.offset(), new Seen(Set.of(digest(record)), era));
         }
     }
 
@@ -34,18 +45,18 @@
      * @param other the other history, of a later era
      */
     void addAll(RecordHistory other) {
-        other.digestsByOffset.forEach(this::add);
+        other.seenByOffset.forEach(this::add);
     }
 
-    private void add(long offset, Set<Long> digests) {
-        Set<Long> merged = new HashSet<>(digests);
-        Set<Long> existing = digestsByOffset.remove(offset);
+    private void add(long offset, Seen seen) {
+        Set<Long> digests = new HashSet<>(seen.digests());
+        Seen existing = seenByOffset.remove(offset);
         if (existing != null) {
-            merged.addAll(existing);
+            digests.addAll(existing.digests());
         }
-        digestsByOffset.put(offset, merged);
-        if (digestsByOffset.size() > MAXIMUM_OFFSETS) {
-            digestsByOffset.remove(digestsByOffset.keySet().iterator().next());
+        seenByOffset.put(offset, new Seen(digests, seen.era()));
+        if (seenByOffset.size() > MAXIMUM_OFFSETS) {
+            seenByOffset.remove(seenByOffset.keySet().iterator().next());
         }
     }
 
@@ -56,17 +67,19 @@
      * @return true if a record with the same key and value was seen at its offset
      */
     boolean contains(VersionedRecord record) {
-        return digestsByOffset.getOrDefault(record.offset(), Set.of()).contains(digest(record));
+        Seen seen = seenByOffset.get(record.offset());
+        return seen != null && seen.digests().contains(digest(record));
     }
 
     /**
-     * Whether any record was seen at an offset.
+     * Newest era in which a record was seen at an offset.
      *
      * @param offset the offset
-     * @return false also if it was seen too long ago
+     * @return the era, {@link #NO_ERA} if none was seen or it was too long ago
      */
-    boolean knowsOffset(long offset) {
-        return digestsByOffset.containsKey(offset);
+    long eraOf(long offset) {
+        Seen seen = seenByOffset.get(offset);
+        return seen == null ? NO_ERA : seen.era();
     }
 
     private static long digest(VersionedRecord record) {
--- a/core/src/main/java/org/redwinghook/core/replica/RecordReplica.java
+++ b/core/src/main/java/org/redwinghook/core/replica/RecordReplica.java
@@ -20,7 +20,7 @@
     private final RecordFloor floor;
     private final RecordHistory earlierHistory = new RecordHistory();
     private RecordHistory history = new RecordHistory();
-    private CopyDetector copies = new CopyDetector(earlierHistory);
+    private CopyDetector copies = new CopyDetector(earlierHistory, 0);
     private long era;
     private long nextOffset;
     private long offsetSum;
@@ -54,7 +54,7 @@
         log.values().forEach(record -> floor.add(new EarlierRecord(era, record)));
         earlierHistory.addAll(history);
         history = new RecordHistory();
-        copies = new CopyDetector(earlierHistory);
+        copies = new CopyDetector(earlierHistory, newEra);
         log.clear();
         era = newEra;
         nextOffset = 0;
@@ -88,7 +88,7 @@
                 pending.add(record.key());
             } else if (existing == null && wasRemovedEarlier(record)) {
                 VersionedRecord removal = new VersionedRecord(record.key(), earlierEndOffset - 1, null);
-                floor.add(new EarlierRecord(era - 1, removal));
+                floor.add(new EarlierRecord(earlierEra, removal));
             } else {
                 changed.add(record);
             }
@@ -98,7 +98,7 @@
             VersionedRecord newest = log.get(earlier.record().key());
             if (newest != null
                     && (hasNewEvidence || pending.contains(newest.key()))
-                    && floor.yieldsTo(newest, copies.originOf(newest))) {
+                    && floor.yieldsTo(newest, copies.originOf(newest, earlier.era()))) {
                 changed.add(newest);
             }
         }
@@ -110,13 +110,13 @@
         if (record.value() == null) {
             return false;
         }
-        history.add(record);
+        history.add(record, era);
         return copies.observe(record);
     }
 
     /** Whether a copied record belongs to a key that had been removed in an earlier era. */
     private boolean wasRemovedEarlier(VersionedRecord record) {
-        return record.offset() < earlierEndOffset && copies.originOf(record) != RecordOrigin.WRITTEN;
+        return record.offset() < earlierEndOffset && copies.originOf(record, earlierEra) != RecordOrigin.WRITTEN;
     }
 
     /**
@@ -172,7 +172,7 @@
             VersionedRecord logged = log.get(candidate.record().key());
             RecordOrigin origin = RecordOrigin.POSSIBLY_COPIED;
             if (logged != null) {
-                origin = copies.originOf(logged);
+                origin = copies.originOf(logged, candidate.era());
             } else if (precedesEarlierEnd(candidate)) {
                 origin = RecordOrigin.WRITTEN;
             }
--- a/core/src/test/java/org/redwinghook/core/replica/RecordReplicaTest.java
+++ b/core/src/test/java/org/redwinghook/core/replica/RecordReplicaTest.java
@@ -262,6 +262,19 @@
             Assert.assertEquals(comeBack(replica, 3, "endpoint@2=ready", 3), "");
         }
 
+        /**
+         * Load: the router read only part of the era between. Guards against a copied record of that era that is taken for a
+         * new one, since the offset held another one in the era before.
+         */
+        @Test
+        public void differenceFromAnEraBeforeTheLastIsNoEvidence() {
+            RecordReplica replica = reader("other@3=a");
+            comeBack(replica, 2, "", 1);
+            replica.merge(2, records("endpoint@5=draining"));
+            Assert.assertEquals(comeBack(replica, 3, "endpoint@3=ready", 4), "");
+            Assert.assertEquals(keys(replica.merge(3, records("endpoint@4=back"))), "endpoint");
+        }
+
         /** Load: a withdrawal was written in the era between, and the second copy has it. */
         @Test
         public void recordOfTheEraBetweenIsConfirmed() {
@@ -338,9 +351,9 @@
     public void historyIsLimited() {
         RecordHistory history = new RecordHistory();
         for (int offset = 0; offset <= RecordHistory.MAXIMUM_OFFSETS; offset++) {
-            history.add(records("a@" + offset + "=b").get(0));
+            history.add(records("a@" + offset + "=b").get(0), 1);
         }
-        Assert.assertFalse(history.knowsOffset(0));
+        Assert.assertEquals(history.eraOf(0), RecordHistory.NO_ERA);
         Assert.assertTrue(history.contains(records("a@1=b").get(0)));
     }
 }
