--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -59,6 +59,9 @@
      */
     private static final long OPERATOR_RECORDS_INTERVAL_MILLIS = 400;
 
+    /** Bytes of records after which a message with records of earlier eras ends. A receiver accepts 4 MiB. */
+    private static final long MAXIMUM_PART_BYTES = 256 * 1024;
+
     /** Interval at which outdated evidence about prompt parts is forgotten, in milliseconds. */
     private static final long QUARANTINE_EXPIRY_INTERVAL_MILLIS = 10_000;
 
@@ -402,7 +405,7 @@
                 message.records().size());
     }
 
-    /** Messages with the records of earlier eras that the log of this era has not confirmed, one for each such era. */
+    /** Messages with the records of earlier eras that the log of this era has not confirmed, in parts for each such era. */
     private List<RelayedRecords> toEarlierRecords(RecordTopic topic) {
         RecordReplica replica = state.replica(topic);
         Map<Long, List<VersionedRecord>> recordsByEra = new TreeMap<>();
@@ -414,11 +417,29 @@
             }
         }
         List<RelayedRecords> messages = new ArrayList<>();
-        recordsByEra.forEach((writtenEra, records) -> messages.add(new RelayedRecords(
-                topic.name(), toKeyedRecords(records), true, state.era(), writtenEra, 0, writtenFrom(topic))));
+        recordsByEra.forEach((writtenEra, records) -> {
+            for (List<VersionedRecord> part : toParts(records)) {
+                messages.add(new RelayedRecords(
+                        topic.name(), toKeyedRecords(part), true, state.era(), writtenEra, 0, writtenFrom(topic)));
+            }
+        });
         return messages;
     }
 
+    private static List<List<VersionedRecord>> toParts(List<VersionedRecord> records) {
+        List<List<VersionedRecord>> parts = new ArrayList<>();
+        long bytes = MAXIMUM_PART_BYTES;
+        for (VersionedRecord record : records) {
+            if (bytes >= MAXIMUM_PART_BYTES) {
+                parts.add(new ArrayList<>());
+                bytes = 0;
+            }
+            parts.get(parts.size() - 1).add(record);
+            bytes += size(record);
+        }
+        return parts;
+    }
+
     private long changedAtMillis(RecordTopic topic, VersionedRecord record) {
         return changedAtMillis.get(topic).getOrDefault(record.key(), Long.MAX_VALUE);
     }
--- a/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
@@ -215,6 +215,27 @@
                 .anyMatch(known -> known.key().equals("withdrawal")));
     }
 
+    /** Guards against connections that end since a message is larger than a router accepts. Load: 21,000 endpoints. */
+    @Test
+    public void lostRecordsOfManyEndpointsAreSentInParts() {
+        List<VersionedRecord> before = new ArrayList<>();
+        List<VersionedRecord> copied = new ArrayList<>();
+        for (int endpoint = 0; endpoint < 21_000; endpoint++) {
+            copied.add(new VersionedRecord("endpoint-" + endpoint, endpoint, new byte[200]));
+            before.add(new VersionedRecord("endpoint-" + endpoint, 21_000 + endpoint, new byte[200]));
+        }
+        state.applySnapshot(RecordTopic.ENDPOINTS, 1, before, 42_000, false);
+        state.applySnapshot(RecordTopic.ENDPOINTS, 2, copied, 21_000, false);
+        exchange.handleConnected(otherPeer);
+        int sent = 0;
+        for (RelayedRecords message : otherPeer.relayed()) {
+            int length = new FrameCodec().encode(message).length();
+            Assert.assertTrue(length < FrameCodec.MAXIMUM_BODY_BYTES, "bytes " + length);
+            sent += message.records().size();
+        }
+        Assert.assertEquals(sent, before.size());
+    }
+
     /** Each router sees the crashes of other requests; a router that connects later has to know them, too. */
     @Test
     public void evidenceOfCrashesReachesRoutersThatConnectLater() {
