--- a/core/src/main/java/org/redwinghook/core/replica/RecordReplica.java
+++ b/core/src/main/java/org/redwinghook/core/replica/RecordReplica.java
@@ -114,6 +114,19 @@
         return copies.observe(record);
     }
 
+    /**
+     * Keeps what the log has at the offsets of records that were read from it, to recognize copies in later eras. Unlike
+     * relayed removals, those that were read stand at their own offset.
+     *
+     * @param recordsEra era of the records' log
+     * @param read the records
+     */
+    public void observeRead(long recordsEra, Collection<VersionedRecord> read) {
+        if (recordsEra == era) {
+            read.forEach(record -> history.add(record, era));
+        }
+    }
+
     /** Whether a copied record belongs to a key that had been removed in an earlier era. */
     private boolean wasRemovedEarlier(VersionedRecord record) {
         return record.offset() < earlierEndOffset && copies.originOf(record, earlierEra) != RecordOrigin.WRITTEN;
--- a/core/src/test/java/org/redwinghook/core/replica/RecordReplicaTest.java
+++ b/core/src/test/java/org/redwinghook/core/replica/RecordReplicaTest.java
@@ -209,6 +209,16 @@
             Assert.assertEquals(comeBack(replica, 2, "withdrawal@5=again", 6), "withdrawal");
         }
 
+        /** Load: endpoints lapse and register again, at offsets where only removals stood before. */
+        @Test
+        public void recordAtTheOffsetOfAReadRemovalIsBelieved() {
+            RecordReplica replica = reader("a@1=ready b@2=ready");
+            List<VersionedRecord> removals = records("a@3 b@4");
+            replica.observeRead(1, removals);
+            replica.merge(1, removals);
+            Assert.assertEquals(comeBack(replica, 2, "a@1=ready b@3=back", 4), "b");
+        }
+
         /** Guards against removals that a router derived from a snapshot and that look like records of other content. */
         @Test
         public void relayedRemovalIsNoEvidence() {
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -232,6 +232,7 @@
 
     private void handleRecords(RecordPage page, long era) {
         recordSuccess();
+        state.replica(topic).observeRead(era, page.records());
         try {
             relay.relay(topic, state.apply(topic, era, page.records(), storeWasUnavailable()), storeWasUnavailable());
         } finally {
