--- a/router/src/main/java/org/redwinghook/router/forward/RolloutTracker.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RolloutTracker.java
@@ -299,7 +299,8 @@
     private Set<String> registeredRouters() {
         Set<String> names = new HashSet<>();
         for (VersionedRecord record : state.replica(RecordTopic.ROUTERS).allRecords()) {
-            if (record.value() != null && !record.key().equals(self)) {
+            boolean isRouter = record.value() != null && !VersionRecords.isVersionRecord(record);
+            if (isRouter && !record.key().equals(self)) {
                 names.add(record.key());
             }
         }
--- a/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
@@ -158,6 +158,16 @@
         return new Object[][] {
             {"no order", (Script) router -> router.list("v1", "v2"), Set.of("v1", "v2"), none},
             {"trial", (Script) router -> router.list("v1", "v2").order("v2"), Set.of("v1", "v2"), runningV2},
+            {
+                "versions recorded among the routers",
+                (Script) router -> {
+                    router.apply(RecordTopic.ROUTERS, "version/calls/v1", "recorded");
+                    router.apply(RecordTopic.ROUTERS, "version/calls/v2", "recorded");
+                    router.list("v1", "v2").order("v2");
+                },
+                Set.of("v1", "v2"),
+                runningV2
+            },
             {
                 "no evidence",
                 (Script) router -> router.list("v1", "v2").order("v2").advance(11_000),
