--- a/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
+++ b/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,7 @@
 import org.redwinghook.core.origin.PossibleVersions;
 import org.redwinghook.core.origin.ServiceVersion;
 import org.redwinghook.core.origin.StreamLifetimes;
+import org.redwinghook.core.replica.RecordReplica;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.VersionedRecord;
 import org.redwinghook.core.routing.RendezvousHash;
@@ -87,6 +89,12 @@
         this.isListCurrent = isListCurrent;
         this.isWriter = isWriter;
         state.onChange(this::handleChange);
+        state.onEra(ignored -> writtenAtMillis.clear());
+        state.onComplete(topic -> {
+            if (topic == RecordTopic.ROUTERS) {
+                updateRecorded();
+            }
+        });
     }
 
     /**
@@ -173,10 +181,14 @@
     }
 
     private void updateRecorded() {
+        RecordReplica replica = state.replica(RecordTopic.ROUTERS);
+        // A store that came back from a copy needs the records that it lost before all routers lose power.
+        Set<String> lost = new HashSet<>();
+        replica.lostRecords().forEach(record -> lost.add(record.key()));
         Set<ServiceVersion> recorded = new LinkedHashSet<>();
-        for (VersionedRecord record : state.replica(RecordTopic.ROUTERS).allRecords()) {
+        for (VersionedRecord record : replica.allRecords()) {
             byte[] value = record.value();
-            if (value != null && isVersionRecord(record)) {
+            if (value != null && isVersionRecord(record) && !lost.contains(record.key())) {
                 addRecorded(record, value, recorded);
             }
         }
