--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -155,6 +155,7 @@
                 selector,
                 metrics);
         observers.register(resumedStreams);
+        state.onEra(ignored -> resumedStreams.handleEra());
         ForwardContext context = new ForwardContext(
                 vertx,
                 clock,
--- a/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
@@ -158,6 +158,11 @@
         }
     }
 
+    /** Writes the origins of recent streams again, since a store that came back from a copy may have lost them. */
+    void handleEra() {
+        servicesWithSeveralVersions.forEach(this::logRecent);
+    }
+
     private List<StreamOrigin> recent(String service) {
         return ownOrigins.recordedSince(
                 service, clock.millis() - records.lifetimes().millis(service));
