--- a/core/src/main/java/org/redwinghook/core/replica/RecordHistory.java
+++ b/core/src/main/java/org/redwinghook/core/replica/RecordHistory.java
@@ -49,12 +49,14 @@
     }
 
     private void add(long offset, Seen seen) {
-        Set<Long> digests = new HashSet<>(seen.digests());
         Seen existing = seenByOffset.remove(offset);
-        if (existing != null) {
+        if (existing == null) {
+            seenByOffset.put(offset, seen);
+        } else {
+            Set<Long> digests = new HashSet<>(seen.digests());
             digests.addAll(existing.digests());
+            seenByOffset.put(offset, new Seen(Set.copyOf(digests), seen.era()));
         }
-        seenByOffset.put(offset, new Seen(digests, seen.era()));
         if (seenByOffset.size() > MAXIMUM_OFFSETS) {
             seenByOffset.remove(seenByOffset.keySet().iterator().next());
         }
