--- a/router/src/main/java/org/redwinghook/router/forward/OriginExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/OriginExchange.java
@@ -38,6 +38,8 @@
     private final Consumer<StreamOrigin> receiver;
     private final Map<Long, Question> questions = new HashMap<>();
     private List<StreamOrigin> pending = new ArrayList<>();
+    private List<StreamOrigin> pendingRelayed = new ArrayList<>();
+    private boolean isSendingScheduled;
     private long lastQuestion;
 
     /** Finds the version at which a stream began among those that this router knows. */
@@ -90,11 +92,17 @@
      * @param origin the origin
      */
     void share(StreamOrigin origin) {
-        if (pending.isEmpty()) {
-            long batchMillis = ReportInterval.millis(exchange.connectedRouters().size());
-            vertx.setTimer(batchMillis, ignored -> sendPending());
-        }
         pending.add(origin);
+        scheduleSending();
+    }
+
+    private void scheduleSending() {
+        if (isSendingScheduled) {
+            return;
+        }
+        isSendingScheduled = true;
+        long batchMillis = ReportInterval.millis(exchange.connectedRouters().size());
+        vertx.setTimer(batchMillis, ignored -> sendPending());
     }
 
     /**
@@ -119,14 +127,22 @@
     }
 
     private void sendPending() {
-        List<StreamOrigin> sent = pending;
+        isSendingScheduled = false;
+        List<StreamOrigin> own = pending;
+        List<StreamOrigin> relayed = pendingRelayed;
         pending = new ArrayList<>();
+        pendingRelayed = new ArrayList<>();
+        send(own, false);
+        send(relayed, true);
+    }
+
+    private void send(List<StreamOrigin> sent, boolean relayed) {
         for (int from = 0; from < sent.size(); from += MAXIMUM_ORIGINS) {
-            exchange.broadcast(toReport(sent.subList(from, Math.min(sent.size(), from + MAXIMUM_ORIGINS))));
+            exchange.broadcast(toReport(sent.subList(from, Math.min(sent.size(), from + MAXIMUM_ORIGINS)), relayed));
         }
     }
 
-    private static OriginReport toReport(List<StreamOrigin> origins) {
+    private static OriginReport toReport(List<StreamOrigin> origins, boolean relayed) {
         Map<ServiceVersion, List<String>> attempts = new LinkedHashMap<>();
         for (StreamOrigin origin : origins) {
             attempts.computeIfAbsent(origin.begunAt(), version -> new ArrayList<>())
@@ -135,13 +151,23 @@
         List<OriginGroup> groups = new ArrayList<>();
         attempts.forEach((version, identifiers) ->
                 groups.add(new OriginGroup(version.service(), version.version(), identifiers)));
-        return new OriginReport(groups);
+        return new OriginReport(groups, relayed);
     }
 
     private void receive(OriginReport report) {
+        // In a large deployment a router is connected to few others. A report that is relayed once and the question to
+        // the neighbours find most streams; relayed to all, it would reach each router over every connection.
+        boolean isRelaying = !report.relayed() && !exchange.isFullyConnected();
         for (OriginGroup group : report.origins()) {
             ServiceVersion begunAt = new ServiceVersion(group.service(), group.version());
-            group.attempts().forEach(attempt -> receiver.accept(new StreamOrigin(attempt, begunAt)));
+            for (String attempt : group.attempts()) {
+                StreamOrigin origin = new StreamOrigin(attempt, begunAt);
+                receiver.accept(origin);
+                if (isRelaying) {
+                    pendingRelayed.add(origin);
+                    scheduleSending();
+                }
+            }
         }
     }
 
--- a/router/src/test/java/org/redwinghook/router/forward/OriginExchangeTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/OriginExchangeTest.java
@@ -13,6 +13,7 @@
 import org.redwinghook.core.forward.EndpointEntry;
 import org.redwinghook.core.message.Message;
 import org.redwinghook.core.message.OriginAnswer;
+import org.redwinghook.core.message.OriginGroup;
 import org.redwinghook.core.message.OriginQuestion;
 import org.redwinghook.core.message.OriginReport;
 import org.redwinghook.core.origin.ServiceVersion;
@@ -150,16 +151,45 @@
         Peer peer = new Peer("router-a", asker, null, false);
         List<StreamOrigin> sent = List.of(new StreamOrigin("a", OLD), new StreamOrigin("b", OLD));
         sent.forEach(asker.origins::share);
-        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
-        while (peer.received.stream().noneMatch(OriginReport.class::isInstance) && System.nanoTime() < endNanos) {
-            Thread.sleep(5);
-        }
-        List<OriginReport> reports = peer.received.stream()
-                .filter(OriginReport.class::isInstance)
-                .map(OriginReport.class::cast)
-                .toList();
+        awaitReports(peer, 1);
+        List<OriginReport> reports = reports(peer);
         Assert.assertEquals(reports.size(), 1);
         asker.connections.handleMessage(peer, reports.get(0));
         Assert.assertEquals(asker.received, sent);
     }
+
+    /** Guards against streams that most routers of a large deployment do not know, because each connects to few others. */
+    @Test
+    public void originsAreRelayedOnceUnlessAllRoutersAreConnected() throws Exception {
+        Asker asker = new Asker();
+        Peer sender = new Peer("router-a", asker, null, false);
+        Peer neighbour = new Peer("router-c", asker, null, false);
+        asker.connections.handleMessage(sender, new OriginReport(List.of(group("a")), false));
+        asker.connections.updateMemberCounts(360, 359);
+        asker.connections.handleMessage(sender, new OriginReport(List.of(group("b")), true));
+        asker.connections.handleMessage(sender, new OriginReport(List.of(group("c")), false));
+        asker.origins.share(new StreamOrigin("d", OLD));
+        awaitReports(neighbour, 2);
+        Assert.assertEqualsNoOrder(
+                reports(neighbour),
+                List.of(new OriginReport(List.of(group("c")), true), new OriginReport(List.of(group("d")), false)));
+    }
+
+    private static OriginGroup group(String attempt) {
+        return new OriginGroup(OLD.service(), OLD.version(), List.of(attempt));
+    }
+
+    private static List<OriginReport> reports(Peer peer) {
+        return peer.received.stream()
+                .filter(OriginReport.class::isInstance)
+                .map(OriginReport.class::cast)
+                .toList();
+    }
+
+    private static void awaitReports(Peer peer, int number) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (reports(peer).size() < number && System.nanoTime() < endNanos) {
+            Thread.sleep(5);
+        }
+    }
 }
--- a/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
+++ b/runtime/src/test/java/org/redwinghook/runtime/wire/FrameCodecTest.java
@@ -89,7 +89,7 @@
                                         TimeSum.NONE))),
                         2)
             },
-            {new OriginReport(List.of(new OriginGroup("models", "v1", List.of("a", "b"))))},
+            {new OriginReport(List.of(new OriginGroup("models", "v1", List.of("a", "b"))), true)},
             {new OriginQuestion(7, "models", "a")},
             {new OriginAnswer(7, null)},
             {new SpeedReport("router-1", 1L << 41, List.of(new SharedSpeed(-7, 170, 21)))},
