--- a/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
@@ -203,7 +203,7 @@
             return;
         }
         log.read();
-        if ((log.isRead() && records.isComplete()) || clock.millis() >= untilMillis) {
+        if ((log.isRead() && records.isComplete(caller.service())) || clock.millis() >= untilMillis) {
             refuse(caller, RefusalCause.ORIGIN_UNKNOWN);
             return;
         }
@@ -215,7 +215,7 @@
         String attempt = caller.head().firstAttempt();
         String known = attempt == null ? null : find(caller.service(), attempt);
         Set<String> possible = records.versions(caller.service());
-        OriginDecision decision = OriginDecision.of(known, possible, records.isComplete());
+        OriginDecision decision = OriginDecision.of(known, possible, records.isComplete(caller.service()));
         Optional<String> version = decision.version(known, possible);
         if (version.isEmpty()) {
             return false;
@@ -249,7 +249,7 @@
                 caller.requiredVersion(),
                 records.versions(caller.service()),
                 log.isRead(),
-                records.isComplete());
+                records.isComplete(caller.service()));
         caller.refuse(new Refusal(cause, 0));
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
+++ b/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
@@ -15,6 +15,7 @@
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import org.redwinghook.core.forward.EndpointEntry;
+import org.redwinghook.core.forward.EndpointTable;
 import org.redwinghook.core.forward.ForwardingConfiguration;
 import org.redwinghook.core.forward.KnownEndpoint;
 import org.redwinghook.core.origin.PossibleVersions;
@@ -47,6 +48,9 @@
     /** Time within which this router reads a record that it has written, in milliseconds. */
     private static final long READ_BACK_MILLIS = 2_000;
 
+    /** Field of a record that names the era of the store; one of an earlier era is written again once the list is complete. */
+    private static final String ERA_FIELD = "era";
+
     private static final int MAXIMUM_KEY_BYTES = 255;
     private static final int HEXADECIMAL = 16;
 
@@ -61,6 +65,9 @@
     private final BooleanSupplier isWriter;
     private final List<Runnable> checkHandlers = new ArrayList<>();
     private final Map<ServiceVersion, Long> writtenAtMillis = new HashMap<>();
+    private final Map<ServiceVersion, Long> recordedEras = new HashMap<>();
+    private long observedEra = -1;
+    private long observedAtMillis;
     private StreamLifetimes lifetimes = new StreamLifetimes(List.of());
     private long firstWriteMillis = Long.MAX_VALUE;
     private boolean isWriting;
@@ -127,12 +134,39 @@
     }
 
     /**
-     * Whether no version can be missing from the known ones.
+     * Whether no version of a service can be missing from the known ones. A store that came back from a copy lacks those that
+     * appeared since, until their endpoints have written their entries again.
      *
-     * @return false while this router has heard nothing of the store
+     * @param service name of the service
+     * @return false while this router has heard nothing of the store, and while it may know only a copy of the list
      */
-    boolean isComplete() {
-        return isListCurrent.getAsBoolean();
+    boolean isComplete(String service) {
+        return isListCurrent.getAsBoolean()
+                && (hasFollowedEarlierEra() || isEraObserved(clock.millis()) || !isRecordedOnlyEarlier(service));
+    }
+
+    /** Whether this router knows the versions that were listed before the store came back. */
+    private boolean hasFollowedEarlierEra() {
+        return state.replica(RecordTopic.ENDPOINTS).earlierEndOffset() > 0;
+    }
+
+    /** Whether this router has followed the store's era for the time in which endpoints write their entries again. */
+    private boolean isEraObserved(long now) {
+        return observedEra == state.era() && now - observedAtMillis >= EndpointTable.REREGISTRATION_GRACE_MILLIS;
+    }
+
+    private boolean isRecordedOnlyEarlier(String service) {
+        boolean isRecorded = false;
+        for (Map.Entry<ServiceVersion, Long> recorded : recordedEras.entrySet()) {
+            if (!recorded.getKey().service().equals(service)) {
+                continue;
+            }
+            if (recorded.getValue() >= state.era()) {
+                return false;
+            }
+            isRecorded = true;
+        }
+        return isRecorded;
     }
 
     void start() {
@@ -185,23 +219,23 @@
         // A store that came back from a copy needs the records that it lost before all routers lose power.
         Set<String> lost = new HashSet<>();
         replica.lostRecords().forEach(record -> lost.add(record.key()));
-        Set<ServiceVersion> recorded = new LinkedHashSet<>();
+        recordedEras.clear();
         for (VersionedRecord record : replica.allRecords()) {
             byte[] value = record.value();
             if (value != null && isVersionRecord(record) && !lost.contains(record.key())) {
-                addRecorded(record, value, recorded);
+                addRecorded(record, value);
             }
         }
-        versions.updateRecorded(recorded, clock.millis());
+        versions.updateRecorded(recordedEras.keySet(), clock.millis());
     }
 
-    private static void addRecorded(VersionedRecord record, byte[] value, Set<ServiceVersion> recorded) {
+    private void addRecorded(VersionedRecord record, byte[] value) {
         try {
             JsonObject fields = UntrustedJson.parseObject(Buffer.buffer(value));
             String service = fields.getString("service");
             String version = fields.getString("version");
             if (service != null && version != null) {
-                recorded.add(new ServiceVersion(service, version));
+                recordedEras.put(new ServiceVersion(service, version), fields.getLong(ERA_FIELD, 0L));
                 return;
             }
             LOGGER.warn("version record unreadable key={} offset={}", record.key(), record.offset());
@@ -222,6 +256,12 @@
         }
         versions.updateListed(listed, now);
         boolean isCurrent = isListCurrent.getAsBoolean();
+        if (isCurrent
+                && observedEra != state.era()
+                && state.replica(RecordTopic.ENDPOINTS).isComplete()) {
+            observedEra = state.era();
+            observedAtMillis = now;
+        }
         if (!isCurrent) {
             versions.renew(now);
         }
@@ -236,9 +276,7 @@
         writtenAtMillis.values().removeIf(millis -> now - millis >= READ_BACK_MILLIS);
         for (ServiceVersion missing : versions.withoutRecord(lifetimes)) {
             if (!writtenAtMillis.containsKey(missing)) {
-                JsonObject fields =
-                        new JsonObject().put("service", missing.service()).put("version", missing.version());
-                write(missing, "written", fields.toBuffer().getBytes());
+                write(missing, "written", encode(missing));
                 return;
             }
         }
@@ -248,6 +286,25 @@
                 return;
             }
         }
+        for (Map.Entry<ServiceVersion, Long> recorded : recordedEras.entrySet()) {
+            ServiceVersion version = recorded.getKey();
+            if (isEraObserved(now)
+                    && recorded.getValue() < state.era()
+                    && lifetimes.services().contains(version.service())
+                    && !writtenAtMillis.containsKey(version)) {
+                write(version, "written", encode(version));
+                return;
+            }
+        }
+    }
+
+    private byte[] encode(ServiceVersion version) {
+        return new JsonObject()
+                .put("service", version.service())
+                .put("version", version.version())
+                .put(ERA_FIELD, state.era())
+                .toBuffer()
+                .getBytes();
     }
 
     private void write(ServiceVersion version, String change, byte[] value) {
