--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -27,6 +27,7 @@
 import org.redwinghook.core.quarantine.PromptQuarantine;
 import org.redwinghook.core.receive.ReceiveBudget;
 import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.StartGate;
 import org.redwinghook.core.replica.StoreRole;
 import org.redwinghook.router.peer.MeshSetup;
 import org.redwinghook.router.peer.MeshTiming;
@@ -62,6 +63,9 @@
      */
     private static final long SECONDARY_SERVICES_DELAY_MILLIS = 300;
 
+    /** Interval of checks whether a start has ended its wait for other routers, in milliseconds. */
+    private static final long START_GATE_CHECK_MILLIS = 10;
+
     private static final int PROTOCOL_VERSION = 1;
 
     private static final Logger LOGGER = LoggerFactory.getLogger(ForwardingProcess.class);
@@ -83,9 +87,12 @@
     private final VersionRecords versionRecords;
     private final LeaveWatch leaveWatch;
     private final CompositeMeterRegistry meters = new CompositeMeterRegistry();
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final StartGate startGate = new StartGate();
     private final long incarnation = System.currentTimeMillis();
     private boolean accepting = true;
     private boolean secondaryServicesStarted;
+    private boolean isStartWaiting;
 
     /**
      * Creates a router.
@@ -98,7 +105,6 @@
         this.vertx = vertx;
         this.settings = reloadable.current();
         this.reloadable = reloadable;
-        MonotonicClock clock = MonotonicClock.system();
         state = new ForwardingState(platform.decoder(), clock);
         EndpointEligibility eligibility = new EndpointEligibility(state.endpoints());
         eligibility.addRule((endpoint, scope, now) -> endpoint.hasLeaveNotice() ? Exclusion.LEAVING : null);
@@ -151,7 +157,7 @@
                 clock,
                 routerExchange,
                 versionRecords,
-                (receiver, readHandler) -> createOriginLog(platform.originStore(), clock, receiver, readHandler),
+                (receiver, readHandler) -> createOriginLog(platform.originStore(), receiver, readHandler),
                 selector,
                 metrics);
         observers.register(resumedStreams);
@@ -187,7 +193,7 @@
                         "ready",
                         settings.callers(),
                         refusal -> metrics.recordRefusedConnection("ready", refusal.label())));
-        RolloutTracker rolloutTracker = startRollouts(platform.rolloutStore(), ledger, clock, metrics);
+        RolloutTracker rolloutTracker = startRollouts(platform.rolloutStore(), ledger, metrics);
         observers.register(rolloutTracker);
         eligibility.addRule(new RolloutRule(rolloutTracker, state.endpoints(), eligibility));
         EndpointSpeeds speeds = new EndpointSpeeds();
@@ -196,7 +202,10 @@
                 .size());
         speedExchange = new SpeedExchange(vertx, clock, settings.process(), incarnation, routerExchange, speeds);
         observers.register(speedTracker);
-        routerExchange.onWorkReport(waiting::handleWorkReport);
+        routerExchange.onWorkReport(() -> {
+            startGate.recordReport(clock.millis());
+            waiting.handleWorkReport();
+        });
         connectRelocator(new RunRelocator(context, streams, routerExchange::broadcast, settings.process()));
         WireMetrics wireMetrics = new WireMetrics(meters);
         mesh = new RouterMesh(
@@ -229,13 +238,11 @@
                 settings.process());
     }
 
-    private OriginLog createOriginLog(
-            OriginStore store, MonotonicClock clock, Consumer<StreamOrigin> receiver, Runnable readHandler) {
+    private OriginLog createOriginLog(OriginStore store, Consumer<StreamOrigin> receiver, Runnable readHandler) {
         return new OriginLog(vertx, clock, settings.process(), store, this::routerCount, receiver, readHandler);
     }
 
-    private RolloutTracker startRollouts(
-            RolloutStore store, WorkLedger ledger, MonotonicClock clock, ForwardMetrics metrics) {
+    private RolloutTracker startRollouts(RolloutStore store, WorkLedger ledger, ForwardMetrics metrics) {
         RolloutTracker tracker = new RolloutTracker(
                 new RolloutContext(vertx, state, routerExchange, ledger, store, clock, metrics),
                 () -> reloadable.current().rollouts(),
@@ -291,11 +298,36 @@
 
     private void handleStateChange() {
         if (!secondaryServicesStarted && state.isComplete()) {
+            startGate.recordComplete(clock.millis());
             server.serveEarlyRequests();
             vertx.setTimer(SECONDARY_SERVICES_DELAY_MILLIS, ignored -> startSecondaryServices());
+            if (!isStartWaiting && !isStartGateOpen()) {
+                isStartWaiting = true;
+                awaitOtherRouters(clock.millis());
+            }
         }
     }
 
+    /** Logs the end of the wait for a router that may know more than the store's copy. */
+    private void awaitOtherRouters(long sinceMillis) {
+        vertx.setTimer(START_GATE_CHECK_MILLIS, ignored -> {
+            if (!isStartGateOpen()) {
+                awaitOtherRouters(sinceMillis);
+                return;
+            }
+            LOGGER.info(
+                    "start waited for other routers answered={} millis={} era={}",
+                    startGate.isAnswered(),
+                    clock.millis() - sinceMillis,
+                    state.era());
+        });
+    }
+
+    private boolean isStartGateOpen() {
+        boolean mayHaveOthers = !state.replica(RecordTopic.ROUTERS).isComplete() || membership.hasOthers();
+        return startGate.isOpen(state.era(), mayHaveOthers, clock.millis());
+    }
+
     /** Starts what the first requests do not need: the connections to other routers and the operators' port. */
     private void startSecondaryServices() {
         if (secondaryServicesStarted) {
@@ -377,6 +409,6 @@
     }
 
     private boolean isReady() {
-        return accepting && state.isComplete();
+        return accepting && state.isComplete() && isStartGateOpen();
     }
 }
