--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -141,9 +141,14 @@
         observers.register(waiting);
         routerExchange = new RouterExchange(vertx, settings.process(), state, ledger, clock, promptGuard);
         followers = new ArrayList<>();
+        RecordFollower.StoreReading reading = new RecordFollower.StoreReading(
+                routerExchange::storeRole,
+                routerExchange::usualStoreRole,
+                this::routerCount,
+                () -> ThreadLocalRandom.current().nextDouble());
         for (RecordTopic topic : RecordTopic.values()) {
-            followers.add(new RecordFollower(
-                    vertx, platform.store(), state, topic, clock, routerExchange::relay, routerExchange::storeRole));
+            followers.add(
+                    new RecordFollower(vertx, platform.store(), state, topic, clock, routerExchange::relay, reading));
         }
         ListFreshness freshness = new ListFreshness(
                 clock,
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -1,11 +1,16 @@
 package org.redwinghook.router.forward;
 
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import org.redwinghook.core.replica.RecordTopic;
+import org.redwinghook.core.replica.SnapshotSchedule;
 import org.redwinghook.core.replica.StoreRole;
 import org.redwinghook.core.replica.StoreTrust;
 import org.redwinghook.core.replica.VersionedRecord;
@@ -35,7 +40,7 @@
     private final RecordTopic topic;
     private final MonotonicClock clock;
     private final Relay relay;
-    private final Supplier<StoreRole> role;
+    private final StoreReading reading;
     private final StoreTrust trust = new StoreTrust();
     private long lastFailureAtMillis = Long.MIN_VALUE / 2;
     private long lastSuccessAtMillis = Long.MIN_VALUE / 2;
@@ -45,6 +50,7 @@
     private boolean hasSnapshot;
     private boolean hasExpired;
     private boolean isReading;
+    private boolean isSnapshotDelayed;
     private long reads;
     private boolean stopped;
 
@@ -57,7 +63,7 @@
      * @param topic the topic
      * @param clock monotonic clock
      * @param relay receives the new records
-     * @param role part that this router takes in reading the store
+     * @param reading part that this router takes in reading the store
      */
     public RecordFollower(
             Vertx vertx,
@@ -66,16 +72,27 @@
             RecordTopic topic,
             MonotonicClock clock,
             Relay relay,
-            Supplier<StoreRole> role) {
+            StoreReading reading) {
         this.vertx = vertx;
         this.store = store;
         this.state = state;
         this.topic = topic;
         this.clock = clock;
         this.relay = relay;
-        this.role = role;
+        this.reading = reading;
     }
 
+    /**
+     * Part that a router takes in reading the store.
+     *
+     * @param role the part at present
+     * @param usualRole the part while all connected routers can read the store
+     * @param routerCount number of routers
+     * @param share position of the router among all routers, from 0 to 1; a new one for each snapshot
+     */
+    public record StoreReading(
+            Supplier<StoreRole> role, Supplier<StoreRole> usualRole, IntSupplier routerCount, DoubleSupplier share) {}
+
     /** Relays the records that a follower has read. */
     @FunctionalInterface
     public interface Relay {
@@ -111,12 +128,13 @@
     }
 
     /**
-     * Whether the store can be read, judged by the last read.
+     * Whether the store can be read, judged by the last read. While the snapshot of an era is delayed, only the other topics
+     * can tell; otherwise all routers would report for seconds that they cannot, and each would take the part of a reader.
      *
      * @return false after a failure
      */
     public boolean canReadStore() {
-        return failures == 0;
+        return failures == 0 || isSnapshotDelayed;
     }
 
     /**
@@ -146,7 +164,7 @@
         return lastSuccessAtMillis;
     }
 
-    /** Reads a snapshot at once, since the positions in the log of the era before mean nothing in the new one. */
+    /** Reads a snapshot, since the positions in the log of the era before mean nothing in the new one. */
     private void handleEra() {
         if (hasSnapshot) {
             // Entries may also have lapsed while the store was away.
@@ -155,11 +173,49 @@
         }
         boolean isSnapshotUnderWay = snapshotNeeded && isReading;
         snapshotNeeded = true;
-        if (!isSnapshotUnderWay) {
+        if (isSnapshotUnderWay) {
+            return;
+        }
+        long delayMillis = snapshotDelayMillis();
+        if (delayMillis > 0) {
+            delaySnapshot(delayMillis);
+        } else {
             readNext();
         }
     }
 
+    private long snapshotDelayMillis() {
+        if (!hasSnapshot || isReader()) {
+            return 0;
+        }
+        Map<RecordTopic, Integer> keys = new EnumMap<>(RecordTopic.class);
+        for (RecordTopic other : RecordTopic.values()) {
+            keys.put(other, state.replica(other).allRecords().size());
+        }
+        return SnapshotSchedule.delayMillis(
+                topic, keys, reading.routerCount().getAsInt(), reading.share().getAsDouble());
+    }
+
+    /** While the store fails, no router reports that it can read it, so that each has the role of a reader. */
+    private boolean isReader() {
+        return reading.usualRole().get() != StoreRole.FOLLOWER
+                || (failures == 0 && reading.role().get() != StoreRole.FOLLOWER);
+    }
+
+    private void delaySnapshot(long delayMillis) {
+        // The answer to a read that is under way is ignored.
+        reads++;
+        isReading = false;
+        isSnapshotDelayed = true;
+        runAfter(delayMillis, () -> {
+            if (state.replica(topic).isComplete()) {
+                // Another router has sent its whole log meanwhile.
+                snapshotNeeded = false;
+            }
+            readNext();
+        });
+    }
+
     /** Begins a read in place of one that is under way, or of the pause before the next one. */
     private void readNext() {
         if (stopped) {
@@ -167,12 +223,15 @@
         }
         long readNumber = ++reads;
         isReading = true;
+        isSnapshotDelayed = false;
         long era = state.era();
-        trust.recordReadStart(snapshotNeeded ? 0 : role.get().waitMillis(), clock.millis());
+        trust.recordReadStart(snapshotNeeded ? 0 : reading.role().get().waitMillis(), clock.millis());
         Future<RecordPage> page = snapshotNeeded
                 ? store.snapshot(topic)
                 : store.read(
-                        topic, state.replica(topic).nextOffset(), role.get().waitMillis());
+                        topic,
+                        state.replica(topic).nextOffset(),
+                        reading.role().get().waitMillis());
         page.onSuccess(records -> {
                     if (readNumber == reads) {
                         isReading = false;
@@ -190,15 +249,18 @@
     private void handlePage(RecordPage page, long eraBefore) {
         // The log without a named era is the one that was followed when the read began.
         long era = page.era() == 0 ? eraBefore : page.era();
+        long readNumber = reads;
         state.beginEra(era);
         boolean isStale = era < state.era() || (!snapshotNeeded && era != eraBefore);
-        if (isReading) {
+        if (reads != readNumber) {
             return;
         }
         if (isStale) {
             recordSuccess();
             readAfter(INITIAL_RETRY_MILLIS);
-        } else if (snapshotNeeded) {
+            return;
+        }
+        if (snapshotNeeded) {
             handleSnapshot(page, era);
         } else {
             handleRecords(page, era);
@@ -222,7 +284,7 @@
             List<VersionedRecord> changed =
                     state.applySnapshot(topic, era, page.records(), page.endOffset(), storeWasUnavailable());
             // Followers read snapshots too when an era begins; if each relayed its own, the links would saturate.
-            if (role.get() != StoreRole.FOLLOWER) {
+            if (reading.role().get() != StoreRole.FOLLOWER) {
                 relay.relay(topic, changed, storeWasUnavailable());
             }
         } finally {
@@ -251,7 +313,7 @@
     }
 
     private void readWhenDue(long sinceMillis) {
-        long remainingMillis = sinceMillis + role.get().pauseMillis() - clock.millis();
+        long remainingMillis = sinceMillis + reading.role().get().pauseMillis() - clock.millis();
         if (remainingMillis <= 0) {
             readNext();
             return;
@@ -281,8 +343,9 @@
     private void handleFailure(Throwable failure) {
         if (failure instanceof RecordsExpiredException expiry) {
             logExpiry(expiry);
+            long readNumber = reads;
             state.beginEra(expiry.era());
-            if (!isReading) {
+            if (reads == readNumber) {
                 hasExpired = true;
                 snapshotNeeded = true;
                 trust.recordExpiry(clock.millis());
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -149,6 +149,17 @@
         return StoreReaders.roleOf(self, storeAccessByRouter);
     }
 
+    /**
+     * Part that this router takes in reading the store while all connected routers can read it.
+     *
+     * @return the role among the connected routers
+     */
+    StoreRole usualStoreRole() {
+        Map<String, Boolean> readers = new HashMap<>();
+        connectedRouters().forEach(name -> readers.put(name, true));
+        return StoreReaders.roleOf(self, readers);
+    }
+
     void start() {
         vertx.setPeriodic(REPORT_CHECK_INTERVAL_MILLIS, ignored -> {
             if (clock.millis() - lastReportAtMillis >= ReportInterval.millis(peers.size())) {
--- a/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
@@ -133,7 +133,8 @@
                             (topic, records, mayHaveLapsed) -> {
                                 throw new IllegalStateException("listener failed");
                             },
-                            () -> StoreRole.FIRST_READER)
+                            new RecordFollower.StoreReading(
+                                    () -> StoreRole.FIRST_READER, () -> StoreRole.FIRST_READER, () -> 1, () -> 0))
                     .start());
             long end = System.nanoTime() + READ_TIMEOUT_MILLIS * 1_000_000;
             while (store.reads < 3 && System.nanoTime() < end) {
--- a/router/src/test/java/org/redwinghook/router/forward/RecordFollowerTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RecordFollowerTest.java
@@ -64,9 +64,13 @@
     };
 
     private @Nullable RecordFollower follower;
+    private StoreRole usualRole = StoreRole.FIRST_READER;
+    private int routers = 1;
 
     @BeforeMethod
     public void start() {
+        usualRole = StoreRole.FIRST_READER;
+        routers = 1;
         state = new ForwardingState(RouterExchangeTest.NO_RECORDS, MonotonicClock.system());
         calls.clear();
         RecordFollower.Relay relay = (topic, records, mayHaveLapsed) -> {};
@@ -77,7 +81,7 @@
                 RecordTopic.OPERATORS,
                 MonotonicClock.system(),
                 relay,
-                () -> StoreRole.FIRST_READER);
+                new RecordFollower.StoreReading(() -> usualRole, () -> usualRole, () -> routers, () -> 0.01));
         run(follower::start);
     }
 
@@ -201,4 +205,20 @@
         Assert.assertEquals(nextCall().firstOffset(), 4);
         Assert.assertEquals(belief(), "new");
     }
+
+    /** Guards against snapshots of all routers at once. */
+    @Test
+    public void followersOfLargeDeploymentsDelayTheSnapshotOfAnEra() throws InterruptedException {
+        readFirstEra();
+        usualRole = StoreRole.FOLLOWER;
+        routers = 60_000;
+        run(() -> state.beginEra(2));
+        Assert.assertNull(calls.poll(300, TimeUnit.MILLISECONDS), "the store is read at once");
+        Call delayed = nextCall();
+        Assert.assertTrue(delayed.isSnapshot());
+        answer(delayed, 2, 4, record(3, "new"));
+        usualRole = StoreRole.SECOND_READER;
+        run(() -> state.beginEra(3));
+        Assert.assertTrue(nextCall().isSnapshot());
+    }
 }
