--- a/core/src/main/java/org/redwinghook/core/replica/SnapshotSchedule.java
+++ b/core/src/main/java/org/redwinghook/core/replica/SnapshotSchedule.java
@@ -20,6 +20,14 @@
 
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    /** Initial pause after a read that failed or that an earlier era answered; it doubles with each such read. */
+    private static final long INITIAL_RETRY_MILLIS = 100;
+
+    /** Maximum pause in small deployments, in milliseconds. */
+    private static final long MAXIMUM_RETRY_MILLIS = 400;
+
+    private static final int MAXIMUM_DOUBLINGS = 10;
+
     private SnapshotSchedule() {}
 
     /**
@@ -55,4 +63,17 @@
     private static long reads(int keys) {
         return Math.max(1, (keys + KEYS_PER_READ - 1L) / KEYS_PER_READ);
     }
+
+    /**
+     * Pause after reads of a topic that failed or that an earlier era answered.
+     *
+     * @param attempts number of such reads in a row before the last one
+     * @param routers number of routers
+     * @return the time in milliseconds; it grows until the retries of all routers together keep to the rate
+     */
+    public static long retryMillis(int attempts, int routers) {
+        long fairMillis = RecordTopic.values().length * routers * MILLIS_PER_SECOND / READS_PER_SECOND;
+        long maximumMillis = Math.max(MAXIMUM_RETRY_MILLIS, fairMillis);
+        return Math.min(maximumMillis, INITIAL_RETRY_MILLIS << Math.min(attempts, MAXIMUM_DOUBLINGS));
+    }
 }
--- a/core/src/test/java/org/redwinghook/core/replica/SnapshotScheduleTest.java
+++ b/core/src/test/java/org/redwinghook/core/replica/SnapshotScheduleTest.java
@@ -16,9 +16,6 @@
     private static final int REPLAY_MILLIS = 60_000;
     private static final int READ_MILLIS = 5;
 
-    /** Longest pause between two retries of a topic. */
-    private static final int RETRY_MILLIS = 400;
-
     /** Time in which the era reaches all routers over the mesh. */
     private static final int PROPAGATION_MILLIS = 400;
 
@@ -37,7 +34,7 @@
             for (int router = 0; router < ROUTERS; router++) {
                 int learnedMillis = random.nextInt(PROPAGATION_MILLIS);
                 for (RecordTopic topic : RecordTopic.values()) {
-                    int retry = random.nextInt(RETRY_MILLIS);
+                    int retry = random.nextInt((int) SnapshotSchedule.retryMillis(9, ROUTERS));
                     if (retry < learnedMillis) {
                         calls[retry]++;
                     }
@@ -81,6 +78,17 @@
         Assert.assertTrue(replay.operatorsReadMillis < 3_000, "operators read " + replay.operatorsReadMillis);
     }
 
+    /** Guards against retries that keep a store overloaded, which refuses what exceeds its rates. */
+    @Test
+    public void retriesOfAllRoutersKeepToTheRates() {
+        for (int routers : new int[] {1, 27, 134, 360, 1_000}) {
+            double retriesPerSecond = 3_000.0 * routers / SnapshotSchedule.retryMillis(20, routers);
+            Assert.assertTrue(retriesPerSecond <= STORE_READS_PER_SECOND / 2.0 + 20, "retries " + retriesPerSecond);
+        }
+        Assert.assertEquals(SnapshotSchedule.retryMillis(0, ROUTERS), 100);
+        Assert.assertEquals(SnapshotSchedule.retryMillis(5, 27), 400);
+    }
+
     /** Guards against small deployments in which changes are in force later than without a schedule. */
     @Test
     public void smallDeploymentsDoNotWait() {
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -23,12 +23,6 @@
     /** Interval of checks whether this router's role has changed, in milliseconds. */
     private static final long ROLE_CHECK_INTERVAL_MILLIS = 200;
 
-    /** Pause after the first failed read, in milliseconds; it doubles up to {@link #MAXIMUM_RETRY_MILLIS}. */
-    private static final long INITIAL_RETRY_MILLIS = 100;
-
-    /** Maximum pause after failed reads, in milliseconds. */
-    private static final long MAXIMUM_RETRY_MILLIS = 400;
-
     /** Time after a failed read during which removals may result from the store's outage, in milliseconds. */
     private static final long OUTAGE_EFFECT_MILLIS = 4_000;
 
@@ -45,6 +39,7 @@
     private long lastFailureAtMillis = Long.MIN_VALUE / 2;
     private long lastSuccessAtMillis = Long.MIN_VALUE / 2;
     private int failures;
+    private int staleAnswers;
     private long lastExpiredPosition = -1;
     private boolean snapshotNeeded = true;
     private boolean hasSnapshot;
@@ -173,6 +168,7 @@
         }
         boolean isSnapshotUnderWay = snapshotNeeded && isReading;
         snapshotNeeded = true;
+        staleAnswers = 0;
         if (isSnapshotUnderWay) {
             return;
         }
@@ -257,9 +253,11 @@
         }
         if (isStale) {
             recordSuccess();
-            readAfter(INITIAL_RETRY_MILLIS);
+            readAfter(SnapshotSchedule.retryMillis(
+                    staleAnswers++, reading.routerCount().getAsInt()));
             return;
         }
+        staleAnswers = 0;
         if (snapshotNeeded) {
             handleSnapshot(page, era);
         } else {
@@ -358,9 +356,7 @@
         }
         lastFailureAtMillis = clock.millis();
         trust.recordFailure(lastFailureAtMillis);
-        long pauseMillis = Math.min(MAXIMUM_RETRY_MILLIS, INITIAL_RETRY_MILLIS << Math.min(failures, 4));
-        failures++;
-        readAfter(pauseMillis);
+        readAfter(SnapshotSchedule.retryMillis(failures++, reading.routerCount().getAsInt()));
     }
 
     /** Logs what tells a trimmed history, whose first retained offset has passed the position, from a lost end. */
--- a/router/src/test/java/org/redwinghook/router/forward/RecordFollowerTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RecordFollowerTest.java
@@ -221,4 +221,18 @@
         run(() -> state.beginEra(3));
         Assert.assertTrue(nextCall().isSnapshot());
     }
+
+    /** Guards against a read each 100 ms by every router while the store answers with an earlier era. */
+    @Test
+    public void staleAnswersAreReadAgainEverLater() throws InterruptedException {
+        readFirstEra();
+        run(() -> state.beginEra(2));
+        long startMillis = System.nanoTime() / 1_000_000;
+        for (int stale = 0; stale < 4; stale++) {
+            answer(nextCall(), 1, 10, OTHER);
+        }
+        nextCall();
+        long elapsedMillis = System.nanoTime() / 1_000_000 - startMillis;
+        Assert.assertTrue(elapsedMillis >= 100 + 200 + 400 + 400, "read again after " + elapsedMillis);
+    }
 }
