--- a/core/src/main/java/org/redwinghook/core/replica/RepairBudget.java
+++ b/core/src/main/java/org/redwinghook/core/replica/RepairBudget.java
@@ -10,12 +10,20 @@
     /** Bytes per millisecond: 30 routers together use a third of a link of 42 Mbit/s. */
     private static final double BYTES_PER_MILLI = 64;
 
-    /** Bytes that may be sent at once: complete records for a few routers that have just started. */
-    private static final double MAXIMUM_BURST_BYTES = 256 * 1024;
-
-    private double availableBytes = MAXIMUM_BURST_BYTES;
+    private final long maximumBurstBytes;
+    private double availableBytes;
     private long updatedAtMillis = Long.MIN_VALUE;
 
+    /**
+     * Creates a budget that is available whole.
+     *
+     * @param maximumBurstBytes bytes that may be sent at once
+     */
+    public RepairBudget(long maximumBurstBytes) {
+        this.maximumBurstBytes = maximumBurstBytes;
+        this.availableBytes = maximumBurstBytes;
+    }
+
     /**
      * Takes the bytes of a repair. A repair that is larger than the burst is allowed when nothing else was sent for a while.
      *
@@ -26,10 +34,10 @@
     public boolean tryTake(long bytes, long nowMillis) {
         if (updatedAtMillis != Long.MIN_VALUE) {
             availableBytes =
-                    Math.min(MAXIMUM_BURST_BYTES, availableBytes + (nowMillis - updatedAtMillis) * BYTES_PER_MILLI);
+                    Math.min(maximumBurstBytes, availableBytes + (nowMillis - updatedAtMillis) * BYTES_PER_MILLI);
         }
         updatedAtMillis = nowMillis;
-        if (availableBytes < Math.min(bytes, MAXIMUM_BURST_BYTES)) {
+        if (availableBytes < Math.min(bytes, maximumBurstBytes)) {
             return false;
         }
         availableBytes -= bytes;
--- a/core/src/test/java/org/redwinghook/core/replica/ReplicaRepairPolicyTest.java
+++ b/core/src/test/java/org/redwinghook/core/replica/ReplicaRepairPolicyTest.java
@@ -95,7 +95,7 @@
         /** Guards against repairs that fill the link for as long as the routers lag. */
         @Test
         public void repairsOfOneRouterAreLimited() {
-            RepairBudget budget = new RepairBudget();
+            RepairBudget budget = new RepairBudget(256 * 1024);
             long sentBytes = 0;
             for (long now = 0; now < 30_000; now += 1_000) {
                 for (int peer = 0; peer < 13; peer++) {
--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -1,9 +1,12 @@
 package org.redwinghook.router.forward;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -59,6 +62,15 @@
      */
     private static final long OPERATOR_RECORDS_INTERVAL_MILLIS = 400;
 
+    /** Bytes of repairs that may be sent at once: complete records for a few routers that have just started. */
+    private static final long REPAIR_BURST_BYTES = 256 * 1024;
+
+    /**
+     * Bytes of records of earlier eras that may be sent at once: those of 600 endpoints to 60 routers, or of 21,000
+     * endpoints to one.
+     */
+    private static final long EARLIER_RECORDS_BURST_BYTES = 8 * 1024 * 1024;
+
     /** Bytes of records after which a message with records of earlier eras ends. A receiver accepts 4 MiB. */
     private static final long MAXIMUM_PART_BYTES = 256 * 1024;
 
@@ -82,7 +94,9 @@
     private final Set<ConfigurationPeer> peers = new LinkedHashSet<>();
     private final Map<String, Boolean> storeAccessByRouter = new HashMap<>();
     private final Map<RecordTopic, ReplicaRepairPolicy> repairPolicies = new EnumMap<>(RecordTopic.class);
-    private final RepairBudget repairBudget = new RepairBudget();
+    private final RepairBudget repairBudget = new RepairBudget(REPAIR_BURST_BYTES);
+    private final RepairBudget earlierRecordsBudget = new RepairBudget(EARLIER_RECORDS_BURST_BYTES);
+    private final Deque<PendingRecords> pendingEarlierRecords = new ArrayDeque<>();
     private final Map<RecordTopic, Map<String, Long>> changedAtMillis = new EnumMap<>(RecordTopic.class);
     private final Map<String, VersionedRecord> pendingOperatorRecords = new LinkedHashMap<>();
     private final Map<String, WorkTotals> lastReportedTotals = new HashMap<>();
@@ -99,6 +113,9 @@
     private long operatorRecordsSentAtMillis = Long.MIN_VALUE / 2;
     private long lastReportAtMillis;
 
+    /** Records of earlier eras that wait until the budget allows to send them. */
+    private record PendingRecords(ConfigurationPeer peer, RecordTopic topic, RelayedRecords message) {}
+
     RouterExchange(
             Vertx vertx,
             String self,
@@ -162,6 +179,7 @@
 
     void start() {
         vertx.setPeriodic(REPORT_CHECK_INTERVAL_MILLIS, ignored -> {
+            sendPendingEarlierRecords();
             if (clock.millis() - lastReportAtMillis >= ReportInterval.millis(peers.size())) {
                 report();
             }
@@ -237,10 +255,7 @@
         peer.send(new WorkReport(
                 self, toEndpointWork(own), true, canReadStore.getAsBoolean(), recordOffsetSums(), state.era()));
         for (RecordTopic topic : RecordTopic.values()) {
-            for (RelayedRecords message : toEarlierRecords(topic)) {
-                logEarlierRecords(message, peer.name());
-                peer.send(message);
-            }
+            sendEarlierRecords(topic, List.of(peer));
         }
         QuarantineEvidence evidence = promptGuard.evidence();
         if (!evidence.isEmpty()) {
@@ -252,6 +267,7 @@
     @Override
     public void handleDisconnected(ConfigurationPeer peer) {
         peers.remove(peer);
+        pendingEarlierRecords.removeIf(pending -> pending.peer() == peer);
         if (!connectedRouters().contains(peer.name())) {
             storeAccessByRouter.remove(peer.name());
             repairPolicies.values().forEach(policy -> policy.removePeer(peer.name()));
@@ -386,6 +402,7 @@
     /** Tells the other routers of a new era, and forgets what concerns the log of the era before. */
     private void handleEra() {
         pendingOperatorRecords.clear();
+        pendingEarlierRecords.clear();
         changedAtMillis.values().forEach(Map::clear);
         recordOffsetSums();
         report();
@@ -400,10 +417,59 @@
         if (storeRole() == StoreRole.FOLLOWER) {
             return;
         }
+        sendEarlierRecords(topic, onePeerForEachName());
+    }
+
+    /** Sends operators' records at once, which are few, and those of other topics as the budget allows. */
+    private void sendEarlierRecords(RecordTopic topic, Collection<ConfigurationPeer> receivers) {
         for (RelayedRecords message : toEarlierRecords(topic)) {
-            logEarlierRecords(message, "all");
-            broadcast(null, message);
+            for (ConfigurationPeer receiver : receivers) {
+                if (topic == RecordTopic.OPERATORS) {
+                    logEarlierRecords(message, receiver.name());
+                    receiver.send(message);
+                } else {
+                    pendingEarlierRecords.add(new PendingRecords(receiver, topic, message));
+                }
+            }
         }
+        sendPendingEarlierRecords();
+    }
+
+    private void sendPendingEarlierRecords() {
+        Map<RecordTopic, Set<String>> earlierKeys = new EnumMap<>(RecordTopic.class);
+        while (!pendingEarlierRecords.isEmpty()) {
+            PendingRecords pending = pendingEarlierRecords.peekFirst();
+            Set<String> keys = earlierKeys.computeIfAbsent(pending.topic(), this::earlierKeys);
+            // Meanwhile most endpoints have written their records again.
+            List<KeyedRecord> records = pending.message().records().stream()
+                    .filter(record -> keys.contains(record.key()))
+                    .toList();
+            long bytes = records.stream().mapToLong(RouterExchange::size).sum();
+            if (bytes > 0 && !earlierRecordsBudget.tryTake(bytes, clock.millis())) {
+                return;
+            }
+            pendingEarlierRecords.removeFirst();
+            if (!records.isEmpty()) {
+                RelayedRecords message = new RelayedRecords(
+                        pending.topic().name(),
+                        records,
+                        true,
+                        state.era(),
+                        pending.message().writtenEra(),
+                        0,
+                        writtenFrom(pending.topic()));
+                logEarlierRecords(message, pending.peer().name());
+                pending.peer().send(message);
+            }
+        }
+    }
+
+    private Set<String> earlierKeys(RecordTopic topic) {
+        Set<String> keys = new HashSet<>();
+        state.replica(topic)
+                .earlierRecords()
+                .forEach(earlier -> keys.add(earlier.record().key()));
+        return keys;
     }
 
     private static void logEarlierRecords(RelayedRecords message, String receiver) {
@@ -456,8 +522,15 @@
     }
 
     private static long size(VersionedRecord record) {
-        byte[] value = record.value();
-        return record.key().length() + (value == null ? 0 : value.length);
+        return size(record.key(), record.value());
+    }
+
+    private static long size(KeyedRecord record) {
+        return size(record.key(), record.value());
+    }
+
+    private static long size(String key, byte @Nullable [] value) {
+        return key.length() + (value == null ? 0 : value.length);
     }
 
     private void recordChanges(RecordTopic topic, List<VersionedRecord> changed) {
@@ -602,6 +675,12 @@
         }
     }
 
+    private Collection<ConfigurationPeer> onePeerForEachName() {
+        Map<String, ConfigurationPeer> byName = new LinkedHashMap<>();
+        peers.forEach(peer -> byName.putIfAbsent(peer.name(), peer));
+        return byName.values();
+    }
+
     private RelayedRecords toRelayedRecords(
             RecordTopic topic, Collection<VersionedRecord> records, boolean mayHaveLapsed) {
         return new RelayedRecords(
--- a/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
@@ -57,6 +57,8 @@
     private ForwardingState state = new ForwardingState(NO_RECORDS, MonotonicClock.system());
     private RouterExchange exchange = exchange();
     private RecordingPeer firstPeer = new RecordingPeer("router-a");
+    private static final int MANY_ENDPOINTS = 21_000;
+
     private RecordingPeer otherPeer = new RecordingPeer("router-c");
 
     /** Peer that keeps the messages sent to it. */
@@ -215,17 +217,10 @@
                 .anyMatch(known -> known.key().equals("withdrawal")));
     }
 
-    /** Guards against connections that end since a message is larger than a router accepts. Load: 21,000 endpoints. */
+    /** Guards against connections that end since a message is larger than a router accepts. */
     @Test
     public void lostRecordsOfManyEndpointsAreSentInParts() {
-        List<VersionedRecord> before = new ArrayList<>();
-        List<VersionedRecord> copied = new ArrayList<>();
-        for (int endpoint = 0; endpoint < 21_000; endpoint++) {
-            copied.add(new VersionedRecord("endpoint-" + endpoint, endpoint, new byte[200]));
-            before.add(new VersionedRecord("endpoint-" + endpoint, 21_000 + endpoint, new byte[200]));
-        }
-        state.applySnapshot(RecordTopic.ENDPOINTS, 1, before, 42_000, false);
-        state.applySnapshot(RecordTopic.ENDPOINTS, 2, copied, 21_000, false);
+        loseRecordsOfManyEndpoints();
         exchange.handleConnected(otherPeer);
         int sent = 0;
         for (RelayedRecords message : otherPeer.relayed()) {
@@ -233,7 +228,35 @@
             Assert.assertTrue(length < FrameCodec.MAXIMUM_BODY_BYTES, "bytes " + length);
             sent += message.records().size();
         }
-        Assert.assertEquals(sent, before.size());
+        Assert.assertEquals(sent, MANY_ENDPOINTS);
+    }
+
+    /** Guards against links that stay congested, as each new connection carries all records that the log has lost. */
+    @Test
+    public void lostRecordsOfManyConnectionsKeepToABudget() {
+        loseRecordsOfManyEndpoints();
+        List<Message> sent = new ArrayList<>();
+        for (int connection = 0; connection < 20; connection++) {
+            exchange.handleConnected(new RecordingPeer("router-" + connection, sent));
+        }
+        long bytes = sent.stream()
+                .filter(RelayedRecords.class::isInstance)
+                .flatMap(message -> ((RelayedRecords) message).records().stream())
+                .mapToLong(record -> record.value().length)
+                .sum();
+        Assert.assertTrue(bytes < 10_000_000, "bytes " + bytes);
+    }
+
+    /** Load: 21,000 endpoints have written their records once more since the copy. */
+    private void loseRecordsOfManyEndpoints() {
+        List<VersionedRecord> before = new ArrayList<>();
+        List<VersionedRecord> copied = new ArrayList<>();
+        for (int endpoint = 0; endpoint < MANY_ENDPOINTS; endpoint++) {
+            copied.add(new VersionedRecord("endpoint-" + endpoint, endpoint, new byte[200]));
+            before.add(new VersionedRecord("endpoint-" + endpoint, MANY_ENDPOINTS + endpoint, new byte[200]));
+        }
+        state.applySnapshot(RecordTopic.ENDPOINTS, 1, before, 2 * MANY_ENDPOINTS, false);
+        state.applySnapshot(RecordTopic.ENDPOINTS, 2, copied, MANY_ENDPOINTS, false);
     }
 
     /** Each router sees the crashes of other requests; a router that connects later has to know them, too. */
