--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -253,11 +253,9 @@
         }
         if (isStale) {
             recordSuccess();
-            readAfter(SnapshotSchedule.retryMillis(
-                    staleAnswers++, reading.routerCount().getAsInt()));
+            readAgain();
             return;
         }
-        staleAnswers = 0;
         if (snapshotNeeded) {
             handleSnapshot(page, era);
         } else {
@@ -266,10 +264,17 @@
     }
 
     private void handleSnapshot(RecordPage page, long era) {
+        recordSuccess();
+        boolean endsBeforePosition = page.endOffset() < state.replica(topic).nextOffset();
+        if (hasExpired && endsBeforePosition && era > 0) {
+            // A log loses its end only when an era begins, so the answer is older than what was read before.
+            readAgain();
+            return;
+        }
         snapshotNeeded = false;
         hasSnapshot = true;
-        recordSuccess();
-        if (hasExpired && page.endOffset() < state.replica(topic).nextOffset()) {
+        staleAnswers = 0;
+        if (hasExpired && endsBeforePosition) {
             LOGGER.info(
                     "log began anew without an era topic={} position={} endOffset={}",
                     topic,
@@ -292,6 +297,7 @@
 
     private void handleRecords(RecordPage page, long era) {
         recordSuccess();
+        staleAnswers = 0;
         state.replica(topic).observeRead(era, page.records());
         try {
             relay.relay(topic, state.apply(topic, era, page.records(), storeWasUnavailable()), storeWasUnavailable());
@@ -301,6 +307,12 @@
         }
     }
 
+    /** Repeats a read that was answered with what is older than the records that are known. */
+    private void readAgain() {
+        readAfter(SnapshotSchedule.retryMillis(
+                staleAnswers++, reading.routerCount().getAsInt()));
+    }
+
     private void readAfter(long pauseMillis) {
         runAfter(pauseMillis, this::readNext);
     }
--- a/router/src/test/java/org/redwinghook/router/forward/RecordFollowerTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RecordFollowerTest.java
@@ -235,4 +235,18 @@
         long elapsedMillis = System.nanoTime() / 1_000_000 - startMillis;
         Assert.assertTrue(elapsedMillis >= 100 + 200 + 400 + 400, "read again after " + elapsedMillis);
     }
+
+    /** Guards against a log that begins anew in the middle of an era, since an answer to a snapshot was old. */
+    @Test
+    public void staleSnapshotOfANamedEraIsReadAgain() throws InterruptedException {
+        Call waiting = readFirstEra();
+        run(() -> waiting.answer().fail(new RecordsExpiredException("read", 1, 0, 4)));
+        answer(nextCall(), 1, 4, record(3, "stale"));
+        Call snapshot = nextCall();
+        Assert.assertTrue(snapshot.isSnapshot(), "the stale snapshot was used");
+        Assert.assertEquals(belief(), "old");
+        answer(snapshot, 1, 12, record(11, "new"));
+        Assert.assertEquals(nextCall().firstOffset(), 12);
+        Assert.assertEquals(belief(), "new");
+    }
 }
