--- a/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RouterExchange.java
@@ -488,9 +488,12 @@
         Map<Long, List<VersionedRecord>> recordsByEra = new TreeMap<>();
         if (replica.isComplete()) {
             for (EarlierRecord earlier : replica.earlierRecords()) {
-                recordsByEra
-                        .computeIfAbsent(earlier.era(), ignored -> new ArrayList<>())
-                        .add(earlier.record());
+                // Without a named era, a receiver would take them for records of the present log.
+                if (earlier.era() < state.era()) {
+                    recordsByEra
+                            .computeIfAbsent(earlier.era(), ignored -> new ArrayList<>())
+                            .add(earlier.record());
+                }
             }
         }
         List<RelayedRecords> messages = new ArrayList<>();
--- a/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RouterExchangeTest.java
@@ -217,6 +217,19 @@
                 .anyMatch(known -> known.key().equals("withdrawal")));
     }
 
+    /** Guards against offsets of a log that has ended in the log of routers whose store names no era. */
+    @Test
+    public void lostRecordsWithoutANamedEraAreNotSent() {
+        connect(FEW_ROUTERS);
+        state.applySnapshot(RecordTopic.OPERATORS, 0, List.of(record("withdrawal", 5)), 6, false);
+        state.restartLog(RecordTopic.OPERATORS);
+        state.applySnapshot(RecordTopic.OPERATORS, 0, List.of(record("config", 2)), 3, false);
+        RecordingPeer started = new RecordingPeer("router-d");
+        exchange.handleConnected(started);
+        Assert.assertEquals(started.relayedMessages(), 0);
+        Assert.assertEquals(otherPeer.relayedMessages(), 0);
+    }
+
     /** Guards against connections that end since a message is larger than a router accepts. */
     @Test
     public void lostRecordsOfManyEndpointsAreSentInParts() {
