--- a/core/src/main/java/org/redwinghook/core/rollout/RolloutDecision.java
+++ b/core/src/main/java/org/redwinghook/core/rollout/RolloutDecision.java
@@ -24,6 +24,9 @@
     /** The same for requests that no endpoint of the old version may take. */
     private static final double RESCUE_FRACTION = 0.9;
 
+    /** The same for streams that began at the new version, which no other version may continue. */
+    private static final double CONTINUATION_FRACTION = 0.95;
+
     /** Largest share during a trial: few requests may all be needed as evidence. */
     private static final double MAXIMUM_TRIAL_SHARE = 0.5;
 
@@ -360,6 +363,32 @@
         }
     }
 
+    /**
+     * Whether a stream that began at the new version may go on there. It is no new request of the trial, so it needs no part
+     * of the trial's share, but it counts for the allowance.
+     *
+     * @param route name of its route
+     * @param nowMillis current time
+     * @return false if the version was taken back, this router may miss the verdict, or the allowance is used up
+     */
+    public boolean mayContinueAtNewVersion(String route, long nowMillis) {
+        switch (phase(nowMillis)) {
+            case COMPLETE, DRAINED:
+                return true;
+            case REVERTED, REVERTING:
+                return false;
+            default:
+                return isProven
+                        || (isFresh(nowMillis) && (hasFullShare(route, nowMillis) || allows(CONTINUATION_FRACTION)));
+        }
+    }
+
+    private boolean hasFullShare(String route, long nowMillis) {
+        return mayShift
+                && !isHeld
+                && elapsedMillis(nowMillis) >= shiftMillisByRoute.getOrDefault(route, Long.MAX_VALUE);
+    }
+
     private VersionChoice chooseInTrial(
             String requestId, String route, boolean isRetry, TrialGroup group, long nowMillis) {
         if (!isFresh(nowMillis)) {
@@ -367,7 +396,7 @@
         }
         double fraction = step(nowMillis) == 0 ? TRIAL_FRACTION : STEPS_FRACTION;
         double point = RendezvousHash.position(RendezvousHash.hash(requestId), order.to());
-        if (mayShift && !isHeld && elapsedMillis(nowMillis) >= shiftMillisByRoute.getOrDefault(route, Long.MAX_VALUE)) {
+        if (hasFullShare(route, nowMillis)) {
             return VersionChoice.NEW_BEFORE_OLD;
         }
         if (!isRetry && point < share(group, nowMillis) && allows(fraction)) {
--- a/router/src/main/java/org/redwinghook/router/forward/RolloutRule.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RolloutRule.java
@@ -76,6 +76,11 @@
             }
         }
         RolloutDecision decision = rollout.decision();
+        if (decision.order().to().equals(scope.requiredVersion())) {
+            return decision.mayContinueAtNewVersion(scope.route(), nowMillis)
+                    ? eligible(newOnes, scope, nowMillis)
+                    : Set.of();
+        }
         TrialGroup group = rollout.trialGroup(newOnes, oldOnes, nowMillis);
         boolean isRetry = !scope.triedEndpoints().isEmpty();
         VersionChoice choice = decision.choose(scope.requestId(), scope.route(), isRetry, group, nowMillis);
--- a/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RolloutTrackerTest.java
@@ -2,10 +2,12 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import io.micrometer.core.instrument.composite.CompositeMeterRegistry;
 import io.vertx.core.Promise;
@@ -19,6 +21,7 @@
 import org.redwinghook.core.quarantine.PromptQuarantine;
 import org.redwinghook.core.replica.RecordTopic;
 import org.redwinghook.core.replica.VersionedRecord;
+import org.redwinghook.core.rollout.ObservedAttempt;
 import org.redwinghook.core.rollout.RolloutLimits;
 import org.redwinghook.core.rollout.RolloutOrder;
 import org.redwinghook.core.rollout.RolloutState;
@@ -135,6 +138,24 @@
             return this;
         }
 
+        /** Uses a part of the requests that the version of the order may receive during its trial. */
+        private Router expose(int attempts) {
+            for (int number = 0; number < attempts; number++) {
+                ObservedAttempt attempt = new ObservedAttempt("route", "v2", true, false, nowMillis);
+                Objects.requireNonNull(tracker.find("calls")).decision().recordStart(attempt);
+            }
+            return this;
+        }
+
+        /** Number of resumed streams, each with its own identifier, that may go on at a version. */
+        private long countResumable(String version) {
+            return IntStream.range(0, REQUESTS)
+                    .mapToObj(index -> new RequestScope("request-" + index, "calls", "route", null, Set.of(), version))
+                    .filter(scope ->
+                            !eligibility.eligibleEndpoints(scope, nowMillis).isEmpty())
+                    .count();
+        }
+
         /** Versions to which any of many requests may go, all or those that continue streams of one version. */
         private Set<String> eligibleVersions(@Nullable String requiredVersion) {
             Set<String> versions = new TreeSet<>();
@@ -255,19 +276,41 @@
     @Test(dataProvider = "scripts")
     public void requestsGoOnlyToAllowedVersions(String name, Script script, Set<String> expected, RolloutStatus newest)
             throws Exception {
+        runOnEventLoop(() -> {
+            Router router = new Router();
+            script.run(router);
+            Assert.assertEquals(router.eligibleVersions(null), new TreeSet<>(expected), name);
+            for (String version : List.of("v1", "v2", "v3")) {
+                Set<String> ofStreams = expected.contains(version) ? Set.of(version) : Set.of();
+                Assert.assertEquals(router.eligibleVersions(version), ofStreams, name);
+            }
+            List<RolloutStatus> statuses = router.store.statuses;
+            Assert.assertEquals(statuses.isEmpty() ? null : statuses.get(statuses.size() - 1), newest, name);
+            Assert.assertTrue(newest != null || router.store.reads == 0, "calls without an order");
+        });
+    }
+
+    /**
+     * A resumed stream has an identifier of its own, by which a trial would send it to the old version only, so that it is
+     * refused although its version serves. Exposure stays limited: the allowance of this router is 50 attempts.
+     */
+    @Test
+    public void streamsOfTriedVersionGoOnWithinAllowance() throws Exception {
+        runOnEventLoop(() -> {
+            Router router = new Router().list("v1", "v2").order("v2").expose(46);
+            Assert.assertEquals(router.countResumable("v2"), REQUESTS, "rescue share used up");
+            Assert.assertEquals(router.countResumable("v1"), REQUESTS, "old version");
+            Assert.assertEquals(router.expose(3).countResumable("v2"), 0, "allowance used up");
+            Assert.assertEquals(
+                    new Router().list("v1", "v2").order("v2").advance(11_000).countResumable("v2"), 0, "reverted");
+        });
+    }
+
+    private void runOnEventLoop(Runnable script) throws Exception {
         Promise<Void> done = Promise.promise();
         vertx.runOnContext(ignored -> {
             try {
-                Router router = new Router();
-                script.run(router);
-                Assert.assertEquals(router.eligibleVersions(null), new TreeSet<>(expected), name);
-                for (String version : List.of("v1", "v2", "v3")) {
-                    Set<String> ofStreams = expected.contains(version) ? Set.of(version) : Set.of();
-                    Assert.assertEquals(router.eligibleVersions(version), ofStreams, name);
-                }
-                List<RolloutStatus> statuses = router.store.statuses;
-                Assert.assertEquals(statuses.isEmpty() ? null : statuses.get(statuses.size() - 1), newest, name);
-                Assert.assertTrue(newest != null || router.store.reads == 0, "calls without an order");
+                script.run();
                 done.complete();
             } catch (AssertionError error) {
                 done.fail(error);
