--- a/core/src/main/java/org/redwinghook/core/origin/OriginBatches.java
+++ b/core/src/main/java/org/redwinghook/core/origin/OriginBatches.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
 
@@ -31,13 +33,22 @@
     /** Maximum number of writes of all routers together, a quarter of the calls that the store accepts. */
     static final int MAXIMUM_WRITES_PER_SECOND = 100;
 
-    /** Upper bound of the bytes of a character in a record, and of the bytes that an origin takes beside its identifier. */
-    private static final int BYTES_PER_CHARACTER = 6;
+    /** Bytes of an identifier's quotation marks and separator. */
+    private static final int BYTES_PER_ORIGIN = 3;
 
-    private static final int BYTES_PER_ORIGIN = 4;
+    /** Bytes of the names of the fields and the separators of a group of origins with the same service and version. */
+    private static final int BYTES_PER_GROUP = 50;
+
+    /** Bytes of a control character, which is escaped, of a character outside ASCII at most, and of an escaped one. */
+    private static final int BYTES_OF_CONTROL = 6;
+
+    private static final int BYTES_BEYOND_ASCII = 3;
+    private static final int BYTES_OF_ESCAPE = 2;
+    private static final char LAST_ASCII = 127;
     private static final long SECOND_MILLIS = 1_000;
 
     private final Deque<StreamOrigin> origins = new ArrayDeque<>();
+    private final Map<ServiceVersion, Integer> groupSizes = new HashMap<>();
     private long number;
     private long begunAtMillis;
     private int bytes;
@@ -74,6 +85,9 @@
     public int add(StreamOrigin origin) {
         origins.addLast(origin);
         bytes += size(origin);
+        if (groupSizes.merge(origin.begunAt(), 1, Integer::sum) == 1) {
+            bytes += size(origin.begunAt());
+        }
         hasUnwritten = true;
         int dropped = 0;
         while (bytes > MAXIMUM_RECORD_BYTES) {
@@ -129,14 +143,36 @@
     }
 
     private void removeFirst() {
-        bytes -= size(origins.removeFirst());
+        StreamOrigin removed = origins.removeFirst();
+        bytes -= size(removed);
+        if (groupSizes.merge(removed.begunAt(), -1, Integer::sum) == 0) {
+            groupSizes.remove(removed.begunAt());
+            bytes -= size(removed.begunAt());
+        }
         inLastRecord = Math.max(0, inLastRecord - 1);
     }
 
     private static int size(StreamOrigin origin) {
-        int characters = origin.attempt().length()
-                + origin.begunAt().service().length()
-                + origin.begunAt().version().length();
-        return BYTES_PER_ORIGIN + BYTES_PER_CHARACTER * characters;
+        return BYTES_PER_ORIGIN + size(origin.attempt());
+    }
+
+    private static int size(ServiceVersion group) {
+        return BYTES_PER_GROUP + size(group.service()) + size(group.version());
+    }
+
+    /** Size of a JSON string in UTF-8. */
+    private static int size(String text) {
+        int size = 0;
+        for (int index = 0; index < text.length(); index++) {
+            char character = text.charAt(index);
+            if (character < ' ') {
+                size += BYTES_OF_CONTROL;
+            } else if (character == '"' || character == '\\') {
+                size += BYTES_OF_ESCAPE;
+            } else {
+                size += character <= LAST_ASCII ? 1 : BYTES_BEYOND_ASCII;
+            }
+        }
+        return size;
     }
 }
