--- a/core/src/main/java/org/redwinghook/core/origin/OriginBatches.java
+++ b/core/src/main/java/org/redwinghook/core/origin/OriginBatches.java
@@ -54,6 +54,7 @@
     private int bytes;
     private int inLastRecord;
     private boolean hasUnwritten;
+    private boolean hasFailed;
 
     /**
      * Creates an empty collection.
@@ -126,19 +127,22 @@
      * @param nowMillis current time
      */
     public void recordWritten(long nowMillis) {
+        // A failed write that is executed late replaces the record, until another one has its origins, too.
+        hasUnwritten |= hasFailed;
         if (bytes <= RECORD_BYTES && nowMillis - begunAtMillis < RECORD_MILLIS) {
             return;
         }
-        while (inLastRecord > 0) {
+        while (inLastRecord > 0 && !hasFailed) {
             removeFirst();
         }
+        hasFailed = false;
         number++;
         begunAtMillis = nowMillis;
     }
 
-    /** Records that the store may not have the last record, or may write it later: it is written again as another one. */
+    /** Records that the store may not have the last record, or may write it later: it is repeated, and again in the next one. */
     public void recordFailure() {
-        number++;
+        hasFailed = true;
         hasUnwritten = true;
     }
 
