--- a/router/src/main/java/org/redwinghook/router/forward/OriginLog.java
+++ b/router/src/main/java/org/redwinghook/router/forward/OriginLog.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
@@ -15,6 +16,7 @@
 import org.jspecify.annotations.Nullable;
 import org.redwinghook.core.origin.OriginBatch;
 import org.redwinghook.core.origin.OriginBatches;
+import org.redwinghook.core.origin.OriginReadDelay;
 import org.redwinghook.core.origin.ServiceVersion;
 import org.redwinghook.core.origin.StreamOrigin;
 import org.redwinghook.core.replica.VersionedRecord;
@@ -31,7 +33,7 @@
     /** Time for which the first origins after a pause are collected into one write, in milliseconds. */
     private static final long FIRST_WRITE_MILLIS = 20;
 
-    /** Pause after a failed call, in milliseconds. */
+    /** Pause after a failed write, in milliseconds. */
     private static final long RETRY_MILLIS = 500;
 
     private static final Logger LOGGER = LoggerFactory.getLogger(OriginLog.class);
@@ -89,9 +91,21 @@
             return;
         }
         isReading = true;
+        long delay = OriginReadDelay.firstMillis(
+                routerCount.getAsInt(), ThreadLocalRandom.current().nextDouble());
+        if (failures > 0 || delay == 0) {
+            readNow();
+        } else {
+            vertx.setTimer(delay, ignored -> readNow());
+        }
+    }
+
+    private void readNow() {
         store.readOrigins().onSuccess(this::handleRecords).onFailure(failure -> {
             logFailure("origins not read", failure);
-            vertx.setTimer(RETRY_MILLIS, ignored -> isReading = false);
+            long pause = OriginReadDelay.afterFailuresMillis(
+                    failures, ThreadLocalRandom.current().nextDouble());
+            vertx.setTimer(pause, ignored -> isReading = false);
         });
     }
 
