--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -302,14 +302,16 @@
     }
 
     private void handleStateChange() {
-        if (!secondaryServicesStarted && state.isComplete()) {
-            startGate.recordComplete(clock.millis());
+        if (!state.isComplete()) {
+            return;
+        }
+        if (!secondaryServicesStarted) {
             server.serveEarlyRequests();
             vertx.setTimer(SECONDARY_SERVICES_DELAY_MILLIS, ignored -> startSecondaryServices());
-            if (!isStartWaiting && !isStartGateOpen()) {
-                isStartWaiting = true;
-                awaitOtherRouters(clock.millis());
-            }
+        }
+        if (!isStartWaiting && !isStartGateOpen()) {
+            isStartWaiting = true;
+            awaitOtherRouters(clock.millis());
         }
     }
 
@@ -329,6 +331,10 @@
     }
 
     private boolean isStartGateOpen() {
+        if (!state.isComplete()) {
+            return false;
+        }
+        startGate.recordComplete(clock.millis());
         boolean mayHaveOthers = !state.replica(RecordTopic.ROUTERS).isComplete() || membership.hasOthers();
         return startGate.isOpen(state.era(), mayHaveOthers, clock.millis());
     }
@@ -414,6 +420,6 @@
     }
 
     private boolean isReady() {
-        return accepting && state.isComplete() && isStartGateOpen();
+        return accepting && isStartGateOpen();
     }
 }
