--- a/core/src/main/java/org/redwinghook/core/forward/CallDurations.java
+++ b/core/src/main/java/org/redwinghook/core/forward/CallDurations.java
@@ -9,13 +9,10 @@
  */
 public final class CallDurations {
 
-    /** Weight of a new duration in the mean, and of its deviation in the mean deviation. */
-    private static final double NEW_WEIGHT = 0.05;
-
     /** Mean deviations above the mean that nearly no call exceeds. */
     private static final double DEVIATIONS = 6;
 
-    private final Map<String, Estimate> estimates = new HashMap<>();
+    private final Map<String, DurationEstimate> estimates = new HashMap<>();
 
     /**
      * Records a call that ended.
@@ -24,14 +21,7 @@
      * @param millis duration, in milliseconds
      */
     public void record(String service, long millis) {
-        Estimate before = estimates.get(service);
-        if (before == null) {
-            estimates.put(service, new Estimate(millis, millis / 2.0));
-            return;
-        }
-        double difference = millis - before.mean;
-        double deviation = before.deviation + NEW_WEIGHT * (Math.abs(difference) - before.deviation);
-        estimates.put(service, new Estimate(before.mean + NEW_WEIGHT * difference, deviation));
+        estimates.compute(service, (name, before) -> DurationEstimate.add(before, millis));
     }
 
     /**
@@ -42,8 +32,8 @@
      * @return the duration in milliseconds
      */
     public double typicalMillis(String service, double unknownMillis) {
-        Estimate estimate = estimates.get(service);
-        return estimate == null ? unknownMillis : estimate.mean;
+        DurationEstimate estimate = estimates.get(service);
+        return estimate == null ? unknownMillis : estimate.mean();
     }
 
     /**
@@ -54,9 +44,7 @@
      * @return the duration in milliseconds
      */
     public double longestMillis(String service, double unknownMillis) {
-        Estimate estimate = estimates.get(service);
-        return estimate == null ? unknownMillis : estimate.mean + DEVIATIONS * estimate.deviation;
+        DurationEstimate estimate = estimates.get(service);
+        return estimate == null ? unknownMillis : estimate.upperBound(DEVIATIONS);
     }
-
-    private record Estimate(double mean, double deviation) {}
 }
--- a/core/src/main/java/org/redwinghook/core/forward/StopAdmission.java
+++ b/core/src/main/java/org/redwinghook/core/forward/StopAdmission.java
@@ -1,8 +1,5 @@
 package org.redwinghook.core.forward;
 
-import org.redwinghook.core.placement.EngineSpeed;
-import org.redwinghook.core.placement.PlacementQuery;
-
 /**
  * Decides which requests a stopping router still takes. Load: a restart while callers keep sending on open connections; a
  * request that the router cannot finish would be cut off, while a refusal lets its caller use another router. Times are
@@ -10,22 +7,13 @@
  */
 public final class StopAdmission {
 
-    /** Time reserved for the wait of a generation at an engine, in milliseconds. */
-    private static final double GENERATION_MARGIN_MILLIS = 750;
-
-    /** Time reserved for the longest wait of a generation at an engine, in milliseconds. */
-    private static final double LONGEST_WAIT_MILLIS = 1_000;
-
-    /** Time per output token at a busy engine, as a multiple of the usual time. */
-    private static final double BUSY_ENGINE_FACTOR = 2;
-
     /**
-     * Time after the stop signal in which a generation is taken if its expected output fits, in milliseconds; later ones
-     * only if their longest output does. Until the load balancer has noticed the stop, the caller's next try may reach
+     * Time after the stop signal in which a generation is taken if its typical duration fits, in milliseconds; later ones
+     * only if their longest one does. Until the load balancer has noticed the stop, the caller's next try may reach
      * another stopping router. The platform allows a cut only for requests of the first 3 s after the signal, which a
      * busy VM handles late.
      */
-    private static final long EXPECTED_OUTPUT_MILLIS = 2_500;
+    private static final long TYPICAL_DURATION_MILLIS = 2_500;
 
     /** Retry delay while other routers take new connections, in milliseconds. */
     private static final long OTHER_ROUTER_RETRY_MILLIS = 50;
@@ -65,19 +53,15 @@
     /**
      * Whether a generation will end before the router stops.
      *
-     * @param query prompt and expected output
-     * @param longestOutputTokens longest output
+     * @param typicalMillis duration of a typical generation of the size
+     * @param longestMillis duration that nearly no generation of the size exceeds
      * @param remainingMillis time after which the caller or the route gives up
      * @param nowMillis current time
      * @return false if the generation must be refused
      */
-    public boolean mayTakeGeneration(
-            PlacementQuery query, long longestOutputTokens, long remainingMillis, long nowMillis) {
-        boolean isEarly = nowMillis - startedAtMillis < EXPECTED_OUTPUT_MILLIS;
-        double outputMillis = isEarly
-                ? EngineSpeed.outputMillis(query.expectedOutputTokens()) + GENERATION_MARGIN_MILLIS
-                : BUSY_ENGINE_FACTOR * EngineSpeed.outputMillis(longestOutputTokens) + LONGEST_WAIT_MILLIS;
-        return endsInTime(EngineSpeed.prefillMillis(query.promptTokens()) + outputMillis, remainingMillis, nowMillis);
+    public boolean mayTakeGeneration(double typicalMillis, double longestMillis, long remainingMillis, long nowMillis) {
+        boolean isEarly = nowMillis - startedAtMillis < TYPICAL_DURATION_MILLIS;
+        return endsInTime(isEarly ? typicalMillis : longestMillis, remainingMillis, nowMillis);
     }
 
     /**
--- a/core/src/main/java/org/redwinghook/core/placement/EngineSpeed.java
+++ b/core/src/main/java/org/redwinghook/core/placement/EngineSpeed.java
@@ -51,4 +51,24 @@
     public static double eventGapMillis(int running) {
         return TOKENS_PER_EVENT * (MILLIS_PER_DECODING_STEP + running * MILLIS_PER_DECODING_STEP_AND_GENERATION);
     }
+
+    /**
+     * Output tokens of a number of events.
+     *
+     * @param events number of events
+     * @return the tokens
+     */
+    public static double tokens(int events) {
+        return events * TOKENS_PER_EVENT;
+    }
+
+    /**
+     * Number of events of an output.
+     *
+     * @param tokens length of the output, in tokens
+     * @return the number, with a part of an event for the last tokens
+     */
+    public static double events(long tokens) {
+        return tokens / TOKENS_PER_EVENT;
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardContext.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpClientAgent;
 import org.redwinghook.core.forward.CallDurations;
 import org.redwinghook.core.forward.EndpointNotices;
+import org.redwinghook.core.forward.GenerationDurations;
 import org.redwinghook.core.placement.WorkLedger;
 import org.redwinghook.core.receive.ReceiveBudget;
 
@@ -21,6 +22,7 @@
  * @param memoryMover moves the memory of runs between engines
  * @param metrics counters and histograms
  * @param callDurations learned durations of calls
+ * @param generationDurations learned durations of generations
  * @param observers observers of attempts at endpoints
  * @param notices what endpoints announced in their responses
  * @param promptGuard keeps prompts that crash endpoints away from them
@@ -42,6 +44,7 @@
         MemoryMover memoryMover,
         ForwardMetrics metrics,
         CallDurations callDurations,
+        GenerationDurations generationDurations,
         AttemptObservers observers,
         EndpointNotices notices,
         PromptGuard promptGuard,
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -22,6 +22,7 @@
 import org.redwinghook.core.forward.CallerLimits;
 import org.redwinghook.core.forward.CustomerAccess;
 import org.redwinghook.core.forward.ForwardingConfiguration;
+import org.redwinghook.core.forward.GenerationDurations;
 import org.redwinghook.core.forward.RequestKind;
 import org.redwinghook.core.forward.Route;
 import org.redwinghook.core.forward.StopAdmission;
@@ -475,8 +476,13 @@
         long now = context.clock().millis();
         if (caller.route().kind() == RequestKind.STREAMING) {
             RequestHead head = caller.head();
+            GenerationDurations generations = context.generationDurations();
             return admission.mayTakeGeneration(
-                    head.expectedSize(), head.maximumOutputTokens(), caller.remainingMillis(), now);
+                    generations.typicalMillis(caller.service(), caller.route(), head.expectedSize()),
+                    generations.longestMillis(
+                            caller.service(), caller.route(), head.promptTokens(), head.maximumOutputTokens()),
+                    caller.remainingMillis(),
+                    now);
         }
         CallDurations durations = context.callDurations();
         long unknownMillis = caller.route().latencyObjectiveMillis();
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -17,6 +17,7 @@
 import org.redwinghook.core.forward.EndpointNotices;
 import org.redwinghook.core.forward.Exclusion;
 import org.redwinghook.core.forward.ForwardingConfiguration;
+import org.redwinghook.core.forward.GenerationDurations;
 import org.redwinghook.core.kernel.ServiceRegistry;
 import org.redwinghook.core.message.CopyReport;
 import org.redwinghook.core.message.Hello;
@@ -167,6 +168,8 @@
                 metrics);
         observers.register(resumedStreams);
         state.onEra(ignored -> resumedStreams.handleEra());
+        GenerationDurations generationDurations = new GenerationDurations();
+        observers.register(new GenerationTimer(generationDurations));
         ForwardContext context = new ForwardContext(
                 vertx,
                 clock,
@@ -179,6 +182,7 @@
                 platform.memoryMover(),
                 metrics,
                 new CallDurations(),
+                generationDurations,
                 observers,
                 notices,
                 promptGuard,
