--- a/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
+++ b/router/src/main/java/org/redwinghook/router/forward/StreamForwarding.java
@@ -12,7 +12,6 @@
 import org.redwinghook.core.dispatch.CapacityRule;
 import org.redwinghook.core.forward.EndpointEntry;
 import org.redwinghook.core.forward.KnownEndpoint;
-import org.redwinghook.core.placement.EngineSpeed;
 import org.redwinghook.core.placement.PlacementQuery;
 import org.redwinghook.core.placement.RunningRequest;
 import org.redwinghook.core.quarantine.QuarantinedPart;
@@ -108,7 +107,7 @@
         return new RunAtEngine(
                 caller.requestId(),
                 query.promptTokens() + producedTokens,
-                EngineSpeed.outputMillis(remainingTokens),
+                context.generationDurations().typicalOutputMillis(caller.service(), remainingTokens),
                 caller.route().mayRunAgain());
     }
 
