--- a/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardingProcess.java
@@ -151,13 +151,13 @@
             followers.add(
                     new RecordFollower(vertx, platform.store(), state, topic, clock, routerExchange::relay, reading));
         }
-        ListFreshness freshness = new ListFreshness(
-                clock,
-                routerExchange,
-                followers.get(RecordTopic.ENDPOINTS.ordinal()),
-                followers.get(RecordTopic.ROUTERS.ordinal()));
-        versionRecords =
-                new VersionRecords(vertx, clock, platform.store(), state, freshness::isCurrent, this::isFirstReader);
+        RecordFollower endpointFollower = followers.get(RecordTopic.ENDPOINTS.ordinal());
+        RecordFollower routerFollower = followers.get(RecordTopic.ROUTERS.ordinal());
+        ListFreshness freshness = new ListFreshness(clock, routerExchange, endpointFollower, routerFollower);
+        ListConfirmation confirmation =
+                new ListConfirmation(vertx, clock, List.of(endpointFollower, routerFollower), this::routerCount);
+        versionRecords = new VersionRecords(
+                vertx, clock, platform.store(), state, freshness::isCurrent, confirmation, this::isFirstReader);
         ResumedStreams resumedStreams = new ResumedStreams(
                 vertx,
                 clock,
--- a/router/src/main/java/org/redwinghook/router/forward/ListFreshness.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ListFreshness.java
@@ -6,8 +6,8 @@
 import org.redwinghook.core.message.WorkReport;
 
 /**
- * Whether this router's list of endpoints is current. Load: a router that was frozen, or cut off from the store and the
- * other routers, knows nothing of a software version that was listed meanwhile. Confined to one event loop.
+ * Whether this router has heard of the store of late, so that a version it does not list may have left. What it has not heard
+ * of for that time may still be missing: {@link ListConfirmation} rules that out. Confined to one event loop.
  */
 final class ListFreshness {
 
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -26,6 +26,9 @@
     /** Time after a failed read during which removals may result from the store's outage, in milliseconds. */
     private static final long OUTAGE_EFFECT_MILLIS = 4_000;
 
+    /** Time since the last read after which a follower takes a snapshot in place of all records since then, in milliseconds. */
+    private static final long LONG_BACKLOG_MILLIS = 5_000;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(RecordFollower.class);
 
     private final Vertx vertx;
@@ -38,6 +41,7 @@
     private final StoreTrust trust = new StoreTrust();
     private long lastFailureAtMillis = Long.MIN_VALUE / 2;
     private long lastSuccessAtMillis = Long.MIN_VALUE / 2;
+    private long lastAdvanceAtMillis = Long.MIN_VALUE / 2;
     private int failures;
     private int staleAnswers;
     private long lastExpiredPosition = -1;
@@ -286,6 +290,7 @@
         try {
             List<VersionedRecord> changed =
                     state.applySnapshot(topic, era, page.records(), page.endOffset(), storeWasUnavailable());
+            lastAdvanceAtMillis = clock.millis();
             // Followers read snapshots too when an era begins; if each relayed its own, the links would saturate.
             if (reading.role().get() != StoreRole.FOLLOWER) {
                 relay.relay(topic, changed, storeWasUnavailable());
@@ -302,11 +307,58 @@
         try {
             relay.relay(topic, state.apply(topic, era, page.records(), storeWasUnavailable()), storeWasUnavailable());
         } finally {
-            state.replica(topic).advanceTo(page.endOffset());
+            advance(page);
             readAfterPause();
         }
     }
 
+    private void advance(RecordPage page) {
+        state.replica(topic).advanceTo(page.endOffset());
+        lastAdvanceAtMillis = clock.millis();
+    }
+
+    /**
+     * Reads all records up to the end of the topic, beside the read that is under way, whose answer may be older than this
+     * call.
+     *
+     * @return completes when the records have been merged; fails if the store does not answer or the topic has to be read anew
+     */
+    Future<Void> readToEnd() {
+        if (snapshotNeeded) {
+            return Future.failedFuture("the topic " + topic + " is read anew");
+        }
+        long era = state.era();
+        boolean isFarBehind = reading.role().get() == StoreRole.FOLLOWER
+                && clock.millis() - lastAdvanceAtMillis > LONG_BACKLOG_MILLIS;
+        Future<RecordPage> read = isFarBehind
+                ? store.snapshot(topic)
+                : store.read(topic, state.replica(topic).nextOffset(), 0);
+        return read.compose(page -> {
+            mergeBeside(page, era, isFarBehind);
+            return page.reachesEnd() ? Future.succeededFuture() : readToEnd();
+        });
+    }
+
+    /** Merges a page that was read beside the usual reads, which alone handle what a new era or a lost end requires. */
+    private void mergeBeside(RecordPage page, long eraBefore, boolean isSnapshot) {
+        long era = page.era() == 0 ? eraBefore : page.era();
+        state.beginEra(era);
+        if (snapshotNeeded || era != eraBefore || state.era() != eraBefore) {
+            throw new IllegalStateException("the topic " + topic + " was read in another era than " + eraBefore);
+        }
+        if (!isSnapshot) {
+            state.replica(topic).observeRead(era, page.records());
+            relay.relay(topic, state.apply(topic, era, page.records(), storeWasUnavailable()), storeWasUnavailable());
+            advance(page);
+            return;
+        }
+        if (page.endOffset() < state.replica(topic).nextOffset()) {
+            throw new IllegalStateException("the snapshot of " + topic + " is older than the records that are known");
+        }
+        state.applySnapshot(topic, era, page.records(), page.endOffset(), storeWasUnavailable());
+        lastAdvanceAtMillis = clock.millis();
+    }
+
     /** Repeats a read that was answered with what is older than the records that are known. */
     private void readAgain() {
         readAfter(SnapshotSchedule.retryMillis(
--- a/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
@@ -28,6 +28,9 @@
     /** Longest wait of a resumed stream for the store, in milliseconds. */
     private static final long MAXIMUM_STORE_MILLIS = 1_000;
 
+    /** Longest wait of a resumed stream for the store until the connected routers are asked, in milliseconds. */
+    private static final long MAXIMUM_CONFIRMATION_MILLIS = 250;
+
     /** Interval at which a waiting request checks what has been read, in milliseconds. */
     private static final long CHECK_INTERVAL_MILLIS = 20;
 
@@ -179,77 +182,140 @@
      * @param proceed called when the request has been restricted to its version
      */
     void resolve(CallerExchange caller, Runnable proceed) {
-        if (tryProceed(caller, Source.MEMORY, proceed)) {
+        Resumption resumption = new Resumption(caller, proceed);
+        if (resumption.tryProceed(Source.MEMORY)) {
             return;
         }
-        String attempt = caller.head().firstAttempt();
-        long untilMillis = clock.millis() + Math.min(MAXIMUM_STORE_MILLIS, caller.remainingMillis());
-        if (attempt == null) {
-            awaitStore(caller, proceed, untilMillis);
+        if (records.versions(caller.service()).size() > 1) {
+            resumption.askRouters();
             return;
         }
-        exchange.ask(caller.service(), attempt).onSuccess(version -> {
-            if (version != null) {
-                recordOther(new StreamOrigin(attempt, new ServiceVersion(caller.service(), version)));
-            }
-            if (!caller.isEnded() && !tryProceed(caller, Source.ROUTERS, proceed)) {
-                awaitStore(caller, proceed, untilMillis);
-            }
-        });
+        resumption.confirm();
+        awaitConfirmation(resumption);
     }
 
-    private void awaitStore(CallerExchange caller, Runnable proceed, long untilMillis) {
-        if (caller.isEnded() || tryProceed(caller, Source.STORE, proceed)) {
+    /** Waits for the store's word that only one version can have begun the stream, before other routers are asked. */
+    private void awaitConfirmation(Resumption resumption) {
+        if (resumption.isOver() || resumption.tryProceed(Source.MEMORY)) {
+            return;
+        }
+        if (resumption.isConfirming && clock.millis() < resumption.confirmUntilMillis) {
+            vertx.setTimer(CHECK_INTERVAL_MILLIS, ignored -> awaitConfirmation(resumption));
+            return;
+        }
+        resumption.askRouters();
+    }
+
+    private void awaitStore(Resumption resumption) {
+        if (resumption.isOver() || resumption.tryProceed(Source.STORE)) {
             return;
         }
         log.read();
-        if ((log.isRead() && records.isComplete(caller.service())) || clock.millis() >= untilMillis) {
-            refuse(caller, RefusalCause.ORIGIN_UNKNOWN);
+        if ((log.isRead() && resumption.isConfirmed) || clock.millis() >= resumption.untilMillis) {
+            refuse(resumption, RefusalCause.ORIGIN_UNKNOWN);
             return;
         }
-        vertx.setTimer(CHECK_INTERVAL_MILLIS, ignored -> awaitStore(caller, proceed, untilMillis));
-    }
-
-    /** Lets the request go on, or refuses it for its version, if the version is known; returns whether it is. */
-    private boolean tryProceed(CallerExchange caller, Source source, Runnable proceed) {
-        String attempt = caller.head().firstAttempt();
-        String known = attempt == null ? null : find(caller.service(), attempt);
-        Set<String> possible = records.versions(caller.service());
-        OriginDecision decision = OriginDecision.of(known, possible, records.isComplete(caller.service()));
-        Optional<String> version = decision.version(known, possible);
-        if (version.isEmpty()) {
-            return false;
+        resumption.confirm();
+        vertx.setTimer(CHECK_INTERVAL_MILLIS, ignored -> awaitStore(resumption));
+    }
+
+    /** A resumed stream whose version is being looked for. */
+    private final class Resumption {
+
+        private final CallerExchange caller;
+        private final Runnable proceed;
+        private final @Nullable String attempt;
+        private final long confirmUntilMillis;
+        private final long untilMillis;
+        private boolean isConfirming;
+        private boolean isConfirmed;
+        private boolean hasProceeded;
+
+        Resumption(CallerExchange caller, Runnable proceed) {
+            this.caller = caller;
+            this.proceed = proceed;
+            this.attempt = caller.head().firstAttempt();
+            long now = clock.millis();
+            this.confirmUntilMillis = now + Math.min(MAXIMUM_CONFIRMATION_MILLIS, caller.remainingMillis());
+            this.untilMillis = now + Math.min(MAXIMUM_STORE_MILLIS, caller.remainingMillis());
+        }
+
+        boolean isOver() {
+            return hasProceeded || caller.isEnded();
         }
-        caller.requireVersion(version.get());
-        if (selector.isVersionGone(caller)) {
-            refuse(caller, RefusalCause.VERSION_GONE);
+
+        /** Asks the store whether a version is missing from those that are known, unless it was asked already. */
+        void confirm() {
+            if (isConfirming || isConfirmed) {
+                return;
+            }
+            isConfirming = true;
+            records.confirm(caller.service()).onComplete(complete -> {
+                isConfirming = false;
+                isConfirmed = complete.succeeded() && complete.result();
+                if (isConfirmed && !isOver()) {
+                    tryProceed(Source.STORE);
+                }
+            });
+        }
+
+        void askRouters() {
+            if (attempt == null) {
+                awaitStore(this);
+                return;
+            }
+            exchange.ask(caller.service(), attempt).onSuccess(version -> {
+                if (version != null) {
+                    recordOther(new StreamOrigin(attempt, new ServiceVersion(caller.service(), version)));
+                }
+                if (!isOver() && !tryProceed(Source.ROUTERS)) {
+                    awaitStore(this);
+                }
+            });
+        }
+
+        /** Lets the request go on, or refuses it for its version, if the version is known; returns whether it is. */
+        boolean tryProceed(Source source) {
+            String known = attempt == null ? null : find(caller.service(), attempt);
+            Set<String> possible = records.versions(caller.service());
+            OriginDecision decision = OriginDecision.of(known, possible, isConfirmed);
+            Optional<String> version = decision.version(known, possible);
+            if (version.isEmpty()) {
+                return false;
+            }
+            hasProceeded = true;
+            caller.requireVersion(version.get());
+            if (selector.isVersionGone(caller)) {
+                refuse(this, RefusalCause.VERSION_GONE);
+                return true;
+            }
+            Source found = decision == OriginDecision.SINGLE ? Source.SINGLE_VERSION : source;
+            metrics.recordResumedStream(caller.service(), found.name().toLowerCase(Locale.ROOT));
+            LOGGER.info(
+                    "stream resumed id={} attempt={} version={} source={}",
+                    caller.requestId(),
+                    attempt,
+                    version.get(),
+                    found);
+            proceed.run();
             return true;
         }
-        Source found = decision == OriginDecision.SINGLE ? Source.SINGLE_VERSION : source;
-        metrics.recordResumedStream(caller.service(), found.name().toLowerCase(Locale.ROOT));
-        LOGGER.info(
-                "stream resumed id={} attempt={} version={} source={}",
-                caller.requestId(),
-                attempt,
-                version.get(),
-                found);
-        proceed.run();
-        return true;
     }
 
-    private void refuse(CallerExchange caller, RefusalCause cause) {
+    private void refuse(Resumption resumption, RefusalCause cause) {
+        CallerExchange caller = resumption.caller;
         metrics.recordResumedStream(caller.service(), cause.name().toLowerCase(Locale.ROOT));
         LOGGER.info(
                 "stream not resumed id={} attempt={} service={} reason={} version={} possible={} logRead={}"
-                        + " listComplete={}",
+                        + " listConfirmed={}",
                 caller.requestId(),
-                caller.head().firstAttempt(),
+                resumption.attempt,
                 caller.service(),
                 cause,
                 caller.requiredVersion(),
                 records.versions(caller.service()),
                 log.isRead(),
-                records.isComplete(caller.service()));
+                resumption.isConfirmed);
         caller.refuse(new Refusal(cause, 0));
     }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
+++ b/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.DecodeException;
@@ -62,6 +63,7 @@
     private final ForwardingState state;
     private final PossibleVersions versions = new PossibleVersions();
     private final BooleanSupplier isListCurrent;
+    private final ListConfirmation confirmation;
     private final BooleanSupplier isWriter;
     private final List<Runnable> checkHandlers = new ArrayList<>();
     private final Map<ServiceVersion, Long> writtenAtMillis = new HashMap<>();
@@ -80,6 +82,7 @@
      * @param store the store
      * @param state records and endpoints known to this router
      * @param isListCurrent whether the list of endpoints is up to date
+     * @param confirmation confirms that no version is listed again before its record is removed
      * @param isWriter whether this router writes the records now
      */
     VersionRecords(
@@ -88,12 +91,14 @@
             RecordStore store,
             ForwardingState state,
             BooleanSupplier isListCurrent,
+            ListConfirmation confirmation,
             BooleanSupplier isWriter) {
         this.vertx = vertx;
         this.clock = clock;
         this.store = store;
         this.state = state;
         this.isListCurrent = isListCurrent;
+        this.confirmation = confirmation;
         this.isWriter = isWriter;
         state.onChange(this::handleChange);
         state.onEra(ignored -> writtenAtMillis.clear());
@@ -134,18 +139,31 @@
     }
 
     /**
-     * Whether no version of a service can be missing from the known ones. A store that came back from a copy lacks those that
-     * appeared since, until their endpoints have written their entries again.
+     * Reads the versions anew from the store, since some may have been listed while this router was out of step.
      *
      * @param service name of the service
-     * @return false while this router has heard nothing of the store, and while it may know only a copy of the list
+     * @return whether {@link #versions} has all versions that were listed before this call; fails if the store did not answer
      */
-    boolean isComplete(String service) {
-        return isListCurrent.getAsBoolean()
-                && (hasFollowedEarlierEra() || isEraObserved(clock.millis()) || !isRecordedOnlyEarlier(service));
+    Future<Boolean> confirm(String service) {
+        return confirmation.confirm().map(ignored -> isEraComplete(service));
     }
 
-    /** Whether this router knows the versions that were listed before the store came back. */
+    /**
+     * Whether the log of the store's era can have all versions of a service. A store that came back from a copy lacks those that
+     * appeared since, until their endpoints have written their entries again; a router that was out of touch in those seconds
+     * has not seen them in the era before either.
+     *
+     * @param service name of the service
+     * @return false while this router may know only a copy of the list
+     */
+    private boolean isEraComplete(String service) {
+        if (isEraObserved(clock.millis()) || isRecorded(service, state.era())) {
+            return true;
+        }
+        return !hasFollowedEarlierEra() && !isRecorded(service, Long.MIN_VALUE);
+    }
+
+    /** Whether this router has followed the log of an earlier era. */
     private boolean hasFollowedEarlierEra() {
         return state.replica(RecordTopic.ENDPOINTS).earlierEndOffset() > 0;
     }
@@ -155,18 +173,14 @@
         return observedEra == state.era() && now - observedAtMillis >= EndpointTable.REREGISTRATION_GRACE_MILLIS;
     }
 
-    private boolean isRecordedOnlyEarlier(String service) {
-        boolean isRecorded = false;
+    /** Whether a version of a service has a record that was written in an era or later. */
+    private boolean isRecorded(String service, long firstEra) {
         for (Map.Entry<ServiceVersion, Long> recorded : recordedEras.entrySet()) {
-            if (!recorded.getKey().service().equals(service)) {
-                continue;
+            if (recorded.getKey().service().equals(service) && recorded.getValue() >= firstEra) {
+                return true;
             }
-            if (recorded.getValue() >= state.era()) {
-                return false;
-            }
-            isRecorded = true;
         }
-        return isRecorded;
+        return false;
     }
 
     void start() {
@@ -282,7 +296,7 @@
         }
         for (ServiceVersion outlived : versions.withOutlivedRecord(lifetimes, now)) {
             if (!writtenAtMillis.containsKey(outlived)) {
-                write(outlived, "removed", new byte[0]);
+                removeIfOutlived(outlived);
                 return;
             }
         }
@@ -298,6 +312,18 @@
         }
     }
 
+    /** Removes a record unless endpoints of the version were listed while this router was out of step. */
+    private void removeIfOutlived(ServiceVersion version) {
+        isWriting = true;
+        confirmation.confirm().onComplete(read -> {
+            isWriting = false;
+            if (read.succeeded()
+                    && versions.withOutlivedRecord(lifetimes, clock.millis()).contains(version)) {
+                write(version, "removed", new byte[0]);
+            }
+        });
+    }
+
     private byte[] encode(ServiceVersion version) {
         return new JsonObject()
                 .put("service", version.service())
--- a/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/ForwardingStateTest.java
@@ -155,12 +155,12 @@
         public Future<RecordPage> read(RecordTopic topic, long firstOffset, long waitMillis) {
             reads++;
             return Future.succeededFuture(
-                    new RecordPage(List.of(record("e-" + reads, firstOffset)), firstOffset + 1, 0));
+                    new RecordPage(List.of(record("e-" + reads, firstOffset)), firstOffset + 1, firstOffset + 1, 0));
         }
 
         @Override
         public Future<RecordPage> snapshot(RecordTopic topic) {
-            return Future.succeededFuture(new RecordPage(List.of(), 0, 0));
+            return Future.succeededFuture(new RecordPage(List.of(), 0, 0, 0));
         }
 
         @Override
--- a/router/src/test/java/org/redwinghook/router/forward/RecordFollowerTest.java
+++ b/router/src/test/java/org/redwinghook/router/forward/RecordFollowerTest.java
@@ -112,12 +112,22 @@
 
     /** Answers as the store's client does: the era is announced before the call ends. */
     private void answer(Call call, long era, long endOffset, VersionedRecord... records) {
+        answerPage(call, endOffset, era, endOffset, records);
+    }
+
+    private void answerPage(Call call, long logEndOffset, long era, long endOffset, VersionedRecord... records) {
         run(() -> {
             state.beginEra(era);
-            call.answer().complete(new RecordPage(List.of(records), endOffset, era));
+            call.answer().complete(new RecordPage(List.of(records), endOffset, logEndOffset, era));
         });
     }
 
+    private Future<Void> readToEnd() {
+        CompletableFuture<Future<Void>> read = new CompletableFuture<>();
+        run(() -> read.complete(follower.readToEnd()));
+        return read.join();
+    }
+
     /** Reads a snapshot of era 1 that ends at offset 10, and returns the waiting read after it. */
     private Call readFirstEra() throws InterruptedException {
         answer(nextCall(), 1, 10, OTHER, record(9, "old"));
@@ -249,4 +259,63 @@
         Assert.assertEquals(nextCall().firstOffset(), 12);
         Assert.assertEquals(belief(), "new");
     }
+
+    /** Guards against an answer that was under way before a freeze and is taken for a new one. */
+    @Test
+    public void readToTheEndIsSentAnewAndGoesOnToTheEnd() throws InterruptedException {
+        Call waiting = readFirstEra();
+        Future<Void> read = readToEnd();
+        Call beside = nextCall();
+        Assert.assertEquals(beside.firstOffset(), 10);
+        answer(waiting, 1, 11, record(10, "under way"));
+        Assert.assertFalse(read.isComplete(), "the answer to the earlier read counts");
+        answerPage(beside, 13, 1, 12, record(11, "first page"));
+        Assert.assertFalse(read.isComplete(), "the topic has another page");
+        Call next = nextCall();
+        while (next.firstOffset() != 12) {
+            next = nextCall();
+        }
+        answer(next, 1, 13, record(12, "newest"));
+        read.await();
+        Assert.assertEquals(belief(), "newest");
+    }
+
+    /** Guards against a follower that reads all records since its last read, a minute ago, for each resumed stream. */
+    @Test
+    public void followerThatIsFarBehindTakesASnapshot() throws InterruptedException {
+        readFirstEra();
+        usualRole = StoreRole.FOLLOWER;
+        Thread.sleep(5_100);
+        Future<Void> read = readToEnd();
+        Call snapshot = nextCall();
+        Assert.assertTrue(snapshot.isSnapshot());
+        answer(snapshot, 1, 900, record(899, "newest"));
+        read.await();
+        Assert.assertEquals(belief(), "newest");
+        readToEnd();
+        Assert.assertEquals(nextCall().firstOffset(), 900);
+    }
+
+    /** Guards against a log of another era that seems to have no newer records. */
+    @Test
+    public void readToTheEndFailsInAnotherEra() throws InterruptedException {
+        readFirstEra();
+        Future<Void> read = readToEnd();
+        answer(nextCall(), 2, 10);
+        Assert.assertTrue(read.failed(), "an answer of era 2 confirms the log of era 1");
+        Assert.assertTrue(nextCall().isSnapshot());
+        Assert.assertTrue(readToEnd().failed(), "a topic that is read anew is confirmed");
+    }
+
+    /** Guards against an old snapshot that confirms what another router has relayed since. */
+    @Test
+    public void readToTheEndFailsWithASnapshotBeforeThePosition() throws InterruptedException {
+        readFirstEra();
+        usualRole = StoreRole.FOLLOWER;
+        Thread.sleep(5_100);
+        Future<Void> read = readToEnd();
+        answer(nextCall(), 1, 9, record(8, "older"));
+        Assert.assertTrue(read.failed());
+        Assert.assertEquals(belief(), "old");
+    }
 }
