--- a/core/src/main/java/org/redwinghook/core/quarantine/CrashHistory.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/CrashHistory.java
@@ -146,7 +146,8 @@
         return changed;
     }
 
-    private boolean isFull() {
+    /** Whether more is remembered than the limits allow, until the next call of {@link #limit}. */
+    boolean isFull() {
         return crashes.size() > MAXIMUM_CRASHES || parts > MAXIMUM_PARTS;
     }
 
--- a/core/src/main/java/org/redwinghook/core/quarantine/EndpointCrash.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/EndpointCrash.java
@@ -1,6 +1,8 @@
 package org.redwinghook.core.quarantine;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 
@@ -36,8 +38,9 @@
 
     /** Whether a request is a suspect of both crashes. */
     boolean sharesSuspectWith(EndpointCrash other) {
-        return suspects.stream().anyMatch(suspect -> other.suspects.stream()
-                .anyMatch(otherSuspect -> otherSuspect.requestId().equals(suspect.requestId())));
+        Set<String> requests = new HashSet<>();
+        other.suspects.forEach(suspect -> requests.add(suspect.requestId()));
+        return suspects.stream().anyMatch(suspect -> requests.contains(suspect.requestId()));
     }
 
     EndpointCrash shiftedBy(long millis) {
--- a/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/redwinghook/core/quarantine/PromptQuarantine.java
@@ -60,12 +60,20 @@
      */
     static final long SUCCESS_RESOLUTION_MILLIS = 1_000;
 
+    /** Number of suspect parts up to which each new evidence is judged at once. */
+    static final int MAXIMUM_PARTS_JUDGED_AT_ONCE = 512;
+
+    /** Shortest time between judgements of more parts, in milliseconds; evidence that comes in between waits. */
+    static final long JUDGEMENT_INTERVAL_MILLIS = 500;
+
     private final String router;
     private final CrashHistory history = new CrashHistory();
     private final CrashAttribution attribution = new CrashAttribution(history, this::lastSuccessMillis);
     private final Map<String, Long> successes = leastRecentlyUsed();
     private final Map<TrialKey, PartTrial> trials = new LinkedHashMap<>();
     private Map<String, QuarantinedPart> quarantined = Map.of();
+    private boolean hasUnjudgedEvidence;
+    private long judgedAtMillis = Long.MIN_VALUE / 2;
 
     /** A trial is known by its part and its request. */
     private record TrialKey(String part, String requestId) {}
@@ -97,6 +105,7 @@
      * @return the decision
      */
     public PromptAdmission admit(String requestId, List<String> parts, long nowMillis) {
+        judgeIfDue(nowMillis);
         if (quarantined.isEmpty()) {
             return PromptAdmission.ADMITTED;
         }
@@ -375,6 +384,29 @@
     }
 
     private void update(long nowMillis) {
+        hasUnjudgedEvidence = true;
+        judgeIfDue(nowMillis);
+    }
+
+    /**
+     * Judges the evidence that has come since the last time. Load: crashes of endpoints at which hundreds of requests with
+     * hundreds of parts ran; each request is reported by itself, and judging thousands of parts takes milliseconds.
+     */
+    private void judgeIfDue(long nowMillis) {
+        if (!hasUnjudgedEvidence) {
+            return;
+        }
+        if (!history.isFull()
+                && history.repeatedParts().size() > MAXIMUM_PARTS_JUDGED_AT_ONCE
+                && nowMillis - judgedAtMillis < JUDGEMENT_INTERVAL_MILLIS) {
+            return;
+        }
+        hasUnjudgedEvidence = false;
+        judgedAtMillis = nowMillis;
+        judge(nowMillis);
+    }
+
+    private void judge(long nowMillis) {
         attribute();
         boolean changed = history.limit(
                 crash -> crash.atMillis() < nowMillis - MEMORY_MILLIS && !isNeeded(crash, nowMillis),
--- a/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/redwinghook/core/quarantine/PromptQuarantineTest.java
@@ -592,4 +592,68 @@
             return new SuspectRequest(id, List.of(parts), sentAtMillis);
         }
     }
+
+    /** Guards against an event loop that is busy for seconds with the evidence of a few crashes. */
+    public static class ManyParts {
+
+        private static final int REQUESTS = 64;
+        private static final int PARTS = 300;
+        private static final int ENGINES = 4;
+        private static final String CRASHING = "crashing";
+
+        /** Half a second later, an overdue request has to be answered. */
+        private static final long LONGEST_MILLIS = 500;
+
+        private static List<String> parts(int request) {
+            List<String> parts = new ArrayList<>();
+            parts.add(CRASHING);
+            for (int part = 0; part < PARTS; part++) {
+                parts.add("part-" + request + "-" + part);
+            }
+            return parts;
+        }
+
+        /** Replays engines that crash one after the other; their requests are repeated at the next one at once. */
+        @Test
+        public void evidenceOfManyRequestsIsMergedWithoutALongPause() {
+            PromptQuarantine quarantine = new PromptQuarantine("router-1");
+            long longestMillis = 0;
+            for (int engine = 1; engine <= ENGINES; engine++) {
+                long atMillis = engine * 1_000;
+                long startNanos = System.nanoTime();
+                for (int request = 0; request < REQUESTS; request++) {
+                    List<String> own = parts(request).subList(1, PARTS);
+                    quarantine.recordCrash(
+                            "engine-" + engine,
+                            new SuspectRequest("request-" + request, own, atMillis - 1_000),
+                            atMillis);
+                    quarantine.admit("other-" + request, own, atMillis);
+                }
+                longestMillis = Math.max(longestMillis, (System.nanoTime() - startNanos) / 1_000_000);
+            }
+            Assert.assertTrue(longestMillis < LONGEST_MILLIS, "the evidence of a crash takes " + longestMillis + " ms");
+        }
+
+        /** The part that all requests share is found although the evidence is judged only now and then. */
+        @Test
+        public void crashingPartIsFoundWithinTheInterval() {
+            PromptQuarantine quarantine = new PromptQuarantine("router-1");
+            for (int engine = 1; engine <= 2; engine++) {
+                for (int request = 0; request < REQUESTS; request++) {
+                    long atMillis = engine * 1_000;
+                    int own = engine * REQUESTS + request;
+                    quarantine.recordCrash(
+                            "engine-" + engine,
+                            new SuspectRequest("request-" + own, parts(own), atMillis - 200),
+                            atMillis);
+                }
+            }
+            long nowMillis = 2_000 + PromptQuarantine.JUDGEMENT_INTERVAL_MILLIS;
+            Assert.assertNotNull(quarantine
+                    .admit("next", List.of("sound", CRASHING), nowMillis)
+                    .rejectedFor());
+            Assert.assertNull(
+                    quarantine.admit("sound", List.of("sound"), nowMillis).rejectedFor());
+        }
+    }
 }
--- a/router/src/main/java/org/redwinghook/router/forward/PromptGuard.java
+++ b/router/src/main/java/org/redwinghook/router/forward/PromptGuard.java
@@ -64,6 +64,7 @@
     PromptAdmission admit(CallerExchange caller) {
         PromptAdmission admission =
                 quarantine.admit(caller.requestId(), caller.head().sharedParts(), clock.millis());
+        logChanges();
         QuarantinedPart rejectedFor = admission.rejectedFor();
         if (rejectedFor != null) {
             LOGGER.info(
@@ -200,6 +201,9 @@
     }
 
     private void logChanges() {
+        if (loggedParts.isEmpty() && quarantine.quarantinedParts().isEmpty()) {
+            return;
+        }
         Map<String, QuarantinedPart> previous = loggedParts;
         Map<String, QuarantinedPart> current = new LinkedHashMap<>();
         quarantine.quarantinedParts().forEach(part -> current.put(part.part(), part));
