--- a/core/src/main/java/org/redwinghook/core/forward/GenerationDurations.java
+++ b/core/src/main/java/org/redwinghook/core/forward/GenerationDurations.java
@@ -13,8 +13,8 @@
  */
 public final class GenerationDurations {
 
-    /** Wait for an engine that is assumed for a typical generation until the service has been measured, in milliseconds. */
-    private static final double UNKNOWN_WAIT_MILLIS = 750;
+    /** Least time that is reserved for the wait of a typical generation at an engine, in milliseconds. */
+    private static final double WAIT_RESERVE_MILLIS = 750;
 
     /** Time per output token at a busy engine of a route without an objective, as a multiple of the data sheet's. */
     private static final double BUSY_ENGINE_FACTOR = 2;
@@ -22,14 +22,17 @@
     /** Mean deviations above the mean that nearly no wait and no whole stream exceeds; single ones are far longer than most. */
     private static final double DEVIATIONS = 6;
 
-    /** Mean deviations above the mean that the time per token of nearly no generation exceeds; it is a mean itself. */
-    private static final double OUTPUT_DEVIATIONS = 4;
+    /** Mean deviations above the mean that the mean gap of nearly no generation exceeds. */
+    private static final double GAP_DEVIATIONS = 4;
 
     /** Time from the start to the first event beyond that for the prefill of the prompt by the data sheet. */
     private final Map<String, DurationEstimate> waits = new HashMap<>();
 
-    /** Time per output token after the first event. */
-    private final Map<String, DurationEstimate> outputTokens = new HashMap<>();
+    /** Time between two events. */
+    private final Map<String, DurationEstimate> gaps = new HashMap<>();
+
+    /** Largest number of events for a token of the longest output that callers named. */
+    private final Map<String, Double> eventsPerToken = new HashMap<>();
 
     /** Time of whole streams whose callers named no size. */
     private final Map<String, DurationEstimate> unsizedStreams = new HashMap<>();
@@ -54,8 +57,19 @@
      * @param millis time in which they arrived
      */
     public void recordEvents(String service, int events, long millis) {
-        double millisPerToken = millis / EngineSpeed.tokens(events);
-        outputTokens.compute(service, (name, before) -> DurationEstimate.add(before, millisPerToken));
+        gaps.compute(service, (name, before) -> DurationEstimate.add(before, (double) millis / events));
+    }
+
+    /**
+     * Records how many events a generation had, since engines differ in the tokens of an event.
+     *
+     * @param service name of the service
+     * @param events number of events
+     * @param longestOutputTokens longest output, in tokens
+     */
+    public void recordSize(String service, long events, long longestOutputTokens) {
+        double perToken = Math.min(1, (double) events / longestOutputTokens);
+        eventsPerToken.merge(service, perToken, Math::max);
     }
 
     /**
@@ -69,22 +83,24 @@
     }
 
     /**
-     * Duration of a typical generation.
+     * Duration of a typical generation, with a reserve for its wait.
      *
      * @param service name of the service
-     * @param route route of the request, for objectives
      * @param size prompt and expected output
-     * @return the duration in milliseconds
+     * @return the duration in milliseconds, at least that by the data sheet
      */
-    public double typicalMillis(String service, Route route, PlacementQuery size) {
+    public double typicalMillis(String service, PlacementQuery size) {
         if (size.expectedOutputTokens() <= 0) {
             DurationEstimate whole = unsizedStreams.get(service);
-            return whole == null ? route.latencyObjectiveMillis() : whole.mean();
+            return whole == null ? WAIT_RESERVE_MILLIS : Math.max(WAIT_RESERVE_MILLIS, whole.mean());
         }
         DurationEstimate wait = waits.get(service);
+        double outputMillis = Math.max(
+                EngineSpeed.outputMillis(size.expectedOutputTokens()),
+                typicalOutputMillis(service, size.expectedOutputTokens()));
         return EngineSpeed.prefillMillis(size.promptTokens())
-                + (wait == null ? UNKNOWN_WAIT_MILLIS : wait.mean())
-                + typicalOutputMillis(service, size.expectedOutputTokens());
+                + (wait == null ? WAIT_RESERVE_MILLIS : Math.max(WAIT_RESERVE_MILLIS, wait.mean()))
+                + outputMillis;
     }
 
     /**
@@ -95,8 +111,8 @@
      * @return the time in milliseconds, by the data sheet until the service has been measured
      */
     public double typicalOutputMillis(String service, long tokens) {
-        DurationEstimate token = outputTokens.get(service);
-        return token == null ? EngineSpeed.outputMillis(tokens) : token.mean() * tokens;
+        DurationEstimate gap = gaps.get(service);
+        return gap == null ? EngineSpeed.outputMillis(tokens) : gap.mean() * EngineSpeed.events(tokens);
     }
 
     /**
@@ -118,11 +134,20 @@
         double firstMillis = wait == null
                 ? Math.max(route.latencyObjectiveMillis(), prefillMillis)
                 : prefillMillis + wait.upperBound(DEVIATIONS);
-        DurationEstimate token = outputTokens.get(service);
-        return firstMillis
-                + (token == null
-                        ? longestUnknownOutputMillis(route, longestOutputTokens)
-                        : token.upperBound(OUTPUT_DEVIATIONS) * longestOutputTokens);
+        return firstMillis + longestOutputMillis(service, route, longestOutputTokens);
+    }
+
+    private double longestOutputMillis(String service, Route route, long tokens) {
+        DurationEstimate gap = gaps.get(service);
+        if (gap == null) {
+            return longestUnknownOutputMillis(route, tokens);
+        }
+        double millisPerEvent = gap.upperBound(GAP_DEVIATIONS);
+        Double measuredEvents = eventsPerToken.get(service);
+        if (measuredEvents == null) {
+            return Math.max(longestUnknownOutputMillis(route, tokens), millisPerEvent * EngineSpeed.events(tokens));
+        }
+        return millisPerEvent * Math.max(EngineSpeed.events(tokens), measuredEvents * tokens);
     }
 
     private static double longestUnknownOutputMillis(Route route, long tokens) {
--- a/core/src/main/java/org/redwinghook/core/placement/EngineSpeed.java
+++ b/core/src/main/java/org/redwinghook/core/placement/EngineSpeed.java
@@ -53,17 +53,7 @@
     }
 
     /**
-     * Output tokens of a number of events.
-     *
-     * @param events number of events
-     * @return the tokens
-     */
-    public static double tokens(int events) {
-        return events * TOKENS_PER_EVENT;
-    }
-
-    /**
-     * Number of events of an output.
+     * Number of events of an output by the data sheet.
      *
      * @param tokens length of the output, in tokens
      * @return the number, with a part of an event for the last tokens
--- a/core/src/test/java/org/redwinghook/core/forward/StopAdmissionTest.java
+++ b/core/src/test/java/org/redwinghook/core/forward/StopAdmissionTest.java
@@ -50,7 +50,7 @@
             long remainingMillis,
             long nowMillis) {
         return admission.mayTakeGeneration(
-                durations.typicalMillis(SERVICE, route, size),
+                durations.typicalMillis(SERVICE, size),
                 durations.longestMillis(SERVICE, route, size.promptTokens(), longestOutputTokens),
                 remainingMillis,
                 nowMillis);
@@ -126,6 +126,7 @@
         for (int generation = 0; generation < 200; generation++) {
             durations.recordFirstEvent(SERVICE, SHORT_ANSWER.promptTokens(), 1_360);
             durations.recordEvents(SERVICE, 10, 10 * 4 * 172 / 10);
+            durations.recordSize(SERVICE, 3, 55);
         }
         int taken = 0;
         for (long arrival = 2_500; arrival <= 7_500; arrival += 10) {
@@ -158,6 +159,20 @@
         Assert.assertFalse(mayTake(durations, ROUTE, unsized, 0, 39_000, 5_000));
     }
 
+    /** Guards against streams that are cut off at engines whose events have fewer tokens than the data sheet says. */
+    @Test
+    public void eventsOfOneTokenCountByTheirNumber() {
+        GenerationDurations durations = new GenerationDurations();
+        for (int generation = 0; generation < 200; generation++) {
+            durations.recordFirstEvent(SERVICE, 100, 50);
+            durations.recordEvents(SERVICE, 25, 25 * 40);
+            durations.recordSize(SERVICE, 20 + generation % 21, 40);
+        }
+        PlacementQuery size = new PlacementQuery(100, 20);
+        Assert.assertFalse(mayTake(durations, ROUTE, size, 40, 39_000, 7_500 - 40 * 40));
+        Assert.assertTrue(mayTake(durations, ROUTE, size, 40, 39_000, 7_500 - 50 * 40));
+    }
+
     /** Guards against streams that are cut off at engines that keep the objectives of the route but not the data sheet. */
     public static class Measured {
 
@@ -222,6 +237,7 @@
                 double factor = 0.8 + 0.4 * random.nextDouble();
                 durations.recordFirstEvent(SERVICE, PROMPT_TOKENS, Math.round(factor * engine.firstEventMillis));
                 durations.recordEvents(SERVICE, 10, Math.round(factor * 10 * engine.gapMillis));
+                durations.recordSize(SERVICE, outputTokens(random) / TOKENS_PER_EVENT, LONGEST_OUTPUT_TOKENS);
             }
             return durations;
         }
--- a/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ForwardServer.java
@@ -478,7 +478,7 @@
             RequestHead head = caller.head();
             GenerationDurations generations = context.generationDurations();
             return admission.mayTakeGeneration(
-                    generations.typicalMillis(caller.service(), caller.route(), head.expectedSize()),
+                    generations.typicalMillis(caller.service(), head.expectedSize()),
                     generations.longestMillis(
                             caller.service(), caller.route(), head.promptTokens(), head.maximumOutputTokens()),
                     caller.remainingMillis(),
--- a/router/src/main/java/org/redwinghook/router/forward/GenerationTimer.java
+++ b/router/src/main/java/org/redwinghook/router/forward/GenerationTimer.java
@@ -16,11 +16,22 @@
     private final GenerationDurations durations;
     private final Map<CallerExchange, Output> outputs = new HashMap<>();
 
-    /** Events of an attempt since the last sample. */
+    /** Events of an attempt. */
     private static final class Output {
 
-        private int events;
-        private long millis;
+        private final boolean isWhole;
+        private long events = 1;
+        private int sampledEvents;
+        private long sampledMillis;
+
+        Output(boolean isWhole) {
+            this.isWhole = isWhole;
+        }
+
+        void startSample() {
+            sampledEvents = 0;
+            sampledMillis = 0;
+        }
     }
 
     GenerationTimer(GenerationDurations durations) {
@@ -29,9 +40,9 @@
 
     @Override
     public void handleFirstEvent(CallerExchange caller, KnownEndpoint endpoint, long sinceStartMillis) {
-        outputs.put(caller, new Output());
-        boolean isContinuation = caller.response().headWritten();
-        if (!isContinuation && caller.head().maximumOutputTokens() > 0) {
+        boolean isWhole = !caller.response().headWritten() && !caller.head().resumesStream();
+        outputs.put(caller, new Output(isWhole));
+        if (isWhole && caller.head().maximumOutputTokens() > 0) {
             durations.recordFirstEvent(caller.service(), caller.head().promptTokens(), sinceStartMillis);
         }
     }
@@ -42,16 +53,17 @@
         if (output == null) {
             return;
         }
+        output.events++;
         if (caller.response().writeQueueFull()) {
             // The caller is slow, so the next events wait at the router.
-            outputs.put(caller, new Output());
+            output.startSample();
             return;
         }
-        output.events++;
-        output.millis += gapMillis;
-        if (output.millis >= SAMPLE_MILLIS) {
+        output.sampledEvents++;
+        output.sampledMillis += gapMillis;
+        if (output.sampledMillis >= SAMPLE_MILLIS) {
             record(caller, output);
-            outputs.put(caller, new Output());
+            output.startSample();
         }
     }
 
@@ -62,16 +74,20 @@
         if (output == null || outcome != AttemptOutcome.SUCCEEDED) {
             return;
         }
-        if (caller.head().maximumOutputTokens() > 0) {
+        long longestTokens = caller.head().maximumOutputTokens();
+        if (longestTokens > 0) {
             record(caller, output);
+            if (output.isWhole) {
+                durations.recordSize(caller.service(), output.events, longestTokens);
+            }
         } else if (caller.route().kind() == RequestKind.STREAMING) {
             durations.recordUnsizedStream(caller.service(), sinceStartMillis);
         }
     }
 
     private void record(CallerExchange caller, Output output) {
-        if (output.events > 0) {
-            durations.recordEvents(caller.service(), output.events, output.millis);
+        if (output.sampledEvents > 0) {
+            durations.recordEvents(caller.service(), output.sampledEvents, output.sampledMillis);
         }
     }
 }
