--- a/core/src/test/java/org/redwinghook/core/forward/StopAdmissionTest.java
+++ b/core/src/test/java/org/redwinghook/core/forward/StopAdmissionTest.java
@@ -39,19 +39,18 @@
     }
 
     private boolean mayTake(PlacementQuery size, long longestOutputTokens, long remainingMillis, long nowMillis) {
-        return mayTake(unmeasured, ROUTE, size, longestOutputTokens, remainingMillis, nowMillis);
+        return mayTake(unmeasured, size, longestOutputTokens, remainingMillis, nowMillis);
     }
 
     private boolean mayTake(
             GenerationDurations durations,
-            Route route,
             PlacementQuery size,
             long longestOutputTokens,
             long remainingMillis,
             long nowMillis) {
         return admission.mayTakeGeneration(
                 durations.typicalMillis(SERVICE, size),
-                durations.longestMillis(SERVICE, route, size.promptTokens(), longestOutputTokens),
+                durations.longestMillis(SERVICE, ROUTE, size.promptTokens(), longestOutputTokens),
                 remainingMillis,
                 nowMillis);
     }
@@ -130,7 +129,7 @@
         }
         int taken = 0;
         for (long arrival = 2_500; arrival <= 7_500; arrival += 10) {
-            if (mayTake(durations, ROUTE, SHORT_ANSWER, 55, 6_000, arrival)) {
+            if (mayTake(durations, SHORT_ANSWER, 55, 6_000, arrival)) {
                 taken++;
                 Assert.assertTrue(arrival + 1_360 + 55 * 17.2 <= 7_500, "taken after " + arrival + " ms");
             }
@@ -155,8 +154,8 @@
         for (int stream = 0; stream < 100; stream++) {
             durations.recordUnsizedStream(SERVICE, 2_900);
         }
-        Assert.assertTrue(mayTake(durations, ROUTE, unsized, 0, 39_000, 4_000));
-        Assert.assertFalse(mayTake(durations, ROUTE, unsized, 0, 39_000, 5_000));
+        Assert.assertTrue(mayTake(durations, unsized, 0, 39_000, 4_000));
+        Assert.assertFalse(mayTake(durations, unsized, 0, 39_000, 5_000));
     }
 
     /** Guards against streams that are cut off at engines whose events have fewer tokens than the data sheet says. */
@@ -169,8 +168,8 @@
             durations.recordSize(SERVICE, 20 + generation % 21, 40);
         }
         PlacementQuery size = new PlacementQuery(100, 20);
-        Assert.assertFalse(mayTake(durations, ROUTE, size, 40, 39_000, 7_500 - 40 * 40));
-        Assert.assertTrue(mayTake(durations, ROUTE, size, 40, 39_000, 7_500 - 50 * 40));
+        Assert.assertFalse(mayTake(durations, size, 40, 39_000, 7_500 - 40 * 40));
+        Assert.assertTrue(mayTake(durations, size, 40, 39_000, 7_500 - 50 * 40));
     }
 
     /** Guards against streams that are cut off at engines that keep the objectives of the route but not the data sheet. */
@@ -261,8 +260,7 @@
 
         @Test(dataProvider = "engines")
         public void noLateGenerationIsCutOff(Engine engine) {
-            Random random = new Random(5);
-            GenerationDurations durations = learn(engine, 200, random);
+            GenerationDurations durations = learn(engine, 200, new Random(5));
             Assert.assertEquals(replay(Rule.MEASURED, engine, durations, new Random(6)).cutOff, 0);
         }
 
--- a/router/src/main/java/org/redwinghook/router/forward/ListConfirmation.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ListConfirmation.java
@@ -13,7 +13,7 @@
 
 /**
  * Confirms that this router has all records that the store had when it was asked to. Load: a router that was frozen or cut off
- * acts on requests that reached it before the news; neither the time of its last read nor an answer that was under way tells
+ * acts on requests that reached it before the records that it has missed; neither the time of its last read nor an answer that was under way tells
  * what it has missed. Calls that come while the store is read share the next read. Confined to one event loop.
  */
 final class ListConfirmation {
--- a/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
+++ b/router/src/main/java/org/redwinghook/router/forward/RecordFollower.java
@@ -303,18 +303,21 @@
     private void handleRecords(RecordPage page, long era) {
         recordSuccess();
         staleAnswers = 0;
-        state.replica(topic).observeRead(era, page.records());
         try {
-            relay.relay(topic, state.apply(topic, era, page.records(), storeWasUnavailable()), storeWasUnavailable());
+            merge(page, era);
         } finally {
-            advance(page);
             readAfterPause();
         }
     }
 
-    private void advance(RecordPage page) {
-        state.replica(topic).advanceTo(page.endOffset());
-        lastAdvanceAtMillis = clock.millis();
+    private void merge(RecordPage page, long era) {
+        state.replica(topic).observeRead(era, page.records());
+        try {
+            relay.relay(topic, state.apply(topic, era, page.records(), storeWasUnavailable()), storeWasUnavailable());
+        } finally {
+            state.replica(topic).advanceTo(page.endOffset());
+            lastAdvanceAtMillis = clock.millis();
+        }
     }
 
     /**
@@ -347,9 +350,7 @@
             throw new IllegalStateException("the topic " + topic + " was read in another era than " + eraBefore);
         }
         if (!isSnapshot) {
-            state.replica(topic).observeRead(era, page.records());
-            relay.relay(topic, state.apply(topic, era, page.records(), storeWasUnavailable()), storeWasUnavailable());
-            advance(page);
+            merge(page, era);
             return;
         }
         if (page.endOffset() < state.replica(topic).nextOffset()) {
--- a/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
+++ b/router/src/main/java/org/redwinghook/router/forward/ResumedStreams.java
@@ -194,7 +194,7 @@
         awaitConfirmation(resumption);
     }
 
-    /** Waits for the store's word that only one version can have begun the stream, before other routers are asked. */
+    /** Waits for the store to confirm that only one version can have begun the stream, before other routers are asked. */
     private void awaitConfirmation(Resumption resumption) {
         if (resumption.isOver() || resumption.tryProceed(Source.MEMORY)) {
             return;
--- a/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
+++ b/router/src/main/java/org/redwinghook/router/forward/VersionRecords.java
@@ -150,7 +150,7 @@
 
     /**
      * Whether the log of the store's era can have all versions of a service. A store that came back from a copy lacks those that
-     * appeared since, until their endpoints have written their entries again; a router that was out of touch in those seconds
+     * appeared since, until their endpoints have written their entries again; a router that was out of step in those seconds
      * has not seen them in the era before either.
      *
      * @param service name of the service
